--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/Allotments.java
@@ -0,0 +1,270 @@
+package io.mothrill.core.budget;
+
+import io.mothrill.core.platform.Row;
+import io.mothrill.core.platform.RowKey;
+import io.mothrill.core.platform.TableService;
+import io.mothrill.core.platform.Transaction;
+import io.mothrill.core.time.Timers;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+import org.tinylog.Logger;
+
+/**
+ * What the platform's table has granted to this incarnation, one allotment per budget.
+ *
+ * <p>A grant and its budget's sum are written in one transaction, on the condition of the versions
+ * that were read. The allotment's numbers are cumulative: after a lost answer the row itself says
+ * what was granted, so an answer can be lost at any point without a token being counted twice.
+ */
+public final class Allotments implements TokenSource {
+
+  private static final int MAX_ATTEMPTS = 20;
+  private static final int MAX_BACKOFF_MS = 20;
+
+  private final TableService table;
+  private final Lease lease;
+  private final SizingPolicy sizing;
+  private final Timers timers;
+  private final Random random;
+  private final Map<String, Own> own = new ConcurrentHashMap<>();
+
+  /**
+   * Creates the allotments of one incarnation.
+   *
+   * @param table the platform's table
+   * @param lease the lease that the tokens are spent under
+   * @param sizing how much to ask for
+   * @param timers the time
+   * @param random spreads retries of those who race for the same budget
+   */
+  public Allotments(
+      TableService table, Lease lease, SizingPolicy sizing, Timers timers, Random random) {
+    this.table = table;
+    this.lease = lease;
+    this.sizing = sizing;
+    this.timers = timers;
+    this.random = random;
+  }
+
+  /** One allotment as this incarnation knows it; its numbers change only in turn. */
+  private static final class Own {
+    private final TokenPool pool;
+    private final List<RowKey> rows;
+    private long grantedTokens;
+    private long returningTokens;
+    private CompletableFuture<?> last = CompletableFuture.completedFuture(null);
+
+    Own(TokenPool pool, Lease lease) {
+      this.pool = pool;
+      this.rows =
+          List.of(
+              BudgetTables.budget(pool.allotment().budget()),
+              BudgetTables.allotment(pool.allotment().toString()),
+              BudgetTables.lease(lease.incarnation()));
+    }
+
+    /** Lets one operation on the row follow the other. */
+    synchronized <T> CompletableFuture<T> inTurn(Supplier<CompletableFuture<T>> operation) {
+      CompletableFuture<T> next =
+          last.handle((ignored, error) -> null).thenCompose(ignored -> operation.get());
+      last = next;
+      return next;
+    }
+
+    /**
+     * Learns from the row what became of writes whose answers were lost.
+     *
+     * <p>Only this incarnation changes what is granted, and each write is bound to the version it
+     * read, so at most one of several doubtful writes can have taken effect.
+     */
+    void learn(AllotmentRow row) {
+      if (returningTokens > 0 && row.grantedTokens() == grantedTokens - returningTokens) {
+        grantedTokens = row.grantedTokens();
+        returningTokens = 0;
+      } else if (row.grantedTokens() > grantedTokens) {
+        pool.put(row.grantedTokens() - grantedTokens);
+        grantedTokens = row.grantedTokens();
+      }
+    }
+  }
+
+  /** The rows that a change of an allotment depends on. */
+  private record Rows(Row budgetRow, Row allotmentRow, Row leaseRow) {
+
+    static Rows of(List<Row> rows) {
+      return new Rows(rows.get(0), rows.get(1), rows.get(2));
+    }
+
+    BudgetRow budget() {
+      return BudgetRow.of(budgetRow);
+    }
+
+    AllotmentRow allotment() {
+      return AllotmentRow.of(allotmentRow);
+    }
+
+    Transaction grant(long tokens) {
+      return Transaction.on(budgetRow, budget().allot(tokens).toCells())
+          .and(allotmentRow, allotment().grant(tokens).toCells())
+          .requiring(leaseRow);
+    }
+  }
+
+  /**
+   * Opens this incarnation's pool for an account.
+   *
+   * @param account the account
+   */
+  void open(BudgetAccount account) {
+    own.computeIfAbsent(
+        account.budget(),
+        budget -> {
+          AllotmentId id = new AllotmentId(lease.incarnation(), budget);
+          TokenPool pool = new TokenPool(id, lease::spendUntilMs);
+          account.addPool(pool);
+          return new Own(pool, lease);
+        });
+  }
+
+  /**
+   * Finds this incarnation's pool of a budget.
+   *
+   * @param budget the budget's name
+   * @return the pool, or null when the account was never opened
+   */
+  TokenPool poolOf(String budget) {
+    Own found = own.get(budget);
+    return found == null ? null : found.pool;
+  }
+
+  @Override
+  public CompletableFuture<Answer> ask(BudgetAccount account, Need need) {
+    Own allotment = own.get(account.budget());
+    return allotment
+        .inTurn(() -> settleReturn(allotment, 1).thenCompose(rows -> grant(allotment, need, 1)))
+        .exceptionally(
+            error -> {
+              Logger.debug("no grant for {}: {}", need.budget(), error.getMessage());
+              return Answer.UNREACHABLE;
+            });
+  }
+
+  private CompletableFuture<Answer> grant(Own allotment, Need need, int attempt) {
+    return table
+        .read(allotment.rows)
+        .thenApply(Rows::of)
+        .thenCompose(
+            rows -> {
+              long beforeTokens = allotment.pool.availableTokens();
+              allotment.learn(rows.allotment());
+              if (allotment.pool.availableTokens() - beforeTokens >= need.needTokens()) {
+                return CompletableFuture.completedFuture(Answer.ADDED);
+              }
+              if (!rows.leaseRow().exists() || lease.spendUntilMs() <= timers.nowMs()) {
+                return lease.renew().thenCompose(row -> retryGrant(allotment, need, attempt));
+              }
+              return writeGrant(allotment, need, rows, attempt);
+            });
+  }
+
+  private CompletableFuture<Answer> writeGrant(Own allotment, Need need, Rows rows, int attempt) {
+    if (rows.allotment().closed()) {
+      return CompletableFuture.completedFuture(Answer.UNREACHABLE);
+    }
+    long tokens = sizing.growTokens(need, rows.budget());
+    if (tokens <= 0) {
+      return CompletableFuture.completedFuture(Answer.EMPTY);
+    }
+    return table
+        .write(rows.grant(tokens))
+        .thenCompose(
+            written -> {
+              if (!written) {
+                return retryGrant(allotment, need, attempt);
+              }
+              allotment.grantedTokens += tokens;
+              allotment.pool.put(tokens);
+              return CompletableFuture.completedFuture(Answer.ADDED);
+            });
+  }
+
+  /** Reads again after another holder, or this one's ledger, changed a row in between. */
+  private CompletableFuture<Answer> retryGrant(Own allotment, Need need, int attempt) {
+    return backOff(attempt).thenCompose(nothing -> grant(allotment, need, attempt + 1));
+  }
+
+  private CompletableFuture<Void> backOff(int attempt) {
+    if (attempt >= MAX_ATTEMPTS) {
+      return CompletableFuture.failedFuture(
+          new IllegalStateException("lost " + attempt + " races for a row"));
+    }
+    CompletableFuture<Void> waited = new CompletableFuture<>();
+    long delayMs = attempt == 1 ? 0 : 1 + random.nextInt(MAX_BACKOFF_MS);
+    timers.after(delayMs, () -> waited.complete(null));
+    return waited;
+  }
+
+  /**
+   * Gives tokens back to the budget.
+   *
+   * <p>They leave the pool first. If the answer is lost, they stay out of the pool until the row
+   * says whether the return took effect: putting them back early could let two instances hold them.
+   *
+   * @param budget the budget's name
+   * @param tokens at most this many
+   * @return completes when the return is settled, fails when the platform does not answer
+   */
+  public CompletableFuture<Void> giveBack(String budget, long tokens) {
+    Own allotment = own.get(budget);
+    if (allotment == null) {
+      return CompletableFuture.completedFuture(null);
+    }
+    return allotment.inTurn(
+        () ->
+            settleReturn(allotment, 1)
+                .thenCompose(
+                    nothing -> {
+                      allotment.returningTokens = allotment.pool.takeUpTo(tokens);
+                      return settleReturn(allotment, 1);
+                    }));
+  }
+
+  private CompletableFuture<Void> settleReturn(Own allotment, int attempt) {
+    if (allotment.returningTokens == 0) {
+      return CompletableFuture.completedFuture(null);
+    }
+    return table
+        .read(allotment.rows)
+        .thenApply(Rows::of)
+        .thenCompose(
+            rows -> {
+              allotment.learn(rows.allotment());
+              return allotment.returningTokens == 0
+                  ? CompletableFuture.completedFuture(null)
+                  : writeReturn(allotment, rows, attempt);
+            });
+  }
+
+  private CompletableFuture<Void> writeReturn(Own allotment, Rows rows, int attempt) {
+    if (rows.allotment().closed()) {
+      allotment.returningTokens = 0;
+      return CompletableFuture.completedFuture(null);
+    }
+    return table
+        .write(rows.grant(-allotment.returningTokens))
+        .thenCompose(
+            written -> {
+              if (!written) {
+                return backOff(attempt)
+                    .thenCompose(nothing -> settleReturn(allotment, attempt + 1));
+              }
+              allotment.grantedTokens -= allotment.returningTokens;
+              allotment.returningTokens = 0;
+              return CompletableFuture.completedFuture(null);
+            });
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/BillForwarder.java
@@ -0,0 +1,132 @@
+package io.mothrill.core.budget;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.peer.Membership;
+import io.mothrill.core.peer.PeerDispatcher;
+import io.mothrill.core.peer.PeerLinks;
+import io.mothrill.core.peer.PeerMessage;
+import io.mothrill.core.peer.PeerMessage.PostBills;
+import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.time.Timers;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Brings bills to the ledger by way of the instance that holds their allotment.
+ *
+ * <p>The holder posts the bills of all who borrowed from it in one batch, so the platform is not
+ * written to by every instance for every budget. When the holder does not answer, this instance
+ * posts itself; the ledger takes each bill once, whoever posts it.
+ */
+public final class BillForwarder {
+
+  private static final long ASK_TIMEOUT_MS = 5_000;
+
+  private final LedgerPoster ledger;
+  private final Section<Membership> members;
+  private final PeerLinks links;
+  private final Map<InstanceRecord, List<Waiting>> waiting = new HashMap<>();
+
+  BillForwarder(
+      LedgerPoster ledger,
+      Section<Membership> members,
+      PeerLinks links,
+      PeerDispatcher dispatcher,
+      Timers timers,
+      long postMs) {
+    this.ledger = ledger;
+    this.members = members;
+    this.links = links;
+    dispatcher.on(PostBills.class, this::onPostBills);
+    timers.every(postMs, this::forward);
+  }
+
+  private record Waiting(PostBills.Line line, CompletableFuture<Void> posted) {}
+
+  /**
+   * Takes a bill.
+   *
+   * @param allotment the allotment that it draws on
+   * @param entry the bill
+   * @return completes when the bill is in the ledger
+   */
+  public CompletableFuture<Void> add(AllotmentId allotment, LedgerEntry entry) {
+    Optional<InstanceRecord> holder = holderOf(allotment);
+    if (holder.isEmpty()) {
+      return ledger.add(allotment, entry);
+    }
+    Waiting bill = new Waiting(new PostBills.Line(allotment, entry), new CompletableFuture<>());
+    synchronized (waiting) {
+      waiting.computeIfAbsent(holder.get(), id -> new ArrayList<>()).add(bill);
+    }
+    return bill.posted();
+  }
+
+  private Optional<InstanceRecord> holderOf(AllotmentId allotment) {
+    Membership view = members.read();
+    return view.find(allotment.incarnation())
+        .filter(holder -> !view.isSelf(holder) && view.isReachable(holder));
+  }
+
+  private void forward() {
+    Map<InstanceRecord, List<Waiting>> batches;
+    synchronized (waiting) {
+      batches = Map.copyOf(waiting);
+      waiting.clear();
+    }
+    batches.forEach(this::send);
+  }
+
+  private void send(InstanceRecord holder, List<Waiting> bills) {
+    PostBills message = new PostBills(bills.stream().map(Waiting::line).toList());
+    var unused =
+        links
+            .ask(holder, message, ASK_TIMEOUT_MS)
+            .handle((reply, error) -> reply instanceof PeerMessage.Done)
+            .thenAccept(done -> bills.forEach(bill -> settle(bill, done)));
+  }
+
+  private void settle(Waiting bill, boolean done) {
+    if (done) {
+      bill.posted().complete(null);
+      return;
+    }
+    var unused =
+        ledger
+            .add(bill.line().allotment(), bill.line().entry())
+            .thenAccept(nothing -> bill.posted().complete(null));
+  }
+
+  private CompletableFuture<PeerMessage> onPostBills(PostBills message) {
+    return allOf(
+            message.lines().stream()
+                .map(line -> ledger.add(line.allotment(), line.entry()))
+                .toList())
+        .thenApply(nothing -> new PeerMessage.Done());
+  }
+
+  private static CompletableFuture<Void> allOf(List<CompletableFuture<Void>> futures) {
+    return CompletableFuture.allOf(futures.toArray(CompletableFuture[]::new));
+  }
+
+  /**
+   * Counts the bills that are not in the ledger yet.
+   *
+   * @return bills taken here
+   */
+  public int pendingCount() {
+    synchronized (waiting) {
+      return ledger.pendingCount() + waiting.values().stream().mapToInt(List::size).sum();
+    }
+  }
+
+  /** Brings what is waiting on its way at once. */
+  public void flush() {
+    forward();
+    ledger.flush();
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetController.java
@@ -0,0 +1,164 @@
+package io.mothrill.core.budget;
+
+import com.codahale.metrics.MetricRegistry;
+import io.mothrill.core.board.Section;
+import io.mothrill.core.peer.Membership;
+import io.mothrill.core.peer.PeerDispatcher;
+import io.mothrill.core.peer.PeerLinks;
+import io.mothrill.core.platform.TableService;
+import io.mothrill.core.time.Timers;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * All budgets on one instance: opens accounts, refills them ahead of need and returns surplus.
+ *
+ * <pre>{@code
+ * controller.account("branch-2026").reserve(1_500).thenAccept(reservation -> ...);
+ * }</pre>
+ */
+public final class BudgetController {
+
+  private static final long TICK_MS = 5_000;
+
+  private final Timers timers;
+  private final Lease lease;
+  private final SizingPolicy sizing;
+  private final Allotments allotments;
+  private final Borrower borrower;
+  private final BillForwarder bills;
+  private final List<TokenSource> sources;
+  private final Map<String, BudgetAccount> accounts = new ConcurrentHashMap<>();
+
+  /**
+   * Creates the controller and starts its timers.
+   *
+   * @param table the platform's table
+   * @param members the fleet
+   * @param links the way to peers
+   * @param dispatcher where requests from peers are served
+   * @param timers the time
+   * @param random spreads retries
+   * @param metrics counts what happens
+   * @param settings how budgets are held
+   */
+  public BudgetController(
+      TableService table,
+      Section<Membership> members,
+      PeerLinks links,
+      PeerDispatcher dispatcher,
+      Timers timers,
+      Random random,
+      MetricRegistry metrics,
+      BudgetSettings settings) {
+    this.timers = timers;
+    this.sizing =
+        new EnduranceSizing(settings.enduranceMs(), settings.freeDivisor(), settings.floorTokens());
+    this.lease =
+        new Lease(
+            table,
+            timers,
+            members.read().self().incarnation(),
+            settings.leaseMs(),
+            settings.marginMs());
+    this.allotments = new Allotments(table, lease, sizing, timers, random);
+    this.borrower = new Borrower(members, links, timers);
+    LedgerPoster ledger = new LedgerPoster(table, timers, metrics, settings.postMs());
+    this.bills = new BillForwarder(ledger, members, links, dispatcher, timers, settings.postMs());
+    this.sources =
+        List.of(
+            new HolderSource(members, borrower, allotments, settings.sliceMs()),
+            new PeerSource(members, borrower));
+    var unused = new Lending(this::account, allotments, dispatcher, timers, settings.leaseMs());
+    timers.every(TICK_MS, this::tick);
+  }
+
+  /**
+   * Gives the account of a budget.
+   *
+   * @param budget the budget's name
+   * @return the account, opened on first use
+   */
+  public BudgetAccount account(String budget) {
+    return accounts.computeIfAbsent(
+        budget,
+        name -> {
+          BudgetAccount account = new BudgetAccount(name, timers, sources);
+          allotments.open(account);
+          return account;
+        });
+  }
+
+  /**
+   * Gives the way to the ledger.
+   *
+   * @return where bills are handed in
+   */
+  public BillForwarder bills() {
+    return bills;
+  }
+
+  /**
+   * Says whether this incarnation may still hold allotments.
+   *
+   * @return false once others have closed its lease
+   */
+  public boolean isFenced() {
+    return lease.isClosed();
+  }
+
+  /**
+   * Lists the accounts that were opened.
+   *
+   * @return the accounts
+   */
+  public List<BudgetAccount> accounts() {
+    return List.copyOf(accounts.values());
+  }
+
+  private void tick() {
+    borrower.repeatOpen();
+    accounts.values().forEach(this::balance);
+  }
+
+  private void balance(BudgetAccount account) {
+    account.tick();
+    account.dropSpent(allotments.poolOf(account.budget()));
+    long keepTokens = sizing.keepTokens(account.ratePerSecond());
+    long availableTokens = account.availableTokens();
+    if (availableTokens < keepTokens / 2) {
+      account.refill();
+    } else if (availableTokens > 2 * keepTokens) {
+      returnSurplus(account, availableTokens - keepTokens);
+    }
+  }
+
+  /** Returns borrowed tokens to their holders and own ones to the budget. */
+  private void returnSurplus(BudgetAccount account, long surplusTokens) {
+    TokenPool own = allotments.poolOf(account.budget());
+    account.pools().stream().filter(pool -> pool != own).forEach(borrower::handBack);
+    long ownTokens = Math.min(surplusTokens, own.availableTokens());
+    if (ownTokens > 0) {
+      var unused = allotments.giveBack(account.budget(), ownTokens).exceptionally(error -> null);
+    }
+  }
+
+  /**
+   * Returns everything that is not reserved, before the instance leaves.
+   *
+   * @return completes when the platform has taken it, fails when it does not answer
+   */
+  public CompletableFuture<Void> returnAll() {
+    List<CompletableFuture<Void>> returns = new ArrayList<>();
+    for (BudgetAccount account : accounts.values()) {
+      TokenPool own = allotments.poolOf(account.budget());
+      account.pools().stream().filter(pool -> pool != own).forEach(borrower::handBack);
+      returns.add(allotments.giveBack(account.budget(), Long.MAX_VALUE));
+    }
+    return CompletableFuture.allOf(returns.toArray(CompletableFuture[]::new));
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/LedgerPoster.java
@@ -0,0 +1,260 @@
+package io.mothrill.core.budget;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import io.mothrill.core.platform.Cells;
+import io.mothrill.core.platform.Row;
+import io.mothrill.core.platform.RowKey;
+import io.mothrill.core.platform.TableService;
+import io.mothrill.core.platform.Transaction;
+import io.mothrill.core.time.Timers;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.tinylog.Logger;
+
+/**
+ * Writes bills to the platform's ledger in batches, each bill once.
+ *
+ * <p>A bill can only go to the ledger of the allotment whose tokens it used, and every batch is
+ * written together with that allotment's row. Failure: an answer is lost, or a second instance
+ * posts for one that it believes dead. Symptom: a request is billed twice. Whoever finds more
+ * batches in the row than it knows of reads them first and drops the bills that are already there,
+ * so it does not matter who wrote them, or how often a batch was tried.
+ */
+public final class LedgerPoster {
+
+  private static final int ALLOTMENTS_PER_BATCH = 40;
+  private static final int ENTRIES_PER_BATCH = 500;
+  private static final int SCAN_ROWS = 200;
+  private static final String ENTRIES = "entries";
+  private static final String TOKENS = "tokens";
+
+  private final TableService table;
+  private final Map<AllotmentId, Map<String, Pending>> pending = new LinkedHashMap<>();
+  private final Map<AllotmentId, Long> knownSeq = new HashMap<>();
+  private final AtomicBoolean busy = new AtomicBoolean();
+  private final Counter postedTokens;
+  private final Counter lateTokens;
+
+  /**
+   * Creates the poster and starts to post.
+   *
+   * @param table the platform's table
+   * @param timers the time
+   * @param metrics counts what was posted
+   * @param postMs milliseconds between two batches
+   */
+  public LedgerPoster(TableService table, Timers timers, MetricRegistry metrics, long postMs) {
+    this.table = table;
+    this.postedTokens = metrics.counter("ledger.postedTokens");
+    this.lateTokens = metrics.counter("ledger.lateTokens");
+    timers.every(postMs, this::flush);
+  }
+
+  private record Pending(LedgerEntry entry, CompletableFuture<Void> posted) {}
+
+  /** Bills for one allotment that are being written. */
+  private record Batch(Row row, List<Pending> bills) {
+
+    long tokens() {
+      return bills.stream().mapToLong(bill -> bill.entry().tokens()).sum();
+    }
+
+    AllotmentRow next() {
+      return AllotmentRow.of(row).bill(tokens());
+    }
+  }
+
+  /**
+   * Takes a bill.
+   *
+   * @param allotment the allotment that it draws on
+   * @param entry the bill
+   * @return completes when the bill is in the ledger
+   */
+  public CompletableFuture<Void> add(AllotmentId allotment, LedgerEntry entry) {
+    synchronized (pending) {
+      return pending
+          .computeIfAbsent(allotment, id -> new LinkedHashMap<>())
+          .computeIfAbsent(entry.requestId(), id -> new Pending(entry, new CompletableFuture<>()))
+          .posted();
+    }
+  }
+
+  /**
+   * Counts the bills that are not in the ledger yet.
+   *
+   * @return bills
+   */
+  public int pendingCount() {
+    synchronized (pending) {
+      return pending.values().stream().mapToInt(Map::size).sum();
+    }
+  }
+
+  /** Writes the next batches, unless some are still under way. */
+  public void flush() {
+    List<AllotmentId> allotments = nextAllotments();
+    if (allotments.isEmpty() || !busy.compareAndSet(false, true)) {
+      return;
+    }
+    var unused =
+        table
+            .read(allotments.stream().map(id -> BudgetTables.allotment(id.toString())).toList())
+            .thenCompose(rows -> dropPosted(allotments, rows))
+            .thenCompose(rows -> write(allotments, rows))
+            .whenComplete(
+                (nothing, error) -> {
+                  busy.set(false);
+                  if (error != null) {
+                    Logger.debug("ledger batch not written: {}", error.getMessage());
+                  }
+                });
+  }
+
+  private List<AllotmentId> nextAllotments() {
+    synchronized (pending) {
+      return pending.keySet().stream().limit(ALLOTMENTS_PER_BATCH).toList();
+    }
+  }
+
+  /** Reads batches that were not known of, and drops the bills that stand there. */
+  private CompletableFuture<List<Row>> dropPosted(List<AllotmentId> allotments, List<Row> rows) {
+    CompletableFuture<Void> read = CompletableFuture.completedFuture(null);
+    for (int index = 0; index < rows.size(); index++) {
+      AllotmentId allotment = allotments.get(index);
+      long seq = AllotmentRow.of(rows.get(index)).ledgerSeq();
+      read = read.thenCompose(nothing -> catchUp(allotment, seq));
+    }
+    return read.thenApply(nothing -> rows);
+  }
+
+  private CompletableFuture<Void> catchUp(AllotmentId allotment, long seq) {
+    long known = knownSeqOf(allotment);
+    if (known >= seq) {
+      return CompletableFuture.completedFuture(null);
+    }
+    String prefix = allotment + "/";
+    String afterKey = BudgetTables.ledgerKey(allotment.toString(), known);
+    return table
+        .scan(BudgetTables.LEDGER, prefix, afterKey, SCAN_ROWS)
+        .thenCompose(
+            found -> {
+              found.forEach(row -> settle(allotment, row));
+              if (found.isEmpty()) {
+                throw new IllegalStateException("ledger of " + allotment + " has a gap");
+              }
+              return catchUp(allotment, seq);
+            });
+  }
+
+  private long knownSeqOf(AllotmentId allotment) {
+    synchronized (pending) {
+      return knownSeq.getOrDefault(allotment, 0L);
+    }
+  }
+
+  private void settle(AllotmentId allotment, Row ledgerRow) {
+    List<LedgerEntry> entries = LedgerEntry.parse(ledgerRow.cells().text(ENTRIES));
+    complete(allotment, entries.stream().map(LedgerEntry::requestId).toList());
+    synchronized (pending) {
+      knownSeq.merge(allotment, 1L, Long::sum);
+    }
+  }
+
+  private void complete(AllotmentId allotment, List<String> requestIds) {
+    List<Pending> done;
+    synchronized (pending) {
+      Map<String, Pending> bills = pending.getOrDefault(allotment, new HashMap<>());
+      done = requestIds.stream().filter(bills::containsKey).map(bills::remove).toList();
+      if (bills.isEmpty()) {
+        pending.remove(allotment);
+      }
+    }
+    done.forEach(bill -> bill.posted().complete(null));
+  }
+
+  private CompletableFuture<Void> write(List<AllotmentId> allotments, List<Row> rows) {
+    Map<AllotmentId, Batch> batches = new LinkedHashMap<>();
+    Transaction transaction = new Transaction(List.of(), List.of());
+    for (int index = 0; index < rows.size(); index++) {
+      AllotmentId allotment = allotments.get(index);
+      Batch batch = new Batch(rows.get(index), nextBills(allotment));
+      if (batch.bills().isEmpty()) {
+        continue;
+      }
+      transaction =
+          AllotmentRow.of(batch.row()).closed()
+              ? withLate(transaction, allotment, batch)
+              : withBatch(transaction, allotment, batch);
+      batches.put(allotment, batch);
+    }
+    if (batches.isEmpty()) {
+      return CompletableFuture.completedFuture(null);
+    }
+    return table
+        .write(transaction)
+        .thenAccept(
+            written -> {
+              if (written) {
+                batches.forEach(this::onWritten);
+              }
+            });
+  }
+
+  private List<Pending> nextBills(AllotmentId allotment) {
+    synchronized (pending) {
+      return pending.getOrDefault(allotment, Map.of()).values().stream()
+          .limit(ENTRIES_PER_BATCH)
+          .toList();
+    }
+  }
+
+  private static Transaction withBatch(
+      Transaction transaction, AllotmentId allotment, Batch batch) {
+    AllotmentRow next = batch.next();
+    Cells ledger =
+        Cells.empty()
+            .with(TOKENS, batch.tokens())
+            .with(ENTRIES, LedgerEntry.format(batch.bills().stream().map(Pending::entry).toList()));
+    return transaction
+        .and(batch.row(), next.toCells())
+        .and(Row.absent(BudgetTables.ledger(allotment.toString(), next.ledgerSeq())), ledger);
+  }
+
+  /**
+   * Keeps bills that came after their allotment was closed where operators find them.
+   *
+   * <p>Their tokens may have been granted to others, so billing them could overspend the budget.
+   */
+  private static Transaction withLate(Transaction transaction, AllotmentId allotment, Batch batch) {
+    Transaction longer = transaction.requiring(batch.row());
+    for (Pending bill : batch.bills()) {
+      String text = LedgerEntry.format(List.of(bill.entry()));
+      String key = allotment + "/" + bill.entry().requestId();
+      longer =
+          longer.and(
+              Row.absent(new RowKey(BudgetTables.LATE_BILLS, key)),
+              Cells.empty().with(ENTRIES, text));
+    }
+    return longer;
+  }
+
+  private void onWritten(AllotmentId allotment, Batch batch) {
+    boolean late = AllotmentRow.of(batch.row()).closed();
+    if (late) {
+      lateTokens.inc(batch.tokens());
+      Logger.error("{} bills came after {} was closed", batch.bills().size(), allotment);
+    } else {
+      postedTokens.inc(batch.tokens());
+      synchronized (pending) {
+        knownSeq.merge(allotment, 1L, Long::sum);
+      }
+    }
+    complete(allotment, batch.bills().stream().map(bill -> bill.entry().requestId()).toList());
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/Lending.java
@@ -0,0 +1,109 @@
+package io.mothrill.core.budget;
+
+import io.mothrill.core.peer.PeerDispatcher;
+import io.mothrill.core.peer.PeerMessage;
+import io.mothrill.core.peer.PeerMessage.BorrowReply;
+import io.mothrill.core.peer.PeerMessage.BorrowRequest;
+import io.mothrill.core.peer.PeerMessage.HandBack;
+import io.mothrill.core.time.Timers;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+
+/**
+ * Lends tokens to other instances, and takes back what they do not need.
+ *
+ * <p>Tokens leave this instance's pool before the reply is sent. A borrower that missed the reply
+ * asks again under the same transfer id and gets the same tokens.
+ */
+public final class Lending {
+
+  private final Function<String, BudgetAccount> accounts;
+  private final Allotments allotments;
+  private final Timers timers;
+  private final Transfers<BorrowReply> lent;
+  private final Transfers<Boolean> takenBack;
+  private final Map<String, CompletableFuture<PeerMessage>> underWay = new ConcurrentHashMap<>();
+
+  Lending(
+      Function<String, BudgetAccount> accounts,
+      Allotments allotments,
+      PeerDispatcher dispatcher,
+      Timers timers,
+      long keepMs) {
+    this.accounts = accounts;
+    this.allotments = allotments;
+    this.timers = timers;
+    this.lent = new Transfers<>(timers, keepMs);
+    this.takenBack = new Transfers<>(timers, keepMs);
+    dispatcher.on(BorrowRequest.class, this::onBorrow);
+    dispatcher.on(HandBack.class, this::onHandBack);
+  }
+
+  private CompletableFuture<PeerMessage> onBorrow(BorrowRequest request) {
+    Optional<BorrowReply> before = lent.find(request.transferId());
+    if (before.isPresent()) {
+      return CompletableFuture.completedFuture(before.get());
+    }
+    CompletableFuture<PeerMessage> first = new CompletableFuture<>();
+    CompletableFuture<PeerMessage> running = underWay.putIfAbsent(request.transferId(), first);
+    if (running != null) {
+      return running;
+    }
+    var unused =
+        enoughFor(request)
+            .thenAccept(
+                nothing -> {
+                  BorrowReply reply = lend(request);
+                  underWay.remove(request.transferId());
+                  first.complete(reply);
+                });
+    return first;
+  }
+
+  private CompletableFuture<?> enoughFor(BorrowRequest request) {
+    BudgetAccount account = accounts.apply(request.budget());
+    if (!request.mayGrow() || account.availableTokens() >= request.needTokens()) {
+      return CompletableFuture.completedFuture(null);
+    }
+    long wantedTokens = Math.max(request.needTokens(), request.wantedTokens());
+    Need need =
+        new Need(
+            request.budget(), wantedTokens, account.ratePerSecond(), account.availableTokens());
+    return allotments.ask(account, need);
+  }
+
+  private BorrowReply lend(BorrowRequest request) {
+    BudgetAccount account = accounts.apply(request.budget());
+    long halfTokens = account.availableTokens() / 2;
+    long limitTokens = Math.max(request.needTokens(), Math.min(request.wantedTokens(), halfTokens));
+    BorrowReply reply =
+        account
+            .takeForOther(limitTokens)
+            .map(
+                part ->
+                    new BorrowReply(
+                        Optional.of(part.pool().allotment()),
+                        part.tokens(),
+                        part.pool().spendUntilMs() - timers.nowMs()))
+            .orElse(new BorrowReply(Optional.empty(), 0, 0));
+    lent.remember(request.transferId(), reply);
+    return reply;
+  }
+
+  private CompletableFuture<PeerMessage> onHandBack(HandBack request) {
+    TokenPool pool = allotments.poolOf(request.allotment().budget());
+    if (pool == null || !pool.allotment().equals(request.allotment())) {
+      return CompletableFuture.completedFuture(new PeerMessage.Refused("not my allotment"));
+    }
+    synchronized (takenBack) {
+      if (takenBack.find(request.transferId()).isEmpty()) {
+        takenBack.remember(request.transferId(), true);
+        pool.put(request.tokens());
+      }
+    }
+    return CompletableFuture.completedFuture(new PeerMessage.Done());
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/Reservation.java
@@ -0,0 +1,76 @@
+package io.mothrill.core.budget;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/**
+ * Tokens set aside for one request, at most as many as it can use.
+ *
+ * <pre>{@code
+ * List<BillPart> owed = reservation.settle(usedTokens);   // once; the rest goes back
+ * }</pre>
+ */
+public final class Reservation {
+
+  private final List<Part> parts;
+  private final Queue<Part> owed = new ConcurrentLinkedQueue<>();
+  private final AtomicBoolean settled = new AtomicBoolean();
+
+  Reservation(List<Part> parts) {
+    this.parts = List.copyOf(parts);
+  }
+
+  record Part(TokenPool pool, long tokens) {}
+
+  /**
+   * Says how much was set aside.
+   *
+   * @return tokens
+   */
+  public long tokens() {
+    return parts.stream().mapToLong(Part::tokens).sum();
+  }
+
+  /**
+   * Ends the reservation: what was used is owed, the rest goes back.
+   *
+   * <p>Usage beyond the reservation is not billed: nothing was set aside for it, so billing it
+   * could overspend the budget. The request path cuts such an answer off.
+   *
+   * @param usedTokens what the request used
+   * @return what is owed to each allotment; empty when nothing is, or when settled before
+   */
+  public List<BillPart> settle(long usedTokens) {
+    if (!settled.compareAndSet(false, true)) {
+      return List.of();
+    }
+    List<BillPart> bill = new ArrayList<>();
+    long openTokens = usedTokens;
+    for (Part part : parts) {
+      long owedTokens = Math.min(openTokens, part.tokens());
+      openTokens -= owedTokens;
+      part.pool().put(part.tokens() - owedTokens);
+      part.pool().endUse();
+      if (owedTokens > 0) {
+        bill.add(new BillPart(part.pool().allotment(), owedTokens));
+        owed.add(new Part(part.pool(), owedTokens));
+      }
+    }
+    return List.copyOf(bill);
+  }
+
+  /** Puts back what {@link #settle} found owed, for a run whose bill does not count. */
+  public void cancelBill() {
+    for (Part part = owed.poll(); part != null; part = owed.poll()) {
+      part.pool().put(part.tokens());
+    }
+  }
+
+  /** Ends the reservation of a request that did not run. */
+  public void release() {
+    var unused = settle(0);
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/TokenSource.java
@@ -0,0 +1,26 @@
+package io.mothrill.core.budget;
+
+import java.util.concurrent.CompletableFuture;
+
+/** Somewhere an account can get tokens from: the platform, or another instance. */
+public interface TokenSource {
+
+  /** How a source answered. */
+  enum Answer {
+    /** Tokens were added to the account. */
+    ADDED,
+    /** The source was reached and has none to give. */
+    EMPTY,
+    /** The source was not reached, or did not answer. */
+    UNREACHABLE
+  }
+
+  /**
+   * Asks for tokens and adds what comes to the account.
+   *
+   * @param account the account
+   * @param need what it lacks
+   * @return how the source answered; never fails
+   */
+  CompletableFuture<Answer> ask(BudgetAccount account, Need need);
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/error/BudgetOutOfReach.java
@@ -0,0 +1,28 @@
+package io.mothrill.core.budget.error;
+
+import io.mothrill.core.error.ErrorMessage;
+
+/** The tokens of a budget cannot be reached for now. */
+public record BudgetOutOfReach(String text) implements ErrorMessage {
+
+  /**
+   * Creates the message.
+   *
+   * @param budget the budget's name
+   * @param needTokens what the request may use at most
+   * @return the message
+   */
+  public static BudgetOutOfReach budgetOutOfReach(String budget, long needTokens) {
+    return new BudgetOutOfReach(
+        "the "
+            + needTokens
+            + " tokens this may use of budget "
+            + budget
+            + " are out of reach for now");
+  }
+
+  @Override
+  public String code() {
+    return "budget_out_of_reach";
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/error/package-info.java
@@ -0,0 +1,2 @@
+/** Errors of the budget layer. */
+package io.mothrill.core.budget.error;
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/config/error/package-info.java
@@ -0,0 +1,2 @@
+/** Errors of the configuration layer. */
+package io.mothrill.core.config.error;
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/config/package-info.java
@@ -0,0 +1,2 @@
+/** Configuration: accepting changes once, and spreading them upwards only. */
+package io.mothrill.core.config;
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/drain/DrainController.java
@@ -0,0 +1,98 @@
+package io.mothrill.core.drain;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.time.Subscription;
+import io.mothrill.core.time.Timers;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.tinylog.Logger;
+
+/**
+ * Takes an instance out of service stage by stage.
+ *
+ * <p>Failure: the process stops while the balancer still sends to it. Symptom: callers are cut off.
+ * Readiness fails first and requests are still served until the balancer had time to notice; only
+ * then are new ones refused, and the process exits when the last one under way has ended.
+ *
+ * <p>The order of stages follows "Shutdown &amp; fleets" of the forze documentation: announce,
+ * drain while serving, tear down.
+ */
+public final class DrainController {
+
+  private static final long CHECK_MS = 50;
+
+  private final Section<DrainStage> stage;
+  private final Timers timers;
+  private final DrainSettings settings;
+  private final DrainWork work;
+  private final CompletableFuture<Void> done = new CompletableFuture<>();
+  private Subscription check = () -> {};
+
+  /**
+   * Creates the controller.
+   *
+   * @param stage where the stage is published
+   * @param timers the time
+   * @param settings how long the stages take
+   * @param work what is done in them
+   */
+  public DrainController(
+      Section<DrainStage> stage, Timers timers, DrainSettings settings, DrainWork work) {
+    this.stage = stage;
+    this.timers = timers;
+    this.settings = settings;
+    this.work = work;
+  }
+
+  /**
+   * Begins to leave; asking again changes nothing.
+   *
+   * @return completes when the process may exit
+   */
+  public synchronized CompletableFuture<Void> drain() {
+    if (stage.read() == DrainStage.SERVING) {
+      enter(DrainStage.ANNOUNCED);
+      work.announce();
+      timers.after(settings.announceMs(), this::refuseNew);
+    }
+    return done;
+  }
+
+  private void refuseNew() {
+    enter(DrainStage.FINISHING);
+    long startedMs = timers.nowMs();
+    awaitThen(work::isIdle, startedMs + settings.finishMs(), this::handOver);
+  }
+
+  private void handOver() {
+    enter(DrainStage.HANDING_OVER);
+    work.handOver();
+    awaitThen(work::isHandedOver, timers.nowMs() + settings.handOverMs(), this::finish);
+  }
+
+  private void finish() {
+    enter(DrainStage.DONE);
+    done.complete(null);
+  }
+
+  private void awaitThen(BooleanSupplier condition, long latestMs, Runnable next) {
+    check =
+        timers.every(
+            CHECK_MS,
+            () -> {
+              boolean late = timers.nowMs() >= latestMs;
+              if (late && !condition.getAsBoolean()) {
+                Logger.warn("drain stage {} ran out of time", stage.read());
+              }
+              if (late || condition.getAsBoolean()) {
+                check.cancel();
+                next.run();
+              }
+            });
+  }
+
+  private void enter(DrainStage next) {
+    Logger.info("drain stage={}", next);
+    stage.publish(next);
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/drain/package-info.java
@@ -0,0 +1,2 @@
+/** Leaving without cutting off a request. */
+package io.mothrill.core.drain;
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/error/package-info.java
@@ -0,0 +1,2 @@
+/** What every layer's errors are made of. */
+package io.mothrill.core.error;
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/fake/FakeInstanceList.java
@@ -0,0 +1,67 @@
+package io.mothrill.core.fake;
+
+import io.mothrill.core.platform.InstanceList;
+import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.time.Timers;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * An instance list in memory, which forgets an instance that has not announced itself for a while.
+ */
+public final class FakeInstanceList implements InstanceList {
+
+  private final Map<String, Entry> entries = new ConcurrentHashMap<>();
+  private final Timers timers;
+  private final long forgetAfterMs;
+  private final FaultyCalls faults;
+
+  /**
+   * Creates an empty list.
+   *
+   * @param timers the time
+   * @param forgetAfterMs how long an instance stays after its last announcement: the list's lag
+   */
+  public FakeInstanceList(Timers timers, long forgetAfterMs) {
+    this.timers = timers;
+    this.forgetAfterMs = forgetAfterMs;
+    this.faults = new FaultyCalls(timers);
+  }
+
+  /**
+   * Gives the switch for this list's faults.
+   *
+   * @return the faults
+   */
+  public FaultyCalls faults() {
+    return faults;
+  }
+
+  @Override
+  public CompletableFuture<Void> announce(InstanceRecord instance) {
+    return faults.call(
+        "announce",
+        () -> {
+          entries.put(instance.id(), new Entry(instance, timers.nowMs()));
+          return null;
+        });
+  }
+
+  @Override
+  public CompletableFuture<List<InstanceRecord>> list() {
+    return faults.call("list", this::listNow);
+  }
+
+  private List<InstanceRecord> listNow() {
+    long oldestMs = timers.nowMs() - forgetAfterMs;
+    return entries.values().stream()
+        .filter(entry -> entry.announcedMs >= oldestMs)
+        .map(Entry::instance)
+        .sorted((left, right) -> left.id().compareTo(right.id()))
+        .toList();
+  }
+
+  private record Entry(InstanceRecord instance, long announcedMs) {}
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/fake/FakeObjectStore.java
@@ -0,0 +1,48 @@
+package io.mothrill.core.fake;
+
+import io.mothrill.core.platform.ObjectStore;
+import io.mothrill.core.time.Timers;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** An object store in memory. */
+public final class FakeObjectStore implements ObjectStore {
+
+  private final Map<String, byte[]> objects = new ConcurrentHashMap<>();
+  private final FaultyCalls faults;
+
+  /**
+   * Creates an empty store.
+   *
+   * @param timers the time
+   */
+  public FakeObjectStore(Timers timers) {
+    this.faults = new FaultyCalls(timers);
+  }
+
+  /**
+   * Gives the switch for this store's faults.
+   *
+   * @return the faults
+   */
+  public FaultyCalls faults() {
+    return faults;
+  }
+
+  @Override
+  public CompletableFuture<Void> put(String name, byte[] content) {
+    return faults.call(
+        "put",
+        () -> {
+          objects.put(name, content.clone());
+          return null;
+        });
+  }
+
+  @Override
+  public CompletableFuture<Optional<byte[]>> get(String name) {
+    return faults.call("get", () -> Optional.ofNullable(objects.get(name)).map(byte[]::clone));
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/fake/FakeTable.java
@@ -0,0 +1,162 @@
+package io.mothrill.core.fake;
+
+import io.mothrill.core.platform.Row;
+import io.mothrill.core.platform.RowKey;
+import io.mothrill.core.platform.TableService;
+import io.mothrill.core.platform.Transaction;
+import io.mothrill.core.time.Timers;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** A table service in memory; {@link #faults()} makes it slow, silent or forgetful of answers. */
+public final class FakeTable implements TableService {
+
+  private final TreeMap<String, TreeMap<String, Row>> tables = new TreeMap<>();
+  private final FaultyCalls faults;
+  private final AtomicLong readCount = new AtomicLong();
+  private final AtomicLong writeCount = new AtomicLong();
+  private final AtomicLong rowsWrittenCount = new AtomicLong();
+
+  /**
+   * Creates a table service without rows.
+   *
+   * @param timers the time
+   */
+  public FakeTable(Timers timers) {
+    this.faults = new FaultyCalls(timers);
+  }
+
+  /**
+   * Gives the switch for this table's faults.
+   *
+   * @return the faults
+   */
+  public FaultyCalls faults() {
+    return faults;
+  }
+
+  /**
+   * Gives the same rows through faults of its own, as one instance's way to the table.
+   *
+   * @param ownFaults the faults of this way
+   * @return a view on this table
+   */
+  public TableService through(FaultyCalls ownFaults) {
+    return new View(ownFaults);
+  }
+
+  /**
+   * Counts the read and scan calls so far.
+   *
+   * @return calls since the start
+   */
+  public long readCount() {
+    return readCount.get();
+  }
+
+  /**
+   * Counts the write calls so far.
+   *
+   * @return calls since the start
+   */
+  public long writeCount() {
+    return writeCount.get();
+  }
+
+  /**
+   * Counts the rows that committed transactions have written.
+   *
+   * @return rows since the start
+   */
+  public long rowsWrittenCount() {
+    return rowsWrittenCount.get();
+  }
+
+  @Override
+  public CompletableFuture<List<Row>> read(List<RowKey> keys) {
+    return new View(faults).read(keys);
+  }
+
+  @Override
+  public CompletableFuture<List<Row>> scan(
+      String table, String prefix, String afterKey, int limit) {
+    return new View(faults).scan(table, prefix, afterKey, limit);
+  }
+
+  @Override
+  public CompletableFuture<Boolean> write(Transaction transaction) {
+    return new View(faults).write(transaction);
+  }
+
+  private synchronized List<Row> readNow(List<RowKey> keys) {
+    readCount.incrementAndGet();
+    return keys.stream().map(this::rowNow).toList();
+  }
+
+  private synchronized List<Row> scanNow(String table, String prefix, String afterKey, int limit) {
+    readCount.incrementAndGet();
+    String from = afterKey.compareTo(prefix) > 0 ? afterKey : prefix;
+    return tables.getOrDefault(table, new TreeMap<>()).tailMap(from, true).values().stream()
+        .takeWhile(row -> row.key().key().startsWith(prefix))
+        .filter(row -> row.key().key().compareTo(afterKey) > 0)
+        .limit(limit)
+        .toList();
+  }
+
+  private synchronized boolean writeNow(Transaction transaction) {
+    writeCount.incrementAndGet();
+    boolean current =
+        transaction.writes().stream()
+                .allMatch(write -> rowNow(write.key()).version() == write.expectedVersion())
+            && transaction.checks().stream()
+                .allMatch(check -> rowNow(check.key()).version() == check.expectedVersion());
+    if (current) {
+      transaction.writes().forEach(this::store);
+      rowsWrittenCount.addAndGet(transaction.writes().size());
+    }
+    return current;
+  }
+
+  private void store(Transaction.Write write) {
+    TreeMap<String, Row> table =
+        tables.computeIfAbsent(write.key().table(), name -> new TreeMap<>());
+    if (write.cells().isEmpty()) {
+      table.remove(write.key().key());
+      return;
+    }
+    Row next = new Row(write.key(), write.expectedVersion() + 1, write.cells().get());
+    table.put(write.key().key(), next);
+  }
+
+  private Row rowNow(RowKey key) {
+    return tables
+        .getOrDefault(key.table(), new TreeMap<>())
+        .getOrDefault(key.key(), Row.absent(key));
+  }
+
+  private final class View implements TableService {
+    private final FaultyCalls way;
+
+    View(FaultyCalls way) {
+      this.way = way;
+    }
+
+    @Override
+    public CompletableFuture<List<Row>> read(List<RowKey> keys) {
+      return way.call("read", () -> readNow(keys));
+    }
+
+    @Override
+    public CompletableFuture<List<Row>> scan(
+        String table, String prefix, String afterKey, int limit) {
+      return way.call("scan", () -> scanNow(table, prefix, afterKey, limit));
+    }
+
+    @Override
+    public CompletableFuture<Boolean> write(Transaction transaction) {
+      return way.call("write", () -> writeNow(transaction));
+    }
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/peer/MembershipController.java
@@ -0,0 +1,206 @@
+package io.mothrill.core.peer;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.config.Change;
+import io.mothrill.core.config.ConfigController;
+import io.mothrill.core.config.ConfigSnapshot;
+import io.mothrill.core.peer.PeerMessage.ChangesReply;
+import io.mothrill.core.peer.PeerMessage.ChangesRequest;
+import io.mothrill.core.peer.PeerMessage.Heartbeat;
+import io.mothrill.core.platform.InstanceList;
+import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.time.Timers;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.tinylog.Logger;
+
+/**
+ * Keeps the blackboard's view of the fleet, from the platform's list and from heartbeats.
+ *
+ * <p>The list says who belongs to the fleet; heartbeats say who can be reached. Each round asks at
+ * most {@link #FAN_OUT} peers, so its cost does not grow with the fleet.
+ */
+public final class MembershipController {
+
+  /** How many peers one round of heartbeats asks. */
+  public static final int FAN_OUT = 8;
+
+  private static final int MISSED_ROUNDS = 4;
+  private static final int LIST_EVERY_ROUNDS = 2;
+  private static final long SECOND_MS = 1_000;
+
+  private final Section<Membership> section;
+  private final Section<ConfigSnapshot> config;
+  private final ConfigController configController;
+  private final InstanceList list;
+  private final PeerLinks links;
+  private final Timers timers;
+  private final Random random;
+  private final Map<String, Long> heardMs = new ConcurrentHashMap<>();
+  private final Map<String, Long> peerRevisions = new ConcurrentHashMap<>();
+  private long round;
+
+  /**
+   * Creates the controller and starts its rounds.
+   *
+   * @param section where the view is published
+   * @param config the configuration in force here
+   * @param configController takes up configuration that a peer has first
+   * @param list the platform's list
+   * @param links the way to peers
+   * @param dispatcher where heartbeats from peers are served
+   * @param timers the time
+   * @param random chooses whom to ask
+   */
+  public MembershipController(
+      Section<Membership> section,
+      Section<ConfigSnapshot> config,
+      ConfigController configController,
+      InstanceList list,
+      PeerLinks links,
+      PeerDispatcher dispatcher,
+      Timers timers,
+      Random random) {
+    this.section = section;
+    this.config = config;
+    this.configController = configController;
+    this.list = list;
+    this.links = links;
+    this.timers = timers;
+    this.random = random;
+    dispatcher.on(Heartbeat.class, this::onHeartbeat);
+    dispatcher.on(ChangesRequest.class, this::onChangesRequest);
+    timers.every(SECOND_MS, this::runRound);
+    timers.after(0, this::runRound);
+  }
+
+  private void runRound() {
+    if (round++ % LIST_EVERY_ROUNDS == 0) {
+      readList();
+    }
+    List<InstanceRecord> others = new ArrayList<>(section.read().others());
+    Collections.shuffle(others, random);
+    others.stream().limit(FAN_OUT).forEach(this::sendHeartbeat);
+    refreshReachable();
+  }
+
+  private void readList() {
+    var unused =
+        list.announce(section.read().self())
+            .thenCompose(nothing -> list.list())
+            .whenComplete(
+                (records, error) -> {
+                  if (error == null) {
+                    takeUpList(records);
+                  } else {
+                    Logger.debug("instance list not read: {}", error.getMessage());
+                  }
+                });
+  }
+
+  private void takeUpList(List<InstanceRecord> records) {
+    section.update(
+        view ->
+            new Membership(
+                view.self(),
+                records.stream().filter(record -> !record.id().equals(view.self().id())).toList(),
+                view.reachable()));
+  }
+
+  private void sendHeartbeat(InstanceRecord peer) {
+    var unused =
+        links
+            .ask(peer, ownHeartbeat(), SECOND_MS)
+            .thenAccept(
+                reply -> {
+                  if (reply instanceof Heartbeat heartbeat) {
+                    hear(heartbeat);
+                  }
+                })
+            .exceptionally(error -> null);
+  }
+
+  private Heartbeat ownHeartbeat() {
+    return new Heartbeat(section.read().self(), config.read().revision());
+  }
+
+  private CompletableFuture<PeerMessage> onHeartbeat(Heartbeat heartbeat) {
+    hear(heartbeat);
+    return CompletableFuture.completedFuture(ownHeartbeat());
+  }
+
+  private void hear(Heartbeat heartbeat) {
+    InstanceRecord peer = heartbeat.self();
+    heardMs.put(peer.incarnation(), timers.nowMs());
+    peerRevisions.put(peer.incarnation(), heartbeat.configRevision());
+    section.update(view -> withPeer(view, peer));
+    if (heartbeat.configRevision() > config.read().revision()) {
+      configController.catchUp((revision, limit) -> changesOf(peer, revision, limit));
+    }
+  }
+
+  /** A peer's own word about itself is newer than the platform's list, which lags. */
+  private static Membership withPeer(Membership view, InstanceRecord peer) {
+    if (view.isReachable(peer) && view.others().contains(peer)) {
+      return view;
+    }
+    Map<String, InstanceRecord> byId =
+        view.others().stream()
+            .collect(Collectors.toMap(InstanceRecord::id, Function.identity(), (one, two) -> two));
+    byId.put(peer.id(), peer);
+    Set<String> reachable =
+        Stream.concat(view.reachable().stream(), Stream.of(peer.incarnation()))
+            .collect(Collectors.toSet());
+    return new Membership(view.self(), List.copyOf(byId.values()), reachable);
+  }
+
+  private CompletableFuture<List<Change>> changesOf(InstanceRecord peer, long after, int limit) {
+    return links
+        .ask(peer, new ChangesRequest(after, limit), SECOND_MS)
+        .thenApply(reply -> reply instanceof ChangesReply changes ? changes.changes() : List.of());
+  }
+
+  private CompletableFuture<PeerMessage> onChangesRequest(ChangesRequest request) {
+    return CompletableFuture.completedFuture(
+        new ChangesReply(configController.recentAfter(request.afterRevision(), request.limit())));
+  }
+
+  private void refreshReachable() {
+    int known = Math.max(1, section.read().others().size());
+    long roundsPerPeer = 1L + (known - 1) / FAN_OUT;
+    long oldestMs = timers.nowMs() - SECOND_MS * MISSED_ROUNDS * roundsPerPeer;
+    heardMs.values().removeIf(heard -> heard < oldestMs);
+    peerRevisions.keySet().retainAll(heardMs.keySet());
+    section.update(
+        view ->
+            view.reachable().equals(heardMs.keySet())
+                ? view
+                : new Membership(view.self(), view.others(), Set.copyOf(heardMs.keySet())));
+  }
+
+  /** Marks this instance as leaving and tells the platform at once. */
+  public void leave() {
+    section.update(
+        view -> new Membership(view.self().asLeaving(), view.others(), view.reachable()));
+    readList();
+    section.read().reachableOthers().forEach(this::sendHeartbeat);
+  }
+
+  /**
+   * Says how far other instances have come with the configuration.
+   *
+   * @return revisions in force by incarnation, of the instances that answer
+   */
+  public Map<String, Long> peerRevisions() {
+    return Map.copyOf(peerRevisions);
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/peer/Rendezvous.java
@@ -0,0 +1,63 @@
+package io.mothrill.core.peer;
+
+import io.mothrill.core.platform.InstanceRecord;
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/**
+ * Ranks names for a key, so that everyone who knows the same names ranks them alike.
+ *
+ * <p>When a name comes or goes, only the keys that it ranks first for change hands.
+ */
+public final class Rendezvous {
+
+  private Rendezvous() {}
+
+  /**
+   * Ranks instances for a key by their names, so a replacement keeps its predecessor's place.
+   *
+   * @param key the key
+   * @param instances the instances
+   * @return the instances, first rank first
+   */
+  public static List<InstanceRecord> rank(String key, Collection<InstanceRecord> instances) {
+    return instances.stream()
+        .sorted(
+            Comparator.comparingLong((InstanceRecord instance) -> score(key, instance.id()))
+                .thenComparing(InstanceRecord::id))
+        .toList();
+  }
+
+  /**
+   * Ranks plain names for a key.
+   *
+   * @param key the key
+   * @param names the names
+   * @return the names, first rank first
+   */
+  public static List<String> rankNames(String key, Collection<String> names) {
+    return names.stream()
+        .sorted(
+            Comparator.comparingLong((String name) -> score(key, name))
+                .thenComparing(Comparator.naturalOrder()))
+        .toList();
+  }
+
+  /**
+   * Places a name for a key on a scale; the name with the greatest share is the same everywhere.
+   *
+   * @param key the key
+   * @param name the name
+   * @return from 0 to 1, evenly spread
+   */
+  public static double share(String key, String name) {
+    return (score(key, name) >>> 1) / (double) Long.MAX_VALUE;
+  }
+
+  private static long score(String key, String name) {
+    return MurmurHash3.hash128x64((key + '\n' + name).getBytes(StandardCharsets.UTF_8))[0];
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/peer/error/package-info.java
@@ -0,0 +1,2 @@
+/** Errors of the peer layer. */
+package io.mothrill.core.peer.error;
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/platform/ObjectStore.java
@@ -0,0 +1,25 @@
+package io.mothrill.core.platform;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** The platform's object store: whole objects by name, replaced at once. */
+public interface ObjectStore {
+
+  /**
+   * Stores an object in place of an earlier one.
+   *
+   * @param name the object's name
+   * @param content its bytes
+   * @return completes when the object is stored
+   */
+  CompletableFuture<Void> put(String name, byte[] content);
+
+  /**
+   * Fetches an object.
+   *
+   * @param name the object's name
+   * @return its bytes, or empty when there is none
+   */
+  CompletableFuture<Optional<byte[]>> get(String name);
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/platform/Transaction.java
@@ -0,0 +1,92 @@
+package io.mothrill.core.platform;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * A set of row changes that take effect together, or not at all.
+ *
+ * <pre>{@code
+ * Transaction.on(row, newCells)   // only if the row still has the version that was read
+ *     .and(otherRow, otherCells);
+ * }</pre>
+ *
+ * @param writes the changes, each with the version that its row must still have
+ * @param checks conditions on rows that stay as they are
+ */
+public record Transaction(List<Write> writes, List<Check> checks) {
+
+  /** Takes a copy of the changes. */
+  public Transaction {
+    writes = List.copyOf(writes);
+    checks = List.copyOf(checks);
+  }
+
+  /**
+   * One change of one row.
+   *
+   * @param key the row's address
+   * @param expectedVersion the version that the row must have; 0 when it must not exist
+   * @param cells the new cells; empty to delete the row
+   */
+  public record Write(RowKey key, long expectedVersion, Optional<Cells> cells) {}
+
+  /**
+   * A condition on a row that is not changed.
+   *
+   * @param key the row's address
+   * @param expectedVersion the version that the row must have; 0 when it must not exist
+   */
+  public record Check(RowKey key, long expectedVersion) {}
+
+  /**
+   * Starts a transaction with one change.
+   *
+   * @param read the row as it was read
+   * @param cells its new cells
+   * @return the transaction
+   */
+  public static Transaction on(Row read, Cells cells) {
+    return new Transaction(List.of(), List.of()).and(read, cells);
+  }
+
+  /**
+   * Adds a change.
+   *
+   * @param read the row as it was read
+   * @param cells its new cells
+   * @return a copy with the change
+   */
+  public Transaction and(Row read, Cells cells) {
+    return plus(new Write(read.key(), read.version(), Optional.of(cells)));
+  }
+
+  /**
+   * Adds a condition on a row that is not changed.
+   *
+   * @param read the row as it was read
+   * @return a copy that takes effect only while the row is as it was read
+   */
+  public Transaction requiring(Row read) {
+    List<Check> longer = new ArrayList<>(checks);
+    longer.add(new Check(read.key(), read.version()));
+    return new Transaction(writes, longer);
+  }
+
+  /**
+   * Adds a deletion.
+   *
+   * @param read the row as it was read
+   * @return a copy with the deletion
+   */
+  public Transaction andDelete(Row read) {
+    return plus(new Write(read.key(), read.version(), Optional.empty()));
+  }
+
+  private Transaction plus(Write write) {
+    List<Write> longer = new ArrayList<>(writes);
+    longer.add(write);
+    return new Transaction(longer, checks);
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/platform/error/package-info.java
@@ -0,0 +1,2 @@
+/** Errors of the platform ports. */
+package io.mothrill.core.platform.error;
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/AnswerLog.java
@@ -0,0 +1,43 @@
+package io.mothrill.core.request;
+
+import java.io.ByteArrayOutputStream;
+import java.util.Optional;
+
+/** Collects an answer so that it can be kept; gives up when it grows too large. */
+final class AnswerLog {
+
+  private final int maxBytes;
+  private ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private int status;
+  private String contentType = "";
+
+  AnswerLog(int maxBytes) {
+    this.maxBytes = maxBytes;
+  }
+
+  void head(int newStatus, String newContentType) {
+    this.status = newStatus;
+    this.contentType = newContentType;
+    this.body = new ByteArrayOutputStream();
+  }
+
+  int status() {
+    return status;
+  }
+
+  void piece(byte[] bytes) {
+    if (body == null) {
+      return;
+    }
+    if (body.size() + bytes.length > maxBytes) {
+      body = null;
+      return;
+    }
+    body.writeBytes(bytes);
+  }
+
+  Optional<StoredAnswer> whole() {
+    return Optional.ofNullable(body)
+        .map(bytes -> new StoredAnswer(status, contentType, bytes.toByteArray()));
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/CallPlanner.java
@@ -0,0 +1,108 @@
+package io.mothrill.core.request;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.config.ConfigSnapshot;
+import io.mothrill.core.request.error.RefusedException;
+import io.mothrill.core.resource.ServiceSpec;
+import io.mothrill.core.resource.ServiceType;
+import io.mothrill.core.resource.TeamSpec;
+import io.mothrill.core.time.Timers;
+import java.util.List;
+import java.util.function.Supplier;
+
+/** Finds out who asks, for what, and what it may cost. */
+public final class CallPlanner {
+
+  /** What every key that an instance minted starts with. */
+  public static final String MINTED = "~";
+
+  private final Section<ConfigSnapshot> config;
+  private final Timers timers;
+  private final String domain;
+  private final Supplier<String> ids;
+
+  /**
+   * Creates the planner.
+   *
+   * @param config the configuration in force
+   * @param timers the time
+   * @param domain this instance's failure domain, where minted keys are at home
+   * @param ids gives ids that no other call of any instance gives
+   */
+  public CallPlanner(
+      Section<ConfigSnapshot> config, Timers timers, String domain, Supplier<String> ids) {
+    this.config = config;
+    this.timers = timers;
+    this.domain = domain;
+    this.ids = ids;
+  }
+
+  /**
+   * Plans a request.
+   *
+   * @param request the request
+   * @return the plan
+   * @throws RefusedException when the request cannot be served
+   */
+  public CallPlan plan(CallRequest request) {
+    ConfigSnapshot snapshot = config.read();
+    if (snapshot.revision() == 0) {
+      throw new RefusedException(Refusal.notReady());
+    }
+    String team = authenticate(snapshot, request.bearer());
+    ServiceSpec service = serviceOf(snapshot, request);
+    String budget = budgetOf(snapshot, team, request);
+    String requestId = ids.get();
+    long maxOutputTokens =
+        Math.min(
+            request.maxOutputTokens().orElse(service.maxOutputTokens()), service.maxOutputTokens());
+    boolean model = service.type() == ServiceType.MODEL;
+    return new CallPlan(
+        request,
+        service,
+        budget,
+        new RequestKey(team, request.idempotencyKey().orElse(MINTED + domain + MINTED + requestId)),
+        request.idempotencyKey().isPresent(),
+        requestId,
+        request.priority().orElse(service.priority()),
+        service.repeatable() && !request.unrepeatable(),
+        maxOutputTokens,
+        model ? request.promptLimitTokens() + maxOutputTokens : service.tokensPerCall(),
+        timers.nowMs() + service.timeoutMs());
+  }
+
+  /**
+   * Finds the team that a key belongs to.
+   *
+   * @param snapshot the configuration
+   * @param bearer the key, as {@code team.secret}
+   * @return the team's name
+   * @throws RefusedException when the key is not valid
+   */
+  public static String authenticate(ConfigSnapshot snapshot, String bearer) {
+    int dot = bearer.indexOf('.');
+    String team = dot > 0 ? bearer.substring(0, dot) : "";
+    String secret = bearer.substring(dot + 1);
+    boolean valid =
+        snapshot.team(team).map(TeamSpec::keys).orElse(List.of()).stream()
+            .anyMatch(key -> key.matches(secret));
+    if (!valid) {
+      throw new RefusedException(Refusal.badKey());
+    }
+    return team;
+  }
+
+  private static ServiceSpec serviceOf(ConfigSnapshot snapshot, CallRequest request) {
+    return snapshot
+        .service(request.service())
+        .filter(service -> service.type() == request.type())
+        .orElseThrow(() -> new RefusedException(Refusal.unknownService(request.service())));
+  }
+
+  private static String budgetOf(ConfigSnapshot snapshot, String team, CallRequest request) {
+    return snapshot.budgets(team, request.service()).stream()
+        .filter(budget -> request.budget().isEmpty() || request.budget().get().equals(budget))
+        .findFirst()
+        .orElseThrow(() -> new RefusedException(Refusal.noBudget(request.service())));
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/Exchange.java
@@ -0,0 +1,485 @@
+package io.mothrill.core.request;
+
+import com.codahale.metrics.MetricRegistry;
+import io.mothrill.core.budget.BillPart;
+import io.mothrill.core.budget.Reservation;
+import io.mothrill.core.peer.PeerMessage.ClaimReply;
+import io.mothrill.core.request.UnrepeatableClaims.Outcome;
+import io.mothrill.core.request.error.RefusedException;
+import io.mothrill.core.routing.Assignment;
+import io.mothrill.core.routing.LoadReport;
+import io.mothrill.core.routing.Ticket;
+import io.mothrill.core.time.Subscription;
+import io.mothrill.core.upstream.UpstreamCall;
+import io.mothrill.core.upstream.UpstreamExchange;
+import io.mothrill.core.upstream.UpstreamFailure;
+import io.mothrill.core.upstream.UpstreamFailure.Kind;
+import io.mothrill.core.upstream.UpstreamListener;
+import io.mothrill.core.upstream.Usage;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.tinylog.Logger;
+
+/**
+ * One request on its way: planned, claimed, paid for, sent, answered and billed.
+ *
+ * <p>All of its steps run on the caller's executor, one after the other, so it needs no lock.
+ */
+public final class Exchange {
+
+  private static final int MAX_CLAIMS = 3;
+
+  private final ExchangeParts parts;
+  private final CallRequest request;
+  private final CallerStream caller;
+  private final Consumer<Exchange> onOver;
+  private final AnswerLog answer;
+  private final Set<String> failedUpstreams = new HashSet<>();
+  private CallPlan plan;
+  private Reservation reservation;
+  private Assignment assignment;
+  private UpstreamExchange upstream;
+  private Subscription deadline = () -> {};
+  private Usage usage = Usage.NONE;
+  private int attempts;
+  private int claims;
+  private boolean claimed;
+  private boolean headSent;
+  private boolean callerGone;
+  private boolean over;
+
+  Exchange(
+      ExchangeParts parts, CallRequest request, CallerStream caller, Consumer<Exchange> onOver) {
+    this.parts = parts;
+    this.request = request;
+    this.caller = caller;
+    this.onOver = onOver;
+    this.answer = new AnswerLog(parts.settings().keptAnswerBytes());
+  }
+
+  void start() {
+    try {
+      plan = parts.planner().plan(request);
+    } catch (RefusedException ex) {
+      caller.identify("", "");
+      refuse(ex.refusal());
+      return;
+    }
+    caller.identify(plan.requestId(), plan.key().key());
+    long timeoutMs = plan.deadlineMs() - parts.timers().nowMs();
+    deadline = parts.timers().after(timeoutMs, () -> caller.execute(this::onDeadline));
+    if (plan.keyed() || !plan.repeatable()) {
+      claimKey();
+    } else {
+      reserve();
+    }
+  }
+
+  /** Continues with a result on the caller's executor, unless the exchange is over by then. */
+  private <T> void then(CompletableFuture<T> future, Consumer<T> next) {
+    var unused =
+        future.whenComplete(
+            (result, error) ->
+                caller.execute(
+                    () -> {
+                      if (over) {
+                        discard(result);
+                      } else if (error == null) {
+                        next.accept(result);
+                      } else {
+                        fail(Refusal.of(error));
+                      }
+                    }));
+  }
+
+  private static void discard(Object result) {
+    if (result instanceof Reservation late) {
+      late.release();
+    } else if (result instanceof Assignment late) {
+      late.release();
+    }
+  }
+
+  private void claimKey() {
+    claims++;
+    then(parts.records().claim(plan), this::onClaim);
+  }
+
+  private void onClaim(ClaimReply reply) {
+    switch (reply.verdict()) {
+      case RUN -> {
+        claimed = true;
+        reserve();
+      }
+      case JOIN -> join(reply.runner());
+      case REPLAY -> replay(reply.answer());
+      case MISMATCH -> refuse(Refusal.keyReused());
+      case OUTCOME_UNKNOWN -> refuse(Refusal.outcomeUnknown());
+      default -> refuse(Refusal.claimUnsafe());
+    }
+  }
+
+  private void join(String runner) {
+    long waitMs = plan.deadlineMs() - parts.timers().nowMs();
+    var unused =
+        parts
+            .records()
+            .join(plan.key(), runner, waitMs)
+            .handle((found, error) -> error == null ? found : Optional.<StoredAnswer>empty())
+            .thenAccept(found -> caller.execute(() -> onJoined(found)));
+  }
+
+  /** The run that was waited for may have failed, or its instance; then the claim is asked anew. */
+  private void onJoined(Optional<StoredAnswer> found) {
+    if (over) {
+      return;
+    }
+    if (found.isPresent()) {
+      replay(found);
+    } else if (claims < MAX_CLAIMS) {
+      claimKey();
+    } else {
+      refuse(Refusal.inProgress());
+    }
+  }
+
+  private void replay(Optional<StoredAnswer> stored) {
+    if (stored.isEmpty()) {
+      refuse(Refusal.answerGone());
+      return;
+    }
+    caller.head(stored.get().status(), stored.get().contentType());
+    caller.piece(stored.get().body());
+    caller.end();
+    close();
+  }
+
+  private void reserve() {
+    if (claimed) {
+      parts.records().begin(plan.key());
+    }
+    then(
+        parts.budgets().account(plan.budget()).reserve(plan.reserveTokens()),
+        reserved -> {
+          reservation = reserved;
+          parts.retryBudget().onFirstTry();
+          route();
+        });
+  }
+
+  private void route() {
+    Ticket ticket =
+        new Ticket(
+            plan.requestId(),
+            request.service(),
+            plan.key().team(),
+            plan.priority(),
+            request.affinity(),
+            failedUpstreams,
+            plan.deadlineMs());
+    then(
+        parts.router().route(ticket),
+        assigned -> {
+          assignment = assigned;
+          claimBeforeSending();
+        });
+  }
+
+  /** The claim comes last, so that a request which is refused before this leaves no claim. */
+  private void claimBeforeSending() {
+    if (plan.repeatable() || attempts > 0) {
+      send();
+      return;
+    }
+    then(parts.unrepeatable().claim(plan.key(), plan.requestId()), this::onUnrepeatableClaim);
+  }
+
+  private void onUnrepeatableClaim(Outcome outcome) {
+    switch (outcome) {
+      case GRANTED -> send();
+      case TAKEN -> fail(Refusal.outcomeUnknown());
+      default -> fail(Refusal.claimUnsafe());
+    }
+  }
+
+  private void send() {
+    attempts++;
+    UpstreamCall call =
+        new UpstreamCall(
+            plan.requestId(),
+            assignment.upstream().spec(),
+            plan.priority(),
+            request.method(),
+            request.path(),
+            request.contentType(),
+            request.body(),
+            plan.maxOutputTokens(),
+            request.streamed(),
+            !plan.repeatable(),
+            parts.settings().stallMs());
+    upstream = parts.client().send(call, new Answer(attempts, assignment));
+  }
+
+  /** Hears of one attempt; what an earlier attempt still says is dropped. */
+  private final class Answer implements UpstreamListener {
+    private final int attempt;
+    private final Assignment slot;
+
+    Answer(int attempt, Assignment slot) {
+      this.attempt = attempt;
+      this.slot = slot;
+    }
+
+    private void on(Runnable step) {
+      caller.execute(
+          () -> {
+            if (!over && attempt == attempts) {
+              step.run();
+            }
+          });
+    }
+
+    @Override
+    public void onHead(int status, String contentType) {
+      on(() -> head(status, contentType));
+    }
+
+    @Override
+    public void onPiece(byte[] bytes, Usage used) {
+      on(() -> piece(bytes, used));
+    }
+
+    @Override
+    public void onEnd() {
+      on(Exchange.this::end);
+    }
+
+    @Override
+    public void onFailure(UpstreamFailure failure) {
+      on(() -> attemptFailed(failure));
+    }
+
+    @Override
+    public void onLoad(LoadReport report) {
+      slot.upstream().report(report);
+    }
+  }
+
+  private void head(int status, String contentType) {
+    answer.head(status, contentType);
+    headSent = true;
+    if (!callerGone) {
+      caller.head(status, contentType);
+    }
+  }
+
+  private void piece(byte[] bytes, Usage used) {
+    usage = used;
+    boolean tooLong = request.streamed() && used.outputTokens() > plan.maxOutputTokens();
+    if (tooLong) {
+      cutOff();
+      return;
+    }
+    deliver(bytes);
+  }
+
+  private void deliver(byte[] bytes) {
+    answer.piece(bytes);
+    if (!callerGone) {
+      caller.piece(bytes);
+    }
+  }
+
+  /** Ends an answer that is longer than its cap: no more was reserved for it. */
+  private void cutOff() {
+    upstream.cancel();
+    Logger.warn("request={} exceeded its output cap and was cut", plan.requestId());
+    deliver(request.cutEnding());
+    end();
+  }
+
+  private void end() {
+    Optional<StoredAnswer> whole = answer.whole();
+    long owedTokens = plan.cost(answer.status(), usage.totalTokens());
+    finish(owedTokens, whole, this::endCaller);
+  }
+
+  private void endCaller() {
+    if (!callerGone) {
+      caller.end();
+    }
+  }
+
+  /** Settles, copies the bill to another instance, and only then lets the caller see the end. */
+  private void finish(long usedTokens, Optional<StoredAnswer> whole, Runnable last) {
+    over = true;
+    releaseSlot();
+    List<BillPart> owed = reservation.settle(usedTokens);
+    Bill bill = new Bill(plan.requestId(), plan.key(), owed);
+    CompletableFuture<Void> copied =
+        parts
+            .records()
+            .finish(plan, new RunOutcome(false, Optional.of(bill), whole, reservation::cancelBill));
+    parts.timers().after(parts.settings().finishWaitMs(), () -> copied.complete(null));
+    var unused =
+        copied.thenAccept(
+            nothing ->
+                caller.execute(
+                    () -> {
+                      last.run();
+                      leave();
+                    }));
+  }
+
+  private void attemptFailed(UpstreamFailure failure) {
+    if (failure.kind() == Kind.LEAVING) {
+      assignment.upstream().markLeaving();
+    } else {
+      assignment.upstream().avoidUntil(parts.timers().nowMs() + parts.settings().avoidMs());
+    }
+    failedUpstreams.add(assignment.upstream().name());
+    Logger.info(
+        "attempt failed request={} upstream={} kind={} detail={}",
+        plan.requestId(),
+        assignment.upstream().name(),
+        failure.kind(),
+        failure.detail());
+    releaseSlot();
+    if (mayTryAgain(failure)) {
+      usage = Usage.NONE;
+      route();
+    } else {
+      fail(refusalOf(failure));
+    }
+  }
+
+  /**
+   * A call that surely did not run may be sent again; one that may have run only when it is
+   * repeatable and the caller has seen nothing of its answer.
+   */
+  private boolean mayTryAgain(UpstreamFailure failure) {
+    boolean harmless = failure.isNotRun() || plan.repeatable();
+    return harmless
+        && !headSent
+        && attempts < parts.settings().maxAttempts()
+        && parts.retryBudget().tryRetry();
+  }
+
+  private Refusal refusalOf(UpstreamFailure failure) {
+    if (failure.isNotRun()) {
+      return Refusal.upstreamRefused(failure.detail());
+    }
+    return plan.repeatable() ? Refusal.upstreamFailed(failure.detail()) : Refusal.outcomeUnknown();
+  }
+
+  private void onDeadline() {
+    if (!over) {
+      boolean sent = upstream != null;
+      fail(Refusal.timeout(sent ? NotRun.UNKNOWN : NotRun.TRUE));
+    }
+  }
+
+  /**
+   * The caller went away.
+   *
+   * <p>A request with a key of the caller's own goes on, because the caller will ask for its answer
+   * again. Any other is given up, and owes what it has used.
+   */
+  public void onCallerGone() {
+    caller.execute(
+        () -> {
+          callerGone = true;
+          boolean goesOn = over || (plan != null && plan.keyed() && upstream != null);
+          if (!goesOn) {
+            giveUp();
+          }
+          if (upstream != null) {
+            upstream.setReading(true);
+          }
+        });
+  }
+
+  private void giveUp() {
+    if (upstream != null && usage.totalTokens() > 0) {
+      upstream.cancel();
+      finish(Math.min(usage.totalTokens(), plan.reserveTokens()), Optional.empty(), () -> {});
+    } else {
+      fail(Refusal.timeout(NotRun.UNKNOWN));
+    }
+  }
+
+  /**
+   * The caller reads more slowly than the answer comes, or keeps up again.
+   *
+   * @param writable whether more may be sent
+   */
+  public void onCallerWritable(boolean writable) {
+    caller.execute(
+        () -> {
+          if (upstream != null && !over) {
+            upstream.setReading(writable || callerGone);
+          }
+        });
+  }
+
+  /** Ends a request that was claimed or paid for without an answer. */
+  private void fail(Refusal refusal) {
+    if (upstream != null) {
+      upstream.cancel();
+    }
+    releaseSlot();
+    if (reservation != null) {
+      reservation.release();
+    }
+    if (claimed || plan.keyed()) {
+      endRecord(refusal);
+    }
+    refuse(refusal);
+  }
+
+  private void endRecord(Refusal refusal) {
+    boolean notRun = refusal.notRun() == NotRun.TRUE;
+    if (!plan.repeatable() && notRun) {
+      parts.unrepeatable().release(plan.key(), plan.requestId());
+    }
+    var unused = parts.records().finish(plan, RunOutcome.failed(notRun));
+  }
+
+  private void refuse(Refusal refusal) {
+    Logger.info(
+        "refused request={} status={} code={} notRun={}",
+        plan == null ? "" : plan.requestId(),
+        refusal.status(),
+        refusal.code(),
+        refusal.notRun());
+    parts.metrics().counter(MetricRegistry.name("refused", refusal.code())).inc();
+    if (!callerGone) {
+      if (headSent) {
+        caller.abort();
+      } else {
+        caller.refuse(refusal);
+      }
+    }
+    close();
+  }
+
+  private void releaseSlot() {
+    if (assignment != null) {
+      assignment.release();
+    }
+  }
+
+  private void close() {
+    over = true;
+    leave();
+  }
+
+  private void leave() {
+    deadline.cancel();
+    onOver.accept(this);
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/ExchangeParts.java
@@ -0,0 +1,33 @@
+package io.mothrill.core.request;
+
+import com.codahale.metrics.MetricRegistry;
+import io.mothrill.core.budget.BudgetController;
+import io.mothrill.core.routing.Router;
+import io.mothrill.core.time.Timers;
+import io.mothrill.core.upstream.UpstreamClient;
+
+/**
+ * What a request needs on its way.
+ *
+ * @param planner finds out who asks and for what
+ * @param records keeps one record per request key
+ * @param unrepeatable claims requests that may run only once
+ * @param budgets reserves tokens
+ * @param router gives slots at upstreams
+ * @param client sends calls
+ * @param retryBudget limits retries
+ * @param timers the time
+ * @param metrics counts what happens
+ * @param settings how requests are run
+ */
+public record ExchangeParts(
+    CallPlanner planner,
+    RequestRecords records,
+    UnrepeatableClaims unrepeatable,
+    BudgetController budgets,
+    Router router,
+    UpstreamClient client,
+    RetryBudget retryBudget,
+    Timers timers,
+    MetricRegistry metrics,
+    RequestSettings settings) {}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/error/package-info.java
@@ -0,0 +1,2 @@
+/** Errors of the request layer. */
+package io.mothrill.core.request.error;
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/resource/Spec.java
@@ -0,0 +1,12 @@
+package io.mothrill.core.resource;
+
+/** What an operator declares of a resource. */
+public sealed interface Spec permits TeamSpec, BudgetSpec, ServiceSpec, UpstreamSpec {
+
+  /**
+   * Says which kind this declares.
+   *
+   * @return the kind
+   */
+  ResourceKind kind();
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/resource/package-info.java
@@ -0,0 +1,2 @@
+/** Declared resources: Team, Budget, Service and Upstream. */
+package io.mothrill.core.resource;
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/routing/AffinityScorer.java
@@ -0,0 +1,26 @@
+package io.mothrill.core.routing;
+
+import io.mothrill.core.peer.Rendezvous;
+
+/** Prefers the upstream whose prefix cache is likely to hold the start of the prompt. */
+public final class AffinityScorer implements Scorer {
+
+  private final double gain;
+
+  /**
+   * Creates the scorer.
+   *
+   * @param gain what a likely cache hit is worth
+   */
+  public AffinityScorer(double gain) {
+    this.gain = gain;
+  }
+
+  @Override
+  public double score(UpstreamState upstream, Ticket ticket, long nowMs) {
+    if (ticket.affinity().isEmpty()) {
+      return 0;
+    }
+    return -gain * Rendezvous.share(ticket.affinity(), upstream.name());
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/routing/Assignment.java
@@ -0,0 +1,37 @@
+package io.mothrill.core.routing;
+
+import io.mothrill.core.resource.Priority;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/** A slot at an upstream, held by one call until it is released. */
+public final class Assignment {
+
+  private final UpstreamState upstream;
+  private final Priority priority;
+  private final Runnable afterRelease;
+  private final AtomicBoolean released = new AtomicBoolean();
+
+  Assignment(UpstreamState upstream, Priority priority, Runnable afterRelease) {
+    this.upstream = upstream;
+    this.priority = priority;
+    this.afterRelease = afterRelease;
+    upstream.begin(priority);
+  }
+
+  /**
+   * Gives the upstream.
+   *
+   * @return the upstream that the call goes to
+   */
+  public UpstreamState upstream() {
+    return upstream;
+  }
+
+  /** Frees the slot; calling it again has no effect. */
+  public void release() {
+    if (released.compareAndSet(false, true)) {
+      upstream.end(priority);
+      afterRelease.run();
+    }
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/routing/Chooser.java
@@ -0,0 +1,82 @@
+package io.mothrill.core.routing;
+
+import io.mothrill.core.routing.RoutingDecision.Candidate;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+
+/**
+ * Chooses an upstream: compares a few that have room, and takes the one with the least score.
+ *
+ * <p>Comparing two at random is nearly as even as comparing all, and it does not send every
+ * instance to the same upstream when their load reports are equally old.
+ */
+public final class Chooser {
+
+  private final List<Scorer> scorers;
+  private final Random random;
+  private final int compared;
+
+  /**
+   * Creates the chooser.
+   *
+   * @param scorers the reasons to prefer an upstream; their scores are added
+   * @param random picks whom to compare
+   * @param compared how many to compare
+   */
+  public Chooser(List<Scorer> scorers, Random random, int compared) {
+    this.scorers = List.copyOf(scorers);
+    this.random = random;
+    this.compared = compared;
+  }
+
+  /**
+   * The upstream that was chosen, with those that it was compared with.
+   *
+   * @param upstream the chosen upstream
+   * @param candidates all that were compared
+   */
+  public record Choice(UpstreamState upstream, List<Candidate> candidates) {}
+
+  private record Scored(UpstreamState upstream, Candidate candidate) {}
+
+  /**
+   * Chooses among upstreams that have room.
+   *
+   * @param eligible upstreams that may get the call
+   * @param ticket the call
+   * @param nowMs the time
+   * @return the choice, or empty when there are none
+   */
+  public Optional<Choice> choose(List<UpstreamState> eligible, Ticket ticket, long nowMs) {
+    List<Scored> scored =
+        sample(eligible).stream().map(upstream -> score(upstream, ticket, nowMs)).toList();
+    return scored.stream()
+        .min(Comparator.comparingDouble(entry -> entry.candidate().score()))
+        .map(best -> new Choice(best.upstream(), scored.stream().map(Scored::candidate).toList()));
+  }
+
+  private List<UpstreamState> sample(List<UpstreamState> eligible) {
+    if (eligible.size() <= compared) {
+      return eligible;
+    }
+    List<UpstreamState> left = new ArrayList<>(eligible);
+    List<UpstreamState> taken = new ArrayList<>(compared);
+    for (int count = 0; count < compared; count++) {
+      int last = left.size() - 1;
+      int index = random.nextInt(left.size());
+      taken.add(left.get(index));
+      left.set(index, left.get(last));
+      left.remove(last);
+    }
+    return taken;
+  }
+
+  private Scored score(UpstreamState upstream, Ticket ticket, long nowMs) {
+    double score =
+        scorers.stream().mapToDouble(scorer -> scorer.score(upstream, ticket, nowMs)).sum();
+    return new Scored(upstream, new Candidate(upstream.name(), score));
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/routing/RecentDecisions.java
@@ -0,0 +1,47 @@
+package io.mothrill.core.routing;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import org.tinylog.Logger;
+
+/** Writes one log line per decision, and keeps the last ones for operators who ask. */
+public final class RecentDecisions implements DecisionLog {
+
+  private static final int KEPT = 4_096;
+
+  private final Deque<RoutingDecision> recent = new ArrayDeque<>();
+
+  @Override
+  public void routed(RoutingDecision decision) {
+    Logger.info(
+        "routed request={} service={} team={} class={} upstream={} waitedMs={} candidates=[{}]",
+        decision.ticket().requestId(),
+        decision.ticket().service(),
+        decision.ticket().team(),
+        decision.ticket().priority(),
+        decision.chosen(),
+        decision.waitedMs(),
+        decision.candidatesText());
+    synchronized (recent) {
+      recent.addLast(decision);
+      if (recent.size() > KEPT) {
+        recent.removeFirst();
+      }
+    }
+  }
+
+  /**
+   * Finds the decisions about a request.
+   *
+   * @param requestId the run's id
+   * @return its decisions, oldest first; empty when they are no longer kept
+   */
+  public List<RoutingDecision> about(String requestId) {
+    synchronized (recent) {
+      return recent.stream()
+          .filter(decision -> decision.ticket().requestId().equals(requestId))
+          .toList();
+    }
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/routing/UpstreamTable.java
@@ -0,0 +1,89 @@
+package io.mothrill.core.routing;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.config.ConfigSnapshot;
+import io.mothrill.core.resource.Resource;
+import io.mothrill.core.resource.ResourceKind;
+import io.mothrill.core.resource.UpstreamSpec;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Collectors;
+
+/** The upstreams of every service, following the configuration; counts survive its changes. */
+public final class UpstreamTable {
+
+  private final Map<String, UpstreamState> states = new ConcurrentHashMap<>();
+  private final AtomicReference<Map<String, List<UpstreamState>>> byService =
+      new AtomicReference<>(Map.of());
+
+  /**
+   * Creates the table.
+   *
+   * @param config the configuration to follow
+   */
+  public UpstreamTable(Section<ConfigSnapshot> config) {
+    config.subscribe(this::follow);
+    follow(config.read());
+  }
+
+  private synchronized void follow(ConfigSnapshot snapshot) {
+    List<Resource> upstreams = snapshot.list(ResourceKind.UPSTREAM);
+    states.keySet().retainAll(upstreams.stream().map(Resource::name).toList());
+    upstreams.forEach(this::declare);
+    byService.set(
+        states.values().stream()
+            .sorted((one, two) -> one.name().compareTo(two.name()))
+            .collect(Collectors.groupingBy(state -> state.spec().service())));
+  }
+
+  /** An upstream at another address is another process: what was known of it no longer holds. */
+  private void declare(Resource resource) {
+    UpstreamSpec spec = (UpstreamSpec) resource.spec();
+    states.compute(
+        resource.name(),
+        (name, known) -> {
+          boolean same =
+              known != null
+                  && known.spec().host().equals(spec.host())
+                  && known.spec().port() == spec.port()
+                  && known.spec().leaving() == spec.leaving();
+          if (!same) {
+            return new UpstreamState(name, spec);
+          }
+          known.declare(spec);
+          return known;
+        });
+  }
+
+  /**
+   * Lists the upstreams of a service.
+   *
+   * @param service the service's name
+   * @return the upstreams in order of their names, leaving ones too
+   */
+  public List<UpstreamState> of(String service) {
+    return byService.get().getOrDefault(service, List.of());
+  }
+
+  /**
+   * Finds an upstream.
+   *
+   * @param name its name
+   * @return the upstream, or empty
+   */
+  public Optional<UpstreamState> find(String name) {
+    return Optional.ofNullable(states.get(name));
+  }
+
+  /**
+   * Lists all upstreams.
+   *
+   * @return the upstreams
+   */
+  public List<UpstreamState> all() {
+    return List.copyOf(states.values());
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/routing/error/package-info.java
@@ -0,0 +1,2 @@
+/** Errors of the routing layer. */
+package io.mothrill.core.routing.error;
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Which upstream serves a call, and when: classes, windows, queues and choice. */
+package io.mothrill.core.routing;
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/upstream/UpstreamFailure.java
@@ -0,0 +1,31 @@
+package io.mothrill.core.upstream;
+
+/**
+ * Why an answer did not come.
+ *
+ * @param kind what is known about the run
+ * @param detail what happened, for the log
+ */
+public record UpstreamFailure(Kind kind, String detail) {
+
+  /** What is known about a run that failed. */
+  public enum Kind {
+    /** No byte of the call was written, so it surely did not run. */
+    NOT_SENT,
+    /** The upstream answered that it refused the call and did not run it. */
+    REFUSED,
+    /** The upstream answered that it is leaving and did not run the call. */
+    LEAVING,
+    /** The connection broke or fell silent: the call may have run. */
+    BROKEN
+  }
+
+  /**
+   * Says whether the call surely did not run.
+   *
+   * @return true when sending it again cannot run it twice
+   */
+  public boolean isNotRun() {
+    return kind != Kind.BROKEN;
+  }
+}
--- /dev/null
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/package-info.java
@@ -0,0 +1,2 @@
+/** x. */
+package io.mothrill.lab;
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/http/ClientHandler.java
@@ -0,0 +1,154 @@
+package io.mothrill.wire.http;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/** One client connection: passes the answer of the current call to its sink. */
+final class ClientHandler extends SimpleChannelInboundHandler<HttpObject> {
+
+  static final String NAME = "mothrill-client";
+
+  private static final long NANOS_PER_MS = 1_000_000;
+
+  private ChannelHandlerContext context;
+  private HttpSink sink;
+  private Runnable putBack;
+  private boolean keepAlive;
+  private long stallMs;
+  private volatile long lastReadNanos = System.nanoTime();
+  private Future<?> watchdog;
+
+  static ClientHandler of(Channel channel) {
+    return (ClientHandler) channel.pipeline().get(NAME);
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext newContext) {
+    this.context = newContext;
+  }
+
+  long idleNanos() {
+    return System.nanoTime() - lastReadNanos;
+  }
+
+  void begin(HttpSink newSink, long newStallMs, Runnable newPutBack) {
+    this.sink = newSink;
+    this.putBack = newPutBack;
+    this.stallMs = newStallMs;
+    this.lastReadNanos = System.nanoTime();
+    watch(newStallMs);
+  }
+
+  /**
+   * Gives up on a connection that says nothing.
+   *
+   * <p>Failure: something between the two ends has lost track of the connection. Symptom: the call
+   * waits for ever, though new connections work. Only this connection is closed. While reading is
+   * stopped for a slow caller, silence is not the upstream's fault.
+   */
+  private void watch(long delayMs) {
+    watchdog =
+        context
+            .executor()
+            .schedule(
+                () -> {
+                  long silentMs = idleNanos() / NANOS_PER_MS;
+                  if (!context.channel().config().isAutoRead()) {
+                    lastReadNanos = System.nanoTime();
+                    watch(stallMs);
+                  } else if (silentMs >= stallMs) {
+                    fail("silent for " + silentMs + " ms");
+                  } else {
+                    watch(stallMs - silentMs);
+                  }
+                },
+                delayMs,
+                TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+    lastReadNanos = System.nanoTime();
+    if (sink == null) {
+      // Nobody waits for this: the answer to an earlier call, or bytes too many.
+      ctx.close();
+      return;
+    }
+    if (message.decoderResult().isFailure()) {
+      fail("answer is not HTTP");
+      return;
+    }
+    if (message instanceof HttpResponse head) {
+      keepAlive = HttpUtil.isKeepAlive(head);
+      if (!sink.onHead(head)) {
+        abandon();
+        return;
+      }
+    }
+    if (message instanceof HttpContent content) {
+      onContent(content);
+    }
+  }
+
+  private void onContent(HttpContent content) {
+    if (sink != null && content.content().isReadable()) {
+      sink.onBody(ByteBufUtil.getBytes(content.content()));
+    }
+    if (sink != null && content instanceof LastHttpContent) {
+      HttpSink ended = release();
+      if (keepAlive) {
+        putBack.run();
+      } else {
+        context.close();
+      }
+      ended.onEnd();
+    }
+  }
+
+  private HttpSink release() {
+    HttpSink released = sink;
+    sink = null;
+    if (watchdog != null) {
+      watchdog.cancel(false);
+    }
+    return released;
+  }
+
+  /** Closes the connection without a word to the sink. */
+  void abandon() {
+    context
+        .executor()
+        .execute(
+            () -> {
+              release();
+              context.close();
+            });
+  }
+
+  private void fail(String detail) {
+    HttpSink failed = release();
+    context.close();
+    if (failed != null) {
+      failed.onFailure(true, detail);
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    fail("connection closed before the answer was whole");
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    fail(String.valueOf(cause.getMessage()));
+  }
+}
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/http/HttpClient.java
@@ -0,0 +1,207 @@
+package io.mothrill.wire.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicReference;
+
+/**
+ * Sends HTTP calls over pooled connections and streams their answers.
+ *
+ * <p>A connection carries one call at a time and goes back to its pool only after a whole answer
+ * with nothing behind it. After a cancel, a timeout, a failure or a surplus byte it is closed, so a
+ * late answer can never be taken for the answer to a later call.
+ */
+public final class HttpClient {
+
+  private static final int MAX_LINE_BYTES = 8_192;
+  private static final int MAX_HEADER_BYTES = 16_384;
+  private static final int MAX_CHUNK_BYTES = 8_192;
+  private static final int CONNECT_TIMEOUT_MS = 1_000;
+  private static final long IDLE_MAX_NANOS = 15_000_000_000L;
+
+  private final Bootstrap bootstrap;
+  private final Map<PoolKey, Deque<Channel>> idle = new ConcurrentHashMap<>();
+
+  /**
+   * Creates the client.
+   *
+   * @param group the event loops of its connections
+   */
+  public HttpClient(EventLoopGroup group) {
+    this.bootstrap =
+        new Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+            .handler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    channel
+                        .pipeline()
+                        .addLast(
+                            new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                        .addLast(ClientHandler.NAME, new ClientHandler());
+                  }
+                });
+  }
+
+  private record PoolKey(Address to, String pool) {}
+
+  /** A call under way. */
+  public static final class Handle {
+    private final AtomicReference<Channel> channel = new AtomicReference<>();
+    private volatile boolean cancelled;
+
+    /** Gives the call up and closes its connection. */
+    public void cancel() {
+      cancelled = true;
+      Channel used = channel.get();
+      if (used != null) {
+        ClientHandler.of(used).abandon();
+      }
+    }
+
+    /**
+     * Stops or continues reading the answer.
+     *
+     * @param reading false to stop
+     */
+    public void setReading(boolean reading) {
+      Channel used = channel.get();
+      if (used != null) {
+        used.config().setAutoRead(reading);
+      }
+    }
+
+    private void use(Channel chosen) {
+      channel.set(chosen);
+    }
+  }
+
+  /**
+   * Sends a call.
+   *
+   * @param call the call
+   * @param sink gets the answer
+   * @return the call under way
+   */
+  public Handle send(HttpCall call, HttpSink sink) {
+    Handle handle = new Handle();
+    Channel pooled = call.freshConnection() ? null : takeIdle(call);
+    if (pooled != null) {
+      start(pooled, call, sink, handle, () -> connect(call, sink, handle));
+    } else {
+      connect(call, sink, handle);
+    }
+    return handle;
+  }
+
+  private Channel takeIdle(HttpCall call) {
+    Deque<Channel> channels = idle.get(new PoolKey(call.to(), call.pool()));
+    if (channels == null) {
+      return null;
+    }
+    synchronized (channels) {
+      for (Channel channel = channels.pollLast(); channel != null; channel = channels.pollLast()) {
+        if (channel.isActive() && ClientHandler.of(channel).idleNanos() < IDLE_MAX_NANOS) {
+          return channel;
+        }
+        channel.close();
+      }
+    }
+    return null;
+  }
+
+  private void connect(HttpCall call, HttpSink sink, Handle handle) {
+    bootstrap
+        .connect(call.to().toSocketAddress())
+        .addListener(
+            (ChannelFuture connected) -> {
+              if (connected.isSuccess()) {
+                start(
+                    connected.channel(),
+                    call,
+                    sink,
+                    handle,
+                    () -> sink.onFailure(false, "connection to " + call.to() + " was closed"));
+              } else if (!handle.cancelled) {
+                sink.onFailure(false, "cannot connect to " + call.to());
+              }
+            });
+  }
+
+  private void start(
+      Channel channel, HttpCall call, HttpSink sink, Handle handle, Runnable ifClosed) {
+    handle.use(channel);
+    if (handle.cancelled) {
+      channel.close();
+      return;
+    }
+    channel
+        .eventLoop()
+        .execute(
+            () -> {
+              if (!channel.isActive()) {
+                ifClosed.run();
+                return;
+              }
+              ClientHandler.of(channel).begin(sink, call.stallMs(), () -> putBack(call, channel));
+              channel.writeAndFlush(requestOf(call));
+            });
+  }
+
+  private static DefaultFullHttpRequest requestOf(HttpCall call) {
+    DefaultFullHttpRequest request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1, call.method(), call.path(), Unpooled.wrappedBuffer(call.body()));
+    request.headers().add(call.headers());
+    request.headers().set(HttpHeaderNames.HOST, call.to().toString());
+    request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
+    return request;
+  }
+
+  private void putBack(HttpCall call, Channel channel) {
+    channel.config().setAutoRead(true);
+    Deque<Channel> channels =
+        idle.computeIfAbsent(new PoolKey(call.to(), call.pool()), key -> new ArrayDeque<>());
+    synchronized (channels) {
+      channels.addLast(channel);
+    }
+  }
+
+  /** Closes connections that have been idle for long; to be called now and then. */
+  public void closeStale() {
+    idle.values().forEach(HttpClient::closeStale);
+  }
+
+  private static void closeStale(Deque<Channel> channels) {
+    synchronized (channels) {
+      channels.removeIf(
+          channel -> {
+            boolean stale =
+                !channel.isActive() || ClientHandler.of(channel).idleNanos() >= IDLE_MAX_NANOS;
+            if (stale) {
+              channel.close();
+            }
+            return stale;
+          });
+    }
+  }
+}
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/http/WholeAnswer.java
@@ -0,0 +1,73 @@
+package io.mothrill.wire.http;
+
+import io.mothrill.wire.http.error.HttpException;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import java.io.ByteArrayOutputStream;
+import java.util.concurrent.CompletableFuture;
+
+/** Collects the answer to a call whose body is small. */
+public final class WholeAnswer implements HttpSink {
+
+  private static final int MAX_BYTES = 64 * 1024 * 1024;
+
+  private final CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private int status;
+  private String contentType = "";
+
+  /**
+   * Sends a call and waits for the whole answer.
+   *
+   * @param client the client
+   * @param to the server
+   * @param method the method
+   * @param path the path with its query
+   * @param headers the headers
+   * @param requestBody the body; not to be changed
+   * @param timeoutMs how long the server may be silent
+   * @return the answer; fails with {@link HttpException}
+   */
+  public static CompletableFuture<HttpReply> of(
+      HttpClient client,
+      Address to,
+      HttpMethod method,
+      String path,
+      HttpHeaders headers,
+      byte[] requestBody,
+      long timeoutMs) {
+    WholeAnswer whole = new WholeAnswer();
+    var unused =
+        client.send(
+            new HttpCall(to, "", method, path, headers, requestBody, false, timeoutMs), whole);
+    return whole.reply;
+  }
+
+  private WholeAnswer() {}
+
+  @Override
+  public boolean onHead(HttpResponse head) {
+    status = head.status().code();
+    contentType = head.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
+    return true;
+  }
+
+  @Override
+  public void onBody(byte[] bytes) {
+    if (body.size() + bytes.length <= MAX_BYTES) {
+      body.writeBytes(bytes);
+    }
+  }
+
+  @Override
+  public void onEnd() {
+    reply.complete(new HttpReply(status, contentType, body.toByteArray()));
+  }
+
+  @Override
+  public void onFailure(boolean sent, String detail) {
+    reply.completeExceptionally(new HttpException(sent, detail));
+  }
+}
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/http/error/package-info.java
@@ -0,0 +1,2 @@
+/** Errors of the HTTP layer. */
+package io.mothrill.wire.http.error;
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/json/JsonFields.java
@@ -0,0 +1,310 @@
+package io.mothrill.wire.json;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.mothrill.core.error.FieldError;
+import io.mothrill.core.error.InvalidInputException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Function;
+
+/**
+ * Reads the fields of one JSON object and collects everything that is wrong with them.
+ *
+ * <pre>{@code
+ * JsonFields fields = JsonFields.of(node, "spec");
+ * String service = fields.text("service");
+ * long slots = fields.number("slots", 1, 10_000);
+ * fields.finish();                       // throws, naming every wrong field with its path
+ * }</pre>
+ */
+public final class JsonFields {
+
+  private final JsonNode node;
+  private final String path;
+  private final List<FieldError> errors;
+  private final Set<String> known = new HashSet<>();
+
+  private JsonFields(JsonNode node, String path, List<FieldError> errors) {
+    this.node = node;
+    this.path = path;
+    this.errors = errors;
+    if (!node.isObject()) {
+      errors.add(FieldError.wrongType(path.isEmpty() ? "$" : path, "an object"));
+    }
+  }
+
+  /**
+   * Begins to read an object.
+   *
+   * @param node the object
+   * @param path its path, empty for the outermost
+   * @return the reader
+   */
+  public static JsonFields of(JsonNode node, String path) {
+    return new JsonFields(node, path, new ArrayList<>());
+  }
+
+  private String pathOf(String name) {
+    return path.isEmpty() ? name : path + "." + name;
+  }
+
+  private Optional<JsonNode> find(String name) {
+    known.add(name);
+    return Optional.ofNullable(node.get(name)).filter(value -> !value.isNull());
+  }
+
+  /**
+   * Says whether a field is there.
+   *
+   * @param name the field
+   * @return true when it has a value
+   */
+  public boolean has(String name) {
+    return find(name).isPresent();
+  }
+
+  /**
+   * Reads a required text.
+   *
+   * @param name the field
+   * @return the text; empty when it is wrong
+   */
+  public String text(String name) {
+    if (!has(name)) {
+      errors.add(FieldError.missing(pathOf(name)));
+    }
+    return text(name, "");
+  }
+
+  /**
+   * Reads an optional text.
+   *
+   * @param name the field
+   * @param fallback the value when the field is not there
+   * @return the text
+   */
+  public String text(String name, String fallback) {
+    return find(name)
+        .map(value -> value.isTextual() ? value.asText() : wrong(name, "a text", fallback))
+        .orElse(fallback);
+  }
+
+  /**
+   * Reads a required name: letters, digits, dots, underscores and dashes.
+   *
+   * @param name the field
+   * @return the name; empty when it is wrong
+   */
+  public String name(String name) {
+    String value = text(name);
+    if (!value.isEmpty() && !Names.isValid(value)) {
+      errors.add(FieldError.refused(pathOf(name), Names.RULE));
+    }
+    return value;
+  }
+
+  /**
+   * Reads a required whole number.
+   *
+   * @param name the field
+   * @param min the least value
+   * @param max the greatest value
+   * @return the number; {@code min} when it is wrong
+   */
+  public long number(String name, long min, long max) {
+    if (!has(name)) {
+      errors.add(FieldError.missing(pathOf(name)));
+    }
+    return number(name, min, max, min);
+  }
+
+  /**
+   * Reads an optional whole number.
+   *
+   * @param name the field
+   * @param min the least value
+   * @param max the greatest value
+   * @param fallback the value when the field is not there
+   * @return the number
+   */
+  public long number(String name, long min, long max, long fallback) {
+    return find(name).map(value -> checkedNumber(name, value, min, max)).orElse(fallback);
+  }
+
+  /**
+   * Reads an optional whole number that has no default.
+   *
+   * @param name the field
+   * @param min the least value
+   * @param max the greatest value
+   * @return the number, or empty when the field is not there
+   */
+  public OptionalLong optionalNumber(String name, long min, long max) {
+    return has(name) ? OptionalLong.of(number(name, min, max, min)) : OptionalLong.empty();
+  }
+
+  private long checkedNumber(String name, JsonNode value, long min, long max) {
+    if (!value.isIntegralNumber() || !value.canConvertToLong()) {
+      return wrong(name, "a whole number", min);
+    }
+    long number = value.asLong();
+    if (number < min || number > max) {
+      errors.add(FieldError.outOfRange(pathOf(name), min, max, number));
+      return min;
+    }
+    return number;
+  }
+
+  /**
+   * Reads an optional truth value.
+   *
+   * @param name the field
+   * @param fallback the value when the field is not there
+   * @return the truth value
+   */
+  public boolean flag(String name, boolean fallback) {
+    return find(name)
+        .map(
+            value -> value.isBoolean() ? value.asBoolean() : wrong(name, "true or false", fallback))
+        .orElse(fallback);
+  }
+
+  /**
+   * Reads an optional word out of a fixed set.
+   *
+   * @param name the field
+   * @param words the allowed words
+   * @param fallback the value when the field is not there
+   * @return the word
+   */
+  public String word(String name, List<String> words, String fallback) {
+    String value = text(name, fallback);
+    if (!words.contains(value)) {
+      errors.add(FieldError.refused(pathOf(name), "must be one of " + String.join(", ", words)));
+      return fallback;
+    }
+    return value;
+  }
+
+  /**
+   * Reads an optional list of texts.
+   *
+   * @param name the field
+   * @return the texts; empty when the field is not there
+   */
+  public List<String> texts(String name) {
+    List<String> texts = new ArrayList<>();
+    eachOf(name)
+        .forEach(
+            element -> {
+              if (element.value().isTextual()) {
+                texts.add(element.value().asText());
+              } else {
+                errors.add(FieldError.wrongType(element.path(), "a text"));
+              }
+            });
+    return texts;
+  }
+
+  /**
+   * Reads an optional list of objects.
+   *
+   * @param name the field
+   * @param reader reads one object; its errors are collected here
+   * @param <T> what an object is read as
+   * @return what was read
+   */
+  public <T> List<T> objects(String name, Function<JsonFields, T> reader) {
+    List<T> read = new ArrayList<>();
+    eachOf(name)
+        .forEach(
+            element -> {
+              JsonFields fields = new JsonFields(element.value(), element.path(), errors);
+              read.add(reader.apply(fields));
+              fields.refuseUnknown();
+            });
+    return read;
+  }
+
+  private record Element(JsonNode value, String path) {}
+
+  private List<Element> eachOf(String name) {
+    List<Element> elements = new ArrayList<>();
+    Optional<JsonNode> list = find(name);
+    if (list.isPresent() && !list.get().isArray()) {
+      return wrong(name, "a list", elements);
+    }
+    list.ifPresent(
+        array -> {
+          for (int index = 0; index < array.size(); index++) {
+            elements.add(new Element(array.get(index), pathOf(name) + "[" + index + "]"));
+          }
+        });
+    return elements;
+  }
+
+  /**
+   * Reads an object inside this one; an absent one is read as empty.
+   *
+   * @param name the field
+   * @param reader reads the object; its errors are collected here
+   * @param <T> what the object is read as
+   * @return what was read
+   */
+  public <T> T object(String name, Function<JsonFields, T> reader) {
+    JsonFields fields = new JsonFields(find(name).orElseGet(Json::object), pathOf(name), errors);
+    T read = reader.apply(fields);
+    fields.refuseUnknown();
+    return read;
+  }
+
+  /**
+   * Refuses a field for a reason of the caller's.
+   *
+   * @param name the field
+   * @param reason the reason, to be read after the path
+   */
+  public void refuse(String name, String reason) {
+    errors.add(FieldError.refused(pathOf(name), reason));
+  }
+
+  /**
+   * Ends the reading.
+   *
+   * @throws InvalidInputException when a field was wrong, missing or unknown
+   */
+  public void finish() {
+    refuseUnknown();
+    finishLenient();
+  }
+
+  /**
+   * Ends the reading of an object that may have further fields.
+   *
+   * @throws InvalidInputException when a field was wrong or missing
+   */
+  public void finishLenient() {
+    if (!errors.isEmpty()) {
+      throw new InvalidInputException(errors);
+    }
+  }
+
+  private void refuseUnknown() {
+    node.fieldNames()
+        .forEachRemaining(
+            name -> {
+              if (!known.contains(name)) {
+                errors.add(FieldError.unknown(pathOf(name)));
+              }
+            });
+  }
+
+  private <T> T wrong(String name, String expected, T fallback) {
+    errors.add(FieldError.wrongType(pathOf(name), expected));
+    return fallback;
+  }
+}
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/json/Names.java
@@ -0,0 +1,25 @@
+package io.mothrill.wire.json;
+
+import java.util.regex.Pattern;
+
+/** The rule that names of resources, instances and keys keep. */
+public final class Names {
+
+  /** The rule, to be read after a field's path. */
+  public static final String RULE =
+      "must have 1 to 128 characters out of letters, digits, '.', '_', '~', ':' and '-'";
+
+  private static final Pattern VALID = Pattern.compile("[A-Za-z0-9._~:-]{1,128}");
+
+  private Names() {}
+
+  /**
+   * Checks a name.
+   *
+   * @param name the name
+   * @return true when it keeps the rule
+   */
+  public static boolean isValid(String name) {
+    return VALID.matcher(name).matches();
+  }
+}
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Netty edges and clients: callers, upstreams, operators, peers and the platform. */
+package io.mothrill.wire;
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/NettyPeers.java
@@ -0,0 +1,210 @@
+package io.mothrill.wire.peer;
+
+import io.mothrill.core.peer.PeerDispatcher;
+import io.mothrill.core.peer.PeerLinks;
+import io.mothrill.core.peer.PeerMessage;
+import io.mothrill.core.peer.error.PeerException;
+import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.wire.http.Address;
+import io.mothrill.wire.peer.generated.Envelope;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.tinylog.Logger;
+
+/**
+ * Links to peers: one connection to each, over which many requests are under way at once.
+ *
+ * <p>A reply is matched by its correlation id alone, so replies may cross. A connection on which a
+ * request went unanswered is replaced: it may have fallen silent though new ones work.
+ */
+public final class NettyPeers implements PeerLinks {
+
+  private static final int CONNECT_TIMEOUT_MS = 500;
+
+  private final EventLoopGroup group;
+  private final PeerCodec codec;
+  private final PeerDispatcher dispatcher;
+  private final Bootstrap bootstrap;
+  private final Channel listener;
+  private final ChannelGroup accepted = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private final Map<Address, CompletableFuture<Channel>> connections = new ConcurrentHashMap<>();
+  private final Map<Long, CompletableFuture<PeerMessage>> waiting = new ConcurrentHashMap<>();
+  private final AtomicLong nextId = new AtomicLong();
+
+  /**
+   * Starts to listen for peers.
+   *
+   * @param group the event loops
+   * @param codec turns messages into protobuf
+   * @param dispatcher serves requests from peers
+   * @param host an IP address
+   * @param port a TCP port; 0 for any
+   */
+  public NettyPeers(
+      EventLoopGroup group, PeerCodec codec, PeerDispatcher dispatcher, String host, int port) {
+    this.group = group;
+    this.codec = codec;
+    this.dispatcher = dispatcher;
+    this.bootstrap =
+        new Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+            .handler(initializer());
+    this.listener =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(initializer())
+            .bind(host, port)
+            .syncUninterruptibly()
+            .channel();
+  }
+
+  private ChannelInitializer<SocketChannel> initializer() {
+    return new ChannelInitializer<>() {
+      @Override
+      protected void initChannel(SocketChannel channel) {
+        accepted.add(channel);
+        channel
+            .pipeline()
+            .addLast(new ProtobufVarint32FrameDecoder())
+            .addLast(new ProtobufDecoder(Envelope.getDefaultInstance()))
+            .addLast(new ProtobufVarint32LengthFieldPrepender())
+            .addLast(new ProtobufEncoder())
+            .addLast(new EnvelopeHandler());
+      }
+    };
+  }
+
+  /**
+   * Gives the port.
+   *
+   * @return the port that peers connect to
+   */
+  public int port() {
+    return ((InetSocketAddress) listener.localAddress()).getPort();
+  }
+
+  @Override
+  public CompletableFuture<PeerMessage> ask(
+      InstanceRecord peer, PeerMessage request, long timeoutMs) {
+    Address to = new Address(peer.host(), peer.peerPort());
+    long id = nextId.incrementAndGet();
+    CompletableFuture<PeerMessage> reply = new CompletableFuture<>();
+    waiting.put(id, reply);
+    Envelope envelope = codec.encode(request).setCorrelationId(id).build();
+    var timeout =
+        group.schedule(() -> fail(id, peer, to, "timeout"), timeoutMs, TimeUnit.MILLISECONDS);
+    connection(to)
+        .whenComplete(
+            (channel, error) -> {
+              if (error == null) {
+                channel.writeAndFlush(envelope);
+              } else {
+                fail(id, peer, to, String.valueOf(error.getMessage()));
+              }
+            });
+    return reply.whenComplete((message, error) -> timeout.cancel(false));
+  }
+
+  private void fail(long id, InstanceRecord peer, Address to, String detail) {
+    CompletableFuture<PeerMessage> reply = waiting.remove(id);
+    if (reply != null) {
+      CompletableFuture<Channel> suspect = connections.remove(to);
+      if (suspect != null) {
+        suspect.thenAccept(Channel::close);
+      }
+      reply.completeExceptionally(PeerException.noReply(peer.id(), detail));
+    }
+  }
+
+  private CompletableFuture<Channel> connection(Address to) {
+    return connections.compute(
+        to,
+        (address, known) -> {
+          boolean usable =
+              known != null
+                  && !known.isCompletedExceptionally()
+                  && (!known.isDone() || known.join().isActive());
+          return usable ? known : connect(address);
+        });
+  }
+
+  private CompletableFuture<Channel> connect(Address to) {
+    CompletableFuture<Channel> connected = new CompletableFuture<>();
+    bootstrap
+        .connect(to.toSocketAddress())
+        .addListener(
+            (ChannelFuture future) -> {
+              if (future.isSuccess()) {
+                connected.complete(future.channel());
+              } else {
+                connected.completeExceptionally(future.cause());
+              }
+            });
+    return connected;
+  }
+
+  /** Stops listening and closes all connections. */
+  public void close() {
+    listener.close().syncUninterruptibly();
+    accepted.close();
+  }
+
+  private final class EnvelopeHandler extends SimpleChannelInboundHandler<Envelope> {
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, Envelope envelope) {
+      if (envelope.getReply()) {
+        CompletableFuture<PeerMessage> reply = waiting.remove(envelope.getCorrelationId());
+        if (reply != null) {
+          reply.complete(codec.decode(envelope));
+        }
+        return;
+      }
+      dispatcher
+          .dispatch(codec.decode(envelope))
+          .thenAccept(
+              message ->
+                  ctx.writeAndFlush(
+                      codec
+                          .encode(message)
+                          .setCorrelationId(envelope.getCorrelationId())
+                          .setReply(true)
+                          .build()));
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      Logger.debug("peer connection failed: {}", cause.getMessage());
+      ctx.close();
+    }
+  }
+}
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerCodec.java
@@ -0,0 +1,365 @@
+package io.mothrill.wire.peer;
+
+import com.google.protobuf.ByteString;
+import io.mothrill.core.budget.AllotmentId;
+import io.mothrill.core.budget.BillPart;
+import io.mothrill.core.budget.LedgerEntry;
+import io.mothrill.core.config.Change;
+import io.mothrill.core.peer.PeerMessage;
+import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.request.Bill;
+import io.mothrill.core.request.RequestKey;
+import io.mothrill.core.request.StoredAnswer;
+import io.mothrill.core.resource.ResourceCodec;
+import io.mothrill.core.resource.ResourceKind;
+import io.mothrill.wire.peer.generated.Envelope;
+import io.mothrill.wire.peer.generated.Instance;
+import java.util.Optional;
+
+/** Turns peer messages into protobuf and back. */
+public final class PeerCodec {
+
+  private final ResourceCodec resources;
+
+  /**
+   * Creates the codec.
+   *
+   * @param resources writes resources inside changes of configuration
+   */
+  public PeerCodec(ResourceCodec resources) {
+    this.resources = resources;
+  }
+
+  /**
+   * Writes a message.
+   *
+   * @param message the message
+   * @return an envelope without a correlation id
+   */
+  public Envelope.Builder encode(PeerMessage message) {
+    Envelope.Builder envelope = Envelope.newBuilder();
+    if (message instanceof PeerMessage.Heartbeat heartbeat) {
+      envelope
+          .getHeartbeatBuilder()
+          .setSelf(instance(heartbeat.self()))
+          .setConfigRevision(heartbeat.configRevision());
+    } else if (message instanceof PeerMessage.ChangesRequest request) {
+      envelope
+          .getChangesRequestBuilder()
+          .setAfterRevision(request.afterRevision())
+          .setLimit(request.limit());
+    } else if (message instanceof PeerMessage.ChangesReply reply) {
+      var builder = envelope.getChangesReplyBuilder();
+      reply.changes().stream().map(this::change).forEach(builder::addChanges);
+    } else if (message instanceof PeerMessage.Done) {
+      envelope.getDoneBuilder();
+    } else if (message instanceof PeerMessage.Refused refused) {
+      envelope.getRefusedBuilder().setReason(refused.reason());
+    } else {
+      encodeBudget(envelope, message);
+    }
+    return envelope;
+  }
+
+  private static void encodeBudget(Envelope.Builder envelope, PeerMessage message) {
+    if (message instanceof PeerMessage.BorrowRequest request) {
+      envelope
+          .getBorrowRequestBuilder()
+          .setTransferId(request.transferId())
+          .setBudget(request.budget())
+          .setNeedTokens(request.needTokens())
+          .setWantedTokens(request.wantedTokens())
+          .setMayGrow(request.mayGrow());
+    } else if (message instanceof PeerMessage.BorrowReply reply) {
+      envelope
+          .getBorrowReplyBuilder()
+          .setAllotment(reply.allotment().map(AllotmentId::toString).orElse(""))
+          .setTokens(reply.tokens())
+          .setSpendForMs(reply.spendForMs());
+    } else if (message instanceof PeerMessage.HandBack back) {
+      envelope
+          .getHandBackBuilder()
+          .setTransferId(back.transferId())
+          .setAllotment(back.allotment().toString())
+          .setTokens(back.tokens());
+    } else if (message instanceof PeerMessage.PostBills bills) {
+      var builder = envelope.getPostBillsBuilder();
+      bills
+          .lines()
+          .forEach(
+              line ->
+                  builder
+                      .addLinesBuilder()
+                      .setAllotment(line.allotment().toString())
+                      .setRequestId(line.entry().requestId())
+                      .setKey(line.entry().key())
+                      .setTokens(line.entry().tokens()));
+    } else {
+      encodeRecord(envelope, message);
+    }
+  }
+
+  private static void encodeRecord(Envelope.Builder envelope, PeerMessage message) {
+    if (message instanceof PeerMessage.ClaimRequest claim) {
+      envelope.setClaimRequest(claim(claim));
+    } else if (message instanceof PeerMessage.ClaimReply reply) {
+      var builder = envelope.getClaimReplyBuilder();
+      builder.setVerdict(reply.verdict().name()).setRunner(reply.runner());
+      reply.answer().ifPresent(answer -> builder.setAnswer(answer(answer)));
+    } else if (message instanceof PeerMessage.CopyClaim copy) {
+      envelope.getCopyClaimBuilder().setClaim(claim(copy.claim())).setTakeover(copy.takeover());
+    } else if (message instanceof PeerMessage.FinishRequest finish) {
+      envelope.setFinishRequest(finish(finish));
+    } else if (message instanceof PeerMessage.CopyFinish copy) {
+      envelope.getCopyFinishBuilder().setFinish(finish(copy.finish()));
+    } else if (message instanceof PeerMessage.FinishReply reply) {
+      envelope.getFinishReplyBuilder().setConfirmed(reply.confirmed());
+    } else if (message instanceof PeerMessage.BillsPosted posted) {
+      var builder = envelope.getBillsPostedBuilder();
+      posted.keys().forEach(key -> builder.addKeys(key(key)));
+    } else if (message instanceof PeerMessage.AnswerRequest request) {
+      envelope.getAnswerRequestBuilder().setKey(key(request.key()));
+    } else if (message instanceof PeerMessage.AnswerReply reply) {
+      var builder = envelope.getAnswerReplyBuilder();
+      reply.answer().ifPresent(answer -> builder.setAnswer(answer(answer)));
+    }
+  }
+
+  private static Instance instance(InstanceRecord record) {
+    return Instance.newBuilder()
+        .setId(record.id())
+        .setIncarnation(record.incarnation())
+        .setDomain(record.domain())
+        .setHost(record.host())
+        .setPeerPort(record.peerPort())
+        .setLeaving(record.leaving())
+        .build();
+  }
+
+  private io.mothrill.wire.peer.generated.Change change(Change change) {
+    return io.mothrill.wire.peer.generated.Change.newBuilder()
+        .setRevision(change.revision())
+        .setKind(change.kind().title())
+        .setName(change.name())
+        .setResourceJson(change.resource().map(resources::encode).orElse(""))
+        .setChangeId(change.changeId())
+        .setWho(change.who())
+        .setWallMs(change.wallMs())
+        .build();
+  }
+
+  private static io.mothrill.wire.peer.generated.RequestKey key(RequestKey key) {
+    return io.mothrill.wire.peer.generated.RequestKey.newBuilder()
+        .setTeam(key.team())
+        .setKey(key.key())
+        .build();
+  }
+
+  private static io.mothrill.wire.peer.generated.StoredAnswer answer(StoredAnswer answer) {
+    return io.mothrill.wire.peer.generated.StoredAnswer.newBuilder()
+        .setStatus(answer.status())
+        .setContentType(answer.contentType())
+        .setBody(ByteString.copyFrom(answer.body()))
+        .build();
+  }
+
+  private static io.mothrill.wire.peer.generated.ClaimRequest claim(
+      PeerMessage.ClaimRequest claim) {
+    return io.mothrill.wire.peer.generated.ClaimRequest.newBuilder()
+        .setKey(key(claim.key()))
+        .setRunner(claim.runner())
+        .setRequestId(claim.requestId())
+        .setFingerprint(claim.fingerprint())
+        .setRepeatable(claim.repeatable())
+        .build();
+  }
+
+  private static io.mothrill.wire.peer.generated.FinishRequest finish(
+      PeerMessage.FinishRequest finish) {
+    var builder =
+        io.mothrill.wire.peer.generated.FinishRequest.newBuilder()
+            .setKey(key(finish.key()))
+            .setRequestId(finish.requestId())
+            .setRunner(finish.runner())
+            .setFingerprint(finish.fingerprint())
+            .setNotRun(finish.notRun());
+    finish.answer().ifPresent(answer -> builder.setAnswer(answer(answer)));
+    finish.bill().ifPresent(bill -> builder.setBill(bill(bill)));
+    return builder.build();
+  }
+
+  private static io.mothrill.wire.peer.generated.Bill bill(Bill bill) {
+    var builder = io.mothrill.wire.peer.generated.Bill.newBuilder();
+    bill.parts()
+        .forEach(
+            part ->
+                builder
+                    .addPartsBuilder()
+                    .setAllotment(part.allotment().toString())
+                    .setTokens(part.tokens()));
+    return builder.build();
+  }
+
+  /**
+   * Reads a message.
+   *
+   * @param envelope the envelope
+   * @return the message
+   * @throws IllegalArgumentException when the envelope holds none that is known
+   */
+  public PeerMessage decode(Envelope envelope) {
+    return switch (envelope.getBodyCase()) {
+      case HEARTBEAT ->
+          new PeerMessage.Heartbeat(
+              instance(envelope.getHeartbeat().getSelf()),
+              envelope.getHeartbeat().getConfigRevision());
+      case CHANGES_REQUEST ->
+          new PeerMessage.ChangesRequest(
+              envelope.getChangesRequest().getAfterRevision(),
+              envelope.getChangesRequest().getLimit());
+      case CHANGES_REPLY ->
+          new PeerMessage.ChangesReply(
+              envelope.getChangesReply().getChangesList().stream().map(this::change).toList());
+      case DONE -> new PeerMessage.Done();
+      case REFUSED -> new PeerMessage.Refused(envelope.getRefused().getReason());
+      case BORROW_REQUEST, BORROW_REPLY, HAND_BACK, POST_BILLS -> decodeBudget(envelope);
+      default -> decodeRecord(envelope);
+    };
+  }
+
+  private static PeerMessage decodeBudget(Envelope envelope) {
+    return switch (envelope.getBodyCase()) {
+      case BORROW_REQUEST -> {
+        var request = envelope.getBorrowRequest();
+        yield new PeerMessage.BorrowRequest(
+            request.getTransferId(),
+            request.getBudget(),
+            request.getNeedTokens(),
+            request.getWantedTokens(),
+            request.getMayGrow());
+      }
+      case BORROW_REPLY -> {
+        var reply = envelope.getBorrowReply();
+        yield new PeerMessage.BorrowReply(
+            Optional.of(reply.getAllotment())
+                .filter(text -> !text.isEmpty())
+                .map(AllotmentId::parse),
+            reply.getTokens(),
+            reply.getSpendForMs());
+      }
+      case HAND_BACK -> {
+        var back = envelope.getHandBack();
+        yield new PeerMessage.HandBack(
+            back.getTransferId(), AllotmentId.parse(back.getAllotment()), back.getTokens());
+      }
+      default ->
+          new PeerMessage.PostBills(
+              envelope.getPostBills().getLinesList().stream()
+                  .map(
+                      line ->
+                          new PeerMessage.PostBills.Line(
+                              AllotmentId.parse(line.getAllotment()),
+                              new LedgerEntry(
+                                  line.getRequestId(), line.getKey(), line.getTokens())))
+                  .toList());
+    };
+  }
+
+  private static PeerMessage decodeRecord(Envelope envelope) {
+    return switch (envelope.getBodyCase()) {
+      case CLAIM_REQUEST -> claim(envelope.getClaimRequest());
+      case CLAIM_REPLY -> {
+        var reply = envelope.getClaimReply();
+        yield new PeerMessage.ClaimReply(
+            PeerMessage.ClaimReply.Verdict.valueOf(reply.getVerdict()),
+            reply.getRunner(),
+            reply.hasAnswer() ? Optional.of(answer(reply.getAnswer())) : Optional.empty());
+      }
+      case COPY_CLAIM ->
+          new PeerMessage.CopyClaim(
+              claim(envelope.getCopyClaim().getClaim()), envelope.getCopyClaim().getTakeover());
+      case FINISH_REQUEST -> finish(envelope.getFinishRequest());
+      case COPY_FINISH -> new PeerMessage.CopyFinish(finish(envelope.getCopyFinish().getFinish()));
+      case FINISH_REPLY -> new PeerMessage.FinishReply(envelope.getFinishReply().getConfirmed());
+      case BILLS_POSTED ->
+          new PeerMessage.BillsPosted(
+              envelope.getBillsPosted().getKeysList().stream().map(PeerCodec::key).toList());
+      case ANSWER_REQUEST ->
+          new PeerMessage.AnswerRequest(key(envelope.getAnswerRequest().getKey()));
+      case ANSWER_REPLY ->
+          new PeerMessage.AnswerReply(
+              envelope.getAnswerReply().hasAnswer()
+                  ? Optional.of(answer(envelope.getAnswerReply().getAnswer()))
+                  : Optional.empty());
+      default ->
+          throw new IllegalArgumentException("unknown peer message " + envelope.getBodyCase());
+    };
+  }
+
+  private static InstanceRecord instance(Instance instance) {
+    return new InstanceRecord(
+        instance.getId(),
+        instance.getIncarnation(),
+        instance.getDomain(),
+        instance.getHost(),
+        instance.getPeerPort(),
+        instance.getLeaving());
+  }
+
+  private Change change(io.mothrill.wire.peer.generated.Change change) {
+    return new Change(
+        change.getRevision(),
+        ResourceKind.find(change.getKind()).orElseThrow(),
+        change.getName(),
+        Optional.of(change.getResourceJson())
+            .filter(json -> !json.isEmpty())
+            .map(resources::decode),
+        change.getChangeId(),
+        change.getWho(),
+        change.getWallMs());
+  }
+
+  private static RequestKey key(io.mothrill.wire.peer.generated.RequestKey key) {
+    return new RequestKey(key.getTeam(), key.getKey());
+  }
+
+  private static StoredAnswer answer(io.mothrill.wire.peer.generated.StoredAnswer answer) {
+    return new StoredAnswer(
+        answer.getStatus(), answer.getContentType(), answer.getBody().toByteArray());
+  }
+
+  private static PeerMessage.ClaimRequest claim(
+      io.mothrill.wire.peer.generated.ClaimRequest claim) {
+    return new PeerMessage.ClaimRequest(
+        key(claim.getKey()),
+        claim.getRunner(),
+        claim.getRequestId(),
+        claim.getFingerprint(),
+        claim.getRepeatable());
+  }
+
+  private static PeerMessage.FinishRequest finish(
+      io.mothrill.wire.peer.generated.FinishRequest finish) {
+    RequestKey key = key(finish.getKey());
+    Optional<Bill> bill =
+        finish.hasBill()
+            ? Optional.of(
+                new Bill(
+                    finish.getRequestId(),
+                    key,
+                    finish.getBill().getPartsList().stream().map(PeerCodec::part).toList()))
+            : Optional.empty();
+    return new PeerMessage.FinishRequest(
+        key,
+        finish.getRequestId(),
+        finish.getRunner(),
+        finish.getFingerprint(),
+        finish.getNotRun(),
+        bill,
+        finish.hasAnswer() ? Optional.of(answer(finish.getAnswer())) : Optional.empty());
+  }
+
+  private static BillPart part(io.mothrill.wire.peer.generated.BillPart part) {
+    return new BillPart(AllotmentId.parse(part.getAllotment()), part.getTokens());
+  }
+}
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Links between instances: protobuf messages over TCP. */
+package io.mothrill.wire.peer;
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/platform/PlatformClient.java
@@ -0,0 +1,56 @@
+package io.mothrill.wire.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.mothrill.core.error.Failures;
+import io.mothrill.core.platform.error.PlatformException;
+import io.mothrill.wire.http.Address;
+import io.mothrill.wire.http.HttpClient;
+import io.mothrill.wire.http.HttpReply;
+import io.mothrill.wire.http.WholeAnswer;
+import io.mothrill.wire.http.error.HttpException;
+import io.mothrill.wire.json.Json;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.concurrent.CompletableFuture;
+
+/** Calls the platform and turns the HTTP layer's errors into the platform layer's. */
+final class PlatformClient {
+
+  private final HttpClient http;
+  private final Address platform;
+  private final long timeoutMs;
+
+  PlatformClient(HttpClient http, Address platform, long timeoutMs) {
+    this.http = http;
+    this.platform = platform;
+    this.timeoutMs = timeoutMs;
+  }
+
+  CompletableFuture<JsonNode> postJson(String path, JsonNode body) {
+    return call(HttpMethod.POST, path, Json.bytes(body))
+        .thenApply(reply -> Json.read(reply.body()));
+  }
+
+  CompletableFuture<HttpReply> call(HttpMethod method, String path, byte[] body) {
+    return WholeAnswer.of(http, platform, method, path, new DefaultHttpHeaders(), body, timeoutMs)
+        .thenApply(reply -> checked(path, reply))
+        .exceptionallyCompose(
+            error -> CompletableFuture.failedFuture(translate(path, Failures.unwrap(error))));
+  }
+
+  private static HttpReply checked(String path, HttpReply reply) {
+    if (!reply.isSuccess() && reply.status() != 404) {
+      throw PlatformException.answerLost(path + " answered status " + reply.status());
+    }
+    return reply;
+  }
+
+  private static Throwable translate(String path, Throwable error) {
+    if (error instanceof HttpException http) {
+      return http.isSent()
+          ? PlatformException.answerLost(path + ": " + http.getMessage())
+          : PlatformException.unreachable(path + ": " + http.getMessage());
+    }
+    return error;
+  }
+}
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/platform/TableJson.java
@@ -0,0 +1,158 @@
+package io.mothrill.wire.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.mothrill.core.platform.Cells;
+import io.mothrill.core.platform.Row;
+import io.mothrill.core.platform.RowKey;
+import io.mothrill.core.platform.Transaction;
+import io.mothrill.wire.json.Json;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** The table service's messages as JSON. */
+public final class TableJson {
+
+  private TableJson() {}
+
+  /**
+   * Writes addresses of rows.
+   *
+   * @param keys the addresses
+   * @return the request's body
+   */
+  public static JsonNode keys(List<RowKey> keys) {
+    ArrayNode array = Json.array();
+    keys.forEach(key -> array.add(key(key)));
+    return array;
+  }
+
+  private static ObjectNode key(RowKey key) {
+    return Json.object().put("table", key.table()).put("key", key.key());
+  }
+
+  /**
+   * Reads addresses of rows.
+   *
+   * @param node the request's body
+   * @return the addresses
+   */
+  public static List<RowKey> readKeys(JsonNode node) {
+    List<RowKey> keys = new ArrayList<>();
+    node.forEach(key -> keys.add(readKey(key)));
+    return keys;
+  }
+
+  private static RowKey readKey(JsonNode node) {
+    return new RowKey(node.path("table").asText(), node.path("key").asText());
+  }
+
+  /**
+   * Writes rows.
+   *
+   * @param rows the rows
+   * @return the answer's body
+   */
+  public static JsonNode rows(List<Row> rows) {
+    ArrayNode array = Json.array();
+    rows.forEach(
+        row ->
+            array.add(
+                key(row.key()).put("version", row.version()).set("cells", cells(row.cells()))));
+    return array;
+  }
+
+  /**
+   * Reads rows.
+   *
+   * @param node the answer's body
+   * @return the rows
+   */
+  public static List<Row> readRows(JsonNode node) {
+    List<Row> rows = new ArrayList<>();
+    node.forEach(
+        row ->
+            rows.add(
+                new Row(readKey(row), row.path("version").asLong(), readCells(row.path("cells")))));
+    return rows;
+  }
+
+  private static JsonNode cells(Cells cells) {
+    ObjectNode node = Json.object();
+    cells
+        .asMap()
+        .forEach(
+            (name, value) -> {
+              if (value instanceof Long number) {
+                node.put(name, number.longValue());
+              } else {
+                node.put(name, (String) value);
+              }
+            });
+    return node;
+  }
+
+  private static Cells readCells(JsonNode node) {
+    Cells[] cells = {Cells.empty()};
+    node.fields()
+        .forEachRemaining(
+            cell ->
+                cells[0] =
+                    cell.getValue().isTextual()
+                        ? cells[0].with(cell.getKey(), cell.getValue().asText())
+                        : cells[0].with(cell.getKey(), cell.getValue().asLong()));
+    return cells[0];
+  }
+
+  /**
+   * Writes a transaction.
+   *
+   * @param transaction the transaction
+   * @return the request's body
+   */
+  public static JsonNode transaction(Transaction transaction) {
+    ObjectNode node = Json.object();
+    ArrayNode writes = node.putArray("writes");
+    transaction
+        .writes()
+        .forEach(
+            write -> {
+              ObjectNode entry = key(write.key()).put("version", write.expectedVersion());
+              write.cells().ifPresent(cells -> entry.set("cells", cells(cells)));
+              writes.add(entry);
+            });
+    ArrayNode checks = node.putArray("checks");
+    transaction
+        .checks()
+        .forEach(check -> checks.add(key(check.key()).put("version", check.expectedVersion())));
+    return node;
+  }
+
+  /**
+   * Reads a transaction.
+   *
+   * @param node the request's body
+   * @return the transaction
+   */
+  public static Transaction readTransaction(JsonNode node) {
+    List<Transaction.Write> writes = new ArrayList<>();
+    node.path("writes")
+        .forEach(
+            write ->
+                writes.add(
+                    new Transaction.Write(
+                        readKey(write),
+                        write.path("version").asLong(),
+                        write.has("cells")
+                            ? Optional.of(readCells(write.get("cells")))
+                            : Optional.empty())));
+    List<Transaction.Check> checks = new ArrayList<>();
+    node.path("checks")
+        .forEach(
+            check ->
+                checks.add(new Transaction.Check(readKey(check), check.path("version").asLong())));
+    return new Transaction(writes, checks);
+  }
+}
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/upstream/UsageReader.java
@@ -0,0 +1,89 @@
+package io.mothrill.wire.upstream;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.mothrill.core.error.InvalidInputException;
+import io.mothrill.core.upstream.Usage;
+import io.mothrill.wire.json.Json;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Finds out from an answer what it has used.
+ *
+ * <p>Of a stream every event is read: one with a choice counts as a token unless the event says
+ * more exactly. Of a plain answer the whole body is read at its end.
+ */
+final class UsageReader {
+
+  private static final String DATA = "data:";
+  private static final int MAX_PLAIN_BYTES = 8 * 1024 * 1024;
+
+  private final boolean streamed;
+  private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+  private Usage usage = Usage.NONE;
+  private boolean doneSeen;
+
+  UsageReader(boolean streamed) {
+    this.streamed = streamed;
+  }
+
+  Usage usage() {
+    return usage;
+  }
+
+  /** Says whether a stream ended as it should, so that a truncated one is not taken for whole. */
+  boolean isWhole() {
+    return !streamed || doneSeen;
+  }
+
+  void read(byte[] bytes) {
+    if (!streamed) {
+      if (pending.size() + bytes.length <= MAX_PLAIN_BYTES) {
+        pending.writeBytes(bytes);
+      }
+      return;
+    }
+    for (byte value : bytes) {
+      if (value == '\n') {
+        readLine(pending.toString(StandardCharsets.UTF_8).trim());
+        pending.reset();
+      } else {
+        pending.write(value);
+      }
+    }
+  }
+
+  void finish() {
+    if (!streamed && pending.size() > 0) {
+      readEvent(pending.toByteArray());
+    }
+  }
+
+  private void readLine(String line) {
+    if (!line.startsWith(DATA)) {
+      return;
+    }
+    String data = line.substring(DATA.length()).trim();
+    if (data.equals("[DONE]")) {
+      doneSeen = true;
+    } else {
+      readEvent(data.getBytes(StandardCharsets.UTF_8));
+    }
+  }
+
+  private void readEvent(byte[] json) {
+    JsonNode event;
+    try {
+      event = Json.read(json);
+    } catch (InvalidInputException ex) {
+      return;
+    }
+    JsonNode told = event.path("usage");
+    if (told.isObject()) {
+      usage =
+          new Usage(told.path("prompt_tokens").asLong(), told.path("completion_tokens").asLong());
+    } else if (streamed && event.path("choices").size() > 0) {
+      usage = new Usage(usage.promptTokens(), usage.outputTokens() + 1);
+    }
+  }
+}
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Calls to upstreams over HTTP. */
+package io.mothrill.wire.upstream;
