--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/NettyPeers.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/NettyPeers.java
@@ -45,7 +45,8 @@
   private static final int CONNECT_TIMEOUT_MS = 500;
 
   private final EventLoopGroup group;
-  private final PeerCodec codec;
+  private final PeerEncoder encoder;
+  private final PeerDecoder decoder;
   private final PeerDispatcher dispatcher;
   private final Bootstrap bootstrap;
   private final Channel listener;
@@ -58,15 +59,22 @@
    * Starts to listen for peers.
    *
    * @param group the event loops
-   * @param codec turns messages into protobuf
+   * @param encoder writes messages
+   * @param decoder reads messages
    * @param dispatcher serves requests from peers
    * @param host an IP address
    * @param port a TCP port; 0 for any
    */
   public NettyPeers(
-      EventLoopGroup group, PeerCodec codec, PeerDispatcher dispatcher, String host, int port) {
+      EventLoopGroup group,
+      PeerEncoder encoder,
+      PeerDecoder decoder,
+      PeerDispatcher dispatcher,
+      String host,
+      int port) {
     this.group = group;
-    this.codec = codec;
+    this.encoder = encoder;
+    this.decoder = decoder;
     this.dispatcher = dispatcher;
     this.bootstrap =
         new Bootstrap()
@@ -119,7 +127,7 @@
     long id = nextId.incrementAndGet();
     CompletableFuture<PeerMessage> reply = new CompletableFuture<>();
     waiting.put(id, reply);
-    Envelope envelope = codec.encode(request).setCorrelationId(id).build();
+    Envelope envelope = encoder.encode(request).setCorrelationId(id).build();
     var timeout =
         group.schedule(() -> fail(id, peer, to, "timeout"), timeoutMs, TimeUnit.MILLISECONDS);
     connection(to)
@@ -185,16 +193,16 @@
       if (envelope.getReply()) {
         CompletableFuture<PeerMessage> reply = waiting.remove(envelope.getCorrelationId());
         if (reply != null) {
-          reply.complete(codec.decode(envelope));
+          reply.complete(decoder.decode(envelope));
         }
         return;
       }
       dispatcher
-          .dispatch(codec.decode(envelope))
+          .dispatch(decoder.decode(envelope))
           .thenAccept(
               message ->
                   ctx.writeAndFlush(
-                      codec
+                      encoder
                           .encode(message)
                           .setCorrelationId(envelope.getCorrelationId())
                           .setReply(true)
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerCodec.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerEncoder.java
@@ -2,8 +2,6 @@
 
 import com.google.protobuf.ByteString;
 import io.mothrill.core.budget.AllotmentId;
-import io.mothrill.core.budget.BillPart;
-import io.mothrill.core.budget.LedgerEntry;
 import io.mothrill.core.config.Change;
 import io.mothrill.core.peer.PeerMessage;
 import io.mothrill.core.platform.InstanceRecord;
@@ -11,22 +9,20 @@
 import io.mothrill.core.request.RequestKey;
 import io.mothrill.core.request.StoredAnswer;
 import io.mothrill.core.resource.ResourceCodec;
-import io.mothrill.core.resource.ResourceKind;
 import io.mothrill.wire.peer.generated.Envelope;
 import io.mothrill.wire.peer.generated.Instance;
-import java.util.Optional;
 
-/** Turns peer messages into protobuf and back. */
-public final class PeerCodec {
+/** Writes peer messages as protobuf. */
+public final class PeerEncoder {
 
   private final ResourceCodec resources;
 
   /**
-   * Creates the codec.
+   * Creates the encoder.
    *
    * @param resources writes resources inside changes of configuration
    */
-  public PeerCodec(ResourceCodec resources) {
+  public PeerEncoder(ResourceCodec resources) {
     this.resources = resources;
   }
 
@@ -199,167 +195,4 @@
                     .setTokens(part.tokens()));
     return builder.build();
   }
-
-  /**
-   * Reads a message.
-   *
-   * @param envelope the envelope
-   * @return the message
-   * @throws IllegalArgumentException when the envelope holds none that is known
-   */
-  public PeerMessage decode(Envelope envelope) {
-    return switch (envelope.getBodyCase()) {
-      case HEARTBEAT ->
-          new PeerMessage.Heartbeat(
-              instance(envelope.getHeartbeat().getSelf()),
-              envelope.getHeartbeat().getConfigRevision());
-      case CHANGES_REQUEST ->
-          new PeerMessage.ChangesRequest(
-              envelope.getChangesRequest().getAfterRevision(),
-              envelope.getChangesRequest().getLimit());
-      case CHANGES_REPLY ->
-          new PeerMessage.ChangesReply(
-              envelope.getChangesReply().getChangesList().stream().map(this::change).toList());
-      case DONE -> new PeerMessage.Done();
-      case REFUSED -> new PeerMessage.Refused(envelope.getRefused().getReason());
-      case BORROW_REQUEST, BORROW_REPLY, HAND_BACK, POST_BILLS -> decodeBudget(envelope);
-      default -> decodeRecord(envelope);
-    };
-  }
-
-  private static PeerMessage decodeBudget(Envelope envelope) {
-    return switch (envelope.getBodyCase()) {
-      case BORROW_REQUEST -> {
-        var request = envelope.getBorrowRequest();
-        yield new PeerMessage.BorrowRequest(
-            request.getTransferId(),
-            request.getBudget(),
-            request.getNeedTokens(),
-            request.getWantedTokens(),
-            request.getMayGrow());
-      }
-      case BORROW_REPLY -> {
-        var reply = envelope.getBorrowReply();
-        yield new PeerMessage.BorrowReply(
-            Optional.of(reply.getAllotment())
-                .filter(text -> !text.isEmpty())
-                .map(AllotmentId::parse),
-            reply.getTokens(),
-            reply.getSpendForMs());
-      }
-      case HAND_BACK -> {
-        var back = envelope.getHandBack();
-        yield new PeerMessage.HandBack(
-            back.getTransferId(), AllotmentId.parse(back.getAllotment()), back.getTokens());
-      }
-      default ->
-          new PeerMessage.PostBills(
-              envelope.getPostBills().getLinesList().stream()
-                  .map(
-                      line ->
-                          new PeerMessage.PostBills.Line(
-                              AllotmentId.parse(line.getAllotment()),
-                              new LedgerEntry(
-                                  line.getRequestId(), line.getKey(), line.getTokens())))
-                  .toList());
-    };
-  }
-
-  private static PeerMessage decodeRecord(Envelope envelope) {
-    return switch (envelope.getBodyCase()) {
-      case CLAIM_REQUEST -> claim(envelope.getClaimRequest());
-      case CLAIM_REPLY -> {
-        var reply = envelope.getClaimReply();
-        yield new PeerMessage.ClaimReply(
-            PeerMessage.ClaimReply.Verdict.valueOf(reply.getVerdict()),
-            reply.getRunner(),
-            reply.hasAnswer() ? Optional.of(answer(reply.getAnswer())) : Optional.empty());
-      }
-      case COPY_CLAIM ->
-          new PeerMessage.CopyClaim(
-              claim(envelope.getCopyClaim().getClaim()), envelope.getCopyClaim().getTakeover());
-      case FINISH_REQUEST -> finish(envelope.getFinishRequest());
-      case COPY_FINISH -> new PeerMessage.CopyFinish(finish(envelope.getCopyFinish().getFinish()));
-      case FINISH_REPLY -> new PeerMessage.FinishReply(envelope.getFinishReply().getConfirmed());
-      case BILLS_POSTED ->
-          new PeerMessage.BillsPosted(
-              envelope.getBillsPosted().getKeysList().stream().map(PeerCodec::key).toList());
-      case ANSWER_REQUEST ->
-          new PeerMessage.AnswerRequest(key(envelope.getAnswerRequest().getKey()));
-      case ANSWER_REPLY ->
-          new PeerMessage.AnswerReply(
-              envelope.getAnswerReply().hasAnswer()
-                  ? Optional.of(answer(envelope.getAnswerReply().getAnswer()))
-                  : Optional.empty());
-      default ->
-          throw new IllegalArgumentException("unknown peer message " + envelope.getBodyCase());
-    };
-  }
-
-  private static InstanceRecord instance(Instance instance) {
-    return new InstanceRecord(
-        instance.getId(),
-        instance.getIncarnation(),
-        instance.getDomain(),
-        instance.getHost(),
-        instance.getPeerPort(),
-        instance.getLeaving());
-  }
-
-  private Change change(io.mothrill.wire.peer.generated.Change change) {
-    return new Change(
-        change.getRevision(),
-        ResourceKind.find(change.getKind()).orElseThrow(),
-        change.getName(),
-        Optional.of(change.getResourceJson())
-            .filter(json -> !json.isEmpty())
-            .map(resources::decode),
-        change.getChangeId(),
-        change.getWho(),
-        change.getWallMs());
-  }
-
-  private static RequestKey key(io.mothrill.wire.peer.generated.RequestKey key) {
-    return new RequestKey(key.getTeam(), key.getKey());
-  }
-
-  private static StoredAnswer answer(io.mothrill.wire.peer.generated.StoredAnswer answer) {
-    return new StoredAnswer(
-        answer.getStatus(), answer.getContentType(), answer.getBody().toByteArray());
-  }
-
-  private static PeerMessage.ClaimRequest claim(
-      io.mothrill.wire.peer.generated.ClaimRequest claim) {
-    return new PeerMessage.ClaimRequest(
-        key(claim.getKey()),
-        claim.getRunner(),
-        claim.getRequestId(),
-        claim.getFingerprint(),
-        claim.getRepeatable());
-  }
-
-  private static PeerMessage.FinishRequest finish(
-      io.mothrill.wire.peer.generated.FinishRequest finish) {
-    RequestKey key = key(finish.getKey());
-    Optional<Bill> bill =
-        finish.hasBill()
-            ? Optional.of(
-                new Bill(
-                    finish.getRequestId(),
-                    key,
-                    finish.getBill().getPartsList().stream().map(PeerCodec::part).toList()))
-            : Optional.empty();
-    return new PeerMessage.FinishRequest(
-        key,
-        finish.getRequestId(),
-        finish.getRunner(),
-        finish.getFingerprint(),
-        finish.getNotRun(),
-        bill,
-        finish.hasAnswer() ? Optional.of(answer(finish.getAnswer())) : Optional.empty());
-  }
-
-  private static BillPart part(io.mothrill.wire.peer.generated.BillPart part) {
-    return new BillPart(AllotmentId.parse(part.getAllotment()), part.getTokens());
-  }
 }
