--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/audit/AuditReport.java
@@ -0,0 +1,41 @@
+package io.mothrill.core.audit;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What an audit found.
+ *
+ * @param budgets the sums of each budget
+ * @param requests the number of billed requests
+ * @param findings everything that is wrong; empty when the books are right
+ */
+public record AuditReport(Map<String, Sums> budgets, long requests, List<String> findings) {
+
+  /**
+   * The sums of one budget.
+   *
+   * @param paidTokens the sum of its top-ups
+   * @param allottedTokens what is granted, or billed by closed allotments
+   * @param billedTokens the sum of its ledger
+   */
+  public record Sums(long paidTokens, long allottedTokens, long billedTokens) {}
+
+  /**
+   * Says whether the books are right.
+   *
+   * @return true when there is no finding
+   */
+  public boolean isClean() {
+    return findings.isEmpty();
+  }
+
+  /**
+   * Adds up the bills of all budgets.
+   *
+   * @return tokens
+   */
+  public long billedTokens() {
+    return budgets.values().stream().mapToLong(Sums::billedTokens).sum();
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/audit/package-info.java
@@ -0,0 +1,2 @@
+/** Checks the platform's books: what was paid, granted and billed. */
+package io.mothrill.core.audit;
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetTables.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetTables.java
@@ -23,7 +23,9 @@
   /** Bills that came after their allotment was closed, by request id. */
   public static final String LATE_BILLS = "late-bills";
 
-  private static final String TOP_UPS = "top-ups";
+  /** Top-ups, by budget and id. */
+  public static final String TOP_UPS = "top-ups";
+
   private static final String TOKENS = "tokens";
 
   private BudgetTables() {}
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/LedgerEntry.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/LedgerEntry.java
@@ -32,7 +32,7 @@
    * @param text what {@link #format} wrote
    * @return the lines
    */
-  static List<LedgerEntry> parse(String text) {
+  public static List<LedgerEntry> parse(String text) {
     return text.lines().filter(line -> !line.isEmpty()).map(LedgerEntry::parseLine).toList();
   }
 
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/node/Node.java
@@ -0,0 +1,299 @@
+package io.mothrill.core.node;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import io.mothrill.core.board.Section;
+import io.mothrill.core.budget.BudgetController;
+import io.mothrill.core.config.ConfigController;
+import io.mothrill.core.config.ConfigSnapshot;
+import io.mothrill.core.config.ConfigStore;
+import io.mothrill.core.drain.DrainController;
+import io.mothrill.core.drain.DrainStage;
+import io.mothrill.core.peer.Membership;
+import io.mothrill.core.peer.MembershipController;
+import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.request.CallPlanner;
+import io.mothrill.core.request.ExchangeParts;
+import io.mothrill.core.request.HomeRecords;
+import io.mothrill.core.request.RequestRecords;
+import io.mothrill.core.request.RequestService;
+import io.mothrill.core.request.RetryBudget;
+import io.mothrill.core.request.TableClaims;
+import io.mothrill.core.routing.AffinityScorer;
+import io.mothrill.core.routing.AvoidanceScorer;
+import io.mothrill.core.routing.Chooser;
+import io.mothrill.core.routing.DomainScorer;
+import io.mothrill.core.routing.LoadScorer;
+import io.mothrill.core.routing.RecentDecisions;
+import io.mothrill.core.routing.Router;
+import io.mothrill.core.routing.SplitWindow;
+import io.mothrill.core.routing.UpstreamTable;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * One instance without its sockets: every decision, put together from ports.
+ *
+ * <pre>{@code
+ * Node node = new Node(self, ports, NodeSettings.standard(), new MetricRegistry());
+ * node.requests().run(request, caller);
+ * node.drain();
+ * }</pre>
+ */
+public final class Node {
+
+  private static final long CONFIG_POLL_MS = 500;
+  private static final double DOMAIN_PENALTY = 0.3;
+  private static final double AFFINITY_GAIN = 0.2;
+  private static final int MAX_RECORDS = 200_000;
+  private static final int ID_BYTES = 16;
+
+  private final NodePorts ports;
+  private final NodeSettings settings;
+  private final MetricRegistry metrics;
+  private final Section<ConfigSnapshot> config = new Section<>(ConfigSnapshot.empty());
+  private final Section<DrainStage> drainStage = new Section<>(DrainStage.SERVING);
+  private final Section<Membership> members;
+  private final ConfigStore configStore;
+  private final MembershipController membership;
+  private final BudgetController budgets;
+  private final RequestRecords records;
+  private final RecentDecisions decisions = new RecentDecisions();
+  private final UpstreamTable upstreams;
+  private final Router router;
+  private final RequestService requests;
+  private final DrainController drain;
+
+  /**
+   * Puts a node together and starts its timers.
+   *
+   * @param self the instance as it describes itself
+   * @param ports what it reaches the world through
+   * @param settings how it decides
+   * @param metrics counts what happens
+   */
+  public Node(InstanceRecord self, NodePorts ports, NodeSettings settings, MetricRegistry metrics) {
+    this.ports = ports;
+    this.settings = settings;
+    this.metrics = metrics;
+    this.members = new Section<>(Membership.alone(self));
+    this.configStore = new ConfigStore(ports.table(), ports.codec(), ports.timers());
+    this.membership = newMembership();
+    this.budgets = newBudgets();
+    this.records = newRecords();
+    this.upstreams = new UpstreamTable(config);
+    this.router = newRouter(self.domain());
+    this.requests = newRequests(self.domain());
+    this.drain =
+        new DrainController(
+            drainStage,
+            ports.timers(),
+            settings.drain(),
+            new NodeDrainWork(membership, requests, budgets, records));
+    registerGauges();
+  }
+
+  private MembershipController newMembership() {
+    ConfigController configController =
+        new ConfigController(config, configStore, ports.timers(), CONFIG_POLL_MS);
+    return new MembershipController(
+        members,
+        config,
+        configController,
+        ports.instances(),
+        ports.links(),
+        ports.dispatcher(),
+        ports.timers(),
+        ports.random());
+  }
+
+  private BudgetController newBudgets() {
+    return new BudgetController(
+        ports.table(),
+        members,
+        ports.links(),
+        ports.dispatcher(),
+        ports.timers(),
+        ports.random(),
+        metrics,
+        settings.budgets());
+  }
+
+  private RequestRecords newRecords() {
+    HomeRecords home =
+        new HomeRecords(members, ports.timers(), settings.requests().recordWindowMs(), MAX_RECORDS);
+    return new RequestRecords(
+        home, members, ports.links(), ports.dispatcher(), budgets.bills(), ports.timers());
+  }
+
+  private Router newRouter(String domain) {
+    RoutingSettings routing = settings.routing();
+    Chooser chooser =
+        new Chooser(
+            List.of(
+                new LoadScorer(routing.loadFadeMs()),
+                new DomainScorer(domain, DOMAIN_PENALTY),
+                new AffinityScorer(AFFINITY_GAIN),
+                new AvoidanceScorer()),
+            ports.random(),
+            routing.compared());
+    SplitWindow window =
+        new SplitWindow(routing.urgentOnlyShare(), routing.batchOnlyShare(), routing.loadFadeMs());
+    return new Router(upstreams, chooser, window, ports.timers(), decisions, settings.queues());
+  }
+
+  private RequestService newRequests(String domain) {
+    ExchangeParts parts =
+        new ExchangeParts(
+            new CallPlanner(config, ports.timers(), domain, () -> newId(ports.random())),
+            records,
+            new TableClaims(ports.table(), ports.timers()),
+            budgets,
+            router,
+            ports.upstreams(),
+            new RetryBudget(settings.requests().retryShare()),
+            ports.timers(),
+            metrics,
+            settings.requests());
+    return new RequestService(parts, drainStage);
+  }
+
+  private void registerGauges() {
+    metrics.registerAll(
+        () ->
+            Map.of(
+                "requests.underWay", (Gauge<Integer>) requests::underWayCount,
+                "bills.pending", (Gauge<Integer>) budgets.bills()::pendingCount,
+                "records.unconfirmed", (Gauge<Integer>) records::unconfirmedCount,
+                "config.revision", (Gauge<Long>) () -> config.read().revision()));
+  }
+
+  /**
+   * Makes an id that no other one equals.
+   *
+   * @param random where it comes from
+   * @return thirty-two hexadecimal digits
+   */
+  public static String newId(Random random) {
+    byte[] bytes = new byte[ID_BYTES];
+    random.nextBytes(bytes);
+    return HexFormat.of().formatHex(bytes);
+  }
+
+  /**
+   * Says why the instance takes no requests.
+   *
+   * @return a few words; empty when it takes them
+   */
+  public String unreadyReason() {
+    if (drainStage.read() != DrainStage.SERVING) {
+      return "draining";
+    }
+    if (config.read().revision() == 0) {
+      return "no configuration yet";
+    }
+    return budgets.isFenced() ? "lease lost" : "";
+  }
+
+  /**
+   * Leaves without cutting off a request.
+   *
+   * @return completes when the process may exit
+   */
+  public CompletableFuture<Void> drain() {
+    return drain.drain();
+  }
+
+  /**
+   * Gives the configuration in force.
+   *
+   * @return the blackboard's section
+   */
+  public Section<ConfigSnapshot> config() {
+    return config;
+  }
+
+  /**
+   * Gives the fleet as this node sees it.
+   *
+   * @return the blackboard's section
+   */
+  public Section<Membership> members() {
+    return members;
+  }
+
+  /**
+   * Gives the part that accepts configuration.
+   *
+   * @return the store
+   */
+  public ConfigStore configStore() {
+    return configStore;
+  }
+
+  /**
+   * Gives the part that follows the fleet.
+   *
+   * @return the controller
+   */
+  public MembershipController membership() {
+    return membership;
+  }
+
+  /**
+   * Gives the budgets.
+   *
+   * @return the controller
+   */
+  public BudgetController budgets() {
+    return budgets;
+  }
+
+  /**
+   * Gives the request records.
+   *
+   * @return the records
+   */
+  public RequestRecords records() {
+    return records;
+  }
+
+  /**
+   * Gives the last routing decisions.
+   *
+   * @return the decisions
+   */
+  public RecentDecisions decisions() {
+    return decisions;
+  }
+
+  /**
+   * Gives the upstreams.
+   *
+   * @return the table
+   */
+  public UpstreamTable upstreams() {
+    return upstreams;
+  }
+
+  /**
+   * Gives the queues.
+   *
+   * @return the router
+   */
+  public Router router() {
+    return router;
+  }
+
+  /**
+   * Gives the part that runs requests.
+   *
+   * @return the service
+   */
+  public RequestService requests() {
+    return requests;
+  }
+}
--- a/mothrill-core/src/main/java/io/mothrill/core/request/Exchange.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/Exchange.java
@@ -159,9 +159,6 @@
   }
 
   private void reserve() {
-    if (claimed) {
-      parts.records().begin(plan.key());
-    }
     then(
         parts.budgets().account(plan.budget()).reserve(plan.reserveTokens()),
         reserved -> {
--- a/mothrill-core/src/main/java/io/mothrill/core/request/Refusal.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/Refusal.java
@@ -20,7 +20,10 @@
   private static final int UNAUTHORIZED = 401;
   private static final int PAYMENT_REQUIRED = 402;
   private static final int NOT_FOUND = 404;
+  private static final int METHOD_NOT_ALLOWED = 405;
+  private static final int REQUEST_TIMEOUT = 408;
   private static final int CONFLICT = 409;
+  private static final int TOO_LARGE = 413;
   private static final int UNPROCESSABLE = 422;
   private static final int BAD_GATEWAY = 502;
   private static final int UNAVAILABLE = 503;
@@ -45,6 +48,46 @@
     return notRun(BAD_REQUEST, "invalid_request", message, 0);
   }
 
+  /**
+   * There is nothing at an address.
+   *
+   * @param path the path asked for
+   * @return the refusal
+   */
+  public static Refusal unknownPath(String path) {
+    return notRun(NOT_FOUND, "not_found", "there is nothing at " + path, 0);
+  }
+
+  /**
+   * The method does not fit the address.
+   *
+   * @param method the method
+   * @return the refusal
+   */
+  public static Refusal methodNotAllowed(String method) {
+    return notRun(METHOD_NOT_ALLOWED, "method_not_allowed", method + " is not allowed here", 0);
+  }
+
+  /**
+   * The request took too long to arrive.
+   *
+   * @return the refusal
+   */
+  public static Refusal sendTimeout() {
+    return notRun(REQUEST_TIMEOUT, "request_timeout", "the request took too long to arrive", 0);
+  }
+
+  /**
+   * The request's body is too large.
+   *
+   * @param maxBytes the largest body that is taken
+   * @return the refusal
+   */
+  public static Refusal tooLarge(int maxBytes) {
+    return notRun(
+        TOO_LARGE, "request_too_large", "the body must have at most " + maxBytes + " bytes", 0);
+  }
+
   /**
    * There is no such model or service.
    *
--- a/mothrill-core/src/main/java/io/mothrill/core/request/RequestRecords.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/RequestRecords.java
@@ -47,8 +47,7 @@
   private final BillForwarder bills;
   private final Queue<RequestKey> posted = new ConcurrentLinkedQueue<>();
   private final Map<String, Ended> unconfirmed = new ConcurrentHashMap<>();
-  private final Map<RequestKey, CompletableFuture<Optional<StoredAnswer>>> running =
-      new ConcurrentHashMap<>();
+  private final Map<RequestKey, Running> running = new ConcurrentHashMap<>();
 
   /**
    * Creates the records and starts their timers.
@@ -82,6 +81,9 @@
 
   private record Ended(FinishRequest finish, RunOutcome outcome, CompletableFuture<Void> copied) {}
 
+  /** A run of this instance that others may wait for. */
+  private record Running(String requestId, CompletableFuture<Optional<StoredAnswer>> answer) {}
+
   private static CompletableFuture<PeerMessage> reply(PeerMessage message) {
     return CompletableFuture.completedFuture(message);
   }
@@ -89,6 +91,9 @@
   /**
    * Asks whether a request may run.
    *
+   * <p>The run is noted here before the home decides: another instance that is told to wait for it
+   * may ask for its answer before the home's reply has come back.
+   *
    * @param plan the request
    * @return what to do; never fails
    */
@@ -100,7 +105,22 @@
             plan.requestId(),
             plan.request().fingerprint(),
             plan.repeatable());
-    return claimAt(claim, Homes.of(plan.key(), members.read()), 0);
+    Running run = new Running(plan.requestId(), new CompletableFuture<>());
+    running.putIfAbsent(plan.key(), run);
+    return claimAt(claim, Homes.of(plan.key(), members.read()), 0)
+        .whenComplete(
+            (reply, error) -> {
+              if (reply == null || reply.verdict() != Verdict.RUN) {
+                endWaiting(plan.key(), plan.requestId(), Optional.empty());
+              }
+            });
+  }
+
+  private void endWaiting(RequestKey key, String requestId, Optional<StoredAnswer> answer) {
+    Running run = running.get(key);
+    if (run != null && run.requestId().equals(requestId) && running.remove(key, run)) {
+      run.answer().complete(answer);
+    }
   }
 
   /**
@@ -160,15 +180,6 @@
         .handle((message, error) -> true);
   }
 
-  /**
-   * Notes that a run has begun here, so that others may wait for its answer.
-   *
-   * @param key the request key
-   */
-  public void begin(RequestKey key) {
-    running.putIfAbsent(key, new CompletableFuture<>());
-  }
-
   /**
    * Reports the end of a run.
    *
@@ -186,10 +197,7 @@
             outcome.notRun(),
             outcome.bill(),
             outcome.answer());
-    CompletableFuture<Optional<StoredAnswer>> waiting = running.remove(plan.key());
-    if (waiting != null) {
-      waiting.complete(outcome.answer());
-    }
+    endWaiting(plan.key(), plan.requestId(), outcome.answer());
     Ended ended = new Ended(finish, outcome, new CompletableFuture<>());
     unconfirmed.put(finish.requestId(), ended);
     confirm(ended);
@@ -276,7 +284,7 @@
       RequestKey key, String runner, long timeoutMs) {
     Membership view = members.read();
     if (view.self().incarnation().equals(runner)) {
-      return running.getOrDefault(key, CompletableFuture.completedFuture(Optional.empty()));
+      return answerOf(key);
     }
     return view.find(runner)
         .map(peer -> links.ask(peer, new AnswerRequest(key), timeoutMs))
@@ -286,9 +294,12 @@
   }
 
   private CompletableFuture<PeerMessage> onAnswerRequest(AnswerRequest request) {
-    return running
-        .getOrDefault(request.key(), CompletableFuture.completedFuture(Optional.empty()))
-        .thenApply(AnswerReply::new);
+    return answerOf(request.key()).thenApply(AnswerReply::new);
+  }
+
+  private CompletableFuture<Optional<StoredAnswer>> answerOf(RequestKey key) {
+    Running run = running.get(key);
+    return run == null ? CompletableFuture.completedFuture(Optional.empty()) : run.answer();
   }
 
   private void tick() {
--- /dev/null
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/EntryInstance.java
@@ -0,0 +1,205 @@
+package io.mothrill.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import io.mothrill.core.node.Node;
+import io.mothrill.core.node.NodePorts;
+import io.mothrill.core.peer.PeerDispatcher;
+import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.platform.TableService;
+import io.mothrill.core.time.Timers;
+import io.mothrill.daemon.settings.InstanceSettings;
+import io.mothrill.wire.caller.CallerEdge;
+import io.mothrill.wire.http.HttpClient;
+import io.mothrill.wire.http.HttpServer;
+import io.mothrill.wire.json.JsonResources;
+import io.mothrill.wire.operator.OperatorService;
+import io.mothrill.wire.operator.ProbeService;
+import io.mothrill.wire.operator.ResourceStatus;
+import io.mothrill.wire.peer.NettyPeers;
+import io.mothrill.wire.peer.PeerDecoder;
+import io.mothrill.wire.peer.PeerEncoder;
+import io.mothrill.wire.platform.HttpInstanceList;
+import io.mothrill.wire.platform.HttpTableService;
+import io.mothrill.wire.time.NettyTimers;
+import io.mothrill.wire.upstream.HttpUpstreamClient;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.security.SecureRandom;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.tinylog.Logger;
+
+/**
+ * One entry instance: a node and the sockets that it is reached through.
+ *
+ * <pre>{@code
+ * EntryInstance instance = EntryInstance.start(settings);
+ * instance.drain().join();
+ * instance.close();
+ * }</pre>
+ */
+public final class EntryInstance {
+
+  private static final long STALE_CHECK_MS = 5_000;
+
+  private final EventLoopGroup group;
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final NettyPeers peers;
+  private final Node node;
+  private final CallerEdge callerEdge;
+  private final HttpServer operatorServer;
+  private final HttpServer opsServer;
+
+  private EntryInstance(InstanceSettings settings) {
+    this.group = new MultiThreadIoEventLoopGroup(NioIoHandler.newFactory());
+    Timers timers = new NettyTimers(group);
+    HttpClient http = new HttpClient(group);
+    timers.every(STALE_CHECK_MS, http::closeStale);
+    TableService table =
+        new HttpTableService(http, settings.platform(), settings.platformTimeoutMs());
+    PeerDispatcher dispatcher = new PeerDispatcher();
+    this.peers = newPeers(settings, dispatcher);
+    Random random = new SecureRandom();
+    NodePorts ports =
+        new NodePorts(
+            table,
+            new HttpInstanceList(http, settings.platform(), settings.platformTimeoutMs()),
+            peers,
+            dispatcher,
+            new HttpUpstreamClient(http, timers),
+            new JsonResources(),
+            timers,
+            random);
+    this.node = new Node(recordOf(settings, ports), ports, settings.node(), metrics);
+    this.callerEdge =
+        new CallerEdge(
+            group,
+            settings.host(),
+            settings.ports().caller(),
+            node.requests(),
+            node.config(),
+            settings.callers());
+    this.operatorServer =
+        HttpServer.ofService(
+            group, settings.host(), settings.ports().operator(), operatorService(ports));
+    this.opsServer =
+        HttpServer.ofService(
+            group,
+            settings.host(),
+            settings.ports().ops(),
+            new ProbeService(node::unreadyReason, metrics));
+  }
+
+  private NettyPeers newPeers(InstanceSettings settings, PeerDispatcher dispatcher) {
+    JsonResources codec = new JsonResources();
+    return new NettyPeers(
+        group,
+        new PeerEncoder(codec),
+        new PeerDecoder(codec),
+        dispatcher,
+        settings.host(),
+        settings.ports().peer());
+  }
+
+  private InstanceRecord recordOf(InstanceSettings settings, NodePorts ports) {
+    String started = Long.toString(ports.timers().wallMs(), Character.MAX_RADIX);
+    String incarnation = settings.id() + "." + started + "." + Node.newId(ports.random());
+    return new InstanceRecord(
+        settings.id(), incarnation, settings.domain(), settings.host(), peers.port(), false);
+  }
+
+  private OperatorService operatorService(NodePorts ports) {
+    ResourceStatus status =
+        new ResourceStatus(ports.table(), node.budgets(), node.upstreams(), node.router());
+    return new OperatorService(
+        node.configStore(),
+        node.config(),
+        node.membership(),
+        status,
+        node.decisions(),
+        ports.timers());
+  }
+
+  /**
+   * Starts an instance.
+   *
+   * @param settings its settings
+   * @return the instance, listening
+   */
+  public static EntryInstance start(InstanceSettings settings) {
+    EntryInstance instance = new EntryInstance(settings);
+    Logger.info(
+        "started id={} domain={} callerPort={} operatorPort={} opsPort={} peerPort={}",
+        settings.id(),
+        settings.domain(),
+        instance.callerPort(),
+        instance.operatorPort(),
+        instance.opsPort(),
+        instance.peers.port());
+    return instance;
+  }
+
+  /**
+   * Gives the port for callers.
+   *
+   * @return a TCP port
+   */
+  public int callerPort() {
+    return callerEdge.port();
+  }
+
+  /**
+   * Gives the port for operators.
+   *
+   * @return a TCP port
+   */
+  public int operatorPort() {
+    return operatorServer.port();
+  }
+
+  /**
+   * Gives the port for probes and metrics.
+   *
+   * @return a TCP port
+   */
+  public int opsPort() {
+    return opsServer.port();
+  }
+
+  /**
+   * Gives the node.
+   *
+   * @return the decisions behind the sockets
+   */
+  public Node node() {
+    return node;
+  }
+
+  /**
+   * Gives the metrics.
+   *
+   * @return the registry
+   */
+  public MetricRegistry metrics() {
+    return metrics;
+  }
+
+  /**
+   * Leaves without cutting off a request.
+   *
+   * @return completes when the process may exit
+   */
+  public CompletableFuture<Void> drain() {
+    return node.drain();
+  }
+
+  /** Closes everything at once, as a crash would. */
+  public void close() {
+    callerEdge.close();
+    operatorServer.close();
+    opsServer.close();
+    peers.close();
+    group.shutdownGracefully();
+  }
+}
--- /dev/null
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/cli/CommandLine.java
@@ -0,0 +1,78 @@
+package io.mothrill.daemon.cli;
+
+import io.mothrill.core.error.Failures;
+import io.mothrill.core.error.InvalidInputException;
+import java.io.PrintStream;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.function.Supplier;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+
+/**
+ * Finds the command that the first argument names, and runs it.
+ *
+ * <p>Exit codes: 0 done, 1 failed, 2 arguments or input refused.
+ */
+public final class CommandLine {
+
+  private final String program;
+  private final Map<String, Supplier<Command>> commands;
+  private final PrintStream err;
+
+  /**
+   * Creates the command line.
+   *
+   * @param program what stands before the command when it is called
+   * @param commands the commands by name
+   * @param err where errors and help are printed
+   */
+  public CommandLine(String program, Map<String, Supplier<Command>> commands, PrintStream err) {
+    this.program = program;
+    this.commands = Map.copyOf(commands);
+    this.err = err;
+  }
+
+  /**
+   * Runs a command.
+   *
+   * @param args the command's name and its arguments
+   * @return the exit code
+   */
+  public int run(String... args) {
+    Supplier<Command> found = args.length == 0 ? null : commands.get(args[0]);
+    if (found == null) {
+      err.println("usage: " + program + " COMMAND [OPTIONS]");
+      err.println("commands: " + String.join(", ", commands.keySet().stream().sorted().toList()));
+      return Command.REFUSED;
+    }
+    Command command = found.get();
+    CmdLineParser parser = new CmdLineParser(command);
+    try {
+      parser.parseArgument(Arrays.copyOfRange(args, 1, args.length));
+    } catch (CmdLineException ex) {
+      err.println(program + " " + args[0] + ": " + ex.getMessage());
+      parser.printUsage(err);
+      return Command.REFUSED;
+    }
+    return run(args[0], command);
+  }
+
+  private int run(String name, Command command) {
+    try {
+      return command.run();
+    } catch (Exception ex) {
+      Throwable cause = Failures.unwrap(ex);
+      if (cause instanceof ExecutionException && cause.getCause() != null) {
+        cause = cause.getCause();
+      }
+      if (cause instanceof InvalidInputException input) {
+        input.errors().forEach(error -> err.println(name + ": " + error));
+        return Command.REFUSED;
+      }
+      err.println(name + ": " + cause.getMessage());
+      return Command.FAILED;
+    }
+  }
+}
--- /dev/null
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/cli/ServeCommand.java
@@ -0,0 +1,36 @@
+package io.mothrill.daemon.cli;
+
+import io.mothrill.daemon.EntryInstance;
+import io.mothrill.daemon.settings.InstanceSettings;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.kohsuke.args4j.Option;
+import org.tinylog.Logger;
+import sun.misc.Signal;
+
+/** {@code mothrill serve}: runs one entry instance until it is told to leave. */
+public final class ServeCommand implements Command {
+
+  @Option(name = "--settings", required = true, metaVar = "FILE", usage = "settings in JSON")
+  private String settings;
+
+  @Override
+  public int run() throws InterruptedException {
+    InstanceSettings read = SettingsFile.read(settings);
+    EntryInstance instance = EntryInstance.start(read);
+    CountDownLatch done = new CountDownLatch(1);
+    AtomicInteger signals = new AtomicInteger();
+    Runnable leave =
+        () -> {
+          if (signals.incrementAndGet() > 1) {
+            Logger.info("already draining; the signal changes nothing");
+          }
+          instance.drain().thenRun(done::countDown);
+        };
+    Signal.handle(new Signal("TERM"), signal -> leave.run());
+    Signal.handle(new Signal("INT"), signal -> leave.run());
+    done.await();
+    instance.close();
+    return OK;
+  }
+}
--- /dev/null
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operator's command line. */
+package io.mothrill.daemon.cli;
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/package-info.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/package-info.java
@@ -1,2 +1,2 @@
-/** x. */
+/** Thin programs: the entry instance and the operator's command line. */
 package io.mothrill.daemon;
--- /dev/null
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/settings/InstanceSettings.java
@@ -0,0 +1,38 @@
+package io.mothrill.daemon.settings;
+
+import io.mothrill.core.node.NodeSettings;
+import io.mothrill.wire.caller.CallerLimits;
+import io.mothrill.wire.http.Address;
+
+/**
+ * The settings of an entry instance.
+ *
+ * @param id the instance's name, which its replacement takes over
+ * @param domain the failure domain
+ * @param host the IP address that it listens on
+ * @param ports the TCP ports that it listens on
+ * @param platform where the platform listens
+ * @param platformTimeoutMs how long to wait for the platform
+ * @param node how it decides
+ * @param callers what one caller may take up
+ */
+public record InstanceSettings(
+    String id,
+    String domain,
+    String host,
+    Ports ports,
+    Address platform,
+    long platformTimeoutMs,
+    NodeSettings node,
+    CallerLimits callers) {
+
+  /**
+   * TCP ports; 0 for any.
+   *
+   * @param caller for callers
+   * @param operator for operators
+   * @param ops for probes and metrics
+   * @param peer for other instances
+   */
+  public record Ports(int caller, int operator, int ops, int peer) {}
+}
--- /dev/null
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The settings of an entry instance, read from JSON and checked. */
+package io.mothrill.daemon.settings;
--- /dev/null
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/demo/DemoFloor.java
@@ -0,0 +1,275 @@
+package io.mothrill.lab.demo;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.mothrill.core.board.Section;
+import io.mothrill.core.config.ConfigSnapshot;
+import io.mothrill.core.resource.TeamKey;
+import io.mothrill.daemon.EntryInstance;
+import io.mothrill.daemon.settings.InstanceSettings;
+import io.mothrill.daemon.settings.SettingsReader;
+import io.mothrill.lab.standin.EngineServer;
+import io.mothrill.lab.standin.EngineSettings;
+import io.mothrill.lab.standin.PlainServer;
+import io.mothrill.lab.standin.PlatformServer;
+import io.mothrill.wire.http.Address;
+import io.mothrill.wire.http.HttpClient;
+import io.mothrill.wire.http.HttpReply;
+import io.mothrill.wire.json.Json;
+import io.mothrill.wire.operator.OperatorClient;
+import io.mothrill.wire.time.NettyTimers;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.UUID;
+
+/** A platform, engines, a plain service and entry instances on loopback, in one process. */
+public final class DemoFloor implements AutoCloseable {
+
+  private static final String HOST = "127.0.0.1";
+  private static final long TIMEOUT_MS = 10_000;
+  private static final String SALT = "demo";
+
+  private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(NioIoHandler.newFactory());
+  private final NettyTimers timers = new NettyTimers(group);
+  private final HttpClient http = new HttpClient(group);
+  private final PlatformServer platform = new PlatformServer(group, timers, HOST, 0);
+  private final Map<String, EngineServer> engines = new TreeMap<>();
+  private final List<EntryInstance> instances = new ArrayList<>();
+  private final PlainServer plain = new PlainServer(group, timers, HOST, 0, 5);
+
+  /**
+   * Starts the floor.
+   *
+   * @param instanceCount how many entry instances; they stand in two failure domains
+   * @param engineCount how many engines
+   * @param engine how the engines work
+   * @param overrides settings of the instances other than their own standard, as JSON objects
+   */
+  public DemoFloor(
+      int instanceCount, int engineCount, EngineSettings engine, Map<String, JsonNode> overrides) {
+    for (int number = 1; number <= engineCount; number++) {
+      engines.put("engine-" + number, new EngineServer(group, timers, HOST, 0, engine));
+    }
+    for (int number = 1; number <= instanceCount; number++) {
+      instances.add(EntryInstance.start(settingsOf(number, overrides)));
+    }
+  }
+
+  private InstanceSettings settingsOf(int number, Map<String, JsonNode> overrides) {
+    ObjectNode node = Json.object();
+    node.putObject("instance").put("id", "entry-" + number).put("domain", domainOf(number));
+    node.putObject("ports").put("caller", 0).put("operator", 0).put("ops", 0).put("peer", 0);
+    node.putObject("platform").put("host", HOST).put("port", platform.port());
+    overrides.forEach(node::set);
+    return SettingsReader.read(node);
+  }
+
+  private static String domainOf(int number) {
+    return number % 2 == 1 ? "ankara-a" : "ankara-b";
+  }
+
+  /**
+   * Gives the key of a team's callers.
+   *
+   * @param team the team's name
+   * @return the key
+   */
+  public static String keyOf(String team) {
+    return team + ".secret-of-" + team;
+  }
+
+  /**
+   * Declares a resource and checks that it was accepted.
+   *
+   * @param kind the kind
+   * @param name the name
+   * @param spec the spec
+   */
+  public void declare(String kind, String name, ObjectNode spec) {
+    ObjectNode manifest = Json.object().put("apiVersion", "mothrill.io/v1").put("kind", kind);
+    manifest.putObject("metadata").put("name", name);
+    manifest.set("spec", spec);
+    Address server = new Address(HOST, instances.get(0).operatorPort());
+    HttpReply reply =
+        new OperatorClient(http, server, "demo", TIMEOUT_MS)
+            .apply(manifest, UUID.randomUUID().toString())
+            .join();
+    if (!reply.isSuccess()) {
+      throw new IllegalStateException(kind + " " + name + " refused: " + Json.read(reply.body()));
+    }
+  }
+
+  /**
+   * Declares a team with one key.
+   *
+   * @param team the team's name
+   */
+  public void declareTeam(String team) {
+    TeamKey key = TeamKey.hash(SALT, keyOf(team).substring(team.length() + 1));
+    ObjectNode spec = Json.object();
+    spec.putArray("keys").addObject().put("salt", key.salt()).put("sha256", key.sha256());
+    declare("Team", team, spec);
+  }
+
+  /**
+   * Declares a budget with its top-ups.
+   *
+   * @param budget the budget's name
+   * @param team the team's name
+   * @param topUpTokens the tokens of each top-up, in order
+   */
+  public void declareBudget(String budget, String team, long... topUpTokens) {
+    ObjectNode spec = Json.object().put("team", team);
+    var topUps = spec.putArray("topUps");
+    for (int index = 0; index < topUpTokens.length; index++) {
+      topUps.addObject().put("id", "topup-" + index).put("tokens", topUpTokens[index]);
+    }
+    declare("Budget", budget, spec);
+  }
+
+  /**
+   * Declares a model service and an upstream for each engine.
+   *
+   * @param model the model's name
+   * @param engine how the engines work
+   */
+  public void declareModel(String model, EngineSettings engine) {
+    declare("Service", model, Json.object().put("type", "model").put("maxOutputTokens", 2_000));
+    int number = 0;
+    for (Map.Entry<String, EngineServer> entry : engines.entrySet()) {
+      declare(
+          "Upstream",
+          entry.getKey(),
+          upstream(model, entry.getValue().port(), ++number, engine.slots()));
+    }
+  }
+
+  /**
+   * Declares the plain service, whose calls may not be repeated.
+   *
+   * @param service the service's name
+   */
+  public void declareTickets(String service) {
+    declare(
+        "Service",
+        service,
+        Json.object().put("type", "plain").put("repeatable", false).put("tokensPerCall", 1));
+    declare("Upstream", service + "-1", upstream(service, plain.port(), 1, 32));
+  }
+
+  private static ObjectNode upstream(String service, int port, int number, int slots) {
+    return Json.object()
+        .put("service", service)
+        .put("host", HOST)
+        .put("port", port)
+        .put("domain", domainOf(number))
+        .put("slots", slots);
+  }
+
+  /** Waits until every instance has the configuration that was declared last. */
+  public void awaitConfig() {
+    long revision = Json.read(config(0).body()).path("revision").asLong();
+    for (int tries = 0; tries < 200; tries++) {
+      long wanted = revision;
+      if (instances.stream().allMatch(instance -> revisionOf(instance) >= wanted)) {
+        return;
+      }
+      pause(50);
+      revision = Math.max(revision, revisionOf(instances.get(0)));
+    }
+    throw new IllegalStateException("the configuration did not spread");
+  }
+
+  private HttpReply config(int index) {
+    pause(600);
+    Address server = new Address(HOST, instances.get(index).operatorPort());
+    return new OperatorClient(http, server, "demo", TIMEOUT_MS).config().join();
+  }
+
+  private static long revisionOf(EntryInstance instance) {
+    Section<ConfigSnapshot> config = instance.node().config();
+    return config.read().revision();
+  }
+
+  /**
+   * Lets real time pass.
+   *
+   * @param durationMs milliseconds
+   */
+  public static void pause(long durationMs) {
+    try {
+      Thread.sleep(durationMs);
+    } catch (InterruptedException ex) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /**
+   * Gives the address for callers of an instance.
+   *
+   * @param index the instance, from 0
+   * @return the address
+   */
+  public Address caller(int index) {
+    return new Address(HOST, instances.get(index).callerPort());
+  }
+
+  /**
+   * Gives the instances.
+   *
+   * @return the instances in order
+   */
+  public List<EntryInstance> instances() {
+    return List.copyOf(instances);
+  }
+
+  /**
+   * Gives the engines.
+   *
+   * @return the engines by name
+   */
+  public Map<String, EngineServer> engines() {
+    return Map.copyOf(engines);
+  }
+
+  /**
+   * Gives the plain service.
+   *
+   * @return the service
+   */
+  public PlainServer plain() {
+    return plain;
+  }
+
+  /**
+   * Gives the platform.
+   *
+   * @return the platform
+   */
+  public PlatformServer platform() {
+    return platform;
+  }
+
+  /**
+   * Gives an HTTP client.
+   *
+   * @return the client
+   */
+  public HttpClient http() {
+    return http;
+  }
+
+  @Override
+  public void close() {
+    instances.forEach(EntryInstance::close);
+    engines.values().forEach(EngineServer::close);
+    plain.close();
+    platform.close();
+    group.shutdownGracefully();
+  }
+}
--- /dev/null
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/load/Latencies.java
@@ -0,0 +1,48 @@
+package io.mothrill.lab.load;
+
+import java.util.Collection;
+import java.util.function.ToDoubleFunction;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Percentiles of a set of calls.
+ *
+ * @param count how many calls
+ * @param p50Ms half of them took at most this
+ * @param p99Ms ninety-nine in a hundred took at most this
+ * @param p999Ms nine hundred and ninety-nine in a thousand took at most this
+ * @param maxMs the slowest took this
+ */
+public record Latencies(long count, double p50Ms, double p99Ms, double p999Ms, double maxMs) {
+
+  private static final double MICROS_PER_MS = 1_000;
+  private static final int DIGITS = 3;
+
+  /**
+   * Sums up calls.
+   *
+   * @param results the calls
+   * @param latencyMs which latency of theirs
+   * @return the percentiles
+   */
+  public static Latencies of(
+      Collection<CallResult> results, ToDoubleFunction<CallResult> latencyMs) {
+    Histogram histogram = new Histogram(DIGITS);
+    results.forEach(
+        result ->
+            histogram.recordValue(
+                Math.max(0, (long) (latencyMs.applyAsDouble(result) * MICROS_PER_MS))));
+    return new Latencies(
+        histogram.getTotalCount(),
+        histogram.getValueAtPercentile(50) / MICROS_PER_MS,
+        histogram.getValueAtPercentile(99) / MICROS_PER_MS,
+        histogram.getValueAtPercentile(99.9) / MICROS_PER_MS,
+        histogram.getMaxValue() / MICROS_PER_MS);
+  }
+
+  @Override
+  public String toString() {
+    return String.format(
+        "n=%d p50=%.1fms p99=%.1fms p99.9=%.1fms max=%.1fms", count, p50Ms, p99Ms, p999Ms, maxMs);
+  }
+}
--- /dev/null
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/load/package-info.java
@@ -0,0 +1,2 @@
+/** Callers that check every answer, and the load they make. */
+package io.mothrill.lab.load;
--- a/mothrill-lab/src/main/java/io/mothrill/lab/package-info.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/package-info.java
@@ -1,2 +1,2 @@
-/** x. */
+/** Stand-ins of what mothrill serves, with a load and experiment tool. */
 package io.mothrill.lab;
--- /dev/null
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/standin/EngineBatch.java
@@ -0,0 +1,92 @@
+package io.mothrill.lab.standin;
+
+import io.mothrill.core.routing.LoadReport;
+import io.mothrill.core.time.Timers;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Batches sequences continuously: a new one joins as soon as a slot is free, urgent ones first. */
+final class EngineBatch {
+
+  private final EngineSettings settings;
+  private final Timers timers;
+  private final Deque<Sequence> urgent = new ArrayDeque<>();
+  private final Deque<Sequence> batch = new ArrayDeque<>();
+  private final List<Sequence> running = new ArrayList<>();
+  private final Map<String, Boolean> cachedPrompts;
+  private final Map<String, Integer> runs = new LinkedHashMap<>();
+  private final AtomicLong tokens = new AtomicLong();
+  private volatile LoadReport reported = new LoadReport(0, 0, false, 0);
+
+  EngineBatch(EngineSettings settings, Timers timers) {
+    this.settings = settings;
+    this.timers = timers;
+    this.cachedPrompts =
+        new LinkedHashMap<>(16, 0.75f, true) {
+          @Override
+          protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > settings.cachePrefixes();
+          }
+        };
+    timers.every(settings.stepMs(), this::step);
+    timers.every(settings.loadLagMs(), this::takeReport);
+  }
+
+  synchronized void add(Sequence sequence) {
+    runs.merge(sequence.requestId(), 1, Integer::sum);
+    (sequence.isUrgent() ? urgent : batch).addLast(sequence);
+  }
+
+  private void step() {
+    List<Sequence> stepping;
+    synchronized (this) {
+      fillSlots();
+      stepping = new ArrayList<>(running);
+    }
+    List<Sequence> over = new ArrayList<>();
+    for (Sequence sequence : stepping) {
+      int before = sequence.emitted();
+      if (!sequence.step()) {
+        over.add(sequence);
+      }
+      tokens.addAndGet(sequence.emitted() - before);
+    }
+    synchronized (this) {
+      running.removeAll(over);
+    }
+  }
+
+  private void fillSlots() {
+    urgent.removeIf(Sequence::isCancelled);
+    batch.removeIf(Sequence::isCancelled);
+    while (running.size() < settings.slots() && !(urgent.isEmpty() && batch.isEmpty())) {
+      Sequence next = urgent.isEmpty() ? batch.pollFirst() : urgent.pollFirst();
+      boolean cached = cachedPrompts.put(next.prompt(), true) != null;
+      next.startPrefill(cached ? 0 : next.promptTokens() / settings.prefillTokensPerStep());
+      running.add(next);
+    }
+  }
+
+  private synchronized void takeReport() {
+    reported = new LoadReport(running.size(), urgent.size() + batch.size(), false, timers.nowMs());
+  }
+
+  /** The load as it was a while ago. */
+  LoadReport load() {
+    return reported;
+  }
+
+  long tokens() {
+    return tokens.get();
+  }
+
+  synchronized Map<String, Integer> runs() {
+    return Collections.unmodifiableMap(new LinkedHashMap<>(runs));
+  }
+}
--- /dev/null
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/standin/EngineHandler.java
@@ -0,0 +1,201 @@
+package io.mothrill.lab.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.mothrill.core.routing.LoadReport;
+import io.mothrill.wire.json.Json;
+import io.mothrill.wire.upstream.UpstreamHeaders;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.charset.StandardCharsets;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** One connection to the engine stand-in. */
+final class EngineHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+  /** A prompt may say how long its answer is, so that answers shorter than the cap occur. */
+  private static final Pattern WANTED_TOKENS = Pattern.compile("\\[tokens=(\\d+)]");
+
+  private final EngineBatch batch;
+  private final EngineFaults faults;
+  private Sequence current;
+
+  EngineHandler(EngineBatch batch, EngineFaults faults) {
+    this.batch = batch;
+    this.faults = faults;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+    String requestId = request.headers().get(UpstreamHeaders.REQUEST_ID, "none");
+    if (faults.takeSilent()) {
+      return;
+    }
+    if (faults.isLeaving()) {
+      refuseLeaving(ctx, requestId);
+      return;
+    }
+    JsonNode body = Json.read(ByteBufUtil.getBytes(request.content()));
+    StringBuilder prompt = new StringBuilder();
+    body.path("messages").forEach(message -> prompt.append(message.path("content").asText()));
+    boolean streamed = body.path("stream").asBoolean();
+    String echoed = faults.takeCrossed() ? "other-" + requestId : requestId;
+    Answer answer = streamed ? new StreamAnswer(ctx, echoed) : new PlainAnswer(ctx, echoed);
+    boolean urgent = !"batch".equals(request.headers().get(UpstreamHeaders.PRIORITY));
+    current =
+        new Sequence(
+            requestId,
+            prompt.toString(),
+            urgent,
+            tokensOf(prompt.toString(), body.path("max_tokens").asInt(16)),
+            answer);
+    batch.add(current);
+  }
+
+  private int tokensOf(String prompt, int cap) {
+    Matcher wanted = WANTED_TOKENS.matcher(prompt);
+    int tokens = wanted.find() ? Math.min(cap, Integer.parseInt(wanted.group(1))) : cap;
+    return tokens + faults.extraTokens();
+  }
+
+  private void refuseLeaving(ChannelHandlerContext ctx, String requestId) {
+    DefaultFullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER);
+    response
+        .headers()
+        .set(UpstreamHeaders.REQUEST_ID, requestId)
+        .set(UpstreamHeaders.NOT_RUN, "true")
+        .set(UpstreamHeaders.LEAVING, "true")
+        .set(HttpHeaderNames.CONTENT_LENGTH, 0);
+    ctx.writeAndFlush(response);
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    if (current != null) {
+      current.cancel();
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    ctx.close();
+  }
+
+  private void setHeaders(HttpHeaders headers, String requestId, String contentType) {
+    LoadReport load = batch.load();
+    headers
+        .set(HttpHeaderNames.CONTENT_TYPE, contentType)
+        .set(UpstreamHeaders.REQUEST_ID, requestId)
+        .set(UpstreamHeaders.LOAD_RUNNING, load.running())
+        .set(UpstreamHeaders.LOAD_QUEUED, load.queued());
+    if (faults.isLeaving()) {
+      headers.set(UpstreamHeaders.LEAVING, "true");
+    }
+  }
+
+  private static ObjectNode usage(int promptTokens, int emittedTokens) {
+    return Json.object()
+        .put("prompt_tokens", promptTokens)
+        .put("completion_tokens", emittedTokens)
+        .put("total_tokens", promptTokens + emittedTokens);
+  }
+
+  /** Writes a sequence to the connection. */
+  private abstract static class Answer implements Sequence.SequenceOutput {
+    final ChannelHandlerContext ctx;
+    final String requestId;
+
+    Answer(ChannelHandlerContext ctx, String requestId) {
+      this.ctx = ctx;
+      this.requestId = requestId;
+    }
+  }
+
+  private final class StreamAnswer extends Answer {
+    private boolean begun;
+
+    StreamAnswer(ChannelHandlerContext ctx, String requestId) {
+      super(ctx, requestId);
+    }
+
+    @Override
+    public void token(String text, int promptTokens, int emittedTokens) {
+      begin();
+      ObjectNode event = Json.object().put("id", requestId);
+      event.putArray("choices").addObject().put("index", 0).putObject("delta").put("content", text);
+      event.set("usage", usage(promptTokens, emittedTokens));
+      send("data: " + event + "\n\n");
+    }
+
+    private void begin() {
+      if (!begun) {
+        begun = true;
+        HttpResponse response =
+            new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        setHeaders(response.headers(), requestId, "text/event-stream");
+        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        ctx.write(response);
+      }
+    }
+
+    private void send(String text) {
+      ctx.writeAndFlush(
+          new DefaultHttpContent(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8)));
+    }
+
+    @Override
+    public void end(int promptTokens, int emittedTokens) {
+      send("data: [DONE]\n\n");
+      ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+    }
+  }
+
+  private final class PlainAnswer extends Answer {
+    private final StringBuilder text = new StringBuilder();
+
+    PlainAnswer(ChannelHandlerContext ctx, String requestId) {
+      super(ctx, requestId);
+    }
+
+    @Override
+    public void token(String token, int promptTokens, int emittedTokens) {
+      text.append(token);
+    }
+
+    @Override
+    public void end(int promptTokens, int emittedTokens) {
+      ObjectNode node = Json.object().put("id", requestId).put("object", "chat.completion");
+      node.putArray("choices")
+          .addObject()
+          .put("index", 0)
+          .put("finish_reason", "stop")
+          .putObject("message")
+          .put("role", "assistant")
+          .put("content", text.toString());
+      node.set("usage", usage(promptTokens, emittedTokens));
+      byte[] bytes = Json.bytes(node);
+      DefaultFullHttpResponse response =
+          new DefaultFullHttpResponse(
+              HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(bytes));
+      setHeaders(response.headers(), requestId, "application/json");
+      response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+      ctx.writeAndFlush(response);
+    }
+  }
+}
--- /dev/null
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/standin/Sequence.java
@@ -0,0 +1,81 @@
+package io.mothrill.lab.standin;
+
+/** One call inside the engine stand-in. */
+final class Sequence {
+
+  private final String requestId;
+  private final String prompt;
+  private final boolean urgent;
+  private final int maxTokens;
+  private final SequenceOutput output;
+  private int prefillSteps;
+  private int emitted;
+  private volatile boolean cancelled;
+
+  Sequence(String requestId, String prompt, boolean urgent, int maxTokens, SequenceOutput output) {
+    this.requestId = requestId;
+    this.prompt = prompt;
+    this.urgent = urgent;
+    this.maxTokens = maxTokens;
+    this.output = output;
+  }
+
+  /** Where a sequence's tokens go. */
+  interface SequenceOutput {
+
+    void token(String text, int promptTokens, int emittedTokens);
+
+    void end(int promptTokens, int emittedTokens);
+  }
+
+  String requestId() {
+    return requestId;
+  }
+
+  String prompt() {
+    return prompt;
+  }
+
+  boolean isUrgent() {
+    return urgent;
+  }
+
+  int promptTokens() {
+    return EngineText.promptTokens(prompt);
+  }
+
+  int emitted() {
+    return emitted;
+  }
+
+  void cancel() {
+    cancelled = true;
+  }
+
+  boolean isCancelled() {
+    return cancelled;
+  }
+
+  void startPrefill(int steps) {
+    prefillSteps = steps;
+  }
+
+  /** Does one step and says whether the sequence goes on. */
+  boolean step() {
+    if (cancelled) {
+      return false;
+    }
+    if (prefillSteps > 0) {
+      prefillSteps--;
+      return true;
+    }
+    String text = EngineText.token(prompt, emitted);
+    emitted++;
+    output.token(text, promptTokens(), emitted);
+    if (emitted < maxTokens) {
+      return true;
+    }
+    output.end(promptTokens(), emitted);
+    return false;
+  }
+}
--- /dev/null
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the platform, model engines and plain services. */
+package io.mothrill.lab.standin;
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/caller/package-info.java
@@ -0,0 +1,2 @@
+/** The edge towards callers. */
+package io.mothrill.wire.caller;
--- a/mothrill-wire/src/main/java/io/mothrill/wire/json/JsonFields.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/json/JsonFields.java
@@ -247,6 +247,25 @@
     return elements;
   }
 
+  /**
+   * Reads an optional list of objects of which only some fields are known.
+   *
+   * @param name the field
+   * @return the objects
+   */
+  public List<JsonNode> openObjects(String name) {
+    List<JsonNode> read = new ArrayList<>();
+    eachOf(name)
+        .forEach(
+            element -> {
+              read.add(element.value());
+              if (!element.value().isObject()) {
+                errors.add(FieldError.wrongType(element.path(), "an object"));
+              }
+            });
+    return read;
+  }
+
   /**
    * Reads an object inside this one; an absent one is read as empty.
    *
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/operator/OperatorService.java
@@ -0,0 +1,274 @@
+package io.mothrill.wire.operator;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.mothrill.core.board.Section;
+import io.mothrill.core.config.Change;
+import io.mothrill.core.config.ChangeRequest;
+import io.mothrill.core.config.ConfigSnapshot;
+import io.mothrill.core.config.ConfigStore;
+import io.mothrill.core.config.error.ConfigException;
+import io.mothrill.core.error.Failures;
+import io.mothrill.core.error.FieldError;
+import io.mothrill.core.error.InvalidInputException;
+import io.mothrill.core.peer.MembershipController;
+import io.mothrill.core.resource.Resource;
+import io.mothrill.core.resource.ResourceKind;
+import io.mothrill.core.resource.Spec;
+import io.mothrill.core.routing.RecentDecisions;
+import io.mothrill.core.time.Timers;
+import io.mothrill.wire.http.HttpInput;
+import io.mothrill.wire.http.HttpReply;
+import io.mothrill.wire.http.HttpService;
+import io.mothrill.wire.json.Json;
+import io.mothrill.wire.json.JsonResources;
+import io.mothrill.wire.json.JsonResources.Manifest;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Serves operators: {@code /apis/v1/{kind}/{name}} to declare, read and delete resources, {@code
+ * /apis/v1/changes} to watch, {@code /apis/v1/config} and {@code /apis/v1/decisions} to ask.
+ */
+public final class OperatorService implements HttpService {
+
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int METHOD_NOT_ALLOWED = 405;
+  private static final int CONFLICT = 409;
+  private static final int UNAVAILABLE = 503;
+  private static final int MAX_CHANGES = 500;
+  private static final long MAX_WAIT_MS = 30_000;
+  private static final long WATCH_POLL_MS = 50;
+
+  private final ConfigStore store;
+  private final Section<ConfigSnapshot> config;
+  private final MembershipController membership;
+  private final ResourceStatus status;
+  private final RecentDecisions decisions;
+  private final Timers timers;
+
+  /**
+   * Creates the service.
+   *
+   * @param store accepts changes
+   * @param config the configuration in force here
+   * @param membership knows how far the peers have come
+   * @param status what is added to resources that are read
+   * @param decisions the last routing decisions
+   * @param timers the time
+   */
+  public OperatorService(
+      ConfigStore store,
+      Section<ConfigSnapshot> config,
+      MembershipController membership,
+      ResourceStatus status,
+      RecentDecisions decisions,
+      Timers timers) {
+    this.store = store;
+    this.config = config;
+    this.membership = membership;
+    this.status = status;
+    this.decisions = decisions;
+    this.timers = timers;
+  }
+
+  @Override
+  public CompletableFuture<HttpReply> serve(HttpInput input) {
+    List<String> segments = input.segments();
+    if (segments.size() < 3 || !input.path().startsWith("/apis/v1/")) {
+      return reply(NOT_FOUND, error("not_found", "there is nothing at " + input.path()));
+    }
+    CompletableFuture<HttpReply> reply =
+        switch (segments.get(2)) {
+          case "config" -> reply(OK, configState());
+          case "changes" -> changes(input);
+          case "decisions" -> reply(OK, decisionsAbout(segments));
+          default -> resources(input, segments);
+        };
+    return reply.exceptionally(OperatorService::refusal);
+  }
+
+  private static CompletableFuture<HttpReply> reply(int code, ObjectNode node) {
+    return CompletableFuture.completedFuture(HttpReply.json(code, node));
+  }
+
+  private static ObjectNode error(String code, String message) {
+    ObjectNode node = Json.object();
+    node.putObject("error").put("code", code).put("message", message);
+    return node;
+  }
+
+  private static HttpReply refusal(Throwable error) {
+    Throwable cause = Failures.unwrap(error);
+    if (cause instanceof ConfigException refused) {
+      ObjectNode node = error(refused.code(), refused.getMessage());
+      refused.current().ifPresent(current -> node.set("current", JsonResources.write(current)));
+      return HttpReply.json(statusOf(refused.code()), node);
+    }
+    throw cause instanceof RuntimeException known ? known : new IllegalStateException(cause);
+  }
+
+  private static int statusOf(String code) {
+    return switch (code) {
+      case "not_found" -> NOT_FOUND;
+      case "platform_unavailable" -> UNAVAILABLE;
+      default -> CONFLICT;
+    };
+  }
+
+  private ObjectNode configState() {
+    ObjectNode node = Json.object().put("revision", config.read().revision());
+    ObjectNode peers = node.putObject("peers");
+    membership.peerRevisions().forEach(peers::put);
+    return node;
+  }
+
+  private ObjectNode decisionsAbout(List<String> segments) {
+    ObjectNode node = Json.object();
+    ArrayNode list = node.putArray("decisions");
+    String requestId = segments.size() > 3 ? segments.get(3) : "";
+    decisions
+        .about(requestId)
+        .forEach(
+            decision ->
+                list.addObject()
+                    .put("upstream", decision.chosen())
+                    .put("waitedMs", decision.waitedMs())
+                    .put("candidates", decision.candidatesText()));
+    return node;
+  }
+
+  /** Gives the changes after a revision, and waits for the next one when there is none. */
+  private CompletableFuture<HttpReply> changes(HttpInput input) {
+    long after = queryNumber(input, "after", 0);
+    long waitMs = Math.min(MAX_WAIT_MS, queryNumber(input, "waitMs", 0));
+    CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+    awaitChanges(after, timers.nowMs() + waitMs, reply);
+    return reply;
+  }
+
+  private static long queryNumber(HttpInput input, String name, long fallback) {
+    String text = input.query(name, String.valueOf(fallback));
+    try {
+      return Long.parseLong(text);
+    } catch (NumberFormatException ex) {
+      throw InvalidInputException.of(FieldError.wrongType(name, "a whole number"));
+    }
+  }
+
+  private void awaitChanges(long after, long untilMs, CompletableFuture<HttpReply> reply) {
+    if (config.read().revision() <= after && timers.nowMs() < untilMs) {
+      timers.after(WATCH_POLL_MS, () -> awaitChanges(after, untilMs, reply));
+      return;
+    }
+    var unused =
+        store
+            .after(after, MAX_CHANGES)
+            .thenApply(OperatorService::changesReply)
+            .whenComplete(
+                (found, error) -> {
+                  if (error == null) {
+                    reply.complete(found);
+                  } else {
+                    reply.completeExceptionally(error);
+                  }
+                });
+  }
+
+  private static HttpReply changesReply(List<Change> changes) {
+    ObjectNode node = Json.object();
+    ArrayNode list = node.putArray("changes");
+    changes.forEach(change -> list.add(changeNode(change)));
+    return HttpReply.json(OK, node);
+  }
+
+  private static ObjectNode changeNode(Change change) {
+    ObjectNode node =
+        Json.object()
+            .put("revision", change.revision())
+            .put("kind", change.kind().title())
+            .put("name", change.name())
+            .put("operation", change.resource().isPresent() ? "apply" : "delete")
+            .put("changeId", change.changeId())
+            .put("who", change.who())
+            .put("wallMs", change.wallMs());
+    change.resource().ifPresent(resource -> node.set("resource", JsonResources.write(resource)));
+    return node;
+  }
+
+  private CompletableFuture<HttpReply> resources(HttpInput input, List<String> segments) {
+    Optional<ResourceKind> kind = ResourceKind.find(segments.get(2));
+    if (kind.isEmpty()) {
+      return reply(NOT_FOUND, error("not_found", "there is no kind " + segments.get(2)));
+    }
+    String name = segments.size() > 3 ? segments.get(3) : "";
+    return switch (input.method()) {
+      case "GET" -> name.isEmpty() ? list(kind.get()) : get(kind.get(), name);
+      case "PUT" -> put(input, kind.get(), name);
+      case "DELETE" -> change(input, kind.get(), name, Optional.empty(), expected(input));
+      default -> reply(METHOD_NOT_ALLOWED, error("method_not_allowed", input.method()));
+    };
+  }
+
+  private static OptionalLong expected(HttpInput input) {
+    long version = queryNumber(input, "resourceVersion", -1);
+    return version < 0 ? OptionalLong.empty() : OptionalLong.of(version);
+  }
+
+  private CompletableFuture<HttpReply> list(ResourceKind kind) {
+    ObjectNode node = Json.object().put("revision", config.read().revision());
+    ArrayNode items = node.putArray("items");
+    List<CompletableFuture<ObjectNode>> written =
+        config.read().list(kind).stream().map(this::withStatus).toList();
+    return CompletableFuture.allOf(written.toArray(CompletableFuture[]::new))
+        .thenApply(
+            nothing -> {
+              written.forEach(item -> items.add(item.join()));
+              return HttpReply.json(OK, node);
+            });
+  }
+
+  private CompletableFuture<HttpReply> get(ResourceKind kind, String name) {
+    Optional<Resource> found = config.read().find(kind, name);
+    return found.isEmpty()
+        ? reply(NOT_FOUND, error("not_found", "there is no " + kind.title() + " named " + name))
+        : withStatus(found.get()).thenApply(node -> HttpReply.json(OK, node));
+  }
+
+  private CompletableFuture<ObjectNode> withStatus(Resource resource) {
+    ObjectNode node = JsonResources.write(resource);
+    return status
+        .of(resource)
+        .thenApply(
+            state -> {
+              node.set("status", state);
+              return node;
+            });
+  }
+
+  private CompletableFuture<HttpReply> put(HttpInput input, ResourceKind kind, String name) {
+    Manifest manifest = JsonResources.readManifest(Json.read(input.body()));
+    if (manifest.kind() != kind || !manifest.name().equals(name)) {
+      throw InvalidInputException.of(
+          FieldError.refused("metadata.name", "does not match the address " + input.path()));
+    }
+    return change(input, kind, name, Optional.of(manifest.spec()), manifest.version());
+  }
+
+  private CompletableFuture<HttpReply> change(
+      HttpInput input,
+      ResourceKind kind,
+      String name,
+      Optional<Spec> spec,
+      OptionalLong expectedVersion) {
+    String changeId = input.headers().get("mothrill-change-id", UUID.randomUUID().toString());
+    String who = input.headers().get("mothrill-operator", "unknown");
+    return store
+        .change(new ChangeRequest(kind, name, spec, expectedVersion, changeId, who))
+        .thenApply(change -> HttpReply.json(OK, changeNode(change)));
+  }
+}
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/operator/ProbeService.java
@@ -0,0 +1,48 @@
+package io.mothrill.wire.operator;
+
+import com.codahale.metrics.MetricRegistry;
+import io.mothrill.wire.http.HttpInput;
+import io.mothrill.wire.http.HttpReply;
+import io.mothrill.wire.http.HttpService;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+/** Serves the platform's probes: {@code /livez}, {@code /readyz} and {@code /metrics}. */
+public final class ProbeService implements HttpService {
+
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int UNAVAILABLE = 503;
+
+  private final Supplier<String> unreadyReason;
+  private final MetricRegistry metrics;
+
+  /**
+   * Creates the service.
+   *
+   * @param unreadyReason why the instance takes no requests; empty when it takes them
+   * @param metrics what is exposed
+   */
+  public ProbeService(Supplier<String> unreadyReason, MetricRegistry metrics) {
+    this.unreadyReason = unreadyReason;
+    this.metrics = metrics;
+  }
+
+  @Override
+  public CompletableFuture<HttpReply> serve(HttpInput input) {
+    return CompletableFuture.completedFuture(
+        switch (input.path()) {
+          case "/livez" -> HttpReply.text(OK, "ok\n");
+          case "/readyz" -> readyz();
+          case "/metrics" -> HttpReply.text(OK, MetricsPage.render(metrics));
+          default -> HttpReply.text(NOT_FOUND, "not found\n");
+        });
+  }
+
+  private HttpReply readyz() {
+    String reason = unreadyReason.get();
+    return reason.isEmpty()
+        ? HttpReply.text(OK, "ready\n")
+        : HttpReply.text(UNAVAILABLE, reason + "\n");
+  }
+}
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/operator/ResourceStatus.java
@@ -0,0 +1,105 @@
+package io.mothrill.wire.operator;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.mothrill.core.budget.BudgetAccount;
+import io.mothrill.core.budget.BudgetController;
+import io.mothrill.core.budget.BudgetRow;
+import io.mothrill.core.budget.BudgetTables;
+import io.mothrill.core.platform.TableService;
+import io.mothrill.core.resource.Priority;
+import io.mothrill.core.resource.Resource;
+import io.mothrill.core.routing.Router;
+import io.mothrill.core.routing.UpstreamState;
+import io.mothrill.core.routing.UpstreamTable;
+import io.mothrill.wire.json.Json;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/** Describes the state of a resource, as the platform and this instance see it. */
+public final class ResourceStatus {
+
+  private final TableService table;
+  private final BudgetController budgets;
+  private final UpstreamTable upstreams;
+  private final Router router;
+
+  /**
+   * Creates the description.
+   *
+   * @param table the platform's table
+   * @param budgets the budgets on this instance
+   * @param upstreams the upstreams as this instance sees them
+   * @param router the queues on this instance
+   */
+  public ResourceStatus(
+      TableService table, BudgetController budgets, UpstreamTable upstreams, Router router) {
+    this.table = table;
+    this.budgets = budgets;
+    this.upstreams = upstreams;
+    this.router = router;
+  }
+
+  /**
+   * Describes a resource.
+   *
+   * @param resource the resource
+   * @return its status; without the platform's part while the platform does not answer
+   */
+  public CompletableFuture<ObjectNode> of(Resource resource) {
+    return switch (resource.kind()) {
+      case BUDGET -> ofBudget(resource.name());
+      case UPSTREAM -> CompletableFuture.completedFuture(ofUpstream(resource.name()));
+      case SERVICE -> CompletableFuture.completedFuture(ofService(resource.name()));
+      case TEAM -> CompletableFuture.completedFuture(Json.object());
+    };
+  }
+
+  private CompletableFuture<ObjectNode> ofBudget(String name) {
+    ObjectNode node = Json.object();
+    budgets.accounts().stream()
+        .filter(account -> account.budget().equals(name))
+        .findFirst()
+        .ifPresent(account -> describe(node, account));
+    return table
+        .read(List.of(BudgetTables.budget(name)))
+        .handle(
+            (rows, error) -> {
+              if (error != null) {
+                return node.put("platform", "not reachable");
+              }
+              BudgetRow row = BudgetRow.of(rows.get(0));
+              return node.put("paidTokens", row.paidTokens())
+                  .put("allottedTokens", row.allottedTokens())
+                  .put("freeTokens", row.freeTokens());
+            });
+  }
+
+  private static void describe(ObjectNode node, BudgetAccount account) {
+    node.put("availableHereTokens", account.availableTokens());
+    node.put("tokensPerSecondHere", Math.round(account.ratePerSecond()));
+  }
+
+  private ObjectNode ofUpstream(String name) {
+    ObjectNode node = Json.object();
+    upstreams.find(name).ifPresent(state -> describeUpstream(node, state));
+    return node;
+  }
+
+  private static void describeUpstream(ObjectNode node, UpstreamState state) {
+    node.put("state", state.isLeaving() ? "leaving" : "serving");
+    node.put("inFlightHere", state.inFlight());
+    state
+        .lastReport()
+        .ifPresent(
+            report ->
+                node.put("reportedRunning", report.running())
+                    .put("reportedQueued", report.queued()));
+  }
+
+  private ObjectNode ofService(String name) {
+    return Json.object()
+        .put("upstreams", upstreams.of(name).size())
+        .put("urgentWaitingHere", router.waiting(name, Priority.URGENT))
+        .put("batchWaitingHere", router.waiting(name, Priority.BATCH));
+  }
+}
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The edge towards operators and the platform's probes. */
+package io.mothrill.wire.operator;
