Scenario language and in-memory fleet; two billing faults found and mended

Cause: an hour's partition played as a scenario showed two faults. (1) The audit named 260 double bills: after the partition a home took a live runner for gone, because the platform's list had forgotten it, and posted bills that the holder had posted before and no longer remembered. (2) 208131 tokens were billed instead of 210000: two slices of one allotment made two parts of one bill, and the ledger takes one per run and allotment. Change: a recovered bill makes the poster read the whole ledger of its allotment first, and only bills taken before that read may be written; the fleet view keeps whoever answers although the list forgot it; a bill has one part per allotment; tokens lent count as the holder's own demand, so the holder holds enough for its domain. Ruled out: lost peer messages (the network was healed before the bills were posted).

--- a/mothrill-core/src/main/java/io/mothrill/core/budget/BillForwarder.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/BillForwarder.java
@@ -66,6 +66,17 @@
     return bill.posted();
   }
 
+  /**
+   * Takes a bill of a runner that is gone, which it may have posted itself.
+   *
+   * @param allotment the allotment that it draws on
+   * @param entry the bill
+   * @return completes when the bill is in the ledger
+   */
+  public CompletableFuture<Void> recover(AllotmentId allotment, LedgerEntry entry) {
+    return ledger.recover(allotment, entry);
+  }
+
   private Optional<InstanceRecord> holderOf(AllotmentId allotment) {
     Membership view = members.read();
     return view.find(allotment.incarnation())
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetAccount.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetAccount.java
@@ -132,6 +132,12 @@
     return rate.getRate(TimeUnit.SECONDS);
   }
 
+  /** Counts tokens lent to others as drawn on, so that a holder holds enough for its domain. */
+  void noteLent(long tokens) {
+    usedAtMs = timers.nowMs();
+    rate.update(tokens);
+  }
+
   /** Lets the rate follow the time; called every five seconds, as the average expects. */
   void tick() {
     rate.tick();
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/LedgerPoster.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/LedgerPoster.java
@@ -85,6 +85,24 @@
     }
   }
 
+  /**
+   * Takes a bill that another instance may have posted before.
+   *
+   * <p>Failure: a home posts for a runner that it believes dead, but that had posted already.
+   * Symptom: a request is billed twice. What this poster knows of the ledger is forgotten, so that
+   * every batch of the allotment is read again before the bill is written.
+   *
+   * @param allotment the allotment that it draws on
+   * @param entry the bill
+   * @return completes when the bill is in the ledger
+   */
+  public CompletableFuture<Void> recover(AllotmentId allotment, LedgerEntry entry) {
+    synchronized (pending) {
+      knownSeq.remove(allotment);
+      return add(allotment, entry);
+    }
+  }
+
   /**
    * Counts the bills that are not in the ledger yet.
    *
@@ -98,15 +116,20 @@
 
   /** Writes the next batches, unless some are still under way. */
   public void flush() {
-    List<AllotmentId> allotments = nextAllotments();
-    if (allotments.isEmpty() || !busy.compareAndSet(false, true)) {
+    if (!busy.compareAndSet(false, true)) {
+      return;
+    }
+    Map<AllotmentId, List<Pending>> round = nextRound();
+    List<AllotmentId> allotments = List.copyOf(round.keySet());
+    if (allotments.isEmpty()) {
+      busy.set(false);
       return;
     }
     var unused =
         table
             .read(allotments.stream().map(id -> BudgetTables.allotment(id.toString())).toList())
             .thenCompose(rows -> dropPosted(allotments, rows))
-            .thenCompose(rows -> write(allotments, rows))
+            .thenCompose(rows -> write(round, rows))
             .whenComplete(
                 (nothing, error) -> {
                   busy.set(false);
@@ -116,10 +139,19 @@
                 });
   }
 
-  private List<AllotmentId> nextAllotments() {
+  /** Only bills that were there before the ledger is read may be written after it was read. */
+  private Map<AllotmentId, List<Pending>> nextRound() {
+    Map<AllotmentId, List<Pending>> round = new LinkedHashMap<>();
     synchronized (pending) {
-      return pending.keySet().stream().limit(ALLOTMENTS_PER_BATCH).toList();
+      pending.entrySet().stream()
+          .limit(ALLOTMENTS_PER_BATCH)
+          .forEach(
+              entry ->
+                  round.put(
+                      entry.getKey(),
+                      entry.getValue().values().stream().limit(ENTRIES_PER_BATCH).toList()));
     }
+    return round;
   }
 
   /** Reads batches that were not known of, and drops the bills that stand there. */
@@ -178,12 +210,13 @@
     done.forEach(bill -> bill.posted().complete(null));
   }
 
-  private CompletableFuture<Void> write(List<AllotmentId> allotments, List<Row> rows) {
+  private CompletableFuture<Void> write(Map<AllotmentId, List<Pending>> round, List<Row> rows) {
+    List<AllotmentId> allotments = List.copyOf(round.keySet());
     Map<AllotmentId, Batch> batches = new LinkedHashMap<>();
     Transaction transaction = new Transaction(List.of(), List.of());
     for (int index = 0; index < rows.size(); index++) {
       AllotmentId allotment = allotments.get(index);
-      Batch batch = new Batch(rows.get(index), nextBills(allotment));
+      Batch batch = new Batch(rows.get(index), stillPending(allotment, round.get(allotment)));
       if (batch.bills().isEmpty()) {
         continue;
       }
@@ -206,11 +239,10 @@
             });
   }
 
-  private List<Pending> nextBills(AllotmentId allotment) {
+  private List<Pending> stillPending(AllotmentId allotment, List<Pending> bills) {
     synchronized (pending) {
-      return pending.getOrDefault(allotment, Map.of()).values().stream()
-          .limit(ENTRIES_PER_BATCH)
-          .toList();
+      Map<String, Pending> open = pending.getOrDefault(allotment, Map.of());
+      return bills.stream().filter(bill -> open.containsKey(bill.entry().requestId())).toList();
     }
   }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/Lending.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/Lending.java
@@ -83,11 +83,13 @@
         account
             .takeForOther(limitTokens)
             .map(
-                part ->
-                    new BorrowReply(
-                        Optional.of(part.pool().allotment()),
-                        part.tokens(),
-                        part.pool().spendUntilMs() - timers.nowMs()))
+                part -> {
+                  account.noteLent(part.tokens());
+                  return new BorrowReply(
+                      Optional.of(part.pool().allotment()),
+                      part.tokens(),
+                      part.pool().spendUntilMs() - timers.nowMs());
+                })
             .orElse(new BorrowReply(Optional.empty(), 0, 0));
     lent.remember(request.transferId(), reply);
     return reply;
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/Reservation.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/Reservation.java
@@ -1,7 +1,8 @@
 package io.mothrill.core.budget;
 
-import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -40,6 +41,9 @@
    * <p>Usage beyond the reservation is not billed: nothing was set aside for it, so billing it
    * could overspend the budget. The request path cuts such an answer off.
    *
+   * <p>Two pools may hold slices of one allotment. They owe one part together, because the ledger
+   * takes one bill per run and allotment.
+   *
    * @param usedTokens what the request used
    * @return what is owed to each allotment; empty when nothing is, or when settled before
    */
@@ -47,7 +51,7 @@
     if (!settled.compareAndSet(false, true)) {
       return List.of();
     }
-    List<BillPart> bill = new ArrayList<>();
+    Map<AllotmentId, Long> bill = new LinkedHashMap<>();
     long openTokens = usedTokens;
     for (Part part : parts) {
       long owedTokens = Math.min(openTokens, part.tokens());
@@ -55,11 +59,13 @@
       part.pool().put(part.tokens() - owedTokens);
       part.pool().endUse();
       if (owedTokens > 0) {
-        bill.add(new BillPart(part.pool().allotment(), owedTokens));
+        bill.merge(part.pool().allotment(), owedTokens, Long::sum);
         owed.add(new Part(part.pool(), owedTokens));
       }
     }
-    return List.copyOf(bill);
+    return bill.entrySet().stream()
+        .map(entry -> new BillPart(entry.getKey(), entry.getValue()))
+        .toList();
   }
 
   /** Puts back what {@link #settle} found owed, for a run whose bill does not count. */
--- a/mothrill-core/src/main/java/io/mothrill/core/peer/MembershipController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/peer/MembershipController.java
@@ -108,12 +108,24 @@
   }
 
   private void takeUpList(List<InstanceRecord> records) {
-    section.update(
-        view ->
-            new Membership(
-                view.self(),
-                records.stream().filter(record -> !record.id().equals(view.self().id())).toList(),
-                view.reachable()));
+    section.update(view -> withList(view, records));
+  }
+
+  /**
+   * Takes the list, and keeps whoever answers although the list has forgotten it.
+   *
+   * <p>Failure: after an outage the list is read before all instances have announced themselves
+   * again. Symptom: a live instance counts as gone, and others take over what it still holds.
+   */
+  private static Membership withList(Membership view, List<InstanceRecord> records) {
+    Set<String> listed = records.stream().map(InstanceRecord::id).collect(Collectors.toSet());
+    Stream<InstanceRecord> unlisted =
+        view.reachableOthers().stream().filter(peer -> !listed.contains(peer.id()));
+    List<InstanceRecord> others =
+        Stream.concat(records.stream(), unlisted)
+            .filter(record -> !record.id().equals(view.self().id()))
+            .toList();
+    return new Membership(view.self(), others, view.reachable());
   }
 
   private void sendHeartbeat(InstanceRecord peer) {
--- a/mothrill-core/src/main/java/io/mothrill/core/request/RequestRecords.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/RequestRecords.java
@@ -1,6 +1,7 @@
 package io.mothrill.core.request;
 
 import io.mothrill.core.board.Section;
+import io.mothrill.core.budget.AllotmentId;
 import io.mothrill.core.budget.BillForwarder;
 import io.mothrill.core.budget.LedgerEntry;
 import io.mothrill.core.peer.Membership;
@@ -27,6 +28,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.BiFunction;
 import java.util.stream.Collectors;
 
 /**
@@ -249,18 +251,19 @@
     if (!counts) {
       ended.outcome().cancelBill().run();
     } else if (ended.finish().bill().isPresent()) {
-      post(ended.finish());
+      post(ended.finish(), bills::add);
     }
   }
 
   /** Posts a bill and then tells the homes, which drop their copies. */
-  private void post(FinishRequest finish) {
+  private void post(
+      FinishRequest finish, BiFunction<AllotmentId, LedgerEntry, CompletableFuture<Void>> ledger) {
     Bill bill = finish.bill().orElseThrow();
     CompletableFuture<?>[] parts =
         bill.parts().stream()
             .map(
                 part ->
-                    bills.add(
+                    ledger.apply(
                         part.allotment(),
                         new LedgerEntry(bill.requestId(), bill.key().toString(), part.tokens())))
             .toArray(CompletableFuture[]::new);
@@ -305,7 +308,7 @@
   private void tick() {
     home.forgetOld();
     unconfirmed.values().forEach(this::confirm);
-    home.orphaned().forEach(this::post);
+    home.orphaned().forEach(finish -> post(finish, bills::recover));
     tellPosted();
   }
 
--- a/mothrill-lab/src/main/java/io/mothrill/lab/LabProgram.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/LabProgram.java
@@ -3,6 +3,7 @@
 import io.mothrill.daemon.cli.Command;
 import io.mothrill.daemon.cli.CommandLine;
 import io.mothrill.lab.demo.DemoCommand;
+import io.mothrill.lab.scenario.ScenarioCommand;
 import io.mothrill.lab.standin.EngineCommand;
 import io.mothrill.lab.standin.PlainCommand;
 import io.mothrill.lab.standin.PlatformCommand;
@@ -17,7 +18,8 @@
       Map.of(
           "platform", PlatformCommand::new,
           "engine", EngineCommand::new,
-          "plain", PlainCommand::new);
+          "plain", PlainCommand::new,
+          "scenario", ScenarioCommand::new);
 
   private LabProgram() {}
 
--- /dev/null
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/fleet/MemoryLinks.java
@@ -0,0 +1,76 @@
+package io.mothrill.lab.fleet;
+
+import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.peer.PeerDispatcher;
+import io.mothrill.core.peer.PeerLinks;
+import io.mothrill.core.peer.PeerMessage;
+import io.mothrill.core.peer.error.PeerException;
+import io.mothrill.core.platform.InstanceRecord;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/** Carries messages between nodes in memory, each way taking a millisecond. */
+final class MemoryLinks {
+
+  private static final long ONE_WAY_MS = 1;
+
+  private final ManualTimers timers;
+  private final Network network;
+  private final Map<String, Endpoint> endpoints = new HashMap<>();
+  private long sentCount;
+
+  MemoryLinks(ManualTimers timers, Network network) {
+    this.timers = timers;
+    this.network = network;
+  }
+
+  private record Endpoint(Network.Place place, NodeClock clock, PeerDispatcher dispatcher) {}
+
+  void join(String id, Network.Place place, NodeClock clock, PeerDispatcher dispatcher) {
+    endpoints.put(id, new Endpoint(place, clock, dispatcher));
+  }
+
+  long sentCount() {
+    return sentCount;
+  }
+
+  /** Gives one node's way to its peers. */
+  PeerLinks of(Network.Place from, NodeClock clock) {
+    return (peer, request, timeoutMs) -> ask(from, clock, peer, request, timeoutMs);
+  }
+
+  private CompletableFuture<PeerMessage> ask(
+      Network.Place from,
+      NodeClock clock,
+      InstanceRecord peer,
+      PeerMessage request,
+      long timeoutMs) {
+    sentCount++;
+    CompletableFuture<PeerMessage> reply = new CompletableFuture<>();
+    clock.after(
+        timeoutMs, () -> reply.completeExceptionally(PeerException.noReply(peer.id(), "timeout")));
+    Endpoint to = endpoints.get(peer.id());
+    if (to != null && network.reaches(from, to.place())) {
+      timers.after(ONE_WAY_MS, () -> to.clock().run(() -> serve(from, clock, to, request, reply)));
+    }
+    return reply;
+  }
+
+  private void serve(
+      Network.Place from,
+      NodeClock clock,
+      Endpoint to,
+      PeerMessage request,
+      CompletableFuture<PeerMessage> reply) {
+    var unused =
+        to.dispatcher()
+            .dispatch(request)
+            .thenAccept(
+                message -> {
+                  if (network.reaches(to.place(), from)) {
+                    timers.after(ONE_WAY_MS, () -> clock.run(() -> reply.complete(message)));
+                  }
+                });
+  }
+}
--- /dev/null
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/fleet/MemoryUpstream.java
@@ -0,0 +1,170 @@
+package io.mothrill.lab.fleet;
+
+import io.mothrill.core.upstream.UpstreamCall;
+import io.mothrill.core.upstream.UpstreamExchange;
+import io.mothrill.core.upstream.UpstreamFailure;
+import io.mothrill.core.upstream.UpstreamFailure.Kind;
+import io.mothrill.core.upstream.UpstreamListener;
+import io.mothrill.core.upstream.Usage;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** An upstream in memory: answers a call in steps, and counts how often each body was run. */
+public final class MemoryUpstream {
+
+  private static final int STEPS = 4;
+
+  private final Map<String, Integer> runsByBody = new HashMap<>();
+  private final List<Run> running = new ArrayList<>();
+  private long workMs = 200;
+  private boolean down;
+  private boolean silent;
+  private boolean leaving;
+
+  /**
+   * Chooses how long a call takes.
+   *
+   * @param newWorkMs milliseconds from the first byte of the call to the last of the answer
+   */
+  public void work(long newWorkMs) {
+    workMs = newWorkMs;
+  }
+
+  /** Stops: calls under way break, new ones cannot connect. */
+  public void kill() {
+    down = true;
+    List.copyOf(running).forEach(run -> run.fail(Kind.BROKEN, "connection reset"));
+  }
+
+  /** Starts again. */
+  public void restart() {
+    down = false;
+    silent = false;
+  }
+
+  /** Falls silent: calls are run, but no answer comes back. */
+  public void fallSilent() {
+    silent = true;
+  }
+
+  /** Refuses new calls as not run, because it is leaving. */
+  public void leave() {
+    leaving = true;
+  }
+
+  /**
+   * Counts how often a body was run.
+   *
+   * @param body the body
+   * @return runs, whole or not
+   */
+  public int runsOf(String body) {
+    return runsByBody.getOrDefault(body, 0);
+  }
+
+  /**
+   * Counts the calls under way.
+   *
+   * @return calls
+   */
+  public int runningCount() {
+    return running.size();
+  }
+
+  UpstreamExchange start(UpstreamCall call, UpstreamListener listener, NodeClock clock) {
+    Run run = new Run(call, listener, clock);
+    if (down) {
+      run.later(() -> run.fail(Kind.NOT_SENT, "connection refused"), 1);
+    } else if (leaving) {
+      run.later(() -> run.fail(Kind.LEAVING, "leaving"), 1);
+    } else {
+      String body = new String(call.body().forUpstream(0), StandardCharsets.UTF_8);
+      runsByBody.merge(body, 1, Integer::sum);
+      running.add(run);
+      run.begin(body);
+    }
+    return run;
+  }
+
+  /** Answers a call that the network does not carry. */
+  static UpstreamExchange unreachable(
+      UpstreamCall call, UpstreamListener listener, NodeClock clock) {
+    MemoryUpstream nowhere = new MemoryUpstream();
+    nowhere.down = true;
+    return nowhere.start(call, listener, clock);
+  }
+
+  private final class Run implements UpstreamExchange {
+    private final UpstreamCall call;
+    private final UpstreamListener listener;
+    private final NodeClock clock;
+    private boolean over;
+
+    Run(UpstreamCall call, UpstreamListener listener, NodeClock clock) {
+      this.call = call;
+      this.listener = listener;
+      this.clock = clock;
+    }
+
+    void later(Runnable step, long delayMs) {
+      clock.after(
+          delayMs,
+          () -> {
+            if (!over) {
+              step.run();
+            }
+          });
+    }
+
+    void begin(String body) {
+      later(() -> fail(Kind.BROKEN, "silent"), workMs + call.stallMs());
+      if (silent) {
+        return;
+      }
+      byte[] answer = ("answer to " + body).getBytes(StandardCharsets.UTF_8);
+      long tokens = Math.min(call.maxOutputTokens(), wantedTokens(body));
+      later(() -> listener.onHead(200, "text/plain"), workMs / STEPS);
+      later(() -> piece(answer, new Usage(10, tokens / 2)), workMs / 2);
+      later(() -> piece(new byte[0], new Usage(10, tokens)), workMs - 1);
+      later(this::end, workMs);
+    }
+
+    private void piece(byte[] bytes, Usage usage) {
+      listener.onPiece(bytes, usage);
+    }
+
+    private void end() {
+      over = true;
+      running.remove(this);
+      listener.onEnd();
+    }
+
+    void fail(Kind kind, String detail) {
+      if (!over) {
+        over = true;
+        running.remove(this);
+        clock.run(() -> listener.onFailure(new UpstreamFailure(kind, detail)));
+      }
+    }
+
+    @Override
+    public void cancel() {
+      over = true;
+      running.remove(this);
+    }
+
+    @Override
+    public void setReading(boolean reading) {
+      // Answers are small here; nothing piles up.
+    }
+  }
+
+  /** A body may say how long its answer is: {@code ... tokens=40}. */
+  private static long wantedTokens(String body) {
+    int at = body.lastIndexOf("tokens=");
+    return at < 0 ? Long.MAX_VALUE : Long.parseLong(body.substring(at + "tokens=".length()));
+  }
+}
--- /dev/null
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/scenario/Step.java
@@ -0,0 +1,163 @@
+package io.mothrill.lab.scenario;
+
+import io.mothrill.core.error.FieldError;
+import io.mothrill.core.error.InvalidInputException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * One line of a scenario: a command, its words and its options.
+ *
+ * <pre>{@code
+ * call konya-1 name=c1 service=asistan tokens=40 unrepeatable
+ * }</pre>
+ *
+ * @param line the line's number, from 1
+ * @param command the first word
+ * @param words the other words without an equals sign
+ * @param options the words with one
+ */
+public record Step(int line, String command, List<String> words, Map<String, String> options) {
+
+  private static final Pattern DURATION = Pattern.compile("(\\d+)(ms|s|m|h)");
+  private static final Map<String, Long> UNITS_MS =
+      Map.of("ms", 1L, "s", 1_000L, "m", 60_000L, "h", 3_600_000L);
+
+  /**
+   * Reads a line.
+   *
+   * @param line the line's number
+   * @param text the line
+   * @return the step, or empty when the line has none
+   */
+  public static Optional<Step> parse(int line, String text) {
+    String code = text.replaceFirst("#.*", "").trim();
+    if (code.isEmpty()) {
+      return Optional.empty();
+    }
+    List<String> all = Arrays.asList(code.split("\\s+", -1));
+    List<String> words = new ArrayList<>();
+    Map<String, String> options = new LinkedHashMap<>();
+    for (String word : all.subList(1, all.size())) {
+      int equals = word.indexOf('=');
+      boolean comparison = word.startsWith("=") || word.startsWith(">") || word.startsWith("<");
+      if (equals > 0 && !comparison) {
+        options.put(word.substring(0, equals), word.substring(equals + 1));
+      } else {
+        words.add(word);
+      }
+    }
+    return Optional.of(new Step(line, all.get(0), List.copyOf(words), Map.copyOf(options)));
+  }
+
+  /**
+   * Gives a word.
+   *
+   * @param index its place behind the command, from 0
+   * @return the word
+   */
+  public String word(int index) {
+    if (index >= words.size()) {
+      throw wrong("needs " + (index + 1) + " words behind it");
+    }
+    return words.get(index);
+  }
+
+  /**
+   * Says whether a word is there.
+   *
+   * @param word the word
+   * @return true when it is
+   */
+  public boolean has(String word) {
+    return words.contains(word);
+  }
+
+  /**
+   * Gives an option.
+   *
+   * @param name the option
+   * @return its value
+   */
+  public String option(String name) {
+    return Optional.ofNullable(options.get(name)).orElseThrow(() -> wrong("needs " + name + "="));
+  }
+
+  /**
+   * Gives an option that may be left out.
+   *
+   * @param name the option
+   * @param fallback its value when it is left out
+   * @return its value
+   */
+  public String option(String name, String fallback) {
+    return options.getOrDefault(name, fallback);
+  }
+
+  /**
+   * Gives a whole number that may be left out.
+   *
+   * @param name the option
+   * @param fallback its value when it is left out
+   * @return its value
+   */
+  public long number(String name, long fallback) {
+    return options.containsKey(name) ? parseNumber(options.get(name)) : fallback;
+  }
+
+  /**
+   * Reads a whole number.
+   *
+   * @param text the number
+   * @return its value
+   */
+  public long parseNumber(String text) {
+    try {
+      return Long.parseLong(text.replace("_", ""));
+    } catch (NumberFormatException ex) {
+      throw wrong(text + " is not a whole number");
+    }
+  }
+
+  /**
+   * Gives a duration that may be left out.
+   *
+   * @param name the option
+   * @param fallbackMs its value when it is left out
+   * @return milliseconds
+   */
+  public long durationMs(String name, long fallbackMs) {
+    return options.containsKey(name) ? parseDurationMs(options.get(name)) : fallbackMs;
+  }
+
+  /**
+   * Reads a duration.
+   *
+   * @param text for example {@code 250ms}, {@code 5s}, {@code 10m} or {@code 1h}
+   * @return milliseconds
+   */
+  public long parseDurationMs(String text) {
+    Matcher matcher = DURATION.matcher(text);
+    if (!matcher.matches()) {
+      throw wrong(text + " is not a duration such as 250ms, 5s, 10m or 1h");
+    }
+    return Long.parseLong(matcher.group(1)) * UNITS_MS.get(matcher.group(2));
+  }
+
+  /**
+   * Refuses the step.
+   *
+   * @param reason why
+   * @return the error, naming the line
+   */
+  public InvalidInputException wrong(String reason) {
+    return InvalidInputException.of(
+        FieldError.refused("line " + line, "'" + command + "' " + reason));
+  }
+}
