Bills confirmed by both homes, unrepeatable claims by key range, reclaim by lease

(2) A home that was paused confirmed its own run although the fleet had moved on: a key was billed twice (100 tokens for 50). (3) When both homes of a key were cut off from each other, each dropped its run: no bill. (4) A caller that waited for a dead runner waited for its whole timeout. (5) The new node of the outage scenario was not cut off: a fault of the scenario, not of the product. Change: a lease row that was there and is gone counts as closed; a run counts when the first home decides and the second agrees, with phases running, copied, deciding, agreed; whoever waits for a runner asks again every second; unrepeatable requests are claimed at the owner of their key range, by the table or, in an outage, by the acknowledgement of its backup; crashed instances' tokens come back when lease and grace are over. Conclusion: takeover of a range needs the backup's fence, so an owner that is cut off can grant nothing more.

--- a/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetController.java
@@ -38,6 +38,7 @@
    * Creates the controller and starts its timers.
    *
    * @param table the platform's table
+   * @param lease the lease that tokens are spent under
    * @param members the fleet
    * @param links the way to peers
    * @param dispatcher where requests from peers are served
@@ -48,6 +49,7 @@
    */
   public BudgetController(
       TableService table,
+      Lease lease,
       Section<Membership> members,
       PeerLinks links,
       PeerDispatcher dispatcher,
@@ -58,13 +60,7 @@
     this.timers = timers;
     this.sizing =
         new EnduranceSizing(settings.enduranceMs(), settings.freeDivisor(), settings.floorTokens());
-    this.lease =
-        new Lease(
-            table,
-            timers,
-            members.read().self().incarnation(),
-            settings.leaseMs(),
-            settings.marginMs());
+    this.lease = lease;
     this.allotments = new Allotments(table, lease, sizing, timers, random);
     this.borrower = new Borrower(members, links, timers);
     LedgerPoster ledger = new LedgerPoster(table, timers, metrics, settings.postMs());
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetSettings.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetSettings.java
@@ -28,10 +28,10 @@
   /**
    * Gives the settings that suit both deployments.
    *
-   * @return a lease of three hours, endurance of seventy minutes
+   * @return a lease of three hours, a grace of one, endurance of seventy minutes
    */
   public static BudgetSettings standard() {
     return new BudgetSettings(
-        3 * HOUR_MS, 10 * MINUTE_MS, 24 * HOUR_MS, 70 * MINUTE_MS, 30_000, 12, 2_000, 1_000);
+        3 * HOUR_MS, 10 * MINUTE_MS, HOUR_MS, 70 * MINUTE_MS, 30_000, 12, 2_000, 1_000);
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/Lease.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/Lease.java
@@ -30,6 +30,7 @@
   private final long marginMs;
   private final AtomicLong spendUntilMs = new AtomicLong(Long.MIN_VALUE);
   private volatile boolean closed;
+  private volatile boolean renewed;
 
   /**
    * Creates the lease and starts to renew it.
@@ -47,6 +48,7 @@
     this.leaseMs = leaseMs;
     this.marginMs = marginMs;
     timers.every(Math.max(1, leaseMs / RENEWALS_PER_LEASE), this::renewInBackground);
+    timers.after(0, this::renewInBackground);
   }
 
   /**
@@ -67,6 +69,15 @@
     return spendUntilMs.get();
   }
 
+  /**
+   * Says whether the lease is in force now.
+   *
+   * @return true while what is held under it may be used
+   */
+  public boolean isInForce() {
+    return timers.nowMs() < spendUntilMs();
+  }
+
   /**
    * Says whether others have closed the lease, after which this incarnation can hold nothing.
    *
@@ -98,8 +109,16 @@
     var unused = renew();
   }
 
+  /**
+   * Writes the renewal, unless the lease was closed.
+   *
+   * <p>Failure: an instance wakes up after its lease was closed and its row was removed, and renews
+   * it as if it were new. Symptom: it spends an allotment that was granted to others. A row that
+   * was there before and is not there now was closed.
+   */
   private CompletableFuture<Row> write(Row row, long sentAtMs) {
-    if (row.cells().number(CLOSED) == 1) {
+    boolean forgotten = renewed && !row.exists();
+    if (forgotten || row.cells().number(CLOSED) == 1) {
       closed = true;
       spendUntilMs.set(Long.MIN_VALUE);
       Logger.error("lease of {} was closed by another instance; it spends no more", incarnation);
@@ -115,6 +134,7 @@
               }
               long untilMs = sentAtMs + leaseMs - marginMs;
               spendUntilMs.accumulateAndGet(untilMs, Math::max);
+              renewed = true;
               return new Row(row.key(), row.version() + 1, cells);
             });
   }
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/claim/RangeRow.java
@@ -0,0 +1,58 @@
+package io.mothrill.core.claim;
+
+import io.mothrill.core.platform.Cells;
+import io.mothrill.core.platform.Row;
+import io.mothrill.core.platform.RowKey;
+import io.mothrill.core.request.RequestKey;
+import java.util.Locale;
+
+/**
+ * A range of keys as the platform's table holds it.
+ *
+ * @param owner the incarnation that grants claims; empty when it has left
+ * @param backup the incarnation that acknowledges claims while the platform is away
+ * @param epoch grows with every change
+ */
+record RangeRow(String owner, String backup, long epoch) {
+
+  static final String CLAIMS = "claims";
+  private static final String REQUEST_ID = "requestId";
+  private static final String WALL_MS = "wallMs";
+
+  static RowKey key(int range) {
+    return new RowKey("claim-ranges", prefix(range));
+  }
+
+  static RangeRow of(Row row) {
+    return new RangeRow(
+        row.cells().text("owner"), row.cells().text("backup"), row.cells().number("epoch"));
+  }
+
+  Cells toCells() {
+    return Cells.empty().with("owner", owner).with("backup", backup).with("epoch", epoch);
+  }
+
+  /** Gives what the keys of a range's claims begin with. */
+  static String prefix(int range) {
+    return String.format(Locale.ROOT, "%03d/", range);
+  }
+
+  static RowKey claim(SoleClaim claim) {
+    return new RowKey(CLAIMS, prefix(KeyRanges.of(claim.key())) + claim.key());
+  }
+
+  static Cells claimCells(SoleClaim claim, long wallMs) {
+    return Cells.empty().with(REQUEST_ID, claim.requestId()).with(WALL_MS, wallMs);
+  }
+
+  static long claimedWallMs(Row row) {
+    return row.cells().number(WALL_MS);
+  }
+
+  static SoleClaim readClaim(int range, Row row) {
+    String text = row.key().key().substring(prefix(range).length());
+    int slash = text.indexOf('/');
+    RequestKey key = new RequestKey(text.substring(0, slash), text.substring(slash + 1));
+    return new SoleClaim(key, row.cells().text(REQUEST_ID));
+  }
+}
--- a/mothrill-core/src/main/java/io/mothrill/core/node/Node.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/node/Node.java
@@ -4,6 +4,9 @@
 import com.codahale.metrics.MetricRegistry;
 import io.mothrill.core.board.Section;
 import io.mothrill.core.budget.BudgetController;
+import io.mothrill.core.budget.Lease;
+import io.mothrill.core.budget.Reclaimer;
+import io.mothrill.core.claim.RangeClaims;
 import io.mothrill.core.config.ConfigController;
 import io.mothrill.core.config.ConfigSnapshot;
 import io.mothrill.core.config.ConfigStore;
@@ -18,7 +21,6 @@
 import io.mothrill.core.request.RequestRecords;
 import io.mothrill.core.request.RequestService;
 import io.mothrill.core.request.RetryBudget;
-import io.mothrill.core.request.TableClaims;
 import io.mothrill.core.routing.AffinityScorer;
 import io.mothrill.core.routing.AvoidanceScorer;
 import io.mothrill.core.routing.Chooser;
@@ -59,8 +61,10 @@
   private final Section<Membership> members;
   private final ConfigStore configStore;
   private final MembershipController membership;
+  private final Lease lease;
   private final BudgetController budgets;
   private final RequestRecords records;
+  private final RangeClaims claims;
   private final RecentDecisions decisions = new RecentDecisions();
   private final UpstreamTable upstreams;
   private final Router router;
@@ -82,8 +86,16 @@
     this.members = new Section<>(Membership.alone(self));
     this.configStore = new ConfigStore(ports.table(), ports.codec(), ports.timers());
     this.membership = newMembership();
+    this.lease =
+        new Lease(
+            ports.table(),
+            ports.timers(),
+            self.incarnation(),
+            settings.budgets().leaseMs(),
+            settings.budgets().marginMs());
     this.budgets = newBudgets();
     this.records = newRecords();
+    this.claims = newClaims();
     this.upstreams = new UpstreamTable(config);
     this.router = newRouter(self.domain());
     this.requests = newRequests(self.domain());
@@ -92,10 +104,16 @@
             drainStage,
             ports.timers(),
             settings.drain(),
-            new NodeDrainWork(membership, requests, budgets, records));
+            new NodeDrainWork(membership, requests, budgets, records, claims));
+    startReclaimer();
     registerGauges();
   }
 
+  private void startReclaimer() {
+    var unused =
+        new Reclaimer(ports.table(), members, ports.timers(), settings.budgets().reclaimGraceMs());
+  }
+
   private MembershipController newMembership() {
     ConfigController configController =
         new ConfigController(config, configStore, ports.timers(), CONFIG_POLL_MS);
@@ -113,6 +131,7 @@
   private BudgetController newBudgets() {
     return new BudgetController(
         ports.table(),
+        lease,
         members,
         ports.links(),
         ports.dispatcher(),
@@ -129,6 +148,17 @@
         home, members, ports.links(), ports.dispatcher(), budgets.bills(), ports.timers());
   }
 
+  private RangeClaims newClaims() {
+    return new RangeClaims(
+        ports.table(),
+        lease,
+        members,
+        ports.links(),
+        ports.dispatcher(),
+        ports.timers(),
+        settings.requests().claimWindowMs());
+  }
+
   private Router newRouter(String domain) {
     RoutingSettings routing = settings.routing();
     Chooser chooser =
@@ -150,7 +180,7 @@
         new ExchangeParts(
             new CallPlanner(config, ports.timers(), domain, () -> newId(ports.random())),
             records,
-            new TableClaims(ports.table(), ports.timers()),
+            claims,
             budgets,
             router,
             ports.upstreams(),
--- a/mothrill-core/src/main/java/io/mothrill/core/node/NodeDrainWork.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/node/NodeDrainWork.java
@@ -1,6 +1,7 @@
 package io.mothrill.core.node;
 
 import io.mothrill.core.budget.BudgetController;
+import io.mothrill.core.claim.RangeClaims;
 import io.mothrill.core.drain.DrainWork;
 import io.mothrill.core.peer.MembershipController;
 import io.mothrill.core.request.RequestRecords;
@@ -15,17 +16,20 @@
   private final RequestService requests;
   private final BudgetController budgets;
   private final RequestRecords records;
+  private final RangeClaims claims;
   private final AtomicBoolean returned = new AtomicBoolean();
 
   NodeDrainWork(
       MembershipController membership,
       RequestService requests,
       BudgetController budgets,
-      RequestRecords records) {
+      RequestRecords records,
+      RangeClaims claims) {
     this.membership = membership;
     this.requests = requests;
     this.budgets = budgets;
     this.records = records;
+    this.claims = claims;
   }
 
   @Override
@@ -41,6 +45,7 @@
   @Override
   public void handOver() {
     records.handOver();
+    claims.leave();
     budgets.bills().flush();
     var unused =
         budgets
--- a/mothrill-core/src/main/java/io/mothrill/core/peer/PeerMessage.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/peer/PeerMessage.java
@@ -2,11 +2,13 @@
 
 import io.mothrill.core.budget.AllotmentId;
 import io.mothrill.core.budget.LedgerEntry;
+import io.mothrill.core.claim.SoleClaim;
 import io.mothrill.core.config.Change;
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.request.Bill;
 import io.mothrill.core.request.RequestKey;
 import io.mothrill.core.request.StoredAnswer;
+import io.mothrill.core.request.UnrepeatableClaims;
 import java.util.List;
 import java.util.Optional;
 
@@ -88,7 +90,7 @@
    * @param runner who runs the request, when someone else does
    * @param answer the stored answer, when the request is done
    */
-  record ClaimReply(Verdict verdict, String runner, Optional<StoredAnswer> answer)
+  record ClaimReply(ClaimReply.Verdict verdict, String runner, Optional<StoredAnswer> answer)
       implements PeerMessage {
 
     /** What the runner has to do. */
@@ -120,8 +122,9 @@
    * Copies the end of a run to the second home.
    *
    * @param finish the end of the run
+   * @param decided true when the first home has decided that the run counts
    */
-  record CopyFinish(FinishRequest finish) implements PeerMessage {}
+  record CopyFinish(FinishRequest finish, boolean decided) implements PeerMessage {}
 
   /**
    * Reports a run that has ended.
@@ -147,9 +150,20 @@
   /**
    * Answers the report of a run.
    *
-   * @param confirmed true when the run counts and is to be billed; false when another run counts
+   * @param verdict whether the run counts
    */
-  record FinishReply(boolean confirmed) implements PeerMessage {}
+  record FinishReply(FinishReply.Verdict verdict) implements PeerMessage {
+
+    /** Whether a run counts. */
+    public enum Verdict {
+      /** It counts, and both homes know: it is to be billed. */
+      CONFIRMED,
+      /** Another run counts: its bill is to be dropped. */
+      SUPERSEDED,
+      /** The home has a copy, but cannot tell yet, because the other home does not answer. */
+      HELD
+    }
+  }
 
   /**
    * Tells the homes that bills are in the ledger, so that their copies can go.
@@ -168,9 +182,10 @@
   /**
    * Gives the answer of a request.
    *
+   * @param pending true when the run goes on and the peer has to be asked again
    * @param answer the answer; empty when the run failed or its answer was not kept
    */
-  record AnswerReply(Optional<StoredAnswer> answer) implements PeerMessage {}
+  record AnswerReply(boolean pending, Optional<StoredAnswer> answer) implements PeerMessage {}
 
   /**
    * Asks the holder of allotments to post bills that draw on them; the reply comes when they are in
@@ -189,6 +204,55 @@
     public record Line(AllotmentId allotment, LedgerEntry entry) {}
   }
 
+  /**
+   * Asks the owner of a key's range whether an unrepeatable request may be sent.
+   *
+   * @param claim the claim
+   */
+  record SoleRequest(SoleClaim claim) implements PeerMessage {}
+
+  /**
+   * Answers a claim of an unrepeatable request.
+   *
+   * @param outcome whether the request may be sent
+   */
+  record SoleReply(UnrepeatableClaims.Outcome outcome) implements PeerMessage {}
+
+  /**
+   * Gives up the claim of a run that surely did not send its request.
+   *
+   * @param claim the claim
+   */
+  record SoleRelease(SoleClaim claim) implements PeerMessage {}
+
+  /**
+   * Asks the backup of a range to acknowledge a claim.
+   *
+   * @param range the range
+   * @param epoch the epoch in which the owner owns it
+   * @param owner the owner's incarnation
+   * @param backup the incarnation that must acknowledge
+   * @param claim the claim
+   */
+  record CopySole(int range, long epoch, String owner, String backup, SoleClaim claim)
+      implements PeerMessage {}
+
+  /**
+   * Asks the backup of a range to refuse its owner from now on.
+   *
+   * @param range the range
+   * @param epoch the epoch of the owner that is refused
+   * @param backup the incarnation that is meant
+   */
+  record FenceRange(int range, long epoch, String backup) implements PeerMessage {}
+
+  /**
+   * Says that the owner of a range is refused from now on.
+   *
+   * @param claims what the backup had acknowledged
+   */
+  record FenceReply(List<SoleClaim> claims) implements PeerMessage {}
+
   /** Says that a request was taken. */
   record Done() implements PeerMessage {}
 
--- a/mothrill-core/src/main/java/io/mothrill/core/request/Exchange.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/Exchange.java
@@ -31,7 +31,8 @@
  */
 public final class Exchange {
 
-  private static final int MAX_CLAIMS = 3;
+  private static final int MAX_CLAIMS = 6;
+  private static final long RECLAIM_MS = 1_000;
 
   private final ExchangeParts parts;
   private final CallRequest request;
@@ -124,16 +125,18 @@
   }
 
   private void join(String runner) {
-    long waitMs = plan.deadlineMs() - parts.timers().nowMs();
     var unused =
         parts
             .records()
-            .join(plan.key(), runner, waitMs)
+            .join(plan.key(), runner)
             .handle((found, error) -> error == null ? found : Optional.<StoredAnswer>empty())
             .thenAccept(found -> caller.execute(() -> onJoined(found)));
   }
 
-  /** The run that was waited for may have failed, or its instance; then the claim is asked anew. */
+  /**
+   * The run that was waited for may have failed, or its instance; then the claim is asked anew,
+   * after the time that it takes to notice that an instance is gone.
+   */
   private void onJoined(Optional<StoredAnswer> found) {
     if (over) {
       return;
@@ -141,12 +144,18 @@
     if (found.isPresent()) {
       replay(found);
     } else if (claims < MAX_CLAIMS) {
-      claimKey();
+      parts.timers().after(RECLAIM_MS, () -> caller.execute(this::claimAgain));
     } else {
       refuse(Refusal.inProgress());
     }
   }
 
+  private void claimAgain() {
+    if (!over) {
+      claimKey();
+    }
+  }
+
   private void replay(Optional<StoredAnswer> stored) {
     if (stored.isEmpty()) {
       refuse(Refusal.answerGone());
--- a/mothrill-core/src/main/java/io/mothrill/core/request/HomeRecords.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/HomeRecords.java
@@ -3,8 +3,8 @@
 import io.mothrill.core.board.Section;
 import io.mothrill.core.peer.Membership;
 import io.mothrill.core.peer.PeerMessage.ClaimReply;
-import io.mothrill.core.peer.PeerMessage.ClaimReply.Verdict;
 import io.mothrill.core.peer.PeerMessage.ClaimRequest;
+import io.mothrill.core.peer.PeerMessage.FinishReply.Verdict;
 import io.mothrill.core.peer.PeerMessage.FinishRequest;
 import io.mothrill.core.time.Timers;
 import java.util.ArrayList;
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
 
 /**
  * The request records that this instance keeps as a home or second home of their keys.
@@ -44,16 +45,36 @@
     this.maxEntries = maxEntries;
   }
 
+  /** How far the decision about a run has come. */
+  private enum Phase {
+    /** The run goes on. */
+    RUNNING,
+    /** The end is kept here for safety only. */
+    COPIED,
+    /** This instance decides as the first home, and waits for the second. */
+    DECIDING,
+    /** Both homes know that the run counts. */
+    AGREED
+  }
+
   private record Entry(
-      ClaimRequest claim, Optional<FinishRequest> finish, boolean posted, long atMs) {
+      ClaimRequest claim, Optional<FinishRequest> finish, Phase phase, boolean posted, long atMs) {
 
     boolean isRunning() {
-      return finish.isEmpty();
+      return phase == Phase.RUNNING;
     }
 
     boolean isRunBy(String requestId) {
       return claim.requestId().equals(requestId);
     }
+
+    Entry posting() {
+      return new Entry(claim, finish, phase, true, atMs);
+    }
+
+    Entry agreeing() {
+      return new Entry(claim, finish, Phase.AGREED, posted, atMs);
+    }
   }
 
   /**
@@ -69,17 +90,19 @@
         claim.key(),
         (key, held) -> {
           reply[0] = held == null ? run() : verdictOn(held, claim, takeover);
-          boolean granted = reply[0].verdict() == Verdict.RUN;
-          return granted ? new Entry(claim, Optional.empty(), false, timers.nowMs()) : held;
+          boolean granted = reply[0].verdict() == ClaimReply.Verdict.RUN;
+          return granted
+              ? new Entry(claim, Optional.empty(), Phase.RUNNING, false, timers.nowMs())
+              : held;
         });
     return reply[0];
   }
 
   private static ClaimReply run() {
-    return reply(Verdict.RUN, "");
+    return reply(ClaimReply.Verdict.RUN, "");
   }
 
-  private static ClaimReply reply(Verdict verdict, String runner) {
+  private static ClaimReply reply(ClaimReply.Verdict verdict, String runner) {
     return new ClaimReply(verdict, runner, Optional.empty());
   }
 
@@ -88,18 +111,18 @@
       return run();
     }
     if (!held.claim().fingerprint().equals(claim.fingerprint())) {
-      return reply(Verdict.MISMATCH, "");
+      return reply(ClaimReply.Verdict.MISMATCH, "");
     }
     if (held.finish().isPresent() && held.finish().get().bill().isEmpty()) {
-      return reply(Verdict.OUTCOME_UNKNOWN, "");
+      return reply(ClaimReply.Verdict.OUTCOME_UNKNOWN, "");
     }
     if (held.finish().isPresent()) {
-      return new ClaimReply(Verdict.REPLAY, "", held.finish().get().answer());
+      return new ClaimReply(ClaimReply.Verdict.REPLAY, "", held.finish().get().answer());
     }
     if (!takeover && !isGone(held.claim().runner())) {
-      return reply(Verdict.JOIN, held.claim().runner());
+      return reply(ClaimReply.Verdict.JOIN, held.claim().runner());
     }
-    return held.claim().repeatable() ? run() : reply(Verdict.OUTCOME_UNKNOWN, "");
+    return held.claim().repeatable() ? run() : reply(ClaimReply.Verdict.OUTCOME_UNKNOWN, "");
   }
 
   /** A runner that the home does not reach may still run; its result will not count. */
@@ -109,35 +132,105 @@
   }
 
   /**
-   * Decides whether a run that has ended counts, and records its end.
+   * Takes the end of a run as the first home of its key.
+   *
+   * <p>A run that another one has replaced, or that came second, does not count.
    *
-   * <p>A run that failed leaves no record when it may be repeated, so that the next try runs.
+   * @param finish the end of the run
+   * @return whether it may count, as far as this home knows
+   */
+  public Verdict finishAsFirst(FinishRequest finish) {
+    return decide(
+        finish,
+        held -> {
+          boolean own = held.isRunBy(finish.requestId());
+          return own || held.phase() == Phase.COPIED ? Verdict.CONFIRMED : Verdict.SUPERSEDED;
+        },
+        Phase.DECIDING);
+  }
+
+  /**
+   * Takes the end of a run as the second home, when the first one has decided that it counts.
    *
    * @param finish the end of the run
-   * @return true when the run counts
+   * @return confirmed, unless this home knows of, or decides about, another run that counts
    */
-  public boolean finish(FinishRequest finish) {
-    boolean[] confirmed = new boolean[1];
+  public Verdict agreeAsSecond(FinishRequest finish) {
+    return decide(finish, held -> verdictAsSecond(held, finish), Phase.AGREED);
+  }
+
+  private static Verdict verdictAsSecond(Entry held, FinishRequest finish) {
+    if (held.isRunBy(finish.requestId())) {
+      return Verdict.CONFIRMED;
+    }
+    return switch (held.phase()) {
+      case AGREED -> Verdict.SUPERSEDED;
+      case DECIDING -> Verdict.HELD;
+      default -> Verdict.CONFIRMED;
+    };
+  }
+
+  /**
+   * Keeps the end of a run for safety, while its first home does not answer.
+   *
+   * @param finish the end of the run
+   */
+  public void copy(FinishRequest finish) {
+    var unused =
+        decide(
+            finish,
+            held ->
+                held.isRunning() && held.isRunBy(finish.requestId())
+                    ? Verdict.CONFIRMED
+                    : Verdict.HELD,
+            Phase.COPIED);
+  }
+
+  /**
+   * Notes that the second home has agreed that a run counts.
+   *
+   * @param finish the end of the run
+   */
+  public void agreed(FinishRequest finish) {
+    entries.computeIfPresent(
+        finish.key(), (key, held) -> held.isRunBy(finish.requestId()) ? held.agreeing() : held);
+  }
+
+  private Verdict decide(FinishRequest finish, Function<Entry, Verdict> rule, Phase phase) {
+    Verdict[] verdict = {Verdict.CONFIRMED};
     entries.compute(
         finish.key(),
         (key, held) -> {
-          confirmed[0] = held == null || held.isRunBy(finish.requestId());
-          return confirmed[0] ? ended(held, finish) : held;
+          verdict[0] = held == null ? Verdict.CONFIRMED : rule.apply(held);
+          return verdict[0] == Verdict.CONFIRMED ? ended(held, finish, phase) : held;
         });
-    return confirmed[0];
+    return verdict[0];
   }
 
-  private Entry ended(Entry held, FinishRequest finish) {
+  /** A run that failed leaves no record when it may be repeated, so that the next try runs. */
+  private Entry ended(Entry held, FinishRequest finish, Phase phase) {
+    boolean sameRun = held != null && held.isRunBy(finish.requestId());
     boolean failed = finish.bill().isEmpty();
     boolean mayRunAgain = finish.notRun() || held == null || held.claim().repeatable();
     if (failed && mayRunAgain) {
       return null;
     }
-    if (held != null && held.finish().isPresent()) {
+    if (sameRun && held.phase() == Phase.AGREED) {
       return held;
     }
-    ClaimRequest claim = held != null ? held.claim() : claimOf(finish);
-    return new Entry(claim, Optional.of(finish), failed, timers.nowMs());
+    ClaimRequest claim = sameRun ? held.claim() : claimOf(finish);
+    boolean posted = sameRun ? held.posted() : failed;
+    return new Entry(claim, Optional.of(finish), phase, posted, timers.nowMs());
+  }
+
+  /**
+   * Forgets the end of a run that turned out not to count.
+   *
+   * @param finish the end of the run
+   */
+  public void forget(FinishRequest finish) {
+    entries.computeIfPresent(
+        finish.key(), (key, held) -> held.isRunBy(finish.requestId()) ? null : held);
   }
 
   /** A minted key is not claimed before it runs; its record begins at its end. */
@@ -152,10 +245,7 @@
    * @param keys the keys of the runs that were billed
    */
   public void posted(List<RequestKey> keys) {
-    keys.forEach(
-        key ->
-            entries.computeIfPresent(
-                key, (same, held) -> new Entry(held.claim(), held.finish(), true, held.atMs())));
+    keys.forEach(key -> entries.computeIfPresent(key, (same, held) -> held.posting()));
   }
 
   /**
--- a/mothrill-core/src/main/java/io/mothrill/core/request/RequestRecords.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/RequestRecords.java
@@ -41,12 +41,16 @@
 public final class RequestRecords {
 
   private static final long ASK_TIMEOUT_MS = 500;
+  private static final long CONFIRM_TIMEOUT_MS = 2 * ASK_TIMEOUT_MS;
+  private static final long ANSWER_WAIT_MS = 1_000;
+  private static final long ANSWER_TIMEOUT_MS = 2_000;
   private static final long TICK_MS = 1_000;
 
   private final HomeRecords home;
   private final Section<Membership> members;
   private final PeerLinks links;
   private final BillForwarder bills;
+  private final Timers timers;
   private final Queue<RequestKey> posted = new ConcurrentLinkedQueue<>();
   private final Map<String, Ended> unconfirmed = new ConcurrentHashMap<>();
   private final Map<RequestKey, Running> running = new ConcurrentHashMap<>();
@@ -72,10 +76,11 @@
     this.members = members;
     this.links = links;
     this.bills = bills;
+    this.timers = timers;
     dispatcher.on(ClaimRequest.class, claim -> claimAsHome(claim).thenApply(reply -> reply));
     dispatcher.on(CopyClaim.class, copy -> reply(home.claim(copy.claim(), copy.takeover())));
     dispatcher.on(FinishRequest.class, end -> finishAsHome(end).thenApply(FinishReply::new));
-    dispatcher.on(CopyFinish.class, copy -> reply(new FinishReply(home.finish(copy.finish()))));
+    dispatcher.on(CopyFinish.class, this::onCopyFinish);
     dispatcher.on(BillsPosted.class, this::onBillsPosted);
     dispatcher.on(AnswerRequest.class, this::onAnswerRequest);
     timers.every(TICK_MS, this::tick);
@@ -171,15 +176,43 @@
         .findFirst();
   }
 
-  private CompletableFuture<Boolean> finishAsHome(FinishRequest finish) {
-    boolean confirmed = home.finish(finish);
-    Optional<InstanceRecord> second = otherHome(finish.key());
-    if (!confirmed || second.isEmpty()) {
-      return CompletableFuture.completedFuture(confirmed);
+  /**
+   * Decides as the first home whether a run counts; the second home has a say.
+   *
+   * <p>Failure: a home is paused or cut off, another one takes its place and confirms another run
+   * of the key. Symptom: when the first one is back, it confirms its own run, and the key is billed
+   * twice. The second home of the one view is a home in the other view as well, so it knows.
+   */
+  private CompletableFuture<FinishReply.Verdict> finishAsHome(FinishRequest finish) {
+    Membership view = members.read();
+    Optional<InstanceRecord> second =
+        Homes.of(finish.key(), view).stream().filter(at -> !view.isSelf(at)).findFirst();
+    FinishReply.Verdict own = home.finishAsFirst(finish);
+    if (own == FinishReply.Verdict.SUPERSEDED || second.isEmpty()) {
+      home.agreed(finish);
+      return CompletableFuture.completedFuture(own);
     }
     return links
-        .ask(second.get(), new CopyFinish(finish), ASK_TIMEOUT_MS)
-        .handle((message, error) -> true);
+        .ask(second.get(), new CopyFinish(finish, true), ASK_TIMEOUT_MS)
+        .handle(
+            (message, error) ->
+                message instanceof FinishReply told ? told.verdict() : FinishReply.Verdict.HELD)
+        .whenComplete(
+            (verdict, error) -> {
+              if (verdict == FinishReply.Verdict.SUPERSEDED) {
+                home.forget(finish);
+              } else if (verdict == FinishReply.Verdict.CONFIRMED) {
+                home.agreed(finish);
+              }
+            });
+  }
+
+  private CompletableFuture<PeerMessage> onCopyFinish(CopyFinish copy) {
+    if (copy.decided()) {
+      return reply(new FinishReply(home.agreeAsSecond(copy.finish())));
+    }
+    home.copy(copy.finish());
+    return reply(new FinishReply(FinishReply.Verdict.HELD));
   }
 
   /**
@@ -209,37 +242,42 @@
   private void confirm(Ended ended) {
     List<InstanceRecord> homes = Homes.of(ended.finish().key(), members.read());
     InstanceRecord first = homes.get(0);
-    CompletableFuture<Boolean> confirmed =
+    CompletableFuture<FinishReply.Verdict> verdict =
         members.read().isSelf(first)
             ? finishAsHome(ended.finish())
             : links
-                .ask(first, ended.finish(), ASK_TIMEOUT_MS)
-                .thenApply(message -> ((FinishReply) message).confirmed());
+                .ask(first, ended.finish(), CONFIRM_TIMEOUT_MS)
+                .thenApply(message -> ((FinishReply) message).verdict());
     var unused =
-        confirmed.whenComplete(
-            (counts, error) -> {
-              if (error == null) {
-                settle(ended, counts);
-              } else {
+        verdict.whenComplete(
+            (found, error) -> {
+              if (error != null) {
                 copyToSecond(ended, homes);
+              } else if (found == FinishReply.Verdict.HELD) {
+                noteCopied(ended, first);
+              } else {
+                settle(ended, found == FinishReply.Verdict.CONFIRMED);
               }
             });
   }
 
+  /** A copy on this very instance would be lost together with the original. */
+  private void noteCopied(Ended ended, InstanceRecord at) {
+    if (!members.read().isSelf(at)) {
+      ended.copied().complete(null);
+    }
+  }
+
   /** Lets the caller have its answer while the first home is away: the second has the bill. */
   private void copyToSecond(Ended ended, List<InstanceRecord> homes) {
-    if (ended.copied().isDone()) {
-      return;
-    }
     InstanceRecord second = homes.get(homes.size() - 1);
-    if (members.read().isSelf(second)) {
-      var unused = home.finish(ended.finish());
+    if (ended.copied().isDone() || members.read().isSelf(second)) {
       return;
     }
     var unused =
         links
-            .ask(second, new CopyFinish(ended.finish()), ASK_TIMEOUT_MS)
-            .thenAccept(message -> ended.copied().complete(null))
+            .ask(second, new CopyFinish(ended.finish(), false), ASK_TIMEOUT_MS)
+            .thenAccept(message -> noteCopied(ended, second))
             .exceptionally(error -> null);
   }
 
@@ -278,26 +316,36 @@
   /**
    * Waits for the answer of a request that an instance runs.
    *
+   * <p>The runner is asked again and again, so that one that is gone is noticed soon.
+   *
    * @param key the request key
    * @param runner the incarnation that runs it
-   * @param timeoutMs how long to wait
    * @return the answer; empty when the run failed; fails when the runner does not answer
    */
-  public CompletableFuture<Optional<StoredAnswer>> join(
-      RequestKey key, String runner, long timeoutMs) {
+  public CompletableFuture<Optional<StoredAnswer>> join(RequestKey key, String runner) {
     Membership view = members.read();
     if (view.self().incarnation().equals(runner)) {
       return answerOf(key);
     }
     return view.find(runner)
-        .map(peer -> links.ask(peer, new AnswerRequest(key), timeoutMs))
+        .map(peer -> links.ask(peer, new AnswerRequest(key), ANSWER_TIMEOUT_MS))
         .orElseGet(() -> CompletableFuture.failedFuture(new IllegalStateException("runner gone")))
-        .thenApply(
-            message -> message instanceof AnswerReply reply ? reply.answer() : Optional.empty());
+        .thenCompose(
+            message -> {
+              AnswerReply reply = (AnswerReply) message;
+              return reply.pending()
+                  ? join(key, runner)
+                  : CompletableFuture.completedFuture(reply.answer());
+            });
   }
 
   private CompletableFuture<PeerMessage> onAnswerRequest(AnswerRequest request) {
-    return answerOf(request.key()).thenApply(AnswerReply::new);
+    CompletableFuture<PeerMessage> reply = new CompletableFuture<>();
+    timers.after(ANSWER_WAIT_MS, () -> reply.complete(new AnswerReply(true, Optional.empty())));
+    var unused =
+        answerOf(request.key())
+            .thenAccept(answer -> reply.complete(new AnswerReply(false, answer)));
+    return reply;
   }
 
   private CompletableFuture<Optional<StoredAnswer>> answerOf(RequestKey key) {
@@ -308,10 +356,26 @@
   private void tick() {
     home.forgetOld();
     unconfirmed.values().forEach(this::confirm);
-    home.orphaned().forEach(finish -> post(finish, bills::recover));
+    home.orphaned().forEach(this::billForGoneRunner);
     tellPosted();
   }
 
+  /** The first home bills a run whose runner is gone, once it is agreed that the run counts. */
+  private void billForGoneRunner(FinishRequest finish) {
+    Membership view = members.read();
+    if (!view.isSelf(Homes.of(finish.key(), view).get(0))) {
+      return;
+    }
+    var unused =
+        finishAsHome(finish)
+            .thenAccept(
+                verdict -> {
+                  if (verdict == FinishReply.Verdict.CONFIRMED) {
+                    post(finish, bills::recover);
+                  }
+                });
+  }
+
   private void tellPosted() {
     List<RequestKey> keys = new ArrayList<>();
     for (RequestKey key = posted.poll(); key != null; key = posted.poll()) {
@@ -358,6 +422,7 @@
   }
 
   private void send(InstanceRecord at, FinishRequest finish) {
-    var unused = links.ask(at, new CopyFinish(finish), ASK_TIMEOUT_MS).exceptionally(error -> null);
+    var unused =
+        links.ask(at, new CopyFinish(finish, false), ASK_TIMEOUT_MS).exceptionally(error -> null);
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/request/RequestSettings.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/RequestSettings.java
@@ -10,6 +10,7 @@
  * @param finishWaitMs how long the end of an answer waits for its bill to be copied
  * @param keptAnswerBytes the largest answer that is kept for retries
  * @param recordWindowMs how long a request key is remembered after its run
+ * @param claimWindowMs how long the key of an unrepeatable request is remembered
  */
 public record RequestSettings(
     int maxAttempts,
@@ -18,7 +19,8 @@
     long avoidMs,
     long finishWaitMs,
     int keptAnswerBytes,
-    long recordWindowMs) {
+    long recordWindowMs,
+    long claimWindowMs) {
 
   /**
    * Gives the settings that suit both deployments.
@@ -26,6 +28,6 @@
    * @return three attempts, ten per cent of retries, keys remembered for ten minutes
    */
   public static RequestSettings standard() {
-    return new RequestSettings(3, 0.1, 10_000, 2_000, 500, 256 * 1024, 600_000);
+    return new RequestSettings(3, 0.1, 10_000, 2_000, 500, 256 * 1024, 600_000, 7_200_000);
   }
 }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/settings/SettingsReader.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/settings/SettingsReader.java
@@ -118,7 +118,8 @@
         duration(fields, "avoidMs", standard.avoidMs()),
         duration(fields, "finishWaitMs", standard.finishWaitMs()),
         (int) fields.number("keptAnswerBytes", 0, 64 << 20, standard.keptAnswerBytes()),
-        duration(fields, "recordWindowMs", standard.recordWindowMs()));
+        duration(fields, "recordWindowMs", standard.recordWindowMs()),
+        duration(fields, "claimWindowMs", standard.claimWindowMs()));
   }
 
   private static QueueSettings queues(JsonFields fields) {
--- a/mothrill-lab/src/main/java/io/mothrill/lab/fleet/Fleet.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/fleet/Fleet.java
@@ -45,6 +45,7 @@
 
   private final NodeSettings settings;
   private final Random random;
+  private Fault platformFault = Fault.NONE;
   private final ManualTimers timers = new ManualTimers();
   private final FakeTable table = new FakeTable(timers);
   private final FakeInstanceList instances = new FakeInstanceList(timers, LIST_LAG_MS);
@@ -78,6 +79,7 @@
     Network.Place place = Network.Place.of(id, domain);
     NodeClock clock = new NodeClock(timers);
     FaultyCalls way = new FaultyCalls(clock);
+    way.fail(platformFault);
     PeerDispatcher dispatcher = new PeerDispatcher();
     links.join(id, place, clock, dispatcher);
     PlatformWay platform = new PlatformWay(network, place, way);
@@ -213,6 +215,7 @@
    * @param fault what happens to calls
    */
   public void failPlatform(Fault fault) {
+    platformFault = fault;
     table.faults().fail(fault);
     instances.faults().fail(fault);
     nodes.values().forEach(node -> node.platformWay().fail(fault));
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerDecoder.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerDecoder.java
@@ -3,12 +3,14 @@
 import io.mothrill.core.budget.AllotmentId;
 import io.mothrill.core.budget.BillPart;
 import io.mothrill.core.budget.LedgerEntry;
+import io.mothrill.core.claim.SoleClaim;
 import io.mothrill.core.config.Change;
 import io.mothrill.core.peer.PeerMessage;
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.request.Bill;
 import io.mothrill.core.request.RequestKey;
 import io.mothrill.core.request.StoredAnswer;
+import io.mothrill.core.request.UnrepeatableClaims;
 import io.mothrill.core.resource.ResourceCodec;
 import io.mothrill.core.resource.ResourceKind;
 import io.mothrill.wire.peer.generated.Envelope;
@@ -52,6 +54,8 @@
       case DONE -> new PeerMessage.Done();
       case REFUSED -> new PeerMessage.Refused(envelope.getRefused().getReason());
       case BORROW_REQUEST, BORROW_REPLY, HAND_BACK, POST_BILLS -> decodeBudget(envelope);
+      case SOLE_CLAIM, SOLE_REPLY, SOLE_RELEASE, COPY_SOLE, FENCE_RANGE, FENCE_REPLY ->
+          decodeSole(envelope);
       default -> decodeRecord(envelope);
     };
   }
@@ -94,6 +98,40 @@
     };
   }
 
+  private static PeerMessage decodeSole(Envelope envelope) {
+    return switch (envelope.getBodyCase()) {
+      case SOLE_CLAIM -> new PeerMessage.SoleRequest(sole(envelope.getSoleClaim()));
+      case SOLE_REPLY ->
+          new PeerMessage.SoleReply(
+              UnrepeatableClaims.Outcome.valueOf(envelope.getSoleReply().getOutcome()));
+      case SOLE_RELEASE -> {
+        var release = envelope.getSoleRelease();
+        yield new PeerMessage.SoleRelease(
+            new SoleClaim(key(release.getKey()), release.getRequestId()));
+      }
+      case COPY_SOLE -> {
+        var copy = envelope.getCopySole();
+        yield new PeerMessage.CopySole(
+            copy.getRange(),
+            copy.getEpoch(),
+            copy.getOwner(),
+            copy.getBackup(),
+            new SoleClaim(key(copy.getKey()), copy.getRequestId()));
+      }
+      case FENCE_RANGE -> {
+        var fence = envelope.getFenceRange();
+        yield new PeerMessage.FenceRange(fence.getRange(), fence.getEpoch(), fence.getBackup());
+      }
+      default ->
+          new PeerMessage.FenceReply(
+              envelope.getFenceReply().getClaimsList().stream().map(PeerDecoder::sole).toList());
+    };
+  }
+
+  private static SoleClaim sole(io.mothrill.wire.peer.generated.SoleClaim claim) {
+    return new SoleClaim(key(claim.getKey()), claim.getRequestId());
+  }
+
   private static PeerMessage decodeRecord(Envelope envelope) {
     return switch (envelope.getBodyCase()) {
       case CLAIM_REQUEST -> claim(envelope.getClaimRequest());
@@ -108,8 +146,12 @@
           new PeerMessage.CopyClaim(
               claim(envelope.getCopyClaim().getClaim()), envelope.getCopyClaim().getTakeover());
       case FINISH_REQUEST -> finish(envelope.getFinishRequest());
-      case COPY_FINISH -> new PeerMessage.CopyFinish(finish(envelope.getCopyFinish().getFinish()));
-      case FINISH_REPLY -> new PeerMessage.FinishReply(envelope.getFinishReply().getConfirmed());
+      case COPY_FINISH ->
+          new PeerMessage.CopyFinish(
+              finish(envelope.getCopyFinish().getFinish()), envelope.getCopyFinish().getDecided());
+      case FINISH_REPLY ->
+          new PeerMessage.FinishReply(
+              PeerMessage.FinishReply.Verdict.valueOf(envelope.getFinishReply().getVerdict()));
       case BILLS_POSTED ->
           new PeerMessage.BillsPosted(
               envelope.getBillsPosted().getKeysList().stream().map(PeerDecoder::key).toList());
@@ -117,6 +159,7 @@
           new PeerMessage.AnswerRequest(key(envelope.getAnswerRequest().getKey()));
       case ANSWER_REPLY ->
           new PeerMessage.AnswerReply(
+              envelope.getAnswerReply().getPending(),
               envelope.getAnswerReply().hasAnswer()
                   ? Optional.of(answer(envelope.getAnswerReply().getAnswer()))
                   : Optional.empty());
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerEncoder.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerEncoder.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import io.mothrill.core.budget.AllotmentId;
+import io.mothrill.core.claim.SoleClaim;
 import io.mothrill.core.config.Change;
 import io.mothrill.core.peer.PeerMessage;
 import io.mothrill.core.platform.InstanceRecord;
@@ -92,9 +93,48 @@
                       .setTokens(line.entry().tokens()));
     } else {
       encodeRecord(envelope, message);
+      encodeSole(envelope, message);
     }
   }
 
+  private static void encodeSole(Envelope.Builder envelope, PeerMessage message) {
+    if (message instanceof PeerMessage.SoleRequest request) {
+      envelope.setSoleClaim(sole(request.claim()));
+    } else if (message instanceof PeerMessage.SoleReply reply) {
+      envelope.getSoleReplyBuilder().setOutcome(reply.outcome().name());
+    } else if (message instanceof PeerMessage.SoleRelease release) {
+      envelope
+          .getSoleReleaseBuilder()
+          .setKey(key(release.claim().key()))
+          .setRequestId(release.claim().requestId());
+    } else if (message instanceof PeerMessage.CopySole copy) {
+      envelope
+          .getCopySoleBuilder()
+          .setRange(copy.range())
+          .setEpoch(copy.epoch())
+          .setOwner(copy.owner())
+          .setBackup(copy.backup())
+          .setKey(key(copy.claim().key()))
+          .setRequestId(copy.claim().requestId());
+    } else if (message instanceof PeerMessage.FenceRange fence) {
+      envelope
+          .getFenceRangeBuilder()
+          .setRange(fence.range())
+          .setEpoch(fence.epoch())
+          .setBackup(fence.backup());
+    } else if (message instanceof PeerMessage.FenceReply reply) {
+      var builder = envelope.getFenceReplyBuilder();
+      reply.claims().forEach(claim -> builder.addClaims(sole(claim)));
+    }
+  }
+
+  private static io.mothrill.wire.peer.generated.SoleClaim sole(SoleClaim claim) {
+    return io.mothrill.wire.peer.generated.SoleClaim.newBuilder()
+        .setKey(key(claim.key()))
+        .setRequestId(claim.requestId())
+        .build();
+  }
+
   private static void encodeRecord(Envelope.Builder envelope, PeerMessage message) {
     if (message instanceof PeerMessage.ClaimRequest claim) {
       envelope.setClaimRequest(claim(claim));
@@ -107,16 +147,16 @@
     } else if (message instanceof PeerMessage.FinishRequest finish) {
       envelope.setFinishRequest(finish(finish));
     } else if (message instanceof PeerMessage.CopyFinish copy) {
-      envelope.getCopyFinishBuilder().setFinish(finish(copy.finish()));
+      envelope.getCopyFinishBuilder().setFinish(finish(copy.finish())).setDecided(copy.decided());
     } else if (message instanceof PeerMessage.FinishReply reply) {
-      envelope.getFinishReplyBuilder().setConfirmed(reply.confirmed());
+      envelope.getFinishReplyBuilder().setVerdict(reply.verdict().name());
     } else if (message instanceof PeerMessage.BillsPosted posted) {
       var builder = envelope.getBillsPostedBuilder();
       posted.keys().forEach(key -> builder.addKeys(key(key)));
     } else if (message instanceof PeerMessage.AnswerRequest request) {
       envelope.getAnswerRequestBuilder().setKey(key(request.key()));
     } else if (message instanceof PeerMessage.AnswerReply reply) {
-      var builder = envelope.getAnswerReplyBuilder();
+      var builder = envelope.getAnswerReplyBuilder().setPending(reply.pending());
       reply.answer().ifPresent(answer -> builder.setAnswer(answer(answer)));
     }
   }
