--- a/mothrill-lab/src/main/java/io/mothrill/lab/LabProgram.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/LabProgram.java
@@ -3,6 +3,7 @@
 import io.mothrill.daemon.cli.Command;
 import io.mothrill.daemon.cli.CommandLine;
 import io.mothrill.lab.demo.DemoCommand;
+import io.mothrill.lab.explore.ExploreCommand;
 import io.mothrill.lab.scenario.ScenarioCommand;
 import io.mothrill.lab.standin.EngineCommand;
 import io.mothrill.lab.standin.PlainCommand;
@@ -19,7 +20,8 @@
           "platform", PlatformCommand::new,
           "engine", EngineCommand::new,
           "plain", PlainCommand::new,
-          "scenario", ScenarioCommand::new);
+          "scenario", ScenarioCommand::new,
+          "explore", ExploreCommand::new);
 
   private LabProgram() {}
 
