--- a/mothrill-core/src/main/java/io/mothrill/core/audit/AuditReport.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/audit/AuditReport.java
@@ -2,15 +2,17 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What an audit found.
  *
  * @param budgets the sums of each budget
- * @param requests the number of billed requests
+ * @param billedKeys the keys of the billed requests, as {@code team/key}
  * @param findings everything that is wrong; empty when the books are right
  */
-public record AuditReport(Map<String, Sums> budgets, long requests, List<String> findings) {
+public record AuditReport(
+    Map<String, Sums> budgets, Set<String> billedKeys, List<String> findings) {
 
   /**
    * The sums of one budget.
@@ -21,6 +23,15 @@
    */
   public record Sums(long paidTokens, long allottedTokens, long billedTokens) {}
 
+  /**
+   * Counts the billed requests.
+   *
+   * @return requests
+   */
+  public long requests() {
+    return billedKeys.size();
+  }
+
   /**
    * Says whether the books are right.
    *
--- a/mothrill-core/src/main/java/io/mothrill/core/audit/Auditor.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/audit/Auditor.java
@@ -9,7 +9,6 @@
 import io.mothrill.core.platform.TableService;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -90,7 +89,7 @@
     private final List<String> findings = new ArrayList<>();
     private final Map<String, Long> billedByAllotment = new HashMap<>();
     private final Map<String, Long> batchesByAllotment = new HashMap<>();
-    private final Set<String> billedParts = new HashSet<>();
+    private final Map<String, String> billedParts = new HashMap<>();
     private final Map<String, String> runByKey = new HashMap<>();
 
     Books(
@@ -112,7 +111,7 @@
       late.forEach(row -> findings.add("late bill, not billed: " + row.key().key()));
       Map<String, Sums> sums = new TreeMap<>();
       budgets.forEach(row -> sums.put(row.key().key(), checkBudget(row)));
-      return new AuditReport(sums, runByKey.size(), List.copyOf(findings));
+      return new AuditReport(sums, Set.copyOf(runByKey.keySet()), List.copyOf(findings));
     }
 
     private void checkBatch(Row row) {
@@ -125,18 +124,21 @@
       }
       billedByAllotment.merge(allotment, sum, Long::sum);
       batchesByAllotment.merge(allotment, 1L, Long::sum);
-      entries.forEach(entry -> checkEntry(allotment, entry));
+      String batch = key + " posted by " + row.cells().text("poster");
+      entries.forEach(entry -> checkEntry(allotment, batch, entry));
     }
 
-    private void checkEntry(String allotment, LedgerEntry entry) {
+    private void checkEntry(String allotment, String batch, LedgerEntry entry) {
       String run = runByKey.putIfAbsent(entry.key(), entry.requestId());
       if (run != null && !run.equals(entry.requestId())) {
         findings.add(
             "double bill: " + entry.key() + " by runs " + run + " and " + entry.requestId());
       }
       String part = entry.requestId() + "@" + allotment;
-      if (!billedParts.add(part)) {
-        findings.add("double bill: run " + entry.requestId() + " twice in " + allotment);
+      String earlier = billedParts.putIfAbsent(part, batch);
+      if (earlier != null) {
+        findings.add(
+            "double bill: run " + entry.requestId() + " in " + earlier + " and in " + batch);
       }
     }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/BillForwarder.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/BillForwarder.java
@@ -20,15 +20,20 @@
  *
  * <p>The holder posts the bills of all who borrowed from it in one batch, so the platform is not
  * written to by every instance for every budget. When the holder does not answer, this instance
- * posts itself; the ledger takes each bill once, whoever posts it.
+ * posts itself, after a time at which the holder takes the message no more: its clock may differ by
+ * the difference between the two times. The ledger is read before, so a bill that the holder has
+ * posted, or has taken to post, is not written again.
  */
 public final class BillForwarder {
 
   private static final long ASK_TIMEOUT_MS = 5_000;
+  private static final long VALID_MS = 20_000;
+  private static final long POST_SELF_AFTER_MS = 30_000;
 
   private final LedgerPoster ledger;
   private final Section<Membership> members;
   private final PeerLinks links;
+  private final Timers timers;
   private final Map<InstanceRecord, List<Waiting>> waiting = new HashMap<>();
 
   BillForwarder(
@@ -41,6 +46,7 @@
     this.ledger = ledger;
     this.members = members;
     this.links = links;
+    this.timers = timers;
     dispatcher.on(PostBills.class, this::onPostBills);
     timers.every(postMs, this::forward);
   }
@@ -93,26 +99,38 @@
   }
 
   private void send(InstanceRecord holder, List<Waiting> bills) {
-    PostBills message = new PostBills(bills.stream().map(Waiting::line).toList());
+    PostBills message =
+        new PostBills(timers.wallMs() + VALID_MS, bills.stream().map(Waiting::line).toList());
     var unused =
         links
             .ask(holder, message, ASK_TIMEOUT_MS)
-            .handle((reply, error) -> reply instanceof PeerMessage.Done)
-            .thenAccept(done -> bills.forEach(bill -> settle(bill, done)));
+            .thenAccept(reply -> onReply(bills, reply))
+            .exceptionally(
+                error -> {
+                  timers.after(POST_SELF_AFTER_MS, () -> bills.forEach(this::postSelf));
+                  return null;
+                });
   }
 
-  private void settle(Waiting bill, boolean done) {
-    if (done) {
-      bill.posted().complete(null);
-      return;
+  private void onReply(List<Waiting> bills, PeerMessage reply) {
+    if (reply instanceof PeerMessage.Done) {
+      bills.forEach(bill -> bill.posted().complete(null));
+    } else {
+      bills.forEach(this::postSelf);
     }
+  }
+
+  private void postSelf(Waiting bill) {
     var unused =
         ledger
-            .add(bill.line().allotment(), bill.line().entry())
+            .recover(bill.line().allotment(), bill.line().entry())
             .thenAccept(nothing -> bill.posted().complete(null));
   }
 
   private CompletableFuture<PeerMessage> onPostBills(PostBills message) {
+    if (timers.wallMs() > message.validUntilWallMs()) {
+      return CompletableFuture.completedFuture(new PeerMessage.Refused("too late"));
+    }
     return allOf(
             message.lines().stream()
                 .map(line -> ledger.add(line.allotment(), line.entry()))
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetController.java
@@ -63,7 +63,8 @@
     this.lease = lease;
     this.allotments = new Allotments(table, lease, sizing, timers, random);
     this.borrower = new Borrower(members, links, timers);
-    LedgerPoster ledger = new LedgerPoster(table, timers, metrics, settings.postMs());
+    LedgerPoster ledger =
+        new LedgerPoster(table, lease.incarnation(), timers, metrics, settings.postMs());
     this.bills = new BillForwarder(ledger, members, links, dispatcher, timers, settings.postMs());
     this.sources =
         List.of(
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/Lease.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/Lease.java
@@ -51,6 +51,16 @@
     timers.after(0, this::renewInBackground);
   }
 
+  /**
+   * Says whether a lease was closed by others.
+   *
+   * @param row the lease's row
+   * @return true once its allotments are being taken back
+   */
+  public static boolean isClosed(Row row) {
+    return row.cells().number(CLOSED) == 1;
+  }
+
   /**
    * Gives the incarnation that holds the lease.
    *
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/LedgerPoster.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/LedgerPoster.java
@@ -9,9 +9,11 @@
 import io.mothrill.core.platform.Transaction;
 import io.mothrill.core.time.Timers;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.tinylog.Logger;
@@ -29,13 +31,19 @@
 
   private static final int ALLOTMENTS_PER_BATCH = 40;
   private static final int ENTRIES_PER_BATCH = 500;
+  private static final long REMEMBERED_MS = 14_400_000;
   private static final int SCAN_ROWS = 200;
   private static final String ENTRIES = "entries";
+  private static final String RECOVERED = "recovered";
   private static final String TOKENS = "tokens";
 
   private final TableService table;
+  private final String poster;
+  private final Timers timers;
   private final Map<AllotmentId, Map<String, Pending>> pending = new LinkedHashMap<>();
   private final Map<AllotmentId, Long> knownSeq = new HashMap<>();
+  private final Map<String, Long> recoveredAtMs = new HashMap<>();
+  private final Set<AllotmentId> rescan = new HashSet<>();
   private final AtomicBoolean busy = new AtomicBoolean();
   private final Counter postedTokens;
   private final Counter lateTokens;
@@ -44,18 +52,22 @@
    * Creates the poster and starts to post.
    *
    * @param table the platform's table
+   * @param poster the incarnation that posts, for audits
    * @param timers the time
    * @param metrics counts what was posted
    * @param postMs milliseconds between two batches
    */
-  public LedgerPoster(TableService table, Timers timers, MetricRegistry metrics, long postMs) {
+  public LedgerPoster(
+      TableService table, String poster, Timers timers, MetricRegistry metrics, long postMs) {
     this.table = table;
+    this.timers = timers;
+    this.poster = poster;
     this.postedTokens = metrics.counter("ledger.postedTokens");
     this.lateTokens = metrics.counter("ledger.lateTokens");
     timers.every(postMs, this::flush);
   }
 
-  private record Pending(LedgerEntry entry, CompletableFuture<Void> posted) {}
+  private record Pending(LedgerEntry entry, boolean recovered, CompletableFuture<Void> posted) {}
 
   /** Bills for one allotment that are being written. */
   private record Batch(Row row, List<Pending> bills) {
@@ -64,6 +76,14 @@
       return bills.stream().mapToLong(bill -> bill.entry().tokens()).sum();
     }
 
+    boolean hasRecovered() {
+      return bills.stream().anyMatch(Pending::recovered);
+    }
+
+    List<String> requestIds() {
+      return bills.stream().map(bill -> bill.entry().requestId()).toList();
+    }
+
     AllotmentRow next() {
       return AllotmentRow.of(row).bill(tokens());
     }
@@ -77,20 +97,36 @@
    * @return completes when the bill is in the ledger
    */
   public CompletableFuture<Void> add(AllotmentId allotment, LedgerEntry entry) {
+    return add(allotment, entry, false);
+  }
+
+  private CompletableFuture<Void> add(AllotmentId allotment, LedgerEntry entry, boolean recovered) {
     synchronized (pending) {
+      if (recoveredAtMs.containsKey(partOf(allotment, entry.requestId()))) {
+        return CompletableFuture.completedFuture(null);
+      }
       return pending
           .computeIfAbsent(allotment, id -> new LinkedHashMap<>())
-          .computeIfAbsent(entry.requestId(), id -> new Pending(entry, new CompletableFuture<>()))
+          .computeIfAbsent(
+              entry.requestId(), id -> new Pending(entry, recovered, new CompletableFuture<>()))
           .posted();
     }
   }
 
+  private static String partOf(AllotmentId allotment, String requestId) {
+    return requestId + "@" + allotment;
+  }
+
   /**
    * Takes a bill that another instance may have posted before.
    *
    * <p>Failure: a home posts for a runner that it believes dead, but that had posted already.
    * Symptom: a request is billed twice. What this poster knows of the ledger is forgotten, so that
-   * every batch of the allotment is read again before the bill is written.
+   * every batch of the allotment is read again in the next round, before the bill is written. It is
+   * forgotten only between two rounds: a round under way would count on from a wrong number.
+   *
+   * <p>The runner may come back later and hand in the bill for the first time. Recovered bills are
+   * therefore marked in the ledger, and whoever reads or writes such a mark remembers it.
    *
    * @param allotment the allotment that it draws on
    * @param entry the bill
@@ -98,8 +134,8 @@
    */
   public CompletableFuture<Void> recover(AllotmentId allotment, LedgerEntry entry) {
     synchronized (pending) {
-      knownSeq.remove(allotment);
-      return add(allotment, entry);
+      rescan.add(allotment);
+      return add(allotment, entry, true);
     }
   }
 
@@ -143,6 +179,8 @@
   private Map<AllotmentId, List<Pending>> nextRound() {
     Map<AllotmentId, List<Pending>> round = new LinkedHashMap<>();
     synchronized (pending) {
+      rescan.forEach(knownSeq::remove);
+      rescan.clear();
       pending.entrySet().stream()
           .limit(ALLOTMENTS_PER_BATCH)
           .forEach(
@@ -192,12 +230,24 @@
 
   private void settle(AllotmentId allotment, Row ledgerRow) {
     List<LedgerEntry> entries = LedgerEntry.parse(ledgerRow.cells().text(ENTRIES));
-    complete(allotment, entries.stream().map(LedgerEntry::requestId).toList());
+    List<String> requestIds = entries.stream().map(LedgerEntry::requestId).toList();
+    if (ledgerRow.cells().number(RECOVERED) == 1) {
+      remember(allotment, requestIds);
+    }
+    complete(allotment, requestIds);
     synchronized (pending) {
       knownSeq.merge(allotment, 1L, Long::sum);
     }
   }
 
+  private void remember(AllotmentId allotment, List<String> requestIds) {
+    long nowMs = timers.nowMs();
+    synchronized (pending) {
+      recoveredAtMs.values().removeIf(atMs -> nowMs - atMs > REMEMBERED_MS);
+      requestIds.forEach(id -> recoveredAtMs.put(partOf(allotment, id), nowMs));
+    }
+  }
+
   private void complete(AllotmentId allotment, List<String> requestIds) {
     List<Pending> done;
     synchronized (pending) {
@@ -246,12 +296,13 @@
     }
   }
 
-  private static Transaction withBatch(
-      Transaction transaction, AllotmentId allotment, Batch batch) {
+  private Transaction withBatch(Transaction transaction, AllotmentId allotment, Batch batch) {
     AllotmentRow next = batch.next();
     Cells ledger =
         Cells.empty()
             .with(TOKENS, batch.tokens())
+            .with("poster", poster)
+            .with(RECOVERED, batch.hasRecovered() ? 1 : 0)
             .with(ENTRIES, LedgerEntry.format(batch.bills().stream().map(Pending::entry).toList()));
     return transaction
         .and(batch.row(), next.toCells())
@@ -287,6 +338,9 @@
         knownSeq.merge(allotment, 1L, Long::sum);
       }
     }
-    complete(allotment, batch.bills().stream().map(bill -> bill.entry().requestId()).toList());
+    if (batch.hasRecovered()) {
+      remember(allotment, batch.requestIds());
+    }
+    complete(allotment, batch.requestIds());
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/node/Node.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/node/Node.java
@@ -6,7 +6,6 @@
 import io.mothrill.core.budget.BudgetController;
 import io.mothrill.core.budget.Lease;
 import io.mothrill.core.budget.Reclaimer;
-import io.mothrill.core.claim.RangeClaims;
 import io.mothrill.core.config.ConfigController;
 import io.mothrill.core.config.ConfigSnapshot;
 import io.mothrill.core.config.ConfigStore;
@@ -15,9 +14,10 @@
 import io.mothrill.core.peer.Membership;
 import io.mothrill.core.peer.MembershipController;
 import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.range.RangeAuthority;
+import io.mothrill.core.range.RangeWindows;
 import io.mothrill.core.request.CallPlanner;
 import io.mothrill.core.request.ExchangeParts;
-import io.mothrill.core.request.HomeRecords;
 import io.mothrill.core.request.RequestRecords;
 import io.mothrill.core.request.RequestService;
 import io.mothrill.core.request.RetryBudget;
@@ -50,7 +50,6 @@
   private static final long CONFIG_POLL_MS = 500;
   private static final double DOMAIN_PENALTY = 0.3;
   private static final double AFFINITY_GAIN = 0.2;
-  private static final int MAX_RECORDS = 200_000;
   private static final int ID_BYTES = 16;
 
   private final NodePorts ports;
@@ -64,7 +63,7 @@
   private final Lease lease;
   private final BudgetController budgets;
   private final RequestRecords records;
-  private final RangeClaims claims;
+  private final RangeAuthority authority;
   private final RecentDecisions decisions = new RecentDecisions();
   private final UpstreamTable upstreams;
   private final Router router;
@@ -94,8 +93,8 @@
             settings.budgets().leaseMs(),
             settings.budgets().marginMs());
     this.budgets = newBudgets();
+    this.authority = newAuthority();
     this.records = newRecords();
-    this.claims = newClaims();
     this.upstreams = new UpstreamTable(config);
     this.router = newRouter(self.domain());
     this.requests = newRequests(self.domain());
@@ -104,7 +103,7 @@
             drainStage,
             ports.timers(),
             settings.drain(),
-            new NodeDrainWork(membership, requests, budgets, records, claims));
+            new NodeDrainWork(membership, requests, budgets, records, authority));
     startReclaimer();
     registerGauges();
   }
@@ -141,21 +140,26 @@
         settings.budgets());
   }
 
-  private RequestRecords newRecords() {
-    HomeRecords home =
-        new HomeRecords(members, ports.timers(), settings.requests().recordWindowMs(), MAX_RECORDS);
-    return new RequestRecords(
-        home, members, ports.links(), ports.dispatcher(), budgets.bills(), ports.timers());
-  }
-
-  private RangeClaims newClaims() {
-    return new RangeClaims(
+  private RangeAuthority newAuthority() {
+    return new RangeAuthority(
         ports.table(),
         lease,
         members,
         ports.links(),
         ports.dispatcher(),
         ports.timers(),
+        new RangeWindows(
+            settings.requests().recordWindowMs(), settings.requests().claimWindowMs()));
+  }
+
+  private RequestRecords newRecords() {
+    return new RequestRecords(
+        authority,
+        members,
+        ports.links(),
+        ports.dispatcher(),
+        budgets.bills(),
+        ports.timers(),
         settings.requests().claimWindowMs());
   }
 
@@ -180,7 +184,7 @@
         new ExchangeParts(
             new CallPlanner(config, ports.timers(), domain, () -> newId(ports.random())),
             records,
-            claims,
+            authority,
             budgets,
             router,
             ports.upstreams(),
--- a/mothrill-core/src/main/java/io/mothrill/core/node/NodeDrainWork.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/node/NodeDrainWork.java
@@ -1,9 +1,9 @@
 package io.mothrill.core.node;
 
 import io.mothrill.core.budget.BudgetController;
-import io.mothrill.core.claim.RangeClaims;
 import io.mothrill.core.drain.DrainWork;
 import io.mothrill.core.peer.MembershipController;
+import io.mothrill.core.range.RangeAuthority;
 import io.mothrill.core.request.RequestRecords;
 import io.mothrill.core.request.RequestService;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -16,7 +16,7 @@
   private final RequestService requests;
   private final BudgetController budgets;
   private final RequestRecords records;
-  private final RangeClaims claims;
+  private final RangeAuthority authority;
   private final AtomicBoolean returned = new AtomicBoolean();
 
   NodeDrainWork(
@@ -24,12 +24,12 @@
       RequestService requests,
       BudgetController budgets,
       RequestRecords records,
-      RangeClaims claims) {
+      RangeAuthority authority) {
     this.membership = membership;
     this.requests = requests;
     this.budgets = budgets;
     this.records = records;
-    this.claims = claims;
+    this.authority = authority;
   }
 
   @Override
@@ -44,8 +44,7 @@
 
   @Override
   public void handOver() {
-    records.handOver();
-    claims.leave();
+    authority.leave();
     budgets.bills().flush();
     var unused =
         budgets
--- a/mothrill-core/src/main/java/io/mothrill/core/peer/MembershipController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/peer/MembershipController.java
@@ -4,9 +4,11 @@
 import io.mothrill.core.config.Change;
 import io.mothrill.core.config.ConfigController;
 import io.mothrill.core.config.ConfigSnapshot;
+import io.mothrill.core.error.Failures;
 import io.mothrill.core.peer.PeerMessage.ChangesReply;
 import io.mothrill.core.peer.PeerMessage.ChangesRequest;
 import io.mothrill.core.peer.PeerMessage.Heartbeat;
+import io.mothrill.core.peer.error.PeerException;
 import io.mothrill.core.platform.InstanceList;
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.time.Timers;
@@ -138,7 +140,17 @@
                     hear(heartbeat);
                   }
                 })
-            .exceptionally(error -> null);
+            .exceptionally(error -> noteFailure(peer, error));
+  }
+
+  /** A peer whose process has ended is not waited for. */
+  private Void noteFailure(InstanceRecord peer, Throwable error) {
+    boolean gone = Failures.unwrap(error) instanceof PeerException known && known.isGone();
+    if (gone) {
+      heardMs.remove(peer.incarnation());
+      refreshReachable();
+    }
+    return null;
   }
 
   private Heartbeat ownHeartbeat() {
--- a/mothrill-core/src/main/java/io/mothrill/core/peer/PeerMessage.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/peer/PeerMessage.java
@@ -2,9 +2,10 @@
 
 import io.mothrill.core.budget.AllotmentId;
 import io.mothrill.core.budget.LedgerEntry;
-import io.mothrill.core.claim.SoleClaim;
 import io.mothrill.core.config.Change;
 import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.range.RangeContent;
+import io.mothrill.core.range.SoleClaim;
 import io.mothrill.core.request.Bill;
 import io.mothrill.core.request.RequestKey;
 import io.mothrill.core.request.StoredAnswer;
@@ -71,7 +72,7 @@
   record HandBack(String transferId, AllotmentId allotment, long tokens) implements PeerMessage {}
 
   /**
-   * Asks the home of a request key whether the request may run.
+   * Asks the owner of a key's range whether the request may run.
    *
    * @param key the request key
    * @param runner the incarnation that would run it
@@ -105,27 +106,11 @@
       MISMATCH,
       /** It may have run, and must not run again. */
       OUTCOME_UNKNOWN,
-      /** The claim could not be recorded safely: it must not run now. */
-      UNSAFE
+      /** The instance that was asked does not own the key's range. */
+      NOT_OWNER
     }
   }
 
-  /**
-   * Copies a claim to the second home.
-   *
-   * @param claim the claim
-   * @param takeover true when the home has decided that it replaces an earlier run
-   */
-  record CopyClaim(ClaimRequest claim, boolean takeover) implements PeerMessage {}
-
-  /**
-   * Copies the end of a run to the second home.
-   *
-   * @param finish the end of the run
-   * @param decided true when the first home has decided that the run counts
-   */
-  record CopyFinish(FinishRequest finish, boolean decided) implements PeerMessage {}
-
   /**
    * Reports a run that has ended.
    *
@@ -145,7 +130,17 @@
       boolean notRun,
       Optional<Bill> bill,
       Optional<StoredAnswer> answer)
-      implements PeerMessage {}
+      implements PeerMessage {
+
+    /**
+     * Leaves out the answer.
+     *
+     * @return a copy without it
+     */
+    public FinishRequest withoutAnswer() {
+      return new FinishRequest(key, requestId, runner, fingerprint, notRun, bill, Optional.empty());
+    }
+  }
 
   /**
    * Answers the report of a run.
@@ -156,17 +151,19 @@
 
     /** Whether a run counts. */
     public enum Verdict {
-      /** It counts, and both homes know: it is to be billed. */
+      /** It counts, and the backup knows: it is to be billed. */
       CONFIRMED,
       /** Another run counts: its bill is to be dropped. */
       SUPERSEDED,
-      /** The home has a copy, but cannot tell yet, because the other home does not answer. */
-      HELD
+      /** It cannot be told yet, because the backup does not answer. */
+      HELD,
+      /** The instance that was asked does not own the key's range. */
+      NOT_OWNER
     }
   }
 
   /**
-   * Tells the homes that bills are in the ledger, so that their copies can go.
+   * Tells the owner of keys that bills are in the ledger, so that nobody need post them again.
    *
    * @param keys the keys of the runs whose bills were posted
    */
@@ -191,9 +188,10 @@
    * Asks the holder of allotments to post bills that draw on them; the reply comes when they are in
    * the ledger.
    *
+   * @param validUntilWallMs the wall clock time after which the holder must not take them any more
    * @param lines the bills
    */
-  record PostBills(List<Line> lines) implements PeerMessage {
+  record PostBills(long validUntilWallMs, List<Line> lines) implements PeerMessage {
 
     /**
      * One bill.
@@ -226,32 +224,38 @@
   record SoleRelease(SoleClaim claim) implements PeerMessage {}
 
   /**
-   * Asks the backup of a range to acknowledge a claim.
+   * Asks the backup of a range to acknowledge decisions.
    *
-   * @param range the range
+   * @param range the range's name
    * @param epoch the epoch in which the owner owns it
-   * @param owner the owner's incarnation
    * @param backup the incarnation that must acknowledge
-   * @param claim the claim
+   * @param content what was decided
    */
-  record CopySole(int range, long epoch, String owner, String backup, SoleClaim claim)
+  record CopyRange(String range, long epoch, String backup, RangeContent content)
       implements PeerMessage {}
 
   /**
    * Asks the backup of a range to refuse its owner from now on.
    *
-   * @param range the range
+   * @param range the range's name
    * @param epoch the epoch of the owner that is refused
    * @param backup the incarnation that is meant
    */
-  record FenceRange(int range, long epoch, String backup) implements PeerMessage {}
+  record FenceRange(String range, long epoch, String backup) implements PeerMessage {}
 
   /**
    * Says that the owner of a range is refused from now on.
    *
-   * @param claims what the backup had acknowledged
+   * @param content what the backup had acknowledged
+   */
+  record FenceReply(RangeContent content) implements PeerMessage {}
+
+  /**
+   * Asks an instance to keep the end of a run that cannot be decided about yet.
+   *
+   * @param finish the end of the run
    */
-  record FenceReply(List<SoleClaim> claims) implements PeerMessage {}
+  record KeepCopy(FinishRequest finish) implements PeerMessage {}
 
   /** Says that a request was taken. */
   record Done() implements PeerMessage {}
--- a/mothrill-core/src/main/java/io/mothrill/core/claim/OwnedRange.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/range/ClaimBook.java
@@ -1,40 +1,24 @@
-package io.mothrill.core.claim;
+package io.mothrill.core.range;
 
-import io.mothrill.core.platform.Row;
 import io.mothrill.core.request.RequestKey;
 import io.mothrill.core.time.Timers;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
-/** A range that this incarnation owns, with every claim in it that is not older than the window. */
-final class OwnedRange {
+/** The claims of unrepeatable requests in a range, as far as they are not older than the window. */
+final class ClaimBook {
 
   private final Timers timers;
   private final Map<RequestKey, Held> held = new LinkedHashMap<>();
-  private Row row;
 
-  OwnedRange(Row row, Timers timers) {
-    this.row = row;
+  ClaimBook(Timers timers) {
     this.timers = timers;
   }
 
   private record Held(SoleClaim claim, long atMs, boolean inTable) {}
 
-  synchronized Row row() {
-    return row;
-  }
-
-  synchronized void row(Row changed) {
-    row = changed;
-  }
-
-  RangeRow state() {
-    return RangeRow.of(row());
-  }
-
   synchronized Optional<SoleClaim> find(RequestKey key) {
     return Optional.ofNullable(held.get(key)).map(Held::claim);
   }
@@ -55,19 +39,16 @@
         claim.key(), (key, before) -> before.claim().equals(claim) ? null : before);
   }
 
-  synchronized List<SoleClaim> notInTable() {
-    return held.values().stream().filter(entry -> !entry.inTable()).map(Held::claim).toList();
+  synchronized List<SoleClaim> all() {
+    return held.values().stream().map(Held::claim).toList();
   }
 
-  synchronized void noteInTable(List<SoleClaim> claims) {
-    new ArrayList<>(claims).forEach(claim -> hold(claim, true));
+  synchronized List<SoleClaim> notInTable() {
+    return held.values().stream().filter(entry -> !entry.inTable()).map(Held::claim).toList();
   }
 
-  synchronized void forgetBefore(long oldestMs) {
+  synchronized void forgetOld(long windowMs) {
+    long oldestMs = timers.nowMs() - windowMs;
     held.values().removeIf(entry -> entry.atMs() < oldestMs && entry.inTable());
   }
-
-  synchronized int size() {
-    return held.size();
-  }
 }
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/range/RangeBackup.java
@@ -0,0 +1,109 @@
+package io.mothrill.core.range;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.peer.Membership;
+import io.mothrill.core.peer.PeerDispatcher;
+import io.mothrill.core.peer.PeerMessage;
+import io.mothrill.core.peer.PeerMessage.CopyRange;
+import io.mothrill.core.peer.PeerMessage.FenceRange;
+import io.mothrill.core.peer.PeerMessage.FinishRequest;
+import io.mothrill.core.request.RequestKey;
+import io.mothrill.core.time.Timers;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Acknowledges decisions for the owners of other ranges.
+ *
+ * <p>Failure: an owner is cut off and goes on deciding after another has taken its range. Symptom:
+ * a ticket is called twice, or a key is billed twice. Once a range is fenced, this backup
+ * acknowledges nothing more of that epoch; all that it had acknowledged goes to whoever fenced it.
+ */
+final class RangeBackup {
+
+  private final Section<Membership> members;
+  private final Timers timers;
+  private final long windowMs;
+  private final Map<String, Copies> ranges = new HashMap<>();
+
+  RangeBackup(
+      Section<Membership> members, PeerDispatcher dispatcher, Timers timers, long windowMs) {
+    this.members = members;
+    this.timers = timers;
+    this.windowMs = windowMs;
+    dispatcher.on(CopyRange.class, this::onCopy);
+    dispatcher.on(FenceRange.class, this::onFence);
+  }
+
+  private static final class Copies {
+    private final Map<RequestKey, Stamped<SoleClaim>> claims = new LinkedHashMap<>();
+    private final Map<RequestKey, Stamped<FinishRequest>> runs = new LinkedHashMap<>();
+    private long fencedEpoch;
+
+    RangeContent content() {
+      return new RangeContent(
+          claims.values().stream().map(Stamped::value).toList(),
+          runs.values().stream().map(Stamped::value).toList());
+    }
+  }
+
+  private record Stamped<T>(T value, long atMs) {}
+
+  private static CompletableFuture<PeerMessage> reply(PeerMessage message) {
+    return CompletableFuture.completedFuture(message);
+  }
+
+  /** A replacement at the same address knows nothing of what its predecessor acknowledged. */
+  private boolean isForThisIncarnation(String backup) {
+    return members.read().self().incarnation().equals(backup);
+  }
+
+  private synchronized CompletableFuture<PeerMessage> onCopy(CopyRange copy) {
+    Copies held = ranges.computeIfAbsent(copy.range(), range -> new Copies());
+    if (held.fencedEpoch >= copy.epoch() || !isForThisIncarnation(copy.backup())) {
+      return reply(new PeerMessage.Refused("range is fenced"));
+    }
+    keep(copy.range(), copy.content());
+    return reply(new PeerMessage.Done());
+  }
+
+  /** Keeps decisions, whether as a backup or as an owner that has lost its range. */
+  synchronized void keep(String range, RangeContent content) {
+    Copies held = ranges.computeIfAbsent(range, name -> new Copies());
+    long nowMs = timers.nowMs();
+    content
+        .claims()
+        .forEach(claim -> held.claims.putIfAbsent(claim.key(), new Stamped<>(claim, nowMs)));
+    content.runs().forEach(run -> held.runs.putIfAbsent(run.key(), new Stamped<>(run, nowMs)));
+  }
+
+  synchronized RangeContent contentOf(String range) {
+    return ranges.getOrDefault(range, new Copies()).content();
+  }
+
+  private CompletableFuture<PeerMessage> onFence(FenceRange request) {
+    return isForThisIncarnation(request.backup())
+        ? reply(new PeerMessage.FenceReply(fence(request.range(), request.epoch()).trimmed()))
+        : reply(new PeerMessage.Refused("another incarnation is meant"));
+  }
+
+  /** Refuses the owner of an epoch from now on, and gives what was acknowledged. */
+  synchronized RangeContent fence(String range, long epoch) {
+    Copies held = ranges.computeIfAbsent(range, name -> new Copies());
+    held.fencedEpoch = Math.max(held.fencedEpoch, epoch);
+    return held.content();
+  }
+
+  synchronized void forgetOld() {
+    long oldestMs = timers.nowMs() - windowMs;
+    ranges
+        .values()
+        .forEach(
+            held -> {
+              held.claims.values().removeIf(entry -> entry.atMs() < oldestMs);
+              held.runs.values().removeIf(entry -> entry.atMs() < oldestMs);
+            });
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/range/RangeContent.java
@@ -0,0 +1,52 @@
+package io.mothrill.core.range;
+
+import io.mothrill.core.peer.PeerMessage.FinishRequest;
+import io.mothrill.core.request.StoredAnswer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+/**
+ * What is decided in a range.
+ *
+ * @param claims claims of unrepeatable requests
+ * @param runs the ends of runs that count
+ */
+public record RangeContent(List<SoleClaim> claims, List<FinishRequest> runs) {
+
+  private static final int MAX_ANSWER_BYTES = 4 * 1024 * 1024;
+
+  /** Takes copies of the lists. */
+  public RangeContent {
+    claims = List.copyOf(claims);
+    runs = List.copyOf(runs);
+  }
+
+  /**
+   * Adds what is decided elsewhere.
+   *
+   * @param other further content
+   * @return both together
+   */
+  public RangeContent and(RangeContent other) {
+    return new RangeContent(
+        Stream.concat(claims.stream(), other.claims().stream()).distinct().toList(),
+        Stream.concat(runs.stream(), other.runs().stream()).toList());
+  }
+
+  /**
+   * Leaves out answers that would make a message too large; the decisions stay.
+   *
+   * @return the content with the answers that fit
+   */
+  public RangeContent trimmed() {
+    long leftBytes = MAX_ANSWER_BYTES;
+    List<FinishRequest> kept = new ArrayList<>();
+    for (FinishRequest run : runs) {
+      long bytes = run.answer().map(StoredAnswer::body).map(body -> body.length).orElse(0);
+      kept.add(bytes <= leftBytes ? run : run.withoutAnswer());
+      leftBytes -= bytes <= leftBytes ? bytes : 0;
+    }
+    return new RangeContent(claims, kept);
+  }
+}
--- a/mothrill-core/src/main/java/io/mothrill/core/claim/RangeRow.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/range/RangeRow.java
@@ -1,16 +1,15 @@
-package io.mothrill.core.claim;
+package io.mothrill.core.range;
 
 import io.mothrill.core.platform.Cells;
 import io.mothrill.core.platform.Row;
 import io.mothrill.core.platform.RowKey;
 import io.mothrill.core.request.RequestKey;
-import java.util.Locale;
 
 /**
  * A range of keys as the platform's table holds it.
  *
- * @param owner the incarnation that grants claims; empty when it has left
- * @param backup the incarnation that acknowledges claims while the platform is away
+ * @param owner the incarnation that decides; empty when it has left
+ * @param backup the incarnation that acknowledges; empty when there is none
  * @param epoch grows with every change
  */
 record RangeRow(String owner, String backup, long epoch) {
@@ -19,8 +18,8 @@
   private static final String REQUEST_ID = "requestId";
   private static final String WALL_MS = "wallMs";
 
-  static RowKey key(int range) {
-    return new RowKey("claim-ranges", prefix(range));
+  static RowKey key(String range) {
+    return new RowKey("key-ranges", range);
   }
 
   static RangeRow of(Row row) {
@@ -28,13 +27,17 @@
         row.cells().text("owner"), row.cells().text("backup"), row.cells().number("epoch"));
   }
 
+  RangeRow next(String nextOwner, String nextBackup) {
+    return new RangeRow(nextOwner, nextBackup, epoch + 1);
+  }
+
   Cells toCells() {
     return Cells.empty().with("owner", owner).with("backup", backup).with("epoch", epoch);
   }
 
   /** Gives what the keys of a range's claims begin with. */
-  static String prefix(int range) {
-    return String.format(Locale.ROOT, "%03d/", range);
+  static String prefix(String range) {
+    return range + "/";
   }
 
   static RowKey claim(SoleClaim claim) {
@@ -45,11 +48,7 @@
     return Cells.empty().with(REQUEST_ID, claim.requestId()).with(WALL_MS, wallMs);
   }
 
-  static long claimedWallMs(Row row) {
-    return row.cells().number(WALL_MS);
-  }
-
-  static SoleClaim readClaim(int range, Row row) {
+  static SoleClaim readClaim(String range, Row row) {
     String text = row.key().key().substring(prefix(range).length());
     int slash = text.indexOf('/');
     RequestKey key = new RequestKey(text.substring(0, slash), text.substring(slash + 1));
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/range/RangeTaker.java
@@ -0,0 +1,189 @@
+package io.mothrill.core.range;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.budget.BudgetTables;
+import io.mothrill.core.budget.Lease;
+import io.mothrill.core.peer.Membership;
+import io.mothrill.core.peer.PeerLinks;
+import io.mothrill.core.peer.PeerMessage;
+import io.mothrill.core.peer.PeerMessage.CopyRange;
+import io.mothrill.core.peer.PeerMessage.FenceRange;
+import io.mothrill.core.peer.PeerMessage.FenceReply;
+import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.platform.Row;
+import io.mothrill.core.platform.TableService;
+import io.mothrill.core.platform.Transaction;
+import io.mothrill.core.time.Timers;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.tinylog.Logger;
+
+/** Takes ranges over: fences the old owner, changes the row, and reads what was decided. */
+final class RangeTaker {
+
+  private static final int SCAN_ROWS = 1_000;
+  private static final long ASK_TIMEOUT_MS = 500;
+
+  private final TableService table;
+  private final Lease lease;
+  private final Section<Membership> members;
+  private final PeerLinks links;
+  private final Timers timers;
+  private final RangeBackup ownBackup;
+
+  RangeTaker(
+      TableService table,
+      Lease lease,
+      Section<Membership> members,
+      PeerLinks links,
+      Timers timers,
+      RangeBackup ownBackup) {
+    this.table = table;
+    this.lease = lease;
+    this.members = members;
+    this.links = links;
+    this.timers = timers;
+    this.ownBackup = ownBackup;
+  }
+
+  private String self() {
+    return members.read().self().incarnation();
+  }
+
+  /** Takes a range if it may be taken; only an instance with a lease may own one. */
+  CompletableFuture<Optional<OwnedRange>> tryTake(String range) {
+    if (!lease.isInForce()) {
+      return none();
+    }
+    return table
+        .read(List.of(RangeRow.key(range)))
+        .thenCompose(rows -> tryTake(range, rows.get(0)))
+        .exceptionally(error -> Optional.empty());
+  }
+
+  private static CompletableFuture<Optional<OwnedRange>> none() {
+    return CompletableFuture.completedFuture(Optional.empty());
+  }
+
+  private CompletableFuture<Optional<OwnedRange>> tryTake(String range, Row row) {
+    RangeRow state = RangeRow.of(row);
+    Membership view = members.read();
+    boolean ownerAnswers =
+        !state.owner().equals(self())
+            && view.find(state.owner()).filter(view::isReachable).isPresent();
+    if (ownerAnswers) {
+      return none();
+    }
+    if (state.backup().isEmpty()) {
+      return withoutBackup(range, row, state);
+    }
+    return fence(range, state)
+        .thenCompose(
+            content ->
+                content.isPresent()
+                    ? take(range, row, content.get())
+                    : ifLeaseOver(range, row, state));
+  }
+
+  /** An owner without a backup decides alone, so nobody may follow it before its lease is over. */
+  private CompletableFuture<Optional<OwnedRange>> withoutBackup(
+      String range, Row row, RangeRow state) {
+    RangeContent nothing = new RangeContent(List.of(), List.of());
+    boolean free = state.owner().isEmpty() || state.owner().equals(self());
+    return free ? take(range, row, nothing) : ifLeaseOver(range, row, state);
+  }
+
+  private CompletableFuture<Optional<RangeContent>> fence(String range, RangeRow state) {
+    if (state.backup().equals(self())) {
+      return CompletableFuture.completedFuture(Optional.of(ownBackup.fence(range, state.epoch())));
+    }
+    Optional<InstanceRecord> backup = members.read().find(state.backup());
+    if (backup.isEmpty()) {
+      return CompletableFuture.completedFuture(Optional.empty());
+    }
+    FenceRange request = new FenceRange(range, state.epoch(), state.backup());
+    return links
+        .ask(backup.get(), request, ASK_TIMEOUT_MS)
+        .handle(
+            (reply, error) ->
+                reply instanceof FenceReply fenced
+                    ? Optional.of(fenced.content())
+                    : Optional.empty());
+  }
+
+  /**
+   * Takes a range whose owner and backup are both out of reach only when the owner's lease is over.
+   *
+   * <p>Both may be cut off together and go on deciding. The owner does so only under its lease, and
+   * a lease is closed only after it has run out.
+   */
+  private CompletableFuture<Optional<OwnedRange>> ifLeaseOver(
+      String range, Row row, RangeRow state) {
+    if (state.owner().isEmpty()) {
+      return take(range, row, new RangeContent(List.of(), List.of()));
+    }
+    return table
+        .read(List.of(BudgetTables.lease(state.owner())))
+        .thenCompose(
+            leases -> {
+              Row found = leases.get(0);
+              boolean over = !found.exists() || Lease.isClosed(found);
+              return over ? take(range, row, new RangeContent(List.of(), List.of())) : none();
+            });
+  }
+
+  private CompletableFuture<Optional<OwnedRange>> take(
+      String range, Row row, RangeContent handedOver) {
+    RangeContent content = handedOver.and(ownBackup.contentOf(range));
+    List<InstanceRecord> backups = KeyRanges.backups(range, members.read());
+    String backup = backups.isEmpty() ? "" : backups.get(0).incarnation();
+    RangeRow next = RangeRow.of(row).next(self(), backup);
+    return prime(range, next, content)
+        .thenCompose(
+            primed -> primed ? table.write(Transaction.on(row, next.toCells())) : falseFuture())
+        .thenCompose(
+            written -> {
+              if (!written) {
+                return none();
+              }
+              Logger.info("range={} epoch={} backup={} taken", range, next.epoch(), backup);
+              Row changed = new Row(row.key(), row.version() + 1, next.toCells());
+              return load(new OwnedRange(range, changed, members, timers), content);
+            });
+  }
+
+  private static CompletableFuture<Boolean> falseFuture() {
+    return CompletableFuture.completedFuture(false);
+  }
+
+  /** Gives a new backup all that was decided, before the row names it. */
+  CompletableFuture<Boolean> prime(String range, RangeRow next, RangeContent content) {
+    Optional<InstanceRecord> backup = members.read().find(next.backup());
+    if (backup.isEmpty()) {
+      return CompletableFuture.completedFuture(next.backup().isEmpty());
+    }
+    CopyRange copy = new CopyRange(range, next.epoch(), next.backup(), content.trimmed());
+    return links
+        .ask(backup.get(), copy, ASK_TIMEOUT_MS)
+        .handle((reply, error) -> reply instanceof PeerMessage.Done);
+  }
+
+  /** Reads the claims after the row has changed, so that none can be added unseen. */
+  private CompletableFuture<Optional<OwnedRange>> load(OwnedRange taken, RangeContent content) {
+    taken.takeUp(content);
+    return scan(taken, "").thenApply(nothing -> Optional.of(taken));
+  }
+
+  private CompletableFuture<Void> scan(OwnedRange into, String afterKey) {
+    return table
+        .scan(RangeRow.CLAIMS, RangeRow.prefix(into.name()), afterKey, SCAN_ROWS)
+        .thenCompose(
+            rows -> {
+              rows.forEach(row -> into.claims().hold(RangeRow.readClaim(into.name(), row), true));
+              return rows.size() < SCAN_ROWS
+                  ? CompletableFuture.completedFuture(null)
+                  : scan(into, rows.get(rows.size() - 1).key().key());
+            });
+  }
+}
--- a/mothrill-core/src/main/java/io/mothrill/core/claim/SoleClaim.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/range/SoleClaim.java
@@ -1,4 +1,4 @@
-package io.mothrill.core.claim;
+package io.mothrill.core.range;
 
 import io.mothrill.core.request.RequestKey;
 
--- a/mothrill-core/src/main/java/io/mothrill/core/request/Exchange.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/Exchange.java
@@ -49,6 +49,7 @@
   private int attempts;
   private int claims;
   private boolean claimed;
+  private boolean mayHaveRun;
   private boolean headSent;
   private boolean callerGone;
   private boolean over;
@@ -347,6 +348,7 @@
     } else {
       assignment.upstream().avoidUntil(parts.timers().nowMs() + parts.settings().avoidMs());
     }
+    mayHaveRun |= !failure.isNotRun();
     failedUpstreams.add(assignment.upstream().name());
     Logger.info(
         "attempt failed request={} upstream={} kind={} detail={}",
@@ -432,8 +434,15 @@
         });
   }
 
-  /** Ends a request that was claimed or paid for without an answer. */
-  private void fail(Refusal refusal) {
+  /**
+   * Ends a request that was claimed or paid for without an answer.
+   *
+   * <p>Failure: one attempt broke off, and the next finds no upstream. Symptom: the caller is told
+   * that the request did not run, although the first attempt did. What any attempt may have done
+   * counts.
+   */
+  private void fail(Refusal reason) {
+    Refusal refusal = mayHaveRun ? reason.mayHaveRun() : reason;
     if (upstream != null) {
       upstream.cancel();
     }
--- a/mothrill-core/src/main/java/io/mothrill/core/request/Refusal.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/Refusal.java
@@ -244,6 +244,16 @@
     return notRun(UNAVAILABLE, "internal_error", String.valueOf(cause.getMessage()), SOON_MS);
   }
 
+  /**
+   * Says of a refusal that an earlier attempt may have run.
+   *
+   * @return a copy that does not claim otherwise
+   */
+  public Refusal mayHaveRun() {
+    NotRun known = notRun == NotRun.TRUE ? NotRun.UNKNOWN : notRun;
+    return new Refusal(status, code, message, known, retryAfterMs);
+  }
+
   private static Refusal notRun(int status, String code, String message, long retryAfterMs) {
     return new Refusal(status, code, message, NotRun.TRUE, retryAfterMs);
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/request/RequestRecords.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/RequestRecords.java
@@ -10,15 +10,12 @@
 import io.mothrill.core.peer.PeerMessage;
 import io.mothrill.core.peer.PeerMessage.AnswerReply;
 import io.mothrill.core.peer.PeerMessage.AnswerRequest;
-import io.mothrill.core.peer.PeerMessage.BillsPosted;
 import io.mothrill.core.peer.PeerMessage.ClaimReply;
 import io.mothrill.core.peer.PeerMessage.ClaimReply.Verdict;
 import io.mothrill.core.peer.PeerMessage.ClaimRequest;
-import io.mothrill.core.peer.PeerMessage.CopyClaim;
-import io.mothrill.core.peer.PeerMessage.CopyFinish;
-import io.mothrill.core.peer.PeerMessage.FinishReply;
 import io.mothrill.core.peer.PeerMessage.FinishRequest;
-import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.peer.PeerMessage.KeepCopy;
+import io.mothrill.core.range.RangeAuthority;
 import io.mothrill.core.time.Timers;
 import java.util.ArrayList;
 import java.util.List;
@@ -29,77 +26,78 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.BiFunction;
-import java.util.stream.Collectors;
+import org.tinylog.Logger;
 
 /**
- * Keeps one record per request key, on two instances, before and after a run.
+ * The runs of this instance, from their claim to their bill.
  *
- * <p>A run's bill is posted only after the key's first home has confirmed that the run counts. A
- * home that cannot be reached is asked again until it answers or has left the fleet, so a run
- * during a partition is billed, or dropped, when the partition ends.
+ * <p>A run's bill is posted only after the owner of its key's range has confirmed that the run
+ * counts. An owner that cannot be reached is asked again until it, or its successor, answers, so a
+ * run during a partition is billed, or dropped, when the partition ends.
  */
 public final class RequestRecords {
 
   private static final long ASK_TIMEOUT_MS = 500;
-  private static final long CONFIRM_TIMEOUT_MS = 2 * ASK_TIMEOUT_MS;
+  private static final int CLAIM_ATTEMPTS = 4;
+  private static final long CLAIM_RETRY_MS = 500;
   private static final long ANSWER_WAIT_MS = 1_000;
   private static final long ANSWER_TIMEOUT_MS = 2_000;
   private static final long TICK_MS = 1_000;
 
-  private final HomeRecords home;
+  private final RangeAuthority authority;
   private final Section<Membership> members;
   private final PeerLinks links;
   private final BillForwarder bills;
   private final Timers timers;
+  private final long decisionMs;
   private final Queue<RequestKey> posted = new ConcurrentLinkedQueue<>();
   private final Map<String, Ended> unconfirmed = new ConcurrentHashMap<>();
+  private final Map<String, Ended> keptForOthers = new ConcurrentHashMap<>();
   private final Map<RequestKey, Running> running = new ConcurrentHashMap<>();
 
   /**
    * Creates the records and starts their timers.
    *
-   * @param home the records that this instance keeps
+   * @param authority decides about keys
    * @param members the fleet
    * @param links the way to peers
    * @param dispatcher where requests from peers are served
    * @param bills where confirmed bills go
    * @param timers the time
+   * @param decisionMs how long it is remembered which run of a key counts
    */
   public RequestRecords(
-      HomeRecords home,
+      RangeAuthority authority,
       Section<Membership> members,
       PeerLinks links,
       PeerDispatcher dispatcher,
       BillForwarder bills,
-      Timers timers) {
-    this.home = home;
+      Timers timers,
+      long decisionMs) {
+    this.authority = authority;
     this.members = members;
     this.links = links;
     this.bills = bills;
     this.timers = timers;
-    dispatcher.on(ClaimRequest.class, claim -> claimAsHome(claim).thenApply(reply -> reply));
-    dispatcher.on(CopyClaim.class, copy -> reply(home.claim(copy.claim(), copy.takeover())));
-    dispatcher.on(FinishRequest.class, end -> finishAsHome(end).thenApply(FinishReply::new));
-    dispatcher.on(CopyFinish.class, this::onCopyFinish);
-    dispatcher.on(BillsPosted.class, this::onBillsPosted);
+    this.decisionMs = decisionMs;
     dispatcher.on(AnswerRequest.class, this::onAnswerRequest);
+    dispatcher.on(KeepCopy.class, this::onKeepCopy);
     timers.every(TICK_MS, this::tick);
   }
 
-  private record Ended(FinishRequest finish, RunOutcome outcome, CompletableFuture<Void> copied) {}
+  /** A run that has ended, until it is known whether it counts. */
+  private record Ended(
+      FinishRequest finish, RunOutcome outcome, CompletableFuture<Void> copied, long atMs) {}
 
   /** A run of this instance that others may wait for. */
   private record Running(String requestId, CompletableFuture<Optional<StoredAnswer>> answer) {}
 
-  private static CompletableFuture<PeerMessage> reply(PeerMessage message) {
-    return CompletableFuture.completedFuture(message);
-  }
-
   /**
    * Asks whether a request may run.
    *
-   * <p>The run is noted here before the home decides: another instance that is told to wait for it
-   * may ask for its answer before the home's reply has come back.
+   * <p>The run is noted here before the owner decides: another instance that is told to wait for it
+   * may ask for its answer before the owner's reply has come back. When no owner can be reached the
+   * request runs, and whether it is billed is decided later.
    *
    * @param plan the request
    * @return what to do; never fails
@@ -113,8 +111,9 @@
             plan.request().fingerprint(),
             plan.repeatable());
     Running run = new Running(plan.requestId(), new CompletableFuture<>());
-    running.putIfAbsent(plan.key(), run);
-    return claimAt(claim, Homes.of(plan.key(), members.read()), 0)
+    Running earlier = running.putIfAbsent(plan.key(), run);
+    return askOwner(claim, 1)
+        .thenApply(reply -> reply.orElseGet(() -> withoutOwner(earlier)))
         .whenComplete(
             (reply, error) -> {
               if (reply == null || reply.verdict() != Verdict.RUN) {
@@ -123,96 +122,32 @@
             });
   }
 
-  private void endWaiting(RequestKey key, String requestId, Optional<StoredAnswer> answer) {
-    Running run = running.get(key);
-    if (run != null && run.requestId().equals(requestId) && running.remove(key, run)) {
-      run.answer().complete(answer);
-    }
-  }
-
-  /**
-   * Claims at the first home, or at the second when the first does not answer.
-   *
-   * <p>When neither answers, the request runs under this instance's own record; its bill waits
-   * until the first home has confirmed it.
-   */
-  private CompletableFuture<ClaimReply> claimAt(
-      ClaimRequest claim, List<InstanceRecord> homes, int index) {
-    if (index == homes.size()) {
-      return CompletableFuture.completedFuture(home.claim(claim, false));
-    }
-    InstanceRecord first = homes.get(index);
-    if (members.read().isSelf(first)) {
-      return claimAsHome(claim);
-    }
-    if (!members.read().isReachable(first)) {
-      return claimAt(claim, homes, index + 1);
-    }
-    return links
-        .ask(first, claim, ASK_TIMEOUT_MS)
-        .handle((message, error) -> message instanceof ClaimReply reply ? reply : null)
+  /** Waits a little for a range that is changing hands, before running without its owner. */
+  private CompletableFuture<Optional<ClaimReply>> askOwner(ClaimRequest claim, int attempt) {
+    return authority
+        .claim(claim)
         .thenCompose(
-            reply ->
-                reply == null
-                    ? claimAt(claim, homes, index + 1)
-                    : CompletableFuture.completedFuture(reply));
-  }
-
-  private CompletableFuture<ClaimReply> claimAsHome(ClaimRequest claim) {
-    ClaimReply own = home.claim(claim, false);
-    Optional<InstanceRecord> second = otherHome(claim.key());
-    if (own.verdict() != Verdict.RUN || second.isEmpty()) {
-      return CompletableFuture.completedFuture(own);
-    }
-    return links
-        .ask(second.get(), new CopyClaim(claim, true), ASK_TIMEOUT_MS)
-        .handle((message, error) -> message instanceof ClaimReply copy ? copy : own);
-  }
-
-  private Optional<InstanceRecord> otherHome(RequestKey key) {
-    Membership view = members.read();
-    return Homes.of(key, view).stream()
-        .filter(instance -> !view.isSelf(instance) && view.isReachable(instance))
-        .findFirst();
-  }
-
-  /**
-   * Decides as the first home whether a run counts; the second home has a say.
-   *
-   * <p>Failure: a home is paused or cut off, another one takes its place and confirms another run
-   * of the key. Symptom: when the first one is back, it confirms its own run, and the key is billed
-   * twice. The second home of the one view is a home in the other view as well, so it knows.
-   */
-  private CompletableFuture<FinishReply.Verdict> finishAsHome(FinishRequest finish) {
-    Membership view = members.read();
-    Optional<InstanceRecord> second =
-        Homes.of(finish.key(), view).stream().filter(at -> !view.isSelf(at)).findFirst();
-    FinishReply.Verdict own = home.finishAsFirst(finish);
-    if (own == FinishReply.Verdict.SUPERSEDED || second.isEmpty()) {
-      home.agreed(finish);
-      return CompletableFuture.completedFuture(own);
-    }
-    return links
-        .ask(second.get(), new CopyFinish(finish, true), ASK_TIMEOUT_MS)
-        .handle(
-            (message, error) ->
-                message instanceof FinishReply told ? told.verdict() : FinishReply.Verdict.HELD)
-        .whenComplete(
-            (verdict, error) -> {
-              if (verdict == FinishReply.Verdict.SUPERSEDED) {
-                home.forget(finish);
-              } else if (verdict == FinishReply.Verdict.CONFIRMED) {
-                home.agreed(finish);
+            reply -> {
+              if (reply.isPresent() || attempt == CLAIM_ATTEMPTS) {
+                return CompletableFuture.completedFuture(reply);
               }
+              CompletableFuture<Void> waited = new CompletableFuture<>();
+              timers.after(CLAIM_RETRY_MS, () -> waited.complete(null));
+              return waited.thenCompose(nothing -> askOwner(claim, attempt + 1));
             });
   }
 
-  private CompletableFuture<PeerMessage> onCopyFinish(CopyFinish copy) {
-    if (copy.decided()) {
-      return reply(new FinishReply(home.agreeAsSecond(copy.finish())));
+  private ClaimReply withoutOwner(Running earlier) {
+    return earlier == null
+        ? new ClaimReply(Verdict.RUN, "", Optional.empty())
+        : new ClaimReply(Verdict.JOIN, members.read().self().incarnation(), Optional.empty());
+  }
+
+  private void endWaiting(RequestKey key, String requestId, Optional<StoredAnswer> answer) {
+    Running run = running.get(key);
+    if (run != null && run.requestId().equals(requestId) && running.remove(key, run)) {
+      run.answer().complete(answer);
     }
-    home.copy(copy.finish());
-    return reply(new FinishReply(FinishReply.Verdict.HELD));
   }
 
   /**
@@ -220,7 +155,7 @@
    *
    * @param plan the request
    * @param outcome what came of it
-   * @return completes when another instance has a copy of the bill, or has to be waited for
+   * @return completes when another instance has a copy of the bill
    */
   public CompletableFuture<Void> finish(CallPlan plan, RunOutcome outcome) {
     FinishRequest finish =
@@ -233,67 +168,77 @@
             outcome.bill(),
             outcome.answer());
     endWaiting(plan.key(), plan.requestId(), outcome.answer());
-    Ended ended = new Ended(finish, outcome, new CompletableFuture<>());
+    Ended ended = new Ended(finish, outcome, new CompletableFuture<>(), timers.nowMs());
     unconfirmed.put(finish.requestId(), ended);
     confirm(ended);
     return ended.copied();
   }
 
   private void confirm(Ended ended) {
-    List<InstanceRecord> homes = Homes.of(ended.finish().key(), members.read());
-    InstanceRecord first = homes.get(0);
-    CompletableFuture<FinishReply.Verdict> verdict =
-        members.read().isSelf(first)
-            ? finishAsHome(ended.finish())
-            : links
-                .ask(first, ended.finish(), CONFIRM_TIMEOUT_MS)
-                .thenApply(message -> ((FinishReply) message).verdict());
-    var unused =
-        verdict.whenComplete(
-            (found, error) -> {
-              if (error != null) {
-                copyToSecond(ended, homes);
-              } else if (found == FinishReply.Verdict.HELD) {
-                noteCopied(ended, first);
-              } else {
-                settle(ended, found == FinishReply.Verdict.CONFIRMED);
-              }
-            });
-  }
-
-  /** A copy on this very instance would be lost together with the original. */
-  private void noteCopied(Ended ended, InstanceRecord at) {
-    if (!members.read().isSelf(at)) {
-      ended.copied().complete(null);
-    }
-  }
-
-  /** Lets the caller have its answer while the first home is away: the second has the bill. */
-  private void copyToSecond(Ended ended, List<InstanceRecord> homes) {
-    InstanceRecord second = homes.get(homes.size() - 1);
-    if (ended.copied().isDone() || members.read().isSelf(second)) {
+    if (timers.nowMs() - ended.atMs() > decisionMs / 2) {
+      Logger.error("request={} could not be decided and is not billed", ended.finish().requestId());
+      settle(ended, false);
       return;
     }
     var unused =
-        links
-            .ask(second, new CopyFinish(ended.finish(), false), ASK_TIMEOUT_MS)
-            .thenAccept(message -> noteCopied(ended, second))
-            .exceptionally(error -> null);
+        authority
+            .finish(ended.finish())
+            .thenAccept(
+                verdict -> {
+                  switch (verdict) {
+                    case CONFIRMED -> settle(ended, true);
+                    case SUPERSEDED -> settle(ended, false);
+                    default -> keepCopyElsewhere(ended);
+                  }
+                });
   }
 
   private void settle(Ended ended, boolean counts) {
-    if (unconfirmed.remove(ended.finish().requestId()) == null) {
+    boolean own = unconfirmed.remove(ended.finish().requestId()) != null;
+    boolean kept = keptForOthers.remove(ended.finish().requestId()) != null;
+    if (!own && !kept) {
       return;
     }
     ended.copied().complete(null);
     if (!counts) {
       ended.outcome().cancelBill().run();
     } else if (ended.finish().bill().isPresent()) {
-      post(ended.finish(), bills::add);
+      post(ended.finish(), own ? bills::add : bills::recover);
+    }
+  }
+
+  /**
+   * Gives another instance a copy of a bill that cannot be decided about yet.
+   *
+   * <p>Failure: the runner dies before the owner can be asked. Symptom: an answer that a caller has
+   * is never billed. Whoever has the copy asks in the runner's place once that is gone.
+   */
+  private void keepCopyElsewhere(Ended ended) {
+    if (ended.copied().isDone() || ended.finish().bill().isEmpty()) {
+      ended.copied().complete(null);
+      return;
     }
+    members.read().reachableOthers().stream()
+        .findFirst()
+        .ifPresent(
+            peer -> {
+              var unused =
+                  links
+                      .ask(peer, new KeepCopy(ended.finish().withoutAnswer()), ASK_TIMEOUT_MS)
+                      .thenAccept(reply -> ended.copied().complete(null))
+                      .exceptionally(error -> null);
+            });
   }
 
-  /** Posts a bill and then tells the homes, which drop their copies. */
+  private CompletableFuture<PeerMessage> onKeepCopy(KeepCopy message) {
+    FinishRequest finish = message.finish();
+    RunOutcome outcome = new RunOutcome(finish.notRun(), finish.bill(), finish.answer(), () -> {});
+    keptForOthers.put(
+        finish.requestId(), new Ended(finish, outcome, new CompletableFuture<>(), timers.nowMs()));
+    return CompletableFuture.completedFuture(new PeerMessage.Done());
+  }
+
+  /** Posts a bill and notes it, so that the owner of the key can be told. */
   private void post(
       FinishRequest finish, BiFunction<AllotmentId, LedgerEntry, CompletableFuture<Void>> ledger) {
     Bill bill = finish.bill().orElseThrow();
@@ -308,11 +253,6 @@
     var unused = CompletableFuture.allOf(parts).thenAccept(nothing -> posted.add(finish.key()));
   }
 
-  private CompletableFuture<PeerMessage> onBillsPosted(BillsPosted message) {
-    home.posted(message.keys());
-    return reply(new PeerMessage.Done());
-  }
-
   /**
    * Waits for the answer of a request that an instance runs.
    *
@@ -354,26 +294,14 @@
   }
 
   private void tick() {
-    home.forgetOld();
     unconfirmed.values().forEach(this::confirm);
-    home.orphaned().forEach(this::billForGoneRunner);
-    tellPosted();
-  }
-
-  /** The first home bills a run whose runner is gone, once it is agreed that the run counts. */
-  private void billForGoneRunner(FinishRequest finish) {
     Membership view = members.read();
-    if (!view.isSelf(Homes.of(finish.key(), view).get(0))) {
-      return;
-    }
-    var unused =
-        finishAsHome(finish)
-            .thenAccept(
-                verdict -> {
-                  if (verdict == FinishReply.Verdict.CONFIRMED) {
-                    post(finish, bills::recover);
-                  }
-                });
+    keptForOthers.values().stream()
+        .filter(ended -> view.find(ended.finish().runner()).isEmpty())
+        .forEach(this::confirm);
+    keptForOthers.values().removeIf(ended -> timers.nowMs() - ended.atMs() > decisionMs);
+    authority.orphaned().forEach(finish -> post(finish, bills::recover));
+    tellPosted();
   }
 
   private void tellPosted() {
@@ -381,48 +309,17 @@
     for (RequestKey key = posted.poll(); key != null; key = posted.poll()) {
       keys.add(key);
     }
-    if (keys.isEmpty()) {
-      return;
+    if (!keys.isEmpty()) {
+      authority.posted(keys);
     }
-    home.posted(keys);
-    Membership view = members.read();
-    Map<InstanceRecord, List<RequestKey>> byHome =
-        keys.stream()
-            .flatMap(key -> Homes.of(key, view).stream().map(at -> Map.entry(at, key)))
-            .filter(entry -> !view.isSelf(entry.getKey()))
-            .collect(
-                Collectors.groupingBy(
-                    Map.Entry::getKey,
-                    Collectors.mapping(Map.Entry::getValue, Collectors.toList())));
-    byHome.forEach(
-        (at, some) -> {
-          var unused =
-              links.ask(at, new BillsPosted(some), ASK_TIMEOUT_MS).exceptionally(error -> null);
-        });
   }
 
   /**
-   * Counts runs that no home has confirmed yet.
+   * Counts runs of which it is not decided yet whether they count.
    *
    * @return runs whose bills wait
    */
   public int unconfirmedCount() {
     return unconfirmed.size();
   }
-
-  /** Hands what is kept here to the homes that keys have without this instance. */
-  public void handOver() {
-    Membership view = members.read();
-    home.finished()
-        .forEach(
-            finish ->
-                Homes.of(finish.key(), view).stream()
-                    .filter(at -> !view.isSelf(at) && view.isReachable(at))
-                    .forEach(at -> send(at, finish)));
-  }
-
-  private void send(InstanceRecord at, FinishRequest finish) {
-    var unused =
-        links.ask(at, new CopyFinish(finish, false), ASK_TIMEOUT_MS).exceptionally(error -> null);
-  }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/request/RequestSettings.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/RequestSettings.java
@@ -9,8 +9,9 @@
  * @param avoidMs how long an upstream that failed is avoided
  * @param finishWaitMs how long the end of an answer waits for its bill to be copied
  * @param keptAnswerBytes the largest answer that is kept for retries
- * @param recordWindowMs how long a request key is remembered after its run
- * @param claimWindowMs how long the key of an unrepeatable request is remembered
+ * @param recordWindowMs how long an answer is kept for retries
+ * @param claimWindowMs how long it is remembered that a key has run; a retry that comes later runs
+ *     again
  */
 public record RequestSettings(
     int maxAttempts,
--- a/mothrill-lab/src/main/java/io/mothrill/lab/explore/Exploration.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/explore/Exploration.java
@@ -1,6 +1,5 @@
 package io.mothrill.lab.explore;
 
-import io.mothrill.core.audit.AuditReport;
 import io.mothrill.core.fake.Fault;
 import io.mothrill.core.node.NodeSettings;
 import io.mothrill.core.request.CallRequest;
@@ -24,6 +23,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * One random run: calls and faults in an order that a seed decides, and a check at the end.
@@ -280,16 +281,25 @@
   }
 
   private void checkEveryoneBilled(List<String> broken) {
-    AuditReport report = fleet.audit();
-    long servedKeys =
-        made.stream()
-            .filter(call -> call.caller().state().equals("served"))
-            .map(Made::key)
-            .distinct()
-            .count();
-    if (report.requests() < servedKeys) {
-      broken.add(servedKeys + " keys were served, but " + report.requests() + " were billed");
-    }
+    Set<String> billed = fleet.audit().billedKeys();
+    made.stream()
+        .filter(call -> call.caller().state().equals("served"))
+        .map(Made::key)
+        .distinct()
+        .filter(key -> !billed.contains("team/" + key))
+        .forEach(key -> broken.add(key + " was served, but not billed; " + openBills()));
+  }
+
+  private String openBills() {
+    return fleet.nodes().stream()
+        .map(
+            node ->
+                node.record().id()
+                    + " unconfirmed="
+                    + node.node().records().unconfirmedCount()
+                    + " pending="
+                    + node.node().budgets().bills().pendingCount())
+        .collect(Collectors.joining(", "));
   }
 
   /**
--- a/mothrill-lab/src/main/java/io/mothrill/lab/fleet/MemoryLinks.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/fleet/MemoryLinks.java
@@ -51,7 +51,11 @@
     clock.after(
         timeoutMs, () -> reply.completeExceptionally(PeerException.noReply(peer.id(), "timeout")));
     Endpoint to = endpoints.get(peer.id());
-    if (to != null && network.reaches(from, to.place())) {
+    if (to != null && to.clock().isDead() && network.reaches(from, to.place())) {
+      clock.after(
+          ONE_WAY_MS,
+          () -> reply.completeExceptionally(PeerException.connectionRefused(peer.id())));
+    } else if (to != null && network.reaches(from, to.place())) {
       timers.after(ONE_WAY_MS, () -> to.clock().run(() -> serve(from, clock, to, request, reply)));
     }
     return reply;
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/NettyPeers.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/NettyPeers.java
@@ -1,5 +1,6 @@
 package io.mothrill.wire.peer;
 
+import io.mothrill.core.error.Failures;
 import io.mothrill.core.peer.PeerDispatcher;
 import io.mothrill.core.peer.PeerLinks;
 import io.mothrill.core.peer.PeerMessage;
@@ -26,6 +27,7 @@
 import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -135,6 +137,8 @@
             (channel, error) -> {
               if (error == null) {
                 channel.writeAndFlush(envelope);
+              } else if (Failures.unwrap(error) instanceof ConnectException) {
+                failWith(id, to, PeerException.connectionRefused(peer.id()));
               } else {
                 fail(id, peer, to, String.valueOf(error.getMessage()));
               }
@@ -143,13 +147,17 @@
   }
 
   private void fail(long id, InstanceRecord peer, Address to, String detail) {
+    failWith(id, to, PeerException.noReply(peer.id(), detail));
+  }
+
+  private void failWith(long id, Address to, PeerException error) {
     CompletableFuture<PeerMessage> reply = waiting.remove(id);
     if (reply != null) {
       CompletableFuture<Channel> suspect = connections.remove(to);
       if (suspect != null) {
         suspect.thenAccept(Channel::close);
       }
-      reply.completeExceptionally(PeerException.noReply(peer.id(), detail));
+      reply.completeExceptionally(error);
     }
   }
 
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerDecoder.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerDecoder.java
@@ -3,10 +3,11 @@
 import io.mothrill.core.budget.AllotmentId;
 import io.mothrill.core.budget.BillPart;
 import io.mothrill.core.budget.LedgerEntry;
-import io.mothrill.core.claim.SoleClaim;
 import io.mothrill.core.config.Change;
 import io.mothrill.core.peer.PeerMessage;
 import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.range.RangeContent;
+import io.mothrill.core.range.SoleClaim;
 import io.mothrill.core.request.Bill;
 import io.mothrill.core.request.RequestKey;
 import io.mothrill.core.request.StoredAnswer;
@@ -54,7 +55,7 @@
       case DONE -> new PeerMessage.Done();
       case REFUSED -> new PeerMessage.Refused(envelope.getRefused().getReason());
       case BORROW_REQUEST, BORROW_REPLY, HAND_BACK, POST_BILLS -> decodeBudget(envelope);
-      case SOLE_CLAIM, SOLE_REPLY, SOLE_RELEASE, COPY_SOLE, FENCE_RANGE, FENCE_REPLY ->
+      case SOLE_CLAIM, SOLE_REPLY, SOLE_RELEASE, COPY_RANGE, FENCE_RANGE, FENCE_REPLY, KEEP_COPY ->
           decodeSole(envelope);
       default -> decodeRecord(envelope);
     };
@@ -87,6 +88,7 @@
       }
       default ->
           new PeerMessage.PostBills(
+              envelope.getPostBills().getValidUntilWallMs(),
               envelope.getPostBills().getLinesList().stream()
                   .map(
                       line ->
@@ -109,25 +111,26 @@
         yield new PeerMessage.SoleRelease(
             new SoleClaim(key(release.getKey()), release.getRequestId()));
       }
-      case COPY_SOLE -> {
-        var copy = envelope.getCopySole();
-        yield new PeerMessage.CopySole(
-            copy.getRange(),
-            copy.getEpoch(),
-            copy.getOwner(),
-            copy.getBackup(),
-            new SoleClaim(key(copy.getKey()), copy.getRequestId()));
+      case COPY_RANGE -> {
+        var copy = envelope.getCopyRange();
+        yield new PeerMessage.CopyRange(
+            copy.getRange(), copy.getEpoch(), copy.getBackup(), content(copy.getContent()));
       }
+      case KEEP_COPY -> new PeerMessage.KeepCopy(finish(envelope.getKeepCopy().getFinish()));
       case FENCE_RANGE -> {
         var fence = envelope.getFenceRange();
         yield new PeerMessage.FenceRange(fence.getRange(), fence.getEpoch(), fence.getBackup());
       }
-      default ->
-          new PeerMessage.FenceReply(
-              envelope.getFenceReply().getClaimsList().stream().map(PeerDecoder::sole).toList());
+      default -> new PeerMessage.FenceReply(content(envelope.getFenceReply().getContent()));
     };
   }
 
+  private static RangeContent content(io.mothrill.wire.peer.generated.RangeContent content) {
+    return new RangeContent(
+        content.getClaimsList().stream().map(PeerDecoder::sole).toList(),
+        content.getRunsList().stream().map(PeerDecoder::finish).toList());
+  }
+
   private static SoleClaim sole(io.mothrill.wire.peer.generated.SoleClaim claim) {
     return new SoleClaim(key(claim.getKey()), claim.getRequestId());
   }
@@ -142,13 +145,7 @@
             reply.getRunner(),
             reply.hasAnswer() ? Optional.of(answer(reply.getAnswer())) : Optional.empty());
       }
-      case COPY_CLAIM ->
-          new PeerMessage.CopyClaim(
-              claim(envelope.getCopyClaim().getClaim()), envelope.getCopyClaim().getTakeover());
       case FINISH_REQUEST -> finish(envelope.getFinishRequest());
-      case COPY_FINISH ->
-          new PeerMessage.CopyFinish(
-              finish(envelope.getCopyFinish().getFinish()), envelope.getCopyFinish().getDecided());
       case FINISH_REPLY ->
           new PeerMessage.FinishReply(
               PeerMessage.FinishReply.Verdict.valueOf(envelope.getFinishReply().getVerdict()));
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerEncoder.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerEncoder.java
@@ -2,10 +2,11 @@
 
 import com.google.protobuf.ByteString;
 import io.mothrill.core.budget.AllotmentId;
-import io.mothrill.core.claim.SoleClaim;
 import io.mothrill.core.config.Change;
 import io.mothrill.core.peer.PeerMessage;
 import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.range.RangeContent;
+import io.mothrill.core.range.SoleClaim;
 import io.mothrill.core.request.Bill;
 import io.mothrill.core.request.RequestKey;
 import io.mothrill.core.request.StoredAnswer;
@@ -80,7 +81,7 @@
           .setAllotment(back.allotment().toString())
           .setTokens(back.tokens());
     } else if (message instanceof PeerMessage.PostBills bills) {
-      var builder = envelope.getPostBillsBuilder();
+      var builder = envelope.getPostBillsBuilder().setValidUntilWallMs(bills.validUntilWallMs());
       bills
           .lines()
           .forEach(
@@ -107,15 +108,13 @@
           .getSoleReleaseBuilder()
           .setKey(key(release.claim().key()))
           .setRequestId(release.claim().requestId());
-    } else if (message instanceof PeerMessage.CopySole copy) {
+    } else if (message instanceof PeerMessage.CopyRange copy) {
       envelope
-          .getCopySoleBuilder()
+          .getCopyRangeBuilder()
           .setRange(copy.range())
           .setEpoch(copy.epoch())
-          .setOwner(copy.owner())
           .setBackup(copy.backup())
-          .setKey(key(copy.claim().key()))
-          .setRequestId(copy.claim().requestId());
+          .setContent(content(copy.content()));
     } else if (message instanceof PeerMessage.FenceRange fence) {
       envelope
           .getFenceRangeBuilder()
@@ -123,11 +122,19 @@
           .setEpoch(fence.epoch())
           .setBackup(fence.backup());
     } else if (message instanceof PeerMessage.FenceReply reply) {
-      var builder = envelope.getFenceReplyBuilder();
-      reply.claims().forEach(claim -> builder.addClaims(sole(claim)));
+      envelope.getFenceReplyBuilder().setContent(content(reply.content()));
+    } else if (message instanceof PeerMessage.KeepCopy keep) {
+      envelope.getKeepCopyBuilder().setFinish(finish(keep.finish()));
     }
   }
 
+  private static io.mothrill.wire.peer.generated.RangeContent content(RangeContent content) {
+    var builder = io.mothrill.wire.peer.generated.RangeContent.newBuilder();
+    content.claims().forEach(claim -> builder.addClaims(sole(claim)));
+    content.runs().forEach(run -> builder.addRuns(finish(run)));
+    return builder.build();
+  }
+
   private static io.mothrill.wire.peer.generated.SoleClaim sole(SoleClaim claim) {
     return io.mothrill.wire.peer.generated.SoleClaim.newBuilder()
         .setKey(key(claim.key()))
@@ -142,12 +149,8 @@
       var builder = envelope.getClaimReplyBuilder();
       builder.setVerdict(reply.verdict().name()).setRunner(reply.runner());
       reply.answer().ifPresent(answer -> builder.setAnswer(answer(answer)));
-    } else if (message instanceof PeerMessage.CopyClaim copy) {
-      envelope.getCopyClaimBuilder().setClaim(claim(copy.claim())).setTakeover(copy.takeover());
     } else if (message instanceof PeerMessage.FinishRequest finish) {
       envelope.setFinishRequest(finish(finish));
-    } else if (message instanceof PeerMessage.CopyFinish copy) {
-      envelope.getCopyFinishBuilder().setFinish(finish(copy.finish())).setDecided(copy.decided());
     } else if (message instanceof PeerMessage.FinishReply reply) {
       envelope.getFinishReplyBuilder().setVerdict(reply.verdict().name());
     } else if (message instanceof PeerMessage.BillsPosted posted) {
