--- a/mothrill-core/src/main/java/io/mothrill/core/range/RunBook.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/range/RunBook.java
@@ -132,7 +132,15 @@
   }
 
   private static boolean mayDecide(Entry held, FinishRequest finish) {
-    return held == null || held.isRunBy(finish.requestId()) || held.phase() == Phase.RUNNING;
+    return held == null
+        || held.isRunBy(finish.requestId())
+        || held.phase() == Phase.RUNNING
+        || isUnknownOutcome(held);
+  }
+
+  /** A run that may have failed is not billed, so it cannot stand in the way of one that is. */
+  private static boolean isUnknownOutcome(Entry held) {
+    return held.finish().filter(finish -> finish.bill().isEmpty()).isPresent();
   }
 
   /** Says whether a run is the one that is being decided about. */
--- a/mothrill-core/src/main/java/io/mothrill/core/request/Exchange.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/Exchange.java
@@ -208,7 +208,11 @@
   private void onUnrepeatableClaim(Outcome outcome) {
     switch (outcome) {
       case GRANTED -> send();
-      case TAKEN -> fail(Refusal.outcomeUnknown());
+      case TAKEN -> {
+        // This run did not run; the caller is told of the run that holds the claim.
+        endRecord(Refusal.claimUnsafe());
+        failUnclaimed(Refusal.outcomeUnknown());
+      }
       default -> fail(Refusal.claimUnsafe());
     }
   }
@@ -443,6 +447,13 @@
    */
   private void fail(Refusal reason) {
     Refusal refusal = mayHaveRun ? reason.mayHaveRun() : reason;
+    if (claimed || plan.keyed()) {
+      endRecord(refusal);
+    }
+    failUnclaimed(refusal);
+  }
+
+  private void failUnclaimed(Refusal refusal) {
     if (upstream != null) {
       upstream.cancel();
     }
@@ -450,9 +461,6 @@
     if (reservation != null) {
       reservation.release();
     }
-    if (claimed || plan.keyed()) {
-      endRecord(refusal);
-    }
     refuse(refusal);
   }
 
