--- a/mothrill-core/src/main/java/io/mothrill/core/range/OwnedRange.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/range/OwnedRange.java
@@ -4,6 +4,7 @@
 import io.mothrill.core.peer.Membership;
 import io.mothrill.core.platform.Row;
 import io.mothrill.core.time.Timers;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /** A range that this incarnation owns. */
 final class OwnedRange {
@@ -11,6 +12,7 @@
   private final String name;
   private final ClaimBook claims;
   private final RunBook runs;
+  private final AtomicBoolean paused = new AtomicBoolean();
   private volatile Row row;
 
   OwnedRange(String name, Row row, Section<Membership> members, Timers timers) {
@@ -36,6 +38,26 @@
     return RangeRow.of(row);
   }
 
+  /**
+   * Stops decisions while the range gets another backup.
+   *
+   * <p>Failure: a decision is made after the new backup was given what is decided, and before the
+   * row names it. Symptom: whoever takes the range over does not know, and a key is billed twice.
+   *
+   * @return false when it is stopped already
+   */
+  boolean pause() {
+    return paused.compareAndSet(false, true);
+  }
+
+  void resume() {
+    paused.set(false);
+  }
+
+  boolean isPaused() {
+    return paused.get();
+  }
+
   ClaimBook claims() {
     return claims;
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/range/RangeOwner.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/range/RangeOwner.java
@@ -117,7 +117,7 @@
   /** Asks the backup to acknowledge; an owner that has none decides alone, under its lease. */
   private CompletableFuture<Boolean> acknowledged(OwnedRange range, RangeContent content) {
     RangeRow state = range.state();
-    if (!lease.isInForce()) {
+    if (!lease.isInForce() || range.isPaused()) {
       return CompletableFuture.completedFuture(false);
     }
     if (state.backup().isEmpty()) {
@@ -291,7 +291,7 @@
     RangeRow state = range.state();
     boolean present = view.find(state.backup()).filter(view::isReachable).isPresent();
     List<InstanceRecord> backups = KeyRanges.backups(range.name(), view);
-    if (present || backups.isEmpty()) {
+    if (present || backups.isEmpty() || !range.pause()) {
       return;
     }
     RangeRow next = state.next(state.owner(), backups.get(0).incarnation());
@@ -302,6 +302,8 @@
                 primed -> {
                   if (primed) {
                     changeRow(range, next);
+                  } else {
+                    range.resume();
                   }
                 });
   }
@@ -322,12 +324,14 @@
                   if (written) {
                     Row before = range.row();
                     range.row(new Row(before.key(), before.version() + 1, next.toCells()));
+                    range.resume();
                     owned.putIfAbsent(range.name(), range);
                   }
                 })
             .exceptionally(
                 error -> {
                   if (surelyUnchanged(error)) {
+                    range.resume();
                     owned.putIfAbsent(range.name(), range);
                   }
                   return null;
