An allotment is a share of what is left; a range may do without a backup that has left

(2) The survivor's ranges had the dead instance as backup and no other to choose, so no bill was confirmed. Change: the whole allotment, not one grant, is bounded by a fraction of free plus own; a range whose backup has left the fleet goes on without one when there is no other.

--- a/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetSettings.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetSettings.java
@@ -8,7 +8,7 @@
  * @param reclaimGraceMs how long after the lease's end an allotment still takes bills
  * @param enduranceMs how long an allotment should last
  * @param sliceMs how long a slice from the domain's holder should last
- * @param freeDivisor one grant takes at most this fraction of the free tokens
+ * @param freeDivisor an allotment is at most this fraction of what is left
  * @param floorTokens the least that is worth a grant
  * @param postMs milliseconds between two ledger batches
  */
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/EnduranceSizing.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/EnduranceSizing.java
@@ -4,7 +4,9 @@
  * Sizes an allotment so that it lasts for a wanted time, and less when the budget runs low.
  *
  * <p>A large allotment lets a cut-off instance go on for longer; a small one leaves the last tokens
- * where any instance finds them. One grant therefore takes at most a fraction of what is free.
+ * where any instance finds them. An allotment is therefore at most a fraction of what is left: of
+ * the free tokens and of its own. Were one grant bounded instead of the whole allotment, a holder
+ * that is refilled again and again would drain the budget all the same.
  */
 public final class EnduranceSizing implements SizingPolicy {
 
@@ -16,7 +18,7 @@
    * Creates the policy.
    *
    * @param enduranceMs how long an allotment should last without the platform
-   * @param freeDivisor one grant takes at most this fraction of the free tokens
+   * @param freeDivisor an allotment is at most this fraction of what is left
    * @param floorTokens the least that is worth a grant, while the budget has it
    */
   public EnduranceSizing(long enduranceMs, long freeDivisor, long floorTokens) {
@@ -28,9 +30,9 @@
   @Override
   public long growTokens(Need need, BudgetRow budget) {
     long wantedTokens = Math.max(floorTokens, keepTokens(need.ratePerSecond()));
-    long missingTokens = wantedTokens - need.availableTokens();
-    long fairTokens = Math.min(missingTokens, budget.freeTokens() / freeDivisor);
-    return Math.min(budget.freeTokens(), Math.max(need.needTokens(), fairTokens));
+    long fairTokens = (budget.freeTokens() + need.availableTokens()) / freeDivisor;
+    long missingTokens = Math.min(wantedTokens, fairTokens) - need.availableTokens();
+    return Math.min(budget.freeTokens(), Math.max(need.needTokens(), missingTokens));
   }
 
   @Override
--- a/mothrill-core/src/main/java/io/mothrill/core/range/RangeOwner.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/range/RangeOwner.java
@@ -286,15 +286,25 @@
     return table.write(transaction);
   }
 
+  /** A range whose backup has left the fleet gets another one, or none when there is no other. */
   private void renewBackup(OwnedRange range) {
     Membership view = members.read();
     RangeRow state = range.state();
-    boolean present = view.find(state.backup()).filter(view::isReachable).isPresent();
-    List<InstanceRecord> backups = KeyRanges.backups(range.name(), view);
-    if (present || backups.isEmpty() || !range.pause()) {
+    Optional<InstanceRecord> backup = view.find(state.backup());
+    String next =
+        KeyRanges.backups(range.name(), view).stream()
+            .findFirst()
+            .map(InstanceRecord::incarnation)
+            .orElse("");
+    boolean present = backup.filter(view::isReachable).isPresent();
+    boolean stays = present || (next.isEmpty() && backup.isPresent());
+    if (stays || next.equals(state.backup()) || !range.pause()) {
       return;
     }
-    RangeRow next = state.next(state.owner(), backups.get(0).incarnation());
+    renewBackup(range, state.next(state.owner(), next));
+  }
+
+  private void renewBackup(OwnedRange range, RangeRow next) {
     var unused =
         taker
             .prime(range.name(), next, range.content())
