Experiments: budgets beside baselines, outage, overhead; load tool

Cause: the policies had tests and no measurements. Change: 'mothrill lab experiment budgets|outage|overhead' and 'mothrill lab load'.

--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/EntryInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/EntryInstance.java
@@ -25,6 +25,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import java.security.SecureRandom;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -52,7 +53,9 @@
   private final HttpServer opsServer;
 
   private EntryInstance(InstanceSettings settings) {
-    this.group = new MultiThreadIoEventLoopGroup(NioIoHandler.newFactory());
+    this.group =
+        new MultiThreadIoEventLoopGroup(
+            0, new DefaultThreadFactory(settings.id()), NioIoHandler.newFactory());
     Timers timers = new NettyTimers(group);
     HttpClient http = new HttpClient(group);
     timers.every(STALE_CHECK_MS, http::closeStale);
--- a/mothrill-lab/src/main/java/io/mothrill/lab/LabProgram.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/LabProgram.java
@@ -3,7 +3,9 @@
 import io.mothrill.daemon.cli.Command;
 import io.mothrill.daemon.cli.CommandLine;
 import io.mothrill.lab.demo.DemoCommand;
+import io.mothrill.lab.experiment.ExperimentCommand;
 import io.mothrill.lab.explore.ExploreCommand;
+import io.mothrill.lab.load.LoadCommand;
 import io.mothrill.lab.scenario.ScenarioCommand;
 import io.mothrill.lab.standin.EngineCommand;
 import io.mothrill.lab.standin.PlainCommand;
@@ -21,7 +23,9 @@
           "engine", EngineCommand::new,
           "plain", PlainCommand::new,
           "scenario", ScenarioCommand::new,
-          "explore", ExploreCommand::new);
+          "explore", ExploreCommand::new,
+          "experiment", ExperimentCommand::new,
+          "load", LoadCommand::new);
 
   private LabProgram() {}
 
--- /dev/null
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/experiment/AllotmentPolicy.java
@@ -0,0 +1,74 @@
+package io.mothrill.lab.experiment;
+
+import io.mothrill.core.budget.BillPart;
+import io.mothrill.core.budget.BudgetRow;
+import io.mothrill.core.budget.BudgetTables;
+import io.mothrill.core.budget.LedgerEntry;
+import io.mothrill.core.budget.Reservation;
+import io.mothrill.lab.fleet.Fleet;
+import io.mothrill.lab.fleet.FleetNode;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** The product's own policy: allotments, slices and lending. */
+final class AllotmentPolicy implements SpendPolicy {
+
+  private final Fleet fleet;
+  private long runs;
+
+  AllotmentPolicy(Fleet fleet) {
+    this.fleet = fleet;
+  }
+
+  @Override
+  public CompletableFuture<Optional<Hold>> reserve(String instance, String budget, long tokens) {
+    FleetNode node = fleet.node(instance);
+    return node.node()
+        .budgets()
+        .account(budget)
+        .reserve(tokens)
+        .handle((reservation, error) -> Optional.ofNullable(reservation))
+        .thenApply(found -> found.map(reservation -> hold(node, reservation)));
+  }
+
+  private Hold hold(FleetNode node, Reservation reservation) {
+    String run = "run-" + runs++;
+    return usedTokens -> {
+      List<BillPart> owed = reservation.settle(usedTokens);
+      owed.forEach(
+          part -> {
+            var unused =
+                node.node()
+                    .budgets()
+                    .bills()
+                    .add(part.allotment(), new LedgerEntry(run, "team/" + run, part.tokens()));
+          });
+    };
+  }
+
+  @Override
+  public void onTopUp(String budget, long tokens) {
+    // The top-up is a row in the table, and found there.
+  }
+
+  @Override
+  public long withinReachTokens(String instance, String budget) {
+    FleetNode from = fleet.node(instance);
+    List<FleetNode> side =
+        fleet.nodes().stream()
+            .filter(node -> !node.isDead())
+            .filter(node -> fleet.reaches(from, node))
+            .toList();
+    long heldTokens =
+        side.stream()
+            .mapToLong(node -> node.node().budgets().account(budget).availableTokens())
+            .sum();
+    boolean platform = side.stream().anyMatch(fleet::reachesPlatform);
+    return heldTokens + (platform ? freeTokens(budget) : 0);
+  }
+
+  private long freeTokens(String budget) {
+    return BudgetRow.of(fleet.readNow(BudgetTables.budget(budget))).freeTokens();
+  }
+}
--- /dev/null
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/experiment/BudgetExperiment.java
@@ -0,0 +1,110 @@
+package io.mothrill.lab.experiment;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.mothrill.core.budget.BudgetAccount;
+import io.mothrill.core.node.NodeSettings;
+import io.mothrill.core.resource.BudgetSpec;
+import io.mothrill.core.resource.TeamKey;
+import io.mothrill.core.resource.TeamSpec;
+import io.mothrill.core.resource.TopUp;
+import io.mothrill.lab.experiment.SpendRun.Figures;
+import io.mothrill.lab.fleet.Fleet;
+import io.mothrill.wire.json.Json;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import org.HdrHistogram.Histogram;
+
+/** Overspend and false refusals of the product's policy beside two baselines, on the same load. */
+final class BudgetExperiment implements Experiment {
+
+  private static final long SEED = 20_261_202;
+  private static final int RESERVATIONS = 300_000;
+
+  @Override
+  public ObjectNode run() {
+    ObjectNode figures = Json.object();
+    ArrayNode cells = figures.putArray("cells");
+    System.out.printf(
+        "%-11s %-12s %-10s %8s %8s %8s %9s %9s %8s %8s%n",
+        "place",
+        "situation",
+        "policy",
+        "asked",
+        "refused",
+        "falsely",
+        "false%",
+        "in reach",
+        "over",
+        "writes");
+    for (Place place : List.of(Place.ANADOLU, Place.GA_CENTRAL)) {
+      for (Situation situation : Situation.values()) {
+        policies(place).forEach((name, policy) -> cells.add(cell(place, situation, name, policy)));
+      }
+    }
+    figures.set("reserve", measureReserve());
+    return figures;
+  }
+
+  private static Map<String, Function<Fleet, SpendPolicy>> policies(Place place) {
+    Map<String, Function<Fleet, SpendPolicy>> policies = new LinkedHashMap<>();
+    policies.put("allotments", AllotmentPolicy::new);
+    policies.put("central", CentralPolicy::new);
+    policies.put("split", fleet -> new SplitPolicy(fleet, place.ids()));
+    return policies;
+  }
+
+  private static ObjectNode cell(
+      Place place, Situation situation, String name, Function<Fleet, SpendPolicy> policy) {
+    Figures found = new SpendRun(place, situation, SEED, policy).run();
+    System.out.printf(
+        "%-11s %-12s %-10s %8d %8d %8d %8.3f%% %9d %8d %8d%n",
+        place.name(),
+        situation,
+        name,
+        found.asked(),
+        found.refused(),
+        found.refusedFalsely(),
+        found.falseShare() * 100,
+        found.refusedInReach(),
+        found.overspentTokens(),
+        found.tableWrites());
+    return Json.object()
+        .put("place", place.name())
+        .put("situation", situation.name())
+        .put("policy", name)
+        .put("asked", found.asked())
+        .put("refused", found.refused())
+        .put("refusedFalsely", found.refusedFalsely())
+        .put("refusedInReach", found.refusedInReach())
+        .put("overspentTokens", found.overspentTokens())
+        .put("tableReads", found.tableReads())
+        .put("tableWrites", found.tableWrites());
+  }
+
+  /** Times a reservation and its settlement when the slice has room. */
+  private static ObjectNode measureReserve() {
+    Fleet fleet = new Fleet(NodeSettings.standard(), SEED);
+    fleet.start("konya-1", "konya");
+    fleet.declare("team", new TeamSpec(List.of(TeamKey.hash("s", "x")), 1));
+    fleet.declare("b", new BudgetSpec("team", List.of(), List.of(new TopUp("t", 1L << 40))));
+    fleet.advanceMs(3_000);
+    BudgetAccount account = fleet.node("konya-1").node().budgets().account("b");
+    account.reserve(1_000).join().release();
+    Histogram nanos = new Histogram(3);
+    for (int call = 0; call < RESERVATIONS; call++) {
+      long startNanos = System.nanoTime();
+      account.reserve(500).join().release();
+      nanos.recordValue(System.nanoTime() - startNanos);
+    }
+    ObjectNode node =
+        Json.object()
+            .put("count", RESERVATIONS)
+            .put("p50Nanos", nanos.getValueAtPercentile(50))
+            .put("p99Nanos", nanos.getValueAtPercentile(99));
+    System.out.println("reserve and settle with room: " + node);
+    return node;
+  }
+}
--- /dev/null
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/experiment/ExperimentCommand.java
@@ -0,0 +1,43 @@
+package io.mothrill.lab.experiment;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.mothrill.core.error.FieldError;
+import io.mothrill.core.error.InvalidInputException;
+import io.mothrill.daemon.cli.Command;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+
+/** {@code mothrill lab experiment}: measures a policy beside its baselines. */
+public final class ExperimentCommand implements Command {
+
+  private static final Map<String, Supplier<Experiment>> EXPERIMENTS =
+      Map.of(
+          "budgets", BudgetExperiment::new,
+          "overhead", OverheadExperiment::new,
+          "outage", OutageExperiment::new);
+
+  @Argument(required = true, metaVar = "NAME", usage = "budgets, overhead or outage")
+  private String name;
+
+  @Option(name = "--json", metaVar = "FILE", usage = "write the figures to a file")
+  private String json = "";
+
+  @Override
+  public int run() throws IOException {
+    Supplier<Experiment> found = EXPERIMENTS.get(name);
+    if (found == null) {
+      String known = String.join(", ", EXPERIMENTS.keySet().stream().sorted().toList());
+      throw InvalidInputException.of(FieldError.refused("NAME", "must be one of " + known));
+    }
+    ObjectNode figures = found.get().run();
+    if (!json.isEmpty()) {
+      Files.writeString(Path.of(json), figures.toPrettyString());
+    }
+    return OK;
+  }
+}
--- /dev/null
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/experiment/OverheadExperiment.java
@@ -0,0 +1,116 @@
+package io.mothrill.lab.experiment;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.mothrill.lab.demo.DemoFloor;
+import io.mothrill.lab.load.Call;
+import io.mothrill.lab.load.CallResult;
+import io.mothrill.lab.load.CheckingCaller;
+import io.mothrill.lab.load.Latencies;
+import io.mothrill.lab.load.Schedule;
+import io.mothrill.lab.standin.EngineSettings;
+import io.mothrill.wire.http.Address;
+import io.mothrill.wire.json.Json;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadInfo;
+import java.lang.management.ThreadMXBean;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+/** What a pass through an entry instance costs, beside calls to the engine itself. */
+final class OverheadExperiment implements Experiment {
+
+  private static final int ROUNDS = 6;
+  private static final int CALLS = 1_000;
+  private static final double PER_SECOND = 250;
+  private static final String TEAM = "branch";
+  private static final String MODEL = "asistan";
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  @Override
+  public ObjectNode run() {
+    EngineSettings engine = new EngineSettings(512, 2, 4_096, 64, 100);
+    try (DemoFloor floor = new DemoFloor(1, 1, engine, Map.of())) {
+      floor.declareTeam(TEAM);
+      floor.declareBudget(TEAM, TEAM, 1_000_000_000L);
+      floor.declareModel(MODEL, engine);
+      floor.awaitConfig();
+      return measure(floor);
+    }
+  }
+
+  private static ObjectNode measure(DemoFloor floor) {
+    Schedule schedule = new Schedule(new CheckingCaller(floor.http()));
+    Address engine = new Address("127.0.0.1", floor.engines().get("engine-1").port());
+    List<CallResult> direct = new ArrayList<>();
+    List<CallResult> through = new ArrayList<>();
+    double cpuNanos = 0;
+    for (int round = 0; round < ROUNDS; round++) {
+      boolean counted = round > 1;
+      List<CallResult> directRound = calls(schedule, engine, round);
+      double before = instanceCpuNanos();
+      List<CallResult> throughRound = calls(schedule, floor.caller(0), round);
+      if (counted) {
+        cpuNanos += instanceCpuNanos() - before;
+        direct.addAll(directRound);
+        through.addAll(throughRound);
+      }
+    }
+    return report(direct, through, cpuNanos / through.size());
+  }
+
+  private static List<CallResult> calls(Schedule schedule, Address to, int round) {
+    return schedule.run(
+        number ->
+            new Call(
+                TEAM,
+                DemoFloor.keyOf(TEAM),
+                MODEL,
+                "question " + round + "." + number,
+                8,
+                true,
+                "urgent",
+                ""),
+        CALLS,
+        PER_SECOND,
+        () -> to);
+  }
+
+  /** Adds up the processor time of the entry instance's own threads. */
+  private static double instanceCpuNanos() {
+    ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+    return Arrays.stream(threads.getThreadInfo(threads.getAllThreadIds()))
+        .filter(Objects::nonNull)
+        .filter(info -> info.getThreadName().startsWith("entry-1"))
+        .mapToLong(ThreadInfo::getThreadId)
+        .mapToDouble(threads::getThreadCpuTime)
+        .sum();
+  }
+
+  private static ObjectNode report(
+      List<CallResult> direct, List<CallResult> through, double cpuNanosPerCall) {
+    Latencies directMs = Latencies.of(direct, CallResult::firstByteMs);
+    Latencies throughMs = Latencies.of(through, CallResult::firstByteMs);
+    long whole = through.stream().filter(CallResult::isServed).count();
+    double perCore = NANOS_PER_SECOND / cpuNanosPerCall;
+    System.out.println("direct, first byte:  " + directMs);
+    System.out.println("through, first byte: " + throughMs);
+    System.out.println("through, whole:      " + Latencies.of(through, CallResult::lastByteMs));
+    System.out.printf("served whole: %d of %d%n", whole, through.size());
+    System.out.printf(
+        "added to first byte: p50 %.2f ms, p99 %.2f ms%n",
+        throughMs.p50Ms() - directMs.p50Ms(), throughMs.p99Ms() - directMs.p99Ms());
+    System.out.printf(
+        "processor time per request of 8 tokens: %.0f us, %.0f requests per second and core%n",
+        cpuNanosPerCall / 1_000, perCore);
+    return Json.object()
+        .put("directP50Ms", directMs.p50Ms())
+        .put("directP99Ms", directMs.p99Ms())
+        .put("throughP50Ms", throughMs.p50Ms())
+        .put("throughP99Ms", throughMs.p99Ms())
+        .put("cpuMicrosPerRequest", cpuNanosPerCall / 1_000)
+        .put("requestsPerSecondAndCore", perCore);
+  }
+}
--- /dev/null
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/experiment/Place.java
@@ -0,0 +1,39 @@
+package io.mothrill.lab.experiment;
+
+import java.util.List;
+import java.util.Map;
+
+/** Where a deployment's entry instances stand: failure domains by instance. */
+record Place(String name, Map<String, String> instances) {
+
+  static final Place ANADOLU =
+      new Place(
+          "anadolu",
+          Map.of(
+              "ankara-a-1", "ankara-a",
+              "ankara-a-2", "ankara-a",
+              "ankara-b-1", "ankara-b",
+              "ankara-b-2", "ankara-b",
+              "konya-1", "konya",
+              "kayseri-1", "kayseri"));
+
+  static final Place GA_CENTRAL =
+      new Place(
+          "ga-central",
+          Map.of(
+              "macon-a-1", "macon-a",
+              "macon-a-2", "macon-a",
+              "macon-b-1", "macon-b",
+              "macon-b-2", "macon-b",
+              "warner-c-1", "warner-c",
+              "warner-c-2", "warner-c"));
+
+  List<String> ids() {
+    return instances.keySet().stream().sorted().toList();
+  }
+
+  /** The domain that is cut off in partitions: the one with the last instance. */
+  String lastDomain() {
+    return instances.get(ids().get(ids().size() - 1));
+  }
+}
--- /dev/null
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/experiment/package-info.java
@@ -0,0 +1,2 @@
+/** Experiments that compare a policy with baselines in one run. */
+package io.mothrill.lab.experiment;
--- a/mothrill-lab/src/main/java/io/mothrill/lab/fleet/Fleet.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/fleet/Fleet.java
@@ -16,6 +16,8 @@
 import io.mothrill.core.peer.PeerDispatcher;
 import io.mothrill.core.platform.InstanceList;
 import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.platform.Row;
+import io.mothrill.core.platform.RowKey;
 import io.mothrill.core.platform.TableService;
 import io.mothrill.core.request.CallRequest;
 import io.mothrill.core.resource.Spec;
@@ -200,6 +202,37 @@
     return network;
   }
 
+  /**
+   * Says whether messages get from one node to another.
+   *
+   * @param from the one node
+   * @param to the other node
+   * @return true when no cut lies between them
+   */
+  public boolean reaches(FleetNode from, FleetNode to) {
+    return network.reaches(from.place(), to.place());
+  }
+
+  /**
+   * Says whether a node reaches the platform.
+   *
+   * @param from the node
+   * @return true when no cut lies between them
+   */
+  public boolean reachesPlatform(FleetNode from) {
+    return network.reaches(from.place(), Network.Place.of(Network.PLATFORM));
+  }
+
+  /**
+   * Reads a row past all faults.
+   *
+   * @param key the row's address
+   * @return the row
+   */
+  public Row readNow(RowKey key) {
+    return table.through(new FaultyCalls(timers)).read(List.of(key)).join().get(0);
+  }
+
   /**
    * Gives the platform's table.
    *
--- a/mothrill-lab/src/main/java/io/mothrill/lab/fleet/FleetNode.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/fleet/FleetNode.java
@@ -70,6 +70,10 @@
     return clock.isDead();
   }
 
+  Network.Place place() {
+    return Network.Place.of(record.id(), record.domain());
+  }
+
   NodeClock clock() {
     return clock;
   }
--- a/mothrill-lab/src/main/java/io/mothrill/lab/scenario/Expectations.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/scenario/Expectations.java
@@ -27,7 +27,7 @@
     switch (step.word(0)) {
       case "call" -> checkCall(run, step);
       case "notrun" -> checkNotRun(run, step);
-      case "runs" -> compare(step, runsOf(run, step), 2);
+      case "runs" -> compare(step, runsOf(run, run.calls().find(step, step.word(1))), 2);
       case "served" -> checkServed(run, step);
       case "audit" -> checkAudit(run, step);
       case "billed" -> compare(step, sums(run, step).billedTokens(), 2);
@@ -74,17 +74,21 @@
   }
 
   /** Counts the runs of a call's body at all upstreams. */
-  private static long runsOf(ScenarioRun run, Step step) {
-    String body = run.calls().find(step, step.word(1)).body();
-    return run.fleet().upstreams().stream().mapToLong(upstream -> upstream.runsOf(body)).sum();
+  static long runsOf(ScenarioRun run, Calls.Made made) {
+    return run.fleet().upstreams().stream()
+        .mapToLong(upstream -> upstream.runsOf(made.body()))
+        .sum();
+  }
+
+  static Map<String, Long> statesOf(ScenarioRun run, String load) {
+    return run.calls().ofLoad(load).stream()
+        .collect(
+            Collectors.groupingBy(
+                made -> made.caller().state(), TreeMap::new, Collectors.counting()));
   }
 
   private static void checkServed(ScenarioRun run, Step step) {
-    Map<String, Long> states =
-        run.calls().ofLoad(step.word(1)).stream()
-            .collect(
-                Collectors.groupingBy(
-                    made -> made.caller().state(), TreeMap::new, Collectors.counting()));
+    Map<String, Long> states = statesOf(run, step.word(1));
     if (!holds(step, states.getOrDefault("served", 0L), 2)) {
       throw ScenarioFailure.unmet(step, states.toString());
     }
--- a/mothrill-lab/src/main/java/io/mothrill/lab/scenario/Scenario.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/scenario/Scenario.java
@@ -66,6 +66,25 @@
     steps.forEach(step -> ACTIONS.get(step.command()).run(run, step));
   }
 
+  /**
+   * Runs the scenario and counts what came of a load.
+   *
+   * @param seed makes every random choice
+   * @param load the load's name
+   * @return the counts
+   */
+  public ScenarioCount runAndCount(long seed, String load) {
+    ScenarioRun run = new ScenarioRun(seed);
+    steps.forEach(step -> ACTIONS.get(step.command()).run(run, step));
+    Map<String, Long> states = Expectations.statesOf(run, load);
+    long runTwice =
+        run.calls().ofLoad(load).stream()
+            .filter(made -> Expectations.runsOf(run, made) > 1)
+            .count();
+    return new ScenarioCount(
+        run.calls().ofLoad(load).size(), states.getOrDefault("served", 0L), runTwice, states);
+  }
+
   /**
    * Counts the expectations.
    *
