The last tokens of a budget are asked for one request at a time

Change: a budget that is nearly spent is granted per request and returned at once; a loan may consist of several slices; a peer says whether it could ask the platform; an exhausted budget is not asked again for a tenth of a second; allotments are a sixth of what is left.

--- a/mothrill-core/src/main/java/io/mothrill/core/budget/Allotments.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/Allotments.java
@@ -56,6 +56,7 @@
     private final List<RowKey> rows;
     private long grantedTokens;
     private long returningTokens;
+    private volatile boolean scarce;
     private CompletableFuture<?> last = CompletableFuture.completedFuture(null);
 
     Own(TokenPool pool, Lease lease) {
@@ -141,6 +142,17 @@
     return found == null ? null : found.pool;
   }
 
+  /**
+   * Says whether a budget was nearly spent when the platform was last asked.
+   *
+   * @param budget the budget's name
+   * @return true when nothing is to be held that is not reserved
+   */
+  boolean isScarce(String budget) {
+    Own found = own.get(budget);
+    return found != null && found.scarce;
+  }
+
   @Override
   public CompletableFuture<Answer> ask(BudgetAccount account, Need need) {
     Own allotment = own.get(account.budget());
@@ -175,6 +187,7 @@
     if (rows.allotment().closed()) {
       return CompletableFuture.completedFuture(Answer.UNREACHABLE);
     }
+    allotment.scarce = sizing.isScarce(need, rows.budget());
     long tokens = sizing.growTokens(need, rows.budget());
     if (tokens <= 0) {
       return CompletableFuture.completedFuture(Answer.EMPTY);
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/Borrower.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/Borrower.java
@@ -67,16 +67,20 @@
       return Answer.UNREACHABLE;
     }
     boolean first = openLoans.remove(loan.request().transferId()) != null;
-    if (reply.tokens() == 0) {
-      return Answer.EMPTY;
-    }
     if (first) {
-      long untilMs = loan.sentAtMs() + reply.spendForMs();
-      TokenPool pool = new TokenPool(reply.allotment().orElseThrow(), () -> untilMs);
-      pool.put(reply.tokens());
-      loan.account().addPool(pool);
+      reply.slices().forEach(slice -> addPool(loan, slice));
+    }
+    if (!reply.slices().isEmpty()) {
+      return Answer.ADDED;
     }
-    return Answer.ADDED;
+    return reply.sure() ? Answer.EMPTY : Answer.UNREACHABLE;
+  }
+
+  private static void addPool(OpenLoan loan, BorrowReply.Slice slice) {
+    long untilMs = loan.sentAtMs() + slice.spendForMs();
+    TokenPool pool = new TokenPool(slice.allotment(), () -> untilMs);
+    pool.put(slice.tokens());
+    loan.account().addPool(pool);
   }
 
   /** Hands tokens of a pool back to the instance that holds their allotment. */
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetAccount.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetAccount.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 
 /**
  * One budget on one instance: the pools it may spend from and the requests that wait for tokens.
@@ -24,20 +25,30 @@
  */
 public final class BudgetAccount {
 
+  private static final long EXHAUSTED_MS = 100;
+
   private final String budget;
   private final Timers timers;
   private final List<TokenSource> sources;
+  private final Consumer<BudgetAccount> afterSettling;
   private final AtomicReference<List<TokenPool>> pools = new AtomicReference<>(List.of());
   private final EWMA rate = EWMA.oneMinuteEWMA();
   private final Deque<Waiter> waiters = new ArrayDeque<>();
   private boolean asking;
   private long round;
   private volatile long usedAtMs;
+  private volatile long exhaustedNeedTokens;
+  private volatile long exhaustedUntilMs = Long.MIN_VALUE;
 
-  BudgetAccount(String budget, Timers timers, List<TokenSource> sources) {
+  BudgetAccount(
+      String budget,
+      Timers timers,
+      List<TokenSource> sources,
+      Consumer<BudgetAccount> afterSettling) {
     this.budget = budget;
     this.timers = timers;
     this.sources = List.copyOf(sources);
+    this.afterSettling = afterSettling;
     this.usedAtMs = timers.nowMs();
   }
 
@@ -66,6 +77,10 @@
     if (found.isPresent()) {
       return CompletableFuture.completedFuture(found.get());
     }
+    if (tokens >= exhaustedNeedTokens && timers.nowMs() < exhaustedUntilMs) {
+      return CompletableFuture.failedFuture(
+          BudgetException.exhausted(budgetExhausted(budget, tokens)));
+    }
     CompletableFuture<Reservation> reserved = new CompletableFuture<>();
     synchronized (waiters) {
       waiters.add(new Waiter(tokens, round, reserved));
@@ -91,10 +106,10 @@
         openTokens -= takenTokens;
       }
       if (openTokens == 0) {
-        return Optional.of(new Reservation(parts));
+        return Optional.of(new Reservation(parts, () -> afterSettling.accept(this)));
       }
     }
-    new Reservation(parts).release();
+    new Reservation(parts, () -> {}).release();
     return Optional.empty();
   }
 
@@ -174,16 +189,21 @@
   /**
    * Takes tokens out for another instance.
    *
-   * @param limitTokens at most this many, and from one pool only
-   * @return the tokens with their allotment, or empty when there are none
+   * @param limitTokens at most this many
+   * @return the tokens by pool; empty when there are none
    */
-  Optional<Reservation.Part> takeForOther(long limitTokens) {
+  List<Reservation.Part> takeForOther(long limitTokens) {
     long nowMs = timers.nowMs();
-    return pools.get().stream()
-        .filter(pool -> pool.maySpendAt(nowMs))
-        .max((left, right) -> Long.compare(left.availableTokens(), right.availableTokens()))
-        .map(pool -> new Reservation.Part(pool, pool.takeUpTo(limitTokens)))
-        .filter(part -> part.tokens() > 0);
+    long openTokens = limitTokens;
+    List<Reservation.Part> parts = new ArrayList<>();
+    for (TokenPool pool : pools.get()) {
+      long takenTokens = pool.maySpendAt(nowMs) ? pool.takeUpTo(openTokens) : 0;
+      if (takenTokens > 0) {
+        parts.add(new Reservation.Part(pool, takenTokens));
+        openTokens -= takenTokens;
+      }
+    }
+    return parts;
   }
 
   /** Asks for more tokens ahead of need, unless the sources are being asked already. */
@@ -198,7 +218,7 @@
     var unused =
         sources
             .get(0)
-            .ask(this, new Need(budget, 1, ratePerSecond(), availableTokens()))
+            .ask(this, needOf(1))
             .handle((answer, error) -> null)
             .thenAccept(ignored -> endRefill());
   }
@@ -228,9 +248,12 @@
 
   private Need needOfWaiters() {
     long needTokens = waiters.stream().mapToLong(Waiter::needTokens).sum();
-    long availableTokens = availableTokens();
-    return new Need(
-        budget, Math.max(1, needTokens - availableTokens), ratePerSecond(), availableTokens);
+    return needOf(Math.max(1, needTokens - availableTokens()));
+  }
+
+  /** Describes what the account lacks. */
+  Need needOf(long needTokens) {
+    return new Need(budget, needTokens, ratePerSecond(), availableTokens(), false);
   }
 
   private void askFrom(int index, Need need, boolean someUnreachable) {
@@ -255,8 +278,8 @@
       rest = asking ? Optional.of(needOfWaiters()) : Optional.empty();
     }
     completions.forEach(Runnable::run);
-    rest.ifPresent(
-        need -> askFrom(index + 1, need, someUnreachable || answer == Answer.UNREACHABLE));
+    boolean unreachable = someUnreachable || answer == Answer.UNREACHABLE;
+    rest.ifPresent(need -> askFrom(index + 1, need.with(unreachable), unreachable));
   }
 
   /** Serves waiting requests in order; a smaller one may pass a larger one that lacks tokens. */
@@ -304,8 +327,22 @@
   }
 
   private BudgetException refusal(Waiter waiter, boolean someUnreachable) {
+    if (!someUnreachable) {
+      noteExhausted(waiter.needTokens());
+    }
     return someUnreachable
         ? BudgetException.outOfReach(budgetOutOfReach(budget, waiter.needTokens()))
         : BudgetException.exhausted(budgetExhausted(budget, waiter.needTokens()));
   }
+
+  /**
+   * Remembers for a moment that the budget had no room.
+   *
+   * <p>Failure: callers go on asking an empty budget. Symptom: every refusal costs reads at the
+   * platform and messages to all peers. For a tenth of a second the last answer is given again.
+   */
+  private void noteExhausted(long needTokens) {
+    exhaustedNeedTokens = needTokens;
+    exhaustedUntilMs = timers.nowMs() + EXHAUSTED_MS;
+  }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetController.java
@@ -84,7 +84,7 @@
     return accounts.computeIfAbsent(
         budget,
         name -> {
-          BudgetAccount account = new BudgetAccount(name, timers, sources);
+          BudgetAccount account = new BudgetAccount(name, timers, sources, this::afterSettling);
           allotments.open(account);
           return account;
         });
@@ -134,6 +134,13 @@
     }
   }
 
+  /** Of a budget that is nearly spent, what a request did not use goes back at once. */
+  private void afterSettling(BudgetAccount account) {
+    if (allotments.isScarce(account.budget())) {
+      returnSurplus(account, account.availableTokens());
+    }
+  }
+
   /** Returns borrowed tokens to their holders and own ones to the budget. */
   private void returnSurplus(BudgetAccount account, long surplusTokens) {
     TokenPool own = allotments.poolOf(account.budget());
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetSettings.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetSettings.java
@@ -32,6 +32,6 @@
    */
   public static BudgetSettings standard() {
     return new BudgetSettings(
-        3 * HOUR_MS, 10 * MINUTE_MS, HOUR_MS, 70 * MINUTE_MS, 30_000, 12, 2_000, 1_000);
+        3 * HOUR_MS, 10 * MINUTE_MS, HOUR_MS, 70 * MINUTE_MS, 30_000, 6, 2_000, 1_000);
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/EnduranceSizing.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/EnduranceSizing.java
@@ -7,6 +7,10 @@
  * where any instance finds them. An allotment is therefore at most a fraction of what is left: of
  * the free tokens and of its own. Were one grant bounded instead of the whole allotment, a holder
  * that is refilled again and again would drain the budget all the same.
+ *
+ * <p>When that fraction is less than is worth holding, nothing is held ahead of need: pieces of the
+ * last tokens in several places would each be too small for a request that all together could
+ * serve.
  */
 public final class EnduranceSizing implements SizingPolicy {
 
@@ -29,12 +33,24 @@
 
   @Override
   public long growTokens(Need need, BudgetRow budget) {
+    if (isScarce(need, budget)) {
+      return Math.min(budget.freeTokens(), need.needTokens());
+    }
     long wantedTokens = Math.max(floorTokens, keepTokens(need.ratePerSecond()));
-    long fairTokens = (budget.freeTokens() + need.availableTokens()) / freeDivisor;
-    long missingTokens = Math.min(wantedTokens, fairTokens) - need.availableTokens();
+    long targetTokens = Math.min(wantedTokens, fairTokens(need, budget));
+    long missingTokens = targetTokens - need.availableTokens();
     return Math.min(budget.freeTokens(), Math.max(need.needTokens(), missingTokens));
   }
 
+  private long fairTokens(Need need, BudgetRow budget) {
+    return (budget.freeTokens() + need.availableTokens()) / freeDivisor;
+  }
+
+  @Override
+  public boolean isScarce(Need need, BudgetRow budget) {
+    return fairTokens(need, budget) < floorTokens;
+  }
+
   @Override
   public long keepTokens(double ratePerSecond) {
     return (long) (ratePerSecond * enduranceMs / 1_000);
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/HolderSource.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/HolderSource.java
@@ -32,7 +32,8 @@
   public CompletableFuture<Answer> ask(BudgetAccount account, Need need) {
     Membership view = members.read();
     InstanceRecord holder = holderOf(account.budget(), view);
-    if (view.isSelf(holder) || !view.isReachable(holder)) {
+    boolean direct = allotments.isScarce(account.budget());
+    if (direct || view.isSelf(holder) || !view.isReachable(holder)) {
       return allotments.ask(account, need);
     }
     long sliceTokens = (long) (need.ratePerSecond() * sliceMs / 1_000);
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/Lending.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/Lending.java
@@ -1,11 +1,14 @@
 package io.mothrill.core.budget;
 
+import io.mothrill.core.budget.TokenSource.Answer;
 import io.mothrill.core.peer.PeerDispatcher;
 import io.mothrill.core.peer.PeerMessage;
 import io.mothrill.core.peer.PeerMessage.BorrowReply;
+import io.mothrill.core.peer.PeerMessage.BorrowReply.Slice;
 import io.mothrill.core.peer.PeerMessage.BorrowRequest;
 import io.mothrill.core.peer.PeerMessage.HandBack;
 import io.mothrill.core.time.Timers;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -55,42 +58,40 @@
     var unused =
         enoughFor(request)
             .thenAccept(
-                nothing -> {
-                  BorrowReply reply = lend(request);
+                sure -> {
+                  BorrowReply reply = lend(request, sure);
                   underWay.remove(request.transferId());
                   first.complete(reply);
                 });
     return first;
   }
 
-  private CompletableFuture<?> enoughFor(BorrowRequest request) {
+  /** Asks the platform when there is too little here, and says whether that could be asked. */
+  private CompletableFuture<Boolean> enoughFor(BorrowRequest request) {
     BudgetAccount account = accounts.apply(request.budget());
     if (!request.mayGrow() || account.availableTokens() >= request.needTokens()) {
-      return CompletableFuture.completedFuture(null);
+      return CompletableFuture.completedFuture(true);
     }
     long wantedTokens = Math.max(request.needTokens(), request.wantedTokens());
-    Need need =
-        new Need(
-            request.budget(), wantedTokens, account.ratePerSecond(), account.availableTokens());
-    return allotments.ask(account, need);
+    return allotments
+        .ask(account, account.needOf(wantedTokens))
+        .thenApply(answer -> answer != Answer.UNREACHABLE);
   }
 
-  private BorrowReply lend(BorrowRequest request) {
+  private BorrowReply lend(BorrowRequest request, boolean sure) {
     BudgetAccount account = accounts.apply(request.budget());
     long halfTokens = account.availableTokens() / 2;
     long limitTokens = Math.max(request.needTokens(), Math.min(request.wantedTokens(), halfTokens));
-    BorrowReply reply =
-        account
-            .takeForOther(limitTokens)
+    long nowMs = timers.nowMs();
+    List<Slice> slices =
+        account.takeForOther(limitTokens).stream()
             .map(
-                part -> {
-                  account.noteLent(part.tokens());
-                  return new BorrowReply(
-                      Optional.of(part.pool().allotment()),
-                      part.tokens(),
-                      part.pool().spendUntilMs() - timers.nowMs());
-                })
-            .orElse(new BorrowReply(Optional.empty(), 0, 0));
+                part ->
+                    new Slice(
+                        part.pool().allotment(), part.tokens(), part.pool().spendUntilMs() - nowMs))
+            .toList();
+    account.noteLent(slices.stream().mapToLong(Slice::tokens).sum());
+    BorrowReply reply = new BorrowReply(slices, sure);
     lent.remember(request.transferId(), reply);
     return reply;
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/PeerSource.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/PeerSource.java
@@ -66,10 +66,9 @@
     if (index == lenders.size()) {
       return CompletableFuture.completedFuture(someUnreachable ? Answer.UNREACHABLE : Answer.EMPTY);
     }
-    Need missing =
-        new Need(need.budget(), missingTokens, need.ratePerSecond(), account.availableTokens());
+    Need missing = account.needOf(missingTokens).with(need.platformAway());
     return borrower
-        .borrow(lenders.get(index), account, missing, missingTokens, true)
+        .borrow(lenders.get(index), account, missing, missingTokens, need.platformAway())
         .thenCompose(
             answer ->
                 askNext(
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/Reservation.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/Reservation.java
@@ -17,11 +17,13 @@
 public final class Reservation {
 
   private final List<Part> parts;
+  private final Runnable afterSettling;
   private final Queue<Part> owed = new ConcurrentLinkedQueue<>();
   private final AtomicBoolean settled = new AtomicBoolean();
 
-  Reservation(List<Part> parts) {
+  Reservation(List<Part> parts, Runnable afterSettling) {
     this.parts = List.copyOf(parts);
+    this.afterSettling = afterSettling;
   }
 
   record Part(TokenPool pool, long tokens) {}
@@ -63,6 +65,7 @@
         owed.add(new Part(part.pool(), owedTokens));
       }
     }
+    afterSettling.run();
     return bill.entrySet().stream()
         .map(entry -> new BillPart(entry.getKey(), entry.getValue()))
         .toList();
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/SizingPolicy.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/SizingPolicy.java
@@ -12,6 +12,15 @@
    */
   long growTokens(Need need, BudgetRow budget);
 
+  /**
+   * Decides whether a budget is so nearly spent that nothing is held ahead of need.
+   *
+   * @param need what the account lacks
+   * @param budget the budget as it stands
+   * @return true when each request asks the platform for itself, and returns what it did not use
+   */
+  boolean isScarce(Need need, BudgetRow budget);
+
   /**
    * Decides how much of an idle account to keep.
    *
--- a/mothrill-core/src/main/java/io/mothrill/core/peer/PeerMessage.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/peer/PeerMessage.java
@@ -55,12 +55,20 @@
   /**
    * Gives tokens; the peer no longer has them.
    *
-   * @param allotment the allotment that they belong to
-   * @param tokens how many; 0 when there are none to give
-   * @param spendForMs how long they may be spent, from when the request was sent
+   * @param slices the tokens, by the allotment that they belong to; empty when there are none
+   * @param sure false when the peer could not ask the platform for more
    */
-  record BorrowReply(Optional<AllotmentId> allotment, long tokens, long spendForMs)
-      implements PeerMessage {}
+  record BorrowReply(List<Slice> slices, boolean sure) implements PeerMessage {
+
+    /**
+     * Tokens of one allotment.
+     *
+     * @param allotment the allotment that they belong to
+     * @param tokens how many
+     * @param spendForMs how long they may be spent, from when the request was sent
+     */
+    public record Slice(AllotmentId allotment, long tokens, long spendForMs) {}
+  }
 
   /**
    * Gives tokens back to the instance that holds their allotment.
--- a/mothrill-lab/src/main/java/io/mothrill/lab/experiment/ExperimentCommand.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/experiment/ExperimentCommand.java
@@ -19,9 +19,10 @@
       Map.of(
           "budgets", BudgetExperiment::new,
           "overhead", OverheadExperiment::new,
-          "outage", OutageExperiment::new);
+          "outage", OutageExperiment::new,
+          "capacity", CapacityExperiment::new);
 
-  @Argument(required = true, metaVar = "NAME", usage = "budgets, overhead or outage")
+  @Argument(required = true, metaVar = "NAME", usage = "budgets, overhead, outage or capacity")
   private String name;
 
   @Option(name = "--json", metaVar = "FILE", usage = "write the figures to a file")
--- a/mothrill-lab/src/main/java/io/mothrill/lab/experiment/OutageExperiment.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/experiment/OutageExperiment.java
@@ -22,6 +22,8 @@
       upstream s1 service=sira domain=ankara-a
       upstream s2 service=sira domain=konya
       advance 30s
+      load name=warm plain service=sira every=200ms for=2m \
+      at=ankara-a-1,ankara-a-2,ankara-b-1,ankara-b-2,konya-1,kayseri-1
       """;
   private static final String ALL =
       "at=ankara-a-1,ankara-a-2,ankara-b-1,ankara-b-2,konya-1,kayseri-1";
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerDecoder.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerDecoder.java
@@ -75,11 +75,15 @@
       case BORROW_REPLY -> {
         var reply = envelope.getBorrowReply();
         yield new PeerMessage.BorrowReply(
-            Optional.of(reply.getAllotment())
-                .filter(text -> !text.isEmpty())
-                .map(AllotmentId::parse),
-            reply.getTokens(),
-            reply.getSpendForMs());
+            reply.getSlicesList().stream()
+                .map(
+                    slice ->
+                        new PeerMessage.BorrowReply.Slice(
+                            AllotmentId.parse(slice.getAllotment()),
+                            slice.getTokens(),
+                            slice.getSpendForMs()))
+                .toList(),
+            reply.getSure());
       }
       case HAND_BACK -> {
         var back = envelope.getHandBack();
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerEncoder.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerEncoder.java
@@ -1,7 +1,6 @@
 package io.mothrill.wire.peer;
 
 import com.google.protobuf.ByteString;
-import io.mothrill.core.budget.AllotmentId;
 import io.mothrill.core.config.Change;
 import io.mothrill.core.peer.PeerMessage;
 import io.mothrill.core.platform.InstanceRecord;
@@ -69,11 +68,16 @@
           .setWantedTokens(request.wantedTokens())
           .setMayGrow(request.mayGrow());
     } else if (message instanceof PeerMessage.BorrowReply reply) {
-      envelope
-          .getBorrowReplyBuilder()
-          .setAllotment(reply.allotment().map(AllotmentId::toString).orElse(""))
-          .setTokens(reply.tokens())
-          .setSpendForMs(reply.spendForMs());
+      var builder = envelope.getBorrowReplyBuilder().setSure(reply.sure());
+      reply
+          .slices()
+          .forEach(
+              slice ->
+                  builder
+                      .addSlicesBuilder()
+                      .setAllotment(slice.allotment().toString())
+                      .setTokens(slice.tokens())
+                      .setSpendForMs(slice.spendForMs()));
     } else if (message instanceof PeerMessage.HandBack back) {
       envelope
           .getHandBackBuilder()
