An incarnation decides alone about the keys that it minted

Cause: a domain with one instance that was cut off refused all ticket calls (0 of 3000), because their claims needed a backup elsewhere; and every unkeyed request cost two messages to decide what nobody else could know. Change: a minted key names the incarnation that made it, and only that decides; its bill is copied to one other instance before the answer ends. Ranges are for callers' own keys.

--- a/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetAccount.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetAccount.java
@@ -25,7 +25,7 @@
  */
 public final class BudgetAccount {
 
-  private static final long EXHAUSTED_MS = 100;
+  private static final long EXHAUSTED_MS = 20;
 
   private final String budget;
   private final Timers timers;
@@ -339,7 +339,7 @@
    * Remembers for a moment that the budget had no room.
    *
    * <p>Failure: callers go on asking an empty budget. Symptom: every refusal costs reads at the
-   * platform and messages to all peers. For a tenth of a second the last answer is given again.
+   * platform and messages to all peers. For a few milliseconds the last answer is given again.
    */
   private void noteExhausted(long needTokens) {
     exhaustedNeedTokens = needTokens;
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetController.java
@@ -70,7 +70,9 @@
         List.of(
             new HolderSource(members, borrower, allotments, settings.sliceMs()),
             new PeerSource(members, borrower));
-    var unused = new Lending(this::account, allotments, dispatcher, timers, settings.leaseMs());
+    var unused =
+        new Lending(
+            this::account, allotments, dispatcher, timers, settings.leaseMs(), this::afterSettling);
     timers.every(TICK_MS, this::tick);
   }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/Lending.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/Lending.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /**
@@ -26,6 +27,7 @@
   private final Function<String, BudgetAccount> accounts;
   private final Allotments allotments;
   private final Timers timers;
+  private final Consumer<BudgetAccount> afterHandBack;
   private final Transfers<BorrowReply> lent;
   private final Transfers<Boolean> takenBack;
   private final Map<String, CompletableFuture<PeerMessage>> underWay = new ConcurrentHashMap<>();
@@ -35,10 +37,12 @@
       Allotments allotments,
       PeerDispatcher dispatcher,
       Timers timers,
-      long keepMs) {
+      long keepMs,
+      Consumer<BudgetAccount> afterHandBack) {
     this.accounts = accounts;
     this.allotments = allotments;
     this.timers = timers;
+    this.afterHandBack = afterHandBack;
     this.lent = new Transfers<>(timers, keepMs);
     this.takenBack = new Transfers<>(timers, keepMs);
     dispatcher.on(BorrowRequest.class, this::onBorrow);
@@ -107,6 +111,7 @@
         pool.put(request.tokens());
       }
     }
+    afterHandBack.accept(accounts.apply(request.allotment().budget()));
     return CompletableFuture.completedFuture(new PeerMessage.Done());
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/node/Node.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/node/Node.java
@@ -97,7 +97,7 @@
     this.records = newRecords();
     this.upstreams = new UpstreamTable(config);
     this.router = newRouter(self.domain());
-    this.requests = newRequests(self.domain());
+    this.requests = newRequests(self.incarnation());
     this.drain =
         new DrainController(
             drainStage,
@@ -179,10 +179,10 @@
     return new Router(upstreams, chooser, window, ports.timers(), decisions, settings.queues());
   }
 
-  private RequestService newRequests(String domain) {
+  private RequestService newRequests(String incarnation) {
     ExchangeParts parts =
         new ExchangeParts(
-            new CallPlanner(config, ports.timers(), domain, () -> newId(ports.random())),
+            new CallPlanner(config, ports.timers(), incarnation, () -> newId(ports.random())),
             records,
             authority,
             budgets,
--- a/mothrill-core/src/main/java/io/mothrill/core/range/KeyRanges.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/range/KeyRanges.java
@@ -3,28 +3,24 @@
 import io.mothrill.core.peer.Membership;
 import io.mothrill.core.peer.Rendezvous;
 import io.mothrill.core.platform.InstanceRecord;
-import io.mothrill.core.request.CallPlanner;
 import io.mothrill.core.request.RequestKey;
 import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import java.util.List;
 import java.util.stream.IntStream;
-import java.util.stream.Stream;
 import org.apache.commons.codec.digest.MurmurHash3;
 
 /**
- * Divides keys into ranges, and ranks the instances for each.
+ * Divides callers' keys into ranges, and ranks the instances for each.
  *
- * <p>A key that an instance minted belongs to a range of that instance's failure domain, so that a
- * domain which is cut off decides about its own requests. A caller's key may come back anywhere and
- * belongs to a range of the whole fleet.
+ * <p>A caller's key may come back at any instance, so every instance finds the same range for it.
  */
 public final class KeyRanges {
 
-  /** How many ranges each failure domain has, and the whole fleet has. */
+  /** How many ranges there are; each change of owner moves one of them. */
   static final int COUNT = 64;
 
-  private static final String WHOLE_FLEET = "fleet";
+  private static final String PREFIX = "keys~";
 
   private KeyRanges() {}
 
@@ -36,33 +32,16 @@
    */
   public static String of(RequestKey key) {
     byte[] bytes = key.toString().getBytes(StandardCharsets.UTF_8);
-    int number = Math.floorMod(MurmurHash3.hash32x86(bytes), COUNT);
-    return scopeOf(key.key()) + "~" + number;
+    return PREFIX + Math.floorMod(MurmurHash3.hash32x86(bytes), COUNT);
   }
 
-  private static String scopeOf(String key) {
-    if (key.startsWith(CallPlanner.MINTED)) {
-      int end = key.indexOf(CallPlanner.MINTED, 1);
-      if (end > 1) {
-        return key.substring(1, end);
-      }
-    }
-    return WHOLE_FLEET;
-  }
-
-  /** Lists the ranges of the whole fleet and of one failure domain. */
-  static List<String> allOf(String domain) {
-    return Stream.of(WHOLE_FLEET, domain)
-        .flatMap(scope -> IntStream.range(0, COUNT).mapToObj(number -> scope + "~" + number))
-        .toList();
+  static List<String> all() {
+    return IntStream.range(0, COUNT).mapToObj(number -> PREFIX + number).toList();
   }
 
   /** Ranks instances for a range; the first is the owner to be. */
   static List<InstanceRecord> rank(String range, Membership view) {
-    String scope = range.substring(0, range.indexOf('~'));
-    return Rendezvous.rank(range, view.staying()).stream()
-        .sorted(Comparator.comparing(instance -> !instance.domain().equals(scope)))
-        .toList();
+    return Rendezvous.rank(range, view.staying());
   }
 
   /**
--- a/mothrill-core/src/main/java/io/mothrill/core/range/RangeAuthority.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/range/RangeAuthority.java
@@ -13,6 +13,7 @@
 import io.mothrill.core.peer.PeerMessage.SoleReply;
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.platform.TableService;
+import io.mothrill.core.request.MintedKey;
 import io.mothrill.core.request.RequestKey;
 import io.mothrill.core.request.UnrepeatableClaims;
 import io.mothrill.core.time.Timers;
@@ -39,6 +40,7 @@
   private final RangeBackup backup;
   private final RangeOwner owner;
   private final RangeWindows windows;
+  private final RunBook minted;
 
   /**
    * Creates the authority and starts its timers.
@@ -62,6 +64,7 @@
     this.members = members;
     this.links = links;
     this.windows = windows;
+    this.minted = new RunBook(members, timers);
     this.backup = new RangeBackup(members, dispatcher, timers, windows.decisionMs());
     RangeTaker taker = new RangeTaker(table, lease, members, links, timers, backup);
     this.owner = new RangeOwner(table, lease, members, links, timers, taker, backup);
@@ -71,13 +74,13 @@
         PeerMessage.SoleRequest.class,
         request -> soleHere(request.claim()).thenApply(SoleReply::new));
     dispatcher.on(PeerMessage.SoleRelease.class, this::onRelease);
-    dispatcher.on(PeerMessage.BillsPosted.class, this::onBillsPosted);
     timers.every(TEND_MS, this::tend);
   }
 
   private void tend() {
     owner.tend();
     backup.forgetOld();
+    minted.forgetOld(windows.answerMs(), windows.answerMs());
     owner
         .all()
         .forEach(
@@ -119,6 +122,10 @@
    * @return the owner's answer; empty when no owner can be reached
    */
   public CompletableFuture<Optional<ClaimReply>> mayRun(ClaimRequest request) {
+    Optional<String> minter = MintedKey.minterOf(request.key());
+    if (minter.isPresent()) {
+      return askMinter(minter.get(), request);
+    }
     return walk(
         candidates(request.key()),
         at ->
@@ -130,7 +137,46 @@
         reply -> reply.verdict() != ClaimReply.Verdict.NOT_OWNER);
   }
 
+  /** Only the incarnation that made a key knows what became of its request. */
+  private CompletableFuture<Optional<ClaimReply>> askMinter(String minter, ClaimRequest request) {
+    ClaimReply unknown = new ClaimReply(ClaimReply.Verdict.OUTCOME_UNKNOWN, "", Optional.empty());
+    Membership view = members.read();
+    if (view.self().incarnation().equals(minter)) {
+      return CompletableFuture.completedFuture(Optional.of(minted.claimAgain(request)));
+    }
+    return view.find(minter)
+        .map(at -> links.ask(at, request, ASK_TIMEOUT_MS))
+        .orElseGet(() -> CompletableFuture.completedFuture(unknown))
+        .handle((reply, error) -> reply instanceof ClaimReply told ? told : unknown)
+        .thenApply(Optional::of);
+  }
+
+  /**
+   * Notes a run whose key was minted here.
+   *
+   * @param claim the run
+   */
+  public void beginMinted(ClaimRequest claim) {
+    var unused = minted.claim(claim);
+  }
+
+  /**
+   * Notes the end of a run whose key was minted here.
+   *
+   * @param finish the end of the run
+   */
+  public void endMinted(FinishRequest finish) {
+    if (finish.bill().isPresent()) {
+      minted.decided(finish);
+    } else {
+      minted.failed(finish);
+    }
+  }
+
   private CompletableFuture<ClaimReply> claimHere(ClaimRequest request) {
+    if (MintedKey.minterOf(request.key()).isPresent()) {
+      return CompletableFuture.completedFuture(minted.claimAgain(request));
+    }
     return owner
         .range(KeyRanges.of(request.key()))
         .thenApply(
@@ -231,15 +277,19 @@
    */
   public void posted(List<RequestKey> keys) {
     Membership view = members.read();
-    keys.forEach(this::postedHere);
+    notePosted(keys);
     keys.stream()
+        .filter(key -> MintedKey.minterOf(key).isEmpty())
         .flatMap(key -> candidates(key).stream().limit(1))
         .distinct()
         .filter(at -> !view.isSelf(at))
         .forEach(
             at -> {
               List<RequestKey> its =
-                  keys.stream().filter(key -> candidates(key).get(0).equals(at)).toList();
+                  keys.stream()
+                      .filter(key -> MintedKey.minterOf(key).isEmpty())
+                      .filter(key -> candidates(key).get(0).equals(at))
+                      .toList();
               var unused =
                   links
                       .ask(at, new PeerMessage.BillsPosted(its), ASK_TIMEOUT_MS)
@@ -247,12 +297,17 @@
             });
   }
 
-  private CompletableFuture<PeerMessage> onBillsPosted(PeerMessage.BillsPosted message) {
-    message.keys().forEach(this::postedHere);
-    return CompletableFuture.completedFuture(new PeerMessage.Done());
+  /**
+   * Notes that bills of keys in ranges owned here are in the ledger.
+   *
+   * @param keys the keys of the runs that were billed
+   */
+  public void notePosted(List<RequestKey> keys) {
+    keys.forEach(this::postedHere);
   }
 
   private void postedHere(RequestKey key) {
+    minted.posted(key);
     owner.owned(KeyRanges.of(key)).ifPresent(owned -> owned.runs().posted(key));
   }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/range/RangeOwner.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/range/RangeOwner.java
@@ -219,7 +219,7 @@
     all().forEach(this::tend);
     Membership view = members.read();
     long nowMs = timers.nowMs();
-    KeyRanges.allOf(view.self().domain()).stream()
+    KeyRanges.all().stream()
         .filter(range -> !owned.containsKey(range))
         .filter(range -> lostNames.contains(range) || isFirst(range, view))
         .filter(range -> nowMs >= nextTakeMs.getOrDefault(range, 0L))
--- a/mothrill-core/src/main/java/io/mothrill/core/range/RunBook.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/range/RunBook.java
@@ -63,6 +63,21 @@
     return reply[0];
   }
 
+  /** Answers a retry under a key whose first run was noted here; what is not known never runs. */
+  ClaimReply claimAgain(ClaimRequest claim) {
+    Entry held = entries.get(claim.key());
+    return held == null
+        ? reply(ClaimReply.Verdict.OUTCOME_UNKNOWN, "")
+        : verdictOnMinted(held, claim);
+  }
+
+  private ClaimReply verdictOnMinted(Entry held, ClaimRequest claim) {
+    ClaimReply verdict = verdictOn(held, claim);
+    return verdict.verdict() == ClaimReply.Verdict.RUN
+        ? reply(ClaimReply.Verdict.OUTCOME_UNKNOWN, "")
+        : verdict;
+  }
+
   private Entry running(ClaimRequest claim) {
     return new Entry(claim, Optional.empty(), Phase.RUNNING, false, timers.nowMs());
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/request/CallPlanner.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/CallPlanner.java
@@ -13,12 +13,9 @@
 /** Finds out who asks, for what, and what it may cost. */
 public final class CallPlanner {
 
-  /** What every key that an instance minted starts with. */
-  public static final String MINTED = "~";
-
   private final Section<ConfigSnapshot> config;
   private final Timers timers;
-  private final String domain;
+  private final String incarnation;
   private final Supplier<String> ids;
 
   /**
@@ -26,14 +23,14 @@
    *
    * @param config the configuration in force
    * @param timers the time
-   * @param domain this instance's failure domain, where minted keys are at home
+   * @param incarnation this incarnation, which minted keys name
    * @param ids gives ids that no other call of any instance gives
    */
   public CallPlanner(
-      Section<ConfigSnapshot> config, Timers timers, String domain, Supplier<String> ids) {
+      Section<ConfigSnapshot> config, Timers timers, String incarnation, Supplier<String> ids) {
     this.config = config;
     this.timers = timers;
-    this.domain = domain;
+    this.incarnation = incarnation;
     this.ids = ids;
   }
 
@@ -61,7 +58,8 @@
         request,
         service,
         budget,
-        new RequestKey(team, request.idempotencyKey().orElse(MINTED + domain + MINTED + requestId)),
+        new RequestKey(
+            team, request.idempotencyKey().orElseGet(() -> MintedKey.of(incarnation, requestId))),
         request.idempotencyKey().isPresent(),
         requestId,
         request.priority().orElse(service.priority()),
--- a/mothrill-core/src/main/java/io/mothrill/core/request/Exchange.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/Exchange.java
@@ -74,9 +74,11 @@
     caller.identify(plan.requestId(), plan.key().key());
     long timeoutMs = plan.deadlineMs() - parts.timers().nowMs();
     deadline = parts.timers().after(timeoutMs, () -> caller.execute(this::onDeadline));
-    if (plan.keyed() || !plan.repeatable()) {
+    if (plan.keyed()) {
       claimKey();
     } else {
+      parts.records().begin(plan);
+      claimed = true;
       reserve();
     }
   }
@@ -198,7 +200,7 @@
 
   /** The claim comes last, so that a request which is refused before this leaves no claim. */
   private void claimBeforeSending() {
-    if (plan.repeatable() || attempts > 0) {
+    if (plan.repeatable() || !plan.keyed() || attempts > 0) {
       send();
       return;
     }
@@ -466,7 +468,7 @@
 
   private void endRecord(Refusal refusal) {
     boolean notRun = refusal.notRun() == NotRun.TRUE;
-    if (!plan.repeatable() && notRun) {
+    if (!plan.repeatable() && plan.keyed() && notRun) {
       parts.unrepeatable().release(plan.key(), plan.requestId());
     }
     var unused = parts.records().finish(plan, RunOutcome.failed(notRun));
--- a/mothrill-core/src/main/java/io/mothrill/core/request/RequestRecords.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/RequestRecords.java
@@ -10,11 +10,13 @@
 import io.mothrill.core.peer.PeerMessage;
 import io.mothrill.core.peer.PeerMessage.AnswerReply;
 import io.mothrill.core.peer.PeerMessage.AnswerRequest;
+import io.mothrill.core.peer.PeerMessage.BillsPosted;
 import io.mothrill.core.peer.PeerMessage.ClaimReply;
 import io.mothrill.core.peer.PeerMessage.ClaimReply.Verdict;
 import io.mothrill.core.peer.PeerMessage.ClaimRequest;
 import io.mothrill.core.peer.PeerMessage.FinishRequest;
 import io.mothrill.core.peer.PeerMessage.KeepCopy;
+import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.range.RangeAuthority;
 import io.mothrill.core.time.Timers;
 import java.util.ArrayList;
@@ -22,10 +24,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiFunction;
+import java.util.stream.Collectors;
 import org.tinylog.Logger;
 
 /**
@@ -50,7 +55,7 @@
   private final BillForwarder bills;
   private final Timers timers;
   private final long decisionMs;
-  private final Queue<RequestKey> posted = new ConcurrentLinkedQueue<>();
+  private final Queue<Ended> posted = new ConcurrentLinkedQueue<>();
   private final Map<String, Ended> unconfirmed = new ConcurrentHashMap<>();
   private final Map<String, Ended> keptForOthers = new ConcurrentHashMap<>();
   private final Map<RequestKey, Running> running = new ConcurrentHashMap<>();
@@ -82,16 +87,45 @@
     this.decisionMs = decisionMs;
     dispatcher.on(AnswerRequest.class, this::onAnswerRequest);
     dispatcher.on(KeepCopy.class, this::onKeepCopy);
+    dispatcher.on(BillsPosted.class, this::onBillsPosted);
     timers.every(TICK_MS, this::tick);
   }
 
   /** A run that has ended, until it is known whether it counts. */
   private record Ended(
-      FinishRequest finish, RunOutcome outcome, CompletableFuture<Void> copied, long atMs) {}
+      FinishRequest finish,
+      RunOutcome outcome,
+      CompletableFuture<Void> copied,
+      AtomicReference<InstanceRecord> keeper,
+      long atMs) {
+
+    Ended(FinishRequest finish, RunOutcome outcome, long atMs) {
+      this(finish, outcome, new CompletableFuture<>(), new AtomicReference<>(), atMs);
+    }
+  }
 
   /** A run of this instance that others may wait for. */
   private record Running(String requestId, CompletableFuture<Optional<StoredAnswer>> answer) {}
 
+  /**
+   * Notes a run under a key that was minted for it; it may run without asking anyone.
+   *
+   * @param plan the request
+   */
+  public void begin(CallPlan plan) {
+    running.put(plan.key(), new Running(plan.requestId(), new CompletableFuture<>()));
+    authority.beginMinted(claimOf(plan));
+  }
+
+  private ClaimRequest claimOf(CallPlan plan) {
+    return new ClaimRequest(
+        plan.key(),
+        members.read().self().incarnation(),
+        plan.requestId(),
+        plan.request().fingerprint(),
+        plan.repeatable());
+  }
+
   /**
    * Asks whether a request may run.
    *
@@ -103,13 +137,7 @@
    * @return what to do; never fails
    */
   public CompletableFuture<ClaimReply> claim(CallPlan plan) {
-    ClaimRequest claim =
-        new ClaimRequest(
-            plan.key(),
-            members.read().self().incarnation(),
-            plan.requestId(),
-            plan.request().fingerprint(),
-            plan.repeatable());
+    ClaimRequest claim = claimOf(plan);
     Running run = new Running(plan.requestId(), new CompletableFuture<>());
     Running earlier = running.putIfAbsent(plan.key(), run);
     return askOwner(claim, 1)
@@ -168,13 +196,33 @@
             outcome.bill(),
             outcome.answer());
     endWaiting(plan.key(), plan.requestId(), outcome.answer());
-    Ended ended = new Ended(finish, outcome, new CompletableFuture<>(), timers.nowMs());
+    Ended ended = new Ended(finish, outcome, timers.nowMs());
     unconfirmed.put(finish.requestId(), ended);
     confirm(ended);
     return ended.copied();
   }
 
+  /** A run under a minted key counts in any case; its bill is copied before it is posted. */
+  private void confirmMinted(Ended ended) {
+    authority.endMinted(ended.finish());
+    var unused = ended.copied().thenAccept(nothing -> settle(ended, true));
+    keepCopyElsewhere(ended);
+    if (members.read().reachableOthers().isEmpty()) {
+      ended.copied().complete(null);
+    }
+  }
+
+  private boolean isMinted(Ended ended) {
+    return MintedKey.minterOf(ended.finish().key())
+        .filter(minter -> minter.equals(ended.finish().runner()))
+        .isPresent();
+  }
+
   private void confirm(Ended ended) {
+    if (isMinted(ended)) {
+      confirmMinted(ended);
+      return;
+    }
     if (timers.nowMs() - ended.atMs() > decisionMs / 2) {
       Logger.error("request={} could not be decided and is not billed", ended.finish().requestId());
       settle(ended, false);
@@ -203,7 +251,7 @@
     if (!counts) {
       ended.outcome().cancelBill().run();
     } else if (ended.finish().bill().isPresent()) {
-      post(ended.finish(), own ? bills::add : bills::recover);
+      post(ended, own ? bills::add : bills::recover);
     }
   }
 
@@ -225,23 +273,27 @@
               var unused =
                   links
                       .ask(peer, new KeepCopy(ended.finish().withoutAnswer()), ASK_TIMEOUT_MS)
-                      .thenAccept(reply -> ended.copied().complete(null))
+                      .thenAccept(reply -> noteKept(ended, peer))
                       .exceptionally(error -> null);
             });
   }
 
+  private static void noteKept(Ended ended, InstanceRecord peer) {
+    ended.keeper().set(peer);
+    ended.copied().complete(null);
+  }
+
   private CompletableFuture<PeerMessage> onKeepCopy(KeepCopy message) {
     FinishRequest finish = message.finish();
     RunOutcome outcome = new RunOutcome(finish.notRun(), finish.bill(), finish.answer(), () -> {});
-    keptForOthers.put(
-        finish.requestId(), new Ended(finish, outcome, new CompletableFuture<>(), timers.nowMs()));
+    keptForOthers.put(finish.requestId(), new Ended(finish, outcome, timers.nowMs()));
     return CompletableFuture.completedFuture(new PeerMessage.Done());
   }
 
   /** Posts a bill and notes it, so that the owner of the key can be told. */
   private void post(
-      FinishRequest finish, BiFunction<AllotmentId, LedgerEntry, CompletableFuture<Void>> ledger) {
-    Bill bill = finish.bill().orElseThrow();
+      Ended ended, BiFunction<AllotmentId, LedgerEntry, CompletableFuture<Void>> ledger) {
+    Bill bill = ended.finish().bill().orElseThrow();
     CompletableFuture<?>[] parts =
         bill.parts().stream()
             .map(
@@ -250,7 +302,7 @@
                         part.allotment(),
                         new LedgerEntry(bill.requestId(), bill.key().toString(), part.tokens())))
             .toArray(CompletableFuture[]::new);
-    var unused = CompletableFuture.allOf(parts).thenAccept(nothing -> posted.add(finish.key()));
+    var unused = CompletableFuture.allOf(parts).thenAccept(nothing -> posted.add(ended));
   }
 
   /**
@@ -300,18 +352,44 @@
         .filter(ended -> view.find(ended.finish().runner()).isEmpty())
         .forEach(this::confirm);
     keptForOthers.values().removeIf(ended -> timers.nowMs() - ended.atMs() > decisionMs);
-    authority.orphaned().forEach(finish -> post(finish, bills::recover));
+    authority.orphaned().forEach(this::billForGoneRunner);
     tellPosted();
   }
 
+  private void billForGoneRunner(FinishRequest finish) {
+    post(new Ended(finish, RunOutcome.failed(false), timers.nowMs()), bills::recover);
+  }
+
+  /** Tells the owners of keys, and whoever keeps copies, which bills are in the ledger. */
   private void tellPosted() {
-    List<RequestKey> keys = new ArrayList<>();
-    for (RequestKey key = posted.poll(); key != null; key = posted.poll()) {
-      keys.add(key);
+    List<Ended> billed = new ArrayList<>();
+    for (Ended ended = posted.poll(); ended != null; ended = posted.poll()) {
+      billed.add(ended);
     }
-    if (!keys.isEmpty()) {
-      authority.posted(keys);
+    if (billed.isEmpty()) {
+      return;
     }
+    authority.posted(billed.stream().map(ended -> ended.finish().key()).toList());
+    billed.stream()
+        .filter(ended -> ended.keeper().get() != null)
+        .collect(
+            Collectors.groupingBy(
+                ended -> ended.keeper().get(),
+                Collectors.mapping(ended -> ended.finish().key(), Collectors.toList())))
+        .forEach(
+            (keeper, keys) -> {
+              var unused =
+                  links
+                      .ask(keeper, new BillsPosted(keys), ASK_TIMEOUT_MS)
+                      .exceptionally(error -> null);
+            });
+  }
+
+  private CompletableFuture<PeerMessage> onBillsPosted(BillsPosted message) {
+    authority.notePosted(message.keys());
+    Set<RequestKey> keys = Set.copyOf(message.keys());
+    keptForOthers.values().removeIf(ended -> keys.contains(ended.finish().key()));
+    return CompletableFuture.completedFuture(new PeerMessage.Done());
   }
 
   /**
--- a/mothrill-lab/src/main/java/io/mothrill/lab/experiment/BudgetExperiment.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/experiment/BudgetExperiment.java
@@ -33,11 +33,11 @@
         "situation",
         "policy",
         "asked",
-        "refused",
         "falsely",
         "false%",
         "in reach",
         "over",
+        "reads",
         "writes");
     for (Place place : List.of(Place.ANADOLU, Place.GA_CENTRAL)) {
       for (Situation situation : Situation.values()) {
--- a/mothrill-lab/src/main/java/io/mothrill/lab/experiment/OutageExperiment.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/experiment/OutageExperiment.java
@@ -42,11 +42,18 @@
   }
 
   private static void measure(ObjectNode figures, String name, String fault, String instances) {
-    String load = "load name=out plain service=sira every=200ms for=10m " + instances + "\n";
+    measureKeys(figures, name + ", no key", fault, instances, "");
+    measureKeys(figures, name + ", own keys", fault, instances, " keyed");
+  }
+
+  private static void measureKeys(
+      ObjectNode figures, String name, String fault, String instances, String keyed) {
+    String load =
+        "load name=out plain service=sira every=200ms for=10m " + instances + keyed + "\n";
     ScenarioCount count =
         Scenario.parse(FLEET + fault + load + "advance 30s\n").runAndCount(1, "out");
     System.out.printf(
-        "%-40s asked %5d served %5d  %s%n", name, count.asked(), count.served(), count.states());
+        "%-52s asked %5d served %5d  %s%n", name, count.asked(), count.served(), count.states());
     figures
         .putObject(name)
         .put("asked", count.asked())
--- a/mothrill-lab/src/main/java/io/mothrill/lab/explore/Exploration.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/explore/Exploration.java
@@ -66,7 +66,16 @@
     this.fleet = new Fleet(NodeSettings.standard(), seed);
   }
 
-  private record Made(String key, String body, boolean sole, MemoryCaller caller) {}
+  private record Made(Optional<String> key, String body, boolean sole, MemoryCaller caller) {
+
+    boolean isUnknown() {
+      return caller.key().isEmpty();
+    }
+
+    String billedKey() {
+      return "team/" + caller.key();
+    }
+  }
 
   /**
    * Runs a number of random steps, heals everything, and checks what must always hold.
@@ -199,21 +208,39 @@
 
   private void call() {
     boolean sole = random.nextInt(4) == 0;
-    String key = (sole ? "ticket-" : "key-") + random.nextInt(KEYS);
-    String body = "call " + key;
+    switch (random.nextInt(4)) {
+      case 0 -> callOnce(sole, Optional.empty(), "call once-" + callCount);
+      case 1 -> repeatMinted();
+      default -> {
+        String key = (sole ? "ticket-" : "key-") + random.nextInt(KEYS);
+        callOnce(sole, Optional.of(key), "call " + key);
+      }
+    }
+  }
+
+  /** Asks again for a call that had no key, under the key that it was told. */
+  private void repeatMinted() {
+    List<Made> told =
+        made.stream().filter(call -> call.key().isEmpty() && !call.isUnknown()).toList();
+    if (!told.isEmpty()) {
+      Made first = told.get(random.nextInt(told.size()));
+      callOnce(first.sole(), Optional.of(first.caller().key()), first.body());
+    }
+  }
+
+  private void callOnce(boolean sole, Optional<String> key, String body) {
     String id = IDS.get(random.nextInt(IDS.size()));
-    CallRequest request = request(key, body, sole);
-    made.add(new Made(key, body, sole, fleet.call(id, request)));
+    made.add(new Made(key, body, sole, fleet.call(id, request(key, body, sole))));
     callCount++;
-    note("call", id + " " + key);
+    note("call", id + " " + body);
   }
 
-  private static CallRequest request(String key, String body, boolean sole) {
+  private static CallRequest request(Optional<String> key, String body, boolean sole) {
     return new CallRequest(
         "team." + SECRET,
         sole ? ServiceType.PLAIN : ServiceType.MODEL,
         sole ? "sira" : "asistan",
-        Optional.of(key),
+        key,
         Optional.empty(),
         sole,
         Optional.empty(),
@@ -254,10 +281,10 @@
   private static void checkAnswer(Made call, List<String> broken) {
     String state = call.caller().state();
     if (state.equals("served") && !call.caller().body().equals("answer to " + call.body())) {
-      broken.add("a caller of " + call.key() + " got another answer: " + call.caller().body());
+      broken.add("a caller of " + call.body() + " got another answer: " + call.caller().body());
     }
     if (state.equals("waiting")) {
-      broken.add("a caller of " + call.key() + " still waits");
+      broken.add("a caller of " + call.body() + " still waits");
     }
   }
 
@@ -284,9 +311,9 @@
     Set<String> billed = fleet.audit().billedKeys();
     made.stream()
         .filter(call -> call.caller().state().equals("served"))
-        .map(Made::key)
+        .map(Made::billedKey)
         .distinct()
-        .filter(key -> !billed.contains("team/" + key))
+        .filter(key -> !billed.contains(key))
         .forEach(key -> broken.add(key + " was served, but not billed; " + openBills()));
   }
 
--- a/mothrill-lab/src/main/java/io/mothrill/lab/scenario/Calls.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/scenario/Calls.java
@@ -23,7 +23,7 @@
 
   /** Makes the request of a step; calls with the same key have the same body. */
   static CallRequest request(Step step, String name) {
-    String key = step.option("key", "");
+    String key = keyOf(step, name);
     String body = bodyOf(step, name);
     boolean plain = step.has("plain");
     return new CallRequest(
@@ -46,8 +46,13 @@
         new byte[0]);
   }
 
+  /** A load that is {@code keyed} gives each of its calls a key of its own. */
+  private static String keyOf(Step step, String name) {
+    return step.option("key", step.has("keyed") ? name : "");
+  }
+
   static String bodyOf(Step step, String name) {
-    String key = step.option("key", "");
+    String key = keyOf(step, name);
     return "call " + (key.isEmpty() ? name : key) + " tokens=" + step.number("tokens", 40);
   }
 
