--- a/mothrill-lab/src/main/java/io/mothrill/lab/experiment/SpendRun.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/experiment/SpendRun.java
@@ -194,7 +194,8 @@
     asked += counts ? 1 : 0;
     if (hold.isPresent()) {
       begin(budget, needTokens, hold.get());
-    } else if (counts) {
+    } else if (counts && leftTokens(budget) >= needTokens) {
+      // Where the room has gone to another call in the meantime, the refusal is true.
       refusedFalsely++;
       boolean inReach = policy.withinReachTokens(instance, budget) >= needTokens;
       refusedInReach += inReach ? 1 : 0;
