Split the exchange and the request records by job

Change: KeyedStart (run, wait or replay), Attempt (one attempt's listener) and RunAnswers (answers others wait for) are classes of their own; a run that is granted after its request was given up now ends at once.

--- a/mothrill-core/src/main/java/io/mothrill/core/node/Node.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/node/Node.java
@@ -21,6 +21,7 @@
 import io.mothrill.core.request.RequestRecords;
 import io.mothrill.core.request.RequestService;
 import io.mothrill.core.request.RetryBudget;
+import io.mothrill.core.request.RunAnswers;
 import io.mothrill.core.routing.AffinityScorer;
 import io.mothrill.core.routing.AvoidanceScorer;
 import io.mothrill.core.routing.Chooser;
@@ -64,6 +65,7 @@
   private final BudgetController budgets;
   private final RequestRecords records;
   private final RangeAuthority authority;
+  private final RunAnswers answers;
   private final RecentDecisions decisions = new RecentDecisions();
   private final UpstreamTable upstreams;
   private final Router router;
@@ -94,6 +96,7 @@
             settings.budgets().marginMs());
     this.budgets = newBudgets();
     this.authority = newAuthority();
+    this.answers = new RunAnswers(members, ports.links(), ports.dispatcher(), ports.timers());
     this.records = newRecords();
     this.upstreams = new UpstreamTable(config);
     this.router = newRouter(self.domain());
@@ -155,6 +158,7 @@
   private RequestRecords newRecords() {
     return new RequestRecords(
         authority,
+        answers,
         members,
         ports.links(),
         ports.dispatcher(),
@@ -184,6 +188,7 @@
         new ExchangeParts(
             new CallPlanner(config, ports.timers(), incarnation, () -> newId(ports.random())),
             records,
+            answers,
             authority,
             budgets,
             router,
--- a/mothrill-core/src/main/java/io/mothrill/core/request/Exchange.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/Exchange.java
@@ -3,18 +3,15 @@
 import com.codahale.metrics.MetricRegistry;
 import io.mothrill.core.budget.BillPart;
 import io.mothrill.core.budget.Reservation;
-import io.mothrill.core.peer.PeerMessage.ClaimReply;
 import io.mothrill.core.request.UnrepeatableClaims.Outcome;
 import io.mothrill.core.request.error.RefusedException;
 import io.mothrill.core.routing.Assignment;
-import io.mothrill.core.routing.LoadReport;
 import io.mothrill.core.routing.Ticket;
 import io.mothrill.core.time.Subscription;
 import io.mothrill.core.upstream.UpstreamCall;
 import io.mothrill.core.upstream.UpstreamExchange;
 import io.mothrill.core.upstream.UpstreamFailure;
 import io.mothrill.core.upstream.UpstreamFailure.Kind;
-import io.mothrill.core.upstream.UpstreamListener;
 import io.mothrill.core.upstream.Usage;
 import java.util.HashSet;
 import java.util.List;
@@ -31,9 +28,6 @@
  */
 public final class Exchange {
 
-  private static final int MAX_CLAIMS = 6;
-  private static final long RECLAIM_MS = 1_000;
-
   private final ExchangeParts parts;
   private final CallRequest request;
   private final CallerStream caller;
@@ -47,7 +41,6 @@
   private Subscription deadline = () -> {};
   private Usage usage = Usage.NONE;
   private int attempts;
-  private int claims;
   private boolean claimed;
   private boolean mayHaveRun;
   private boolean headSent;
@@ -75,7 +68,7 @@
     long timeoutMs = plan.deadlineMs() - parts.timers().nowMs();
     deadline = parts.timers().after(timeoutMs, () -> caller.execute(this::onDeadline));
     if (plan.keyed()) {
-      claimKey();
+      new KeyedStart(parts, plan, caller, this).claim();
     } else {
       parts.records().begin(plan);
       claimed = true;
@@ -108,58 +101,11 @@
     }
   }
 
-  private void claimKey() {
-    claims++;
-    then(parts.records().claim(plan), this::onClaim);
-  }
-
-  private void onClaim(ClaimReply reply) {
-    switch (reply.verdict()) {
-      case RUN -> {
-        claimed = true;
-        reserve();
-      }
-      case JOIN -> join(reply.runner());
-      case REPLAY -> replay(reply.answer());
-      case MISMATCH -> refuse(Refusal.keyReused());
-      case OUTCOME_UNKNOWN -> refuse(Refusal.outcomeUnknown());
-      default -> refuse(Refusal.claimUnsafe());
-    }
+  boolean isOver() {
+    return over;
   }
 
-  private void join(String runner) {
-    var unused =
-        parts
-            .records()
-            .join(plan.key(), runner)
-            .handle((found, error) -> error == null ? found : Optional.<StoredAnswer>empty())
-            .thenAccept(found -> caller.execute(() -> onJoined(found)));
-  }
-
-  /**
-   * The run that was waited for may have failed, or its instance; then the claim is asked anew,
-   * after the time that it takes to notice that an instance is gone.
-   */
-  private void onJoined(Optional<StoredAnswer> found) {
-    if (over) {
-      return;
-    }
-    if (found.isPresent()) {
-      replay(found);
-    } else if (claims < MAX_CLAIMS) {
-      parts.timers().after(RECLAIM_MS, () -> caller.execute(this::claimAgain));
-    } else {
-      refuse(Refusal.inProgress());
-    }
-  }
-
-  private void claimAgain() {
-    if (!over) {
-      claimKey();
-    }
-  }
-
-  private void replay(Optional<StoredAnswer> stored) {
+  void replay(Optional<StoredAnswer> stored) {
     if (stored.isEmpty()) {
       refuse(Refusal.answerGone());
       return;
@@ -170,6 +116,11 @@
     close();
   }
 
+  void onMayRun() {
+    claimed = true;
+    reserve();
+  }
+
   private void reserve() {
     then(
         parts.budgets().account(plan.budget()).reserve(plan.reserveTokens()),
@@ -234,55 +185,16 @@
             request.streamed(),
             !plan.repeatable(),
             parts.settings().stallMs());
-    upstream = parts.client().send(call, new Answer(attempts, assignment));
+    upstream =
+        parts.client().send(call, new Attempt(this, caller, attempts, assignment.upstream()));
   }
 
-  /** Hears of one attempt; what an earlier attempt still says is dropped. */
-  private final class Answer implements UpstreamListener {
-    private final int attempt;
-    private final Assignment slot;
-
-    Answer(int attempt, Assignment slot) {
-      this.attempt = attempt;
-      this.slot = slot;
-    }
-
-    private void on(Runnable step) {
-      caller.execute(
-          () -> {
-            if (!over && attempt == attempts) {
-              step.run();
-            }
-          });
-    }
-
-    @Override
-    public void onHead(int status, String contentType) {
-      on(() -> head(status, contentType));
-    }
-
-    @Override
-    public void onPiece(byte[] bytes, Usage used) {
-      on(() -> piece(bytes, used));
-    }
-
-    @Override
-    public void onEnd() {
-      on(Exchange.this::end);
-    }
-
-    @Override
-    public void onFailure(UpstreamFailure failure) {
-      on(() -> attemptFailed(failure));
-    }
-
-    @Override
-    public void onLoad(LoadReport report) {
-      slot.upstream().report(report);
-    }
+  /** Says whether an attempt is the one that counts; what others still say is dropped. */
+  boolean isCurrent(int attempt) {
+    return !over && attempt == attempts;
   }
 
-  private void head(int status, String contentType) {
+  void head(int status, String contentType) {
     answer.head(status, contentType);
     headSent = true;
     if (!callerGone) {
@@ -290,7 +202,7 @@
     }
   }
 
-  private void piece(byte[] bytes, Usage used) {
+  void piece(byte[] bytes, Usage used) {
     usage = used;
     boolean tooLong = request.streamed() && used.outputTokens() > plan.maxOutputTokens();
     if (tooLong) {
@@ -315,7 +227,7 @@
     end();
   }
 
-  private void end() {
+  void end() {
     Optional<StoredAnswer> whole = answer.whole();
     long owedTokens = plan.cost(answer.status(), usage.totalTokens());
     finish(owedTokens, whole, this::endCaller);
@@ -348,7 +260,7 @@
                     }));
   }
 
-  private void attemptFailed(UpstreamFailure failure) {
+  void attemptFailed(UpstreamFailure failure) {
     if (failure.kind() == Kind.LEAVING) {
       assignment.upstream().markLeaving();
     } else {
@@ -367,7 +279,7 @@
       usage = Usage.NONE;
       route();
     } else {
-      fail(refusalOf(failure));
+      fail(Refusal.of(failure, plan.repeatable()));
     }
   }
 
@@ -383,13 +295,6 @@
         && parts.retryBudget().tryRetry();
   }
 
-  private Refusal refusalOf(UpstreamFailure failure) {
-    if (failure.isNotRun()) {
-      return Refusal.upstreamRefused(failure.detail());
-    }
-    return plan.repeatable() ? Refusal.upstreamFailed(failure.detail()) : Refusal.outcomeUnknown();
-  }
-
   private void onDeadline() {
     if (!over) {
       boolean sent = upstream != null;
@@ -447,7 +352,7 @@
    * that the request did not run, although the first attempt did. What any attempt may have done
    * counts.
    */
-  private void fail(Refusal reason) {
+  void fail(Refusal reason) {
     Refusal refusal = mayHaveRun ? reason.mayHaveRun() : reason;
     if (claimed || plan.keyed()) {
       endRecord(refusal);
@@ -474,7 +379,7 @@
     var unused = parts.records().finish(plan, RunOutcome.failed(notRun));
   }
 
-  private void refuse(Refusal refusal) {
+  void refuse(Refusal refusal) {
     Logger.info(
         "refused request={} status={} code={} notRun={}",
         plan == null ? "" : plan.requestId(),
--- a/mothrill-core/src/main/java/io/mothrill/core/request/ExchangeParts.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/ExchangeParts.java
@@ -11,6 +11,7 @@
  *
  * @param planner finds out who asks and for what
  * @param records keeps one record per request key
+ * @param answers lets retries wait for answers
  * @param unrepeatable claims requests that may run only once
  * @param budgets reserves tokens
  * @param router gives slots at upstreams
@@ -23,6 +24,7 @@
 public record ExchangeParts(
     CallPlanner planner,
     RequestRecords records,
+    RunAnswers answers,
     UnrepeatableClaims unrepeatable,
     BudgetController budgets,
     Router router,
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/KeyedStart.java
@@ -0,0 +1,85 @@
+package io.mothrill.core.request;
+
+import io.mothrill.core.peer.PeerMessage.ClaimReply;
+import io.mothrill.core.peer.PeerMessage.ClaimReply.Verdict;
+import java.util.Optional;
+
+/** The start of a request whose caller chose its key: run it, wait for another run, or replay. */
+final class KeyedStart {
+
+  private static final int MAX_CLAIMS = 6;
+  private static final long RECLAIM_MS = 1_000;
+
+  private final ExchangeParts parts;
+  private final CallPlan plan;
+  private final CallerStream caller;
+  private final Exchange exchange;
+  private int claims;
+
+  KeyedStart(ExchangeParts parts, CallPlan plan, CallerStream caller, Exchange exchange) {
+    this.parts = parts;
+    this.plan = plan;
+    this.caller = caller;
+    this.exchange = exchange;
+  }
+
+  void claim() {
+    claims++;
+    var unused =
+        parts.records().claim(plan).thenAccept(reply -> caller.execute(() -> onClaim(reply)));
+  }
+
+  private void onClaim(ClaimReply reply) {
+    if (exchange.isOver()) {
+      abandon(reply);
+      return;
+    }
+    switch (reply.verdict()) {
+      case RUN -> exchange.onMayRun();
+      case JOIN -> join(reply.runner());
+      case REPLAY -> exchange.replay(reply.answer());
+      case MISMATCH -> exchange.refuse(Refusal.keyReused());
+      case OUTCOME_UNKNOWN -> exchange.refuse(Refusal.outcomeUnknown());
+      default -> exchange.refuse(Refusal.claimUnsafe());
+    }
+  }
+
+  private void join(String runner) {
+    var unused =
+        parts
+            .answers()
+            .join(plan.key(), runner)
+            .handle((found, error) -> error == null ? found : Optional.<StoredAnswer>empty())
+            .thenAccept(found -> caller.execute(() -> onJoined(found)));
+  }
+
+  /**
+   * The run that was waited for may have failed, or its instance; then the claim is asked anew,
+   * after the time that it takes to notice that an instance is gone.
+   */
+  private void onJoined(Optional<StoredAnswer> found) {
+    if (exchange.isOver()) {
+      return;
+    }
+    if (found.isPresent()) {
+      exchange.replay(found);
+    } else if (claims < MAX_CLAIMS) {
+      parts.timers().after(RECLAIM_MS, () -> caller.execute(this::claimAgain));
+    } else {
+      exchange.refuse(Refusal.inProgress());
+    }
+  }
+
+  private void claimAgain() {
+    if (!exchange.isOver()) {
+      claim();
+    }
+  }
+
+  /** A run that was granted after its request was given up ends at once. */
+  private void abandon(ClaimReply reply) {
+    if (reply.verdict() == Verdict.RUN) {
+      var unused = parts.records().finish(plan, RunOutcome.failed(true));
+    }
+  }
+}
--- a/mothrill-core/src/main/java/io/mothrill/core/request/Refusal.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/Refusal.java
@@ -3,6 +3,7 @@
 import io.mothrill.core.budget.error.BudgetException;
 import io.mothrill.core.error.Failures;
 import io.mothrill.core.routing.error.NoCapacityException;
+import io.mothrill.core.upstream.UpstreamFailure;
 
 /**
  * The answer to a request that is not served.
@@ -225,6 +226,20 @@
     return notRun(UNAVAILABLE, "not_ready", "this instance is starting", SOON_MS);
   }
 
+  /**
+   * Turns the failure of the last attempt into a refusal.
+   *
+   * @param failure the failure
+   * @param repeatable whether the request may be sent again by its caller without harm
+   * @return the refusal
+   */
+  public static Refusal of(UpstreamFailure failure, boolean repeatable) {
+    if (failure.isNotRun()) {
+      return upstreamRefused(failure.detail());
+    }
+    return repeatable ? upstreamFailed(failure.detail()) : outcomeUnknown();
+  }
+
   /**
    * Turns an error of a layer below into a refusal.
    *
--- a/mothrill-core/src/main/java/io/mothrill/core/request/RequestRecords.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/RequestRecords.java
@@ -8,8 +8,6 @@
 import io.mothrill.core.peer.PeerDispatcher;
 import io.mothrill.core.peer.PeerLinks;
 import io.mothrill.core.peer.PeerMessage;
-import io.mothrill.core.peer.PeerMessage.AnswerReply;
-import io.mothrill.core.peer.PeerMessage.AnswerRequest;
 import io.mothrill.core.peer.PeerMessage.BillsPosted;
 import io.mothrill.core.peer.PeerMessage.ClaimReply;
 import io.mothrill.core.peer.PeerMessage.ClaimReply.Verdict;
@@ -45,11 +43,10 @@
   private static final long ASK_TIMEOUT_MS = 500;
   private static final int CLAIM_ATTEMPTS = 4;
   private static final long CLAIM_RETRY_MS = 500;
-  private static final long ANSWER_WAIT_MS = 1_000;
-  private static final long ANSWER_TIMEOUT_MS = 2_000;
   private static final long TICK_MS = 1_000;
 
   private final RangeAuthority authority;
+  private final RunAnswers answers;
   private final Section<Membership> members;
   private final PeerLinks links;
   private final BillForwarder bills;
@@ -58,12 +55,12 @@
   private final Queue<Ended> posted = new ConcurrentLinkedQueue<>();
   private final Map<String, Ended> unconfirmed = new ConcurrentHashMap<>();
   private final Map<String, Ended> keptForOthers = new ConcurrentHashMap<>();
-  private final Map<RequestKey, Running> running = new ConcurrentHashMap<>();
 
   /**
    * Creates the records and starts their timers.
    *
    * @param authority decides about keys
+   * @param answers lets others wait for the answers of runs here
    * @param members the fleet
    * @param links the way to peers
    * @param dispatcher where requests from peers are served
@@ -73,6 +70,7 @@
    */
   public RequestRecords(
       RangeAuthority authority,
+      RunAnswers answers,
       Section<Membership> members,
       PeerLinks links,
       PeerDispatcher dispatcher,
@@ -80,12 +78,12 @@
       Timers timers,
       long decisionMs) {
     this.authority = authority;
+    this.answers = answers;
     this.members = members;
     this.links = links;
     this.bills = bills;
     this.timers = timers;
     this.decisionMs = decisionMs;
-    dispatcher.on(AnswerRequest.class, this::onAnswerRequest);
     dispatcher.on(KeepCopy.class, this::onKeepCopy);
     dispatcher.on(BillsPosted.class, this::onBillsPosted);
     timers.every(TICK_MS, this::tick);
@@ -104,16 +102,13 @@
     }
   }
 
-  /** A run of this instance that others may wait for. */
-  private record Running(String requestId, CompletableFuture<Optional<StoredAnswer>> answer) {}
-
   /**
    * Notes a run under a key that was minted for it; it may run without asking anyone.
    *
    * @param plan the request
    */
   public void begin(CallPlan plan) {
-    running.put(plan.key(), new Running(plan.requestId(), new CompletableFuture<>()));
+    var unused = answers.begin(plan.key(), plan.requestId());
     authority.beginMinted(claimOf(plan));
   }
 
@@ -138,14 +133,13 @@
    */
   public CompletableFuture<ClaimReply> claim(CallPlan plan) {
     ClaimRequest claim = claimOf(plan);
-    Running run = new Running(plan.requestId(), new CompletableFuture<>());
-    Running earlier = running.putIfAbsent(plan.key(), run);
+    boolean first = answers.begin(plan.key(), plan.requestId());
     return askOwner(claim, 1)
-        .thenApply(reply -> reply.orElseGet(() -> withoutOwner(earlier)))
+        .thenApply(reply -> reply.orElseGet(() -> withoutOwner(first)))
         .whenComplete(
             (reply, error) -> {
               if (reply == null || reply.verdict() != Verdict.RUN) {
-                endWaiting(plan.key(), plan.requestId(), Optional.empty());
+                answers.end(plan.key(), plan.requestId(), Optional.empty());
               }
             });
   }
@@ -165,19 +159,12 @@
             });
   }
 
-  private ClaimReply withoutOwner(Running earlier) {
-    return earlier == null
+  private ClaimReply withoutOwner(boolean first) {
+    return first
         ? new ClaimReply(Verdict.RUN, "", Optional.empty())
         : new ClaimReply(Verdict.JOIN, members.read().self().incarnation(), Optional.empty());
   }
 
-  private void endWaiting(RequestKey key, String requestId, Optional<StoredAnswer> answer) {
-    Running run = running.get(key);
-    if (run != null && run.requestId().equals(requestId) && running.remove(key, run)) {
-      run.answer().complete(answer);
-    }
-  }
-
   /**
    * Reports the end of a run.
    *
@@ -195,7 +182,7 @@
             outcome.notRun(),
             outcome.bill(),
             outcome.answer());
-    endWaiting(plan.key(), plan.requestId(), outcome.answer());
+    answers.end(plan.key(), plan.requestId(), outcome.answer());
     Ended ended = new Ended(finish, outcome, timers.nowMs());
     unconfirmed.put(finish.requestId(), ended);
     confirm(ended);
@@ -305,46 +292,6 @@
     var unused = CompletableFuture.allOf(parts).thenAccept(nothing -> posted.add(ended));
   }
 
-  /**
-   * Waits for the answer of a request that an instance runs.
-   *
-   * <p>The runner is asked again and again, so that one that is gone is noticed soon.
-   *
-   * @param key the request key
-   * @param runner the incarnation that runs it
-   * @return the answer; empty when the run failed; fails when the runner does not answer
-   */
-  public CompletableFuture<Optional<StoredAnswer>> join(RequestKey key, String runner) {
-    Membership view = members.read();
-    if (view.self().incarnation().equals(runner)) {
-      return answerOf(key);
-    }
-    return view.find(runner)
-        .map(peer -> links.ask(peer, new AnswerRequest(key), ANSWER_TIMEOUT_MS))
-        .orElseGet(() -> CompletableFuture.failedFuture(new IllegalStateException("runner gone")))
-        .thenCompose(
-            message -> {
-              AnswerReply reply = (AnswerReply) message;
-              return reply.pending()
-                  ? join(key, runner)
-                  : CompletableFuture.completedFuture(reply.answer());
-            });
-  }
-
-  private CompletableFuture<PeerMessage> onAnswerRequest(AnswerRequest request) {
-    CompletableFuture<PeerMessage> reply = new CompletableFuture<>();
-    timers.after(ANSWER_WAIT_MS, () -> reply.complete(new AnswerReply(true, Optional.empty())));
-    var unused =
-        answerOf(request.key())
-            .thenAccept(answer -> reply.complete(new AnswerReply(false, answer)));
-    return reply;
-  }
-
-  private CompletableFuture<Optional<StoredAnswer>> answerOf(RequestKey key) {
-    Running run = running.get(key);
-    return run == null ? CompletableFuture.completedFuture(Optional.empty()) : run.answer();
-  }
-
   private void tick() {
     unconfirmed.values().forEach(this::confirm);
     Membership view = members.read();
