--- a/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetAccount.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetAccount.java
@@ -162,6 +162,12 @@
     return usedAtMs;
   }
 
+  boolean isAsking() {
+    synchronized (waiters) {
+      return asking;
+    }
+  }
+
   List<TokenPool> pools() {
     return pools.get();
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetController.java
@@ -136,9 +136,14 @@
     }
   }
 
-  /** Of a budget that is nearly spent, what a request did not use goes back at once. */
+  /**
+   * Returns at once what a request did not use of a budget that is nearly spent.
+   *
+   * <p>While other requests wait here, nothing is returned: it may be what they have gathered so
+   * far, and they would be refused although the budget has room.
+   */
   private void afterSettling(BudgetAccount account) {
-    if (allotments.isScarce(account.budget())) {
+    if (allotments.isScarce(account.budget()) && !account.isAsking()) {
       returnSurplus(account, account.availableTokens());
     }
   }
--- a/mothrill-core/src/test/java/io/mothrill/core/budget/BudgetAccountReserveTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/budget/BudgetAccountReserveTest.java
@@ -68,6 +68,27 @@
     assertThat(late.join().tokens()).isEqualTo(5_000);
   }
 
+  // Of a nearly spent budget, what a request did not use is returned at once, and loans are handed
+  // back. While another request gathers tokens here, that would take away what it has found: it is
+  // refused although the budget has room.
+  @Test
+  void keepsWhatOneRequestHasGatheredWhenAnotherIsSettled() {
+    // GIVEN
+    bench.pay(1_000);
+    final Reservation running = bench.account().reserve(100).join();
+    bench.way.slowDown(10);
+    TokenPool loan = new TokenPool(new AllotmentId("konya-2.1", "branch"), () -> Long.MAX_VALUE);
+    loan.put(400);
+    // WHEN
+    final CompletableFuture<Reservation> waiting = bench.account().reserve(1_300);
+    bench.timers.advanceMs(5);
+    bench.account().addPool(loan);
+    running.release();
+    bench.timers.advanceMs(200);
+    // THEN
+    assertThat(waiting.join().tokens()).isEqualTo(1_300);
+  }
+
   @Test
   void stopsBeforeTheLeaseEndsWhileThePlatformIsAway() {
     // GIVEN
