--- a/mothrill-core/src/main/java/io/mothrill/core/node/Node.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/node/Node.java
@@ -52,6 +52,7 @@
   private static final long CONFIG_POLL_MS = 500;
   private static final double DOMAIN_PENALTY = 0.3;
   private static final double AFFINITY_GAIN = 0.2;
+  private static final long MAX_ANSWER_BYTES = 16L * 1024 * 1024;
   private static final int ID_BYTES = 16;
 
   private final NodePorts ports;
@@ -158,7 +159,9 @@
         ports.dispatcher(),
         ports.timers(),
         new RangeWindows(
-            settings.requests().recordWindowMs(), settings.requests().claimWindowMs()));
+            settings.requests().recordWindowMs(),
+            settings.requests().claimWindowMs(),
+            MAX_ANSWER_BYTES));
   }
 
   private RequestRecords newRecords() {
--- a/mothrill-core/src/main/java/io/mothrill/core/range/RangeAuthority.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/range/RangeAuthority.java
@@ -41,6 +41,7 @@
   private final RangeOwner owner;
   private final RangeWindows windows;
   private final RunBook minted;
+  private volatile long answerMs;
 
   /**
    * Creates the authority and starts its timers.
@@ -64,6 +65,7 @@
     this.members = members;
     this.links = links;
     this.windows = windows;
+    this.answerMs = windows.answerMs();
     this.minted = new RunBook(members, timers);
     this.backup = new RangeBackup(members, dispatcher, timers, windows.decisionMs());
     RangeTaker taker = new RangeTaker(table, lease, members, links, timers, backup);
@@ -80,16 +82,33 @@
   private void tend() {
     owner.tend();
     backup.forgetOld();
-    minted.forgetOld(windows.answerMs(), windows.answerMs());
+    adaptAnswerWindow();
+    minted.forgetOld(answerMs, windows.answerMs());
     owner
         .all()
         .forEach(
             range -> {
-              range.runs().forgetOld(windows.answerMs(), windows.decisionMs());
+              range.runs().forgetOld(answerMs, windows.decisionMs());
               range.claims().forgetOld(windows.decisionMs());
             });
   }
 
+  /**
+   * Keeps answers for a shorter time while there are too many of them.
+   *
+   * <p>Failure: large answers come faster than their window ends. Symptom: the instance runs out of
+   * memory. Only answers go early; which run of a key counts is remembered all the same.
+   */
+  private void adaptAnswerWindow() {
+    long keptBytes =
+        minted.answerBytes()
+            + owner.all().stream().mapToLong(range -> range.runs().answerBytes()).sum();
+    answerMs =
+        keptBytes > windows.maxAnswerBytes()
+            ? Math.max(TEND_MS, answerMs / 2)
+            : Math.min(windows.answerMs(), answerMs * 2);
+  }
+
   private List<InstanceRecord> candidates(RequestKey key) {
     Membership view = members.read();
     return KeyRanges.rank(KeyRanges.of(key), view).stream()
--- a/mothrill-core/src/main/java/io/mothrill/core/range/RangeWindows.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/range/RangeWindows.java
@@ -5,5 +5,6 @@
  *
  * @param answerMs how long an answer is kept for retries
  * @param decisionMs how long it is remembered which run of a key counts
+ * @param maxAnswerBytes how much all kept answers may take up together
  */
-public record RangeWindows(long answerMs, long decisionMs) {}
+public record RangeWindows(long answerMs, long decisionMs, long maxAnswerBytes) {}
--- a/mothrill-core/src/main/java/io/mothrill/core/range/RunBook.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/range/RunBook.java
@@ -261,7 +261,12 @@
         held.atMs());
   }
 
-  int size() {
-    return entries.size();
+  /** Adds up the answers that are kept. */
+  long answerBytes() {
+    return entries.values().stream()
+        .flatMap(held -> held.finish().stream())
+        .flatMap(finish -> finish.answer().stream())
+        .mapToLong(answer -> answer.body().length)
+        .sum();
   }
 }
