A call whose connection is gone can be given up; callers' edge and engine faults tested

Cause: a new test with two engines that fail one call each hung for 60 s: giving up a call on a closed connection threw, because a closed connection has no handlers, and the caller was never answered. A call that every upstream had failed once was refused although they take calls again. Change: the handler is looked up safely; when all upstreams have failed a call, all are tried again. Tests over real sockets: wrong, broken, oversized, stalled and unauthorised requests; crossed answers, silent connections, leaving and killed engines, answers beyond their cap. Conclusion: errors inside an exchange's steps must never leave its caller waiting.

--- a/mothrill-core/src/main/java/io/mothrill/core/routing/ServiceQueue.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/routing/ServiceQueue.java
@@ -123,11 +123,13 @@
     return (long) (ahead / perSecond * SECOND_MS);
   }
 
+  /** When every upstream has failed the call once, all of them are tried again. */
   private List<UpstreamState> staying(Ticket ticket) {
-    return upstreams.of(service).stream()
-        .filter(upstream -> !upstream.isLeaving())
-        .filter(upstream -> !ticket.excluded().contains(upstream.name()))
-        .toList();
+    List<UpstreamState> all =
+        upstreams.of(service).stream().filter(upstream -> !upstream.isLeaving()).toList();
+    List<UpstreamState> untried =
+        all.stream().filter(upstream -> !ticket.excluded().contains(upstream.name())).toList();
+    return untried.isEmpty() ? all : untried;
   }
 
   private void expire(Waiting waiting) {
--- /dev/null
+++ b/mothrill-lab/src/test/java/io/mothrill/lab/demo/EngineFaultsTest.java
@@ -0,0 +1,113 @@
+package io.mothrill.lab.demo;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.mothrill.lab.load.Call;
+import io.mothrill.lab.load.CallResult;
+import io.mothrill.lab.load.CheckingCaller;
+import io.mothrill.lab.standin.EngineServer;
+import io.mothrill.lab.standin.EngineSettings;
+import io.mothrill.wire.json.Json;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Real HTTP from a caller through an entry instance to two engines that misbehave. */
+class EngineFaultsTest {
+
+  private static final EngineSettings ENGINE = new EngineSettings(16, 1, 512, 16, 50);
+  private static final JsonNode REQUESTS = Json.object().put("stallMs", 300);
+
+  private final DemoFloor floor = new DemoFloor(1, 2, ENGINE, Map.of("requests", REQUESTS));
+
+  @BeforeEach
+  void declare() {
+    floor.declareTeam("branch");
+    floor.declareBudget("b", "branch", 1_000_000);
+    floor.declareModel("asistan", ENGINE);
+    floor.awaitConfig();
+  }
+
+  @AfterEach
+  void close() {
+    floor.close();
+  }
+
+  private CallResult call(String prompt, boolean streamed) {
+    Call call =
+        new Call(
+            "branch", DemoFloor.keyOf("branch"), "asistan", prompt, 20, streamed, "urgent", "");
+    return new CheckingCaller(floor.http()).send(floor.caller(0), call, System.nanoTime()).join();
+  }
+
+  private long runs() {
+    return floor.engines().values().stream().mapToLong(engine -> engine.runs().size()).sum();
+  }
+
+  // An engine answers under another request's id. The answer must not reach this caller: it is
+  // dropped, the connection closed, and the call sent again, here after both engines have failed.
+  @Test
+  void crossedAnswerIsDroppedAndTheCallServedElsewhere() {
+    // GIVEN
+    floor.engines().get("engine-1").faults().crossAnswers(1);
+    floor.engines().get("engine-2").faults().crossAnswers(1);
+    // WHEN
+    CallResult first = call("crossed", true);
+    // THEN
+    assertThat(first.isServed()).isTrue();
+    assertThat(runs()).isGreaterThan(0);
+  }
+
+  // A connection falls silent after the call was sent. The watchdog closes that connection, and the
+  // call is served by the other engine; the first is not lost for later calls.
+  @Test
+  void silentConnectionCostsNoMoreThanItsWatchdog() {
+    // GIVEN
+    floor.engines().values().forEach(engine -> engine.faults().fallSilent(1));
+    // WHEN
+    CallResult first = call("silent", true);
+    CallResult second = call("after", false);
+    // THEN
+    assertThat(first.isServed()).isTrue();
+    assertThat(second.isServed()).isTrue();
+  }
+
+  @Test
+  void leavingEngineGetsNothingNew() {
+    // GIVEN
+    EngineServer leaving = floor.engines().get("engine-1");
+    leaving.faults().leave(true);
+    // WHEN
+    for (int number = 0; number < 10; number++) {
+      assertThat(call("call " + number, number % 2 == 0).isServed()).isTrue();
+    }
+    // THEN
+    assertThat(leaving.runs()).isEmpty();
+  }
+
+  // An engine ignores the output cap. The stream is cut at the cap and ended properly, and no more
+  // is billed than was reserved.
+  @Test
+  void answerBeyondItsCapIsCut() {
+    // GIVEN
+    floor.engines().values().forEach(engine -> engine.faults().exceedCap(500));
+    // WHEN
+    CallResult cut = call("too long", true);
+    // THEN
+    assertThat(cut.isServed()).isTrue();
+    assertThat(cut.billableTokens()).isAtMost(20 + 3);
+  }
+
+  @Test
+  void killedEngineCostsRepeatableCallsNothing() {
+    // GIVEN
+    assertThat(call("before", true).isServed()).isTrue();
+    floor.engines().get("engine-2").close();
+    // WHEN
+    for (int number = 0; number < 10; number++) {
+      assertThat(call("after " + number, true).isServed()).isTrue();
+    }
+  }
+}
--- a/mothrill-wire/src/main/java/io/mothrill/wire/http/ClientHandler.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/http/ClientHandler.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** One client connection: passes the answer of the current call to its sink. */
@@ -27,8 +28,14 @@
   private volatile long lastReadNanos = System.nanoTime();
   private Future<?> watchdog;
 
-  static ClientHandler of(Channel channel) {
-    return (ClientHandler) channel.pipeline().get(NAME);
+  /**
+   * Finds the handler of a connection.
+   *
+   * <p>Failure: a connection that is closed has no handlers any more. Symptom: whoever gives up its
+   * call stops halfway, and the caller is never answered.
+   */
+  static Optional<ClientHandler> find(Channel channel) {
+    return Optional.ofNullable((ClientHandler) channel.pipeline().get(NAME));
   }
 
   @Override
--- a/mothrill-wire/src/main/java/io/mothrill/wire/http/HttpClient.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/http/HttpClient.java
@@ -74,7 +74,7 @@
       cancelled = true;
       Channel used = channel.get();
       if (used != null) {
-        ClientHandler.of(used).abandon();
+        ClientHandler.find(used).ifPresent(ClientHandler::abandon);
       }
     }
 
@@ -120,7 +120,7 @@
     }
     synchronized (channels) {
       for (Channel channel = channels.pollLast(); channel != null; channel = channels.pollLast()) {
-        if (channel.isActive() && ClientHandler.of(channel).idleNanos() < IDLE_MAX_NANOS) {
+        if (channel.isActive() && isFresh(channel)) {
           return channel;
         }
         channel.close();
@@ -129,6 +129,12 @@
     return null;
   }
 
+  private static boolean isFresh(Channel channel) {
+    return ClientHandler.find(channel)
+        .filter(handler -> handler.idleNanos() < IDLE_MAX_NANOS)
+        .isPresent();
+  }
+
   private void connect(HttpCall call, HttpSink sink, Handle handle) {
     bootstrap
         .connect(call.to().toSocketAddress())
@@ -162,7 +168,9 @@
                 ifClosed.run();
                 return;
               }
-              ClientHandler.of(channel).begin(sink, call.stallMs(), () -> putBack(call, channel));
+              ClientHandler.find(channel)
+                  .ifPresent(
+                      handler -> handler.begin(sink, call.stallMs(), () -> putBack(call, channel)));
               channel.writeAndFlush(requestOf(call));
             });
   }
@@ -195,8 +203,7 @@
     synchronized (channels) {
       channels.removeIf(
           channel -> {
-            boolean stale =
-                !channel.isActive() || ClientHandler.of(channel).idleNanos() >= IDLE_MAX_NANOS;
+            boolean stale = !channel.isActive() || !isFresh(channel);
             if (stale) {
               channel.close();
             }
--- /dev/null
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/caller/CallerEdgeTest.java
@@ -0,0 +1,156 @@
+package io.mothrill.wire.caller;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.mothrill.core.config.ConfigSnapshot;
+import io.mothrill.core.fake.FakeInstanceList;
+import io.mothrill.core.fake.FakeTable;
+import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.node.Node;
+import io.mothrill.core.node.NodePorts;
+import io.mothrill.core.node.NodeSettings;
+import io.mothrill.core.peer.PeerDispatcher;
+import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.resource.Resource;
+import io.mothrill.core.resource.TeamKey;
+import io.mothrill.core.resource.TeamSpec;
+import io.mothrill.wire.json.JsonResources;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class CallerEdgeTest {
+
+  private static final int MAX_BODY_BYTES = 1_000;
+  private static final String KEY = "branch.secret";
+
+  private final ManualTimers timers = new ManualTimers();
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final Node node = node();
+  private final CallerEdge edge =
+      new CallerEdge(
+          group,
+          "127.0.0.1",
+          0,
+          node.requests(),
+          node.config(),
+          new CallerLimits(MAX_BODY_BYTES, 200, 1_000));
+
+  private Node node() {
+    InstanceRecord self = new InstanceRecord("konya-1", "konya-1.a", "konya", "::1", 1, false);
+    NodePorts ports =
+        new NodePorts(
+            new FakeTable(timers),
+            new FakeInstanceList(timers, 1_000),
+            (peer, request, timeoutMs) -> new CompletableFuture<>(),
+            new PeerDispatcher(),
+            (call, listener) -> null,
+            new JsonResources(),
+            timers,
+            new Random(1));
+    Node made = new Node(self, ports, NodeSettings.standard(), new MetricRegistry());
+    TeamSpec team = new TeamSpec(List.of(TeamKey.hash("salt", "secret")), 1);
+    made.config().publish(ConfigSnapshot.of(1, List.of(new Resource("branch", 1, team))));
+    return made;
+  }
+
+  @AfterEach
+  void close() {
+    edge.close();
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+  }
+
+  /** Sends bytes on a connection of their own and reads until the server closes it. */
+  private String exchange(String request) throws IOException {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), edge.port())) {
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    }
+  }
+
+  private static String chat(String key, String body) {
+    return "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\n"
+        + "authorization: Bearer "
+        + key
+        + "\r\ncontent-length: "
+        + body.length()
+        + "\r\n\r\n"
+        + body;
+  }
+
+  @Test
+  void namesTheFieldsOfWrongBody() throws IOException {
+    // WHEN
+    String answer = exchange(chat(KEY, "{\"model\": 5, \"max_tokens\": 0, \"messages\": [{}]}"));
+    // THEN
+    assertThat(answer).startsWith("HTTP/1.1 400");
+    assertThat(answer).contains("model: must be a text");
+    assertThat(answer).contains("max_tokens: must be from 1");
+    assertThat(answer).contains("\"notRun\":true");
+  }
+
+  @Test
+  void refusesBrokenJson() throws IOException {
+    assertThat(exchange(chat(KEY, "{\"model\": "))).contains("is not JSON");
+  }
+
+  @Test
+  void refusesWrongKeyWith401() throws IOException {
+    // WHEN
+    String body = "{\"model\": \"m\", \"messages\": [{\"role\": \"user\", \"content\": \"x\"}]}";
+    String answer = exchange(chat("branch.wrong", body));
+    // THEN
+    assertThat(answer).startsWith("HTTP/1.1 401");
+    assertThat(answer).contains("invalid_api_key");
+  }
+
+  @Test
+  void refusesBodyThatIsTooLarge() throws IOException {
+    assertThat(exchange(chat(KEY, "x".repeat(MAX_BODY_BYTES + 1)))).startsWith("HTTP/1.1 413");
+  }
+
+  @Test
+  void refusesHeaderThatIsTooLarge() throws IOException {
+    // WHEN
+    String answer = exchange("GET /v1/models HTTP/1.1\r\nx: " + "y".repeat(20_000) + "\r\n\r\n");
+    // THEN
+    assertThat(answer).startsWith("HTTP/1.1 400");
+  }
+
+  // A caller sends half of its request and then nothing. It is answered and cut off, so that it
+  // does
+  // not hold a connection for ever.
+  @Test
+  void cutsOffCallerThatStopsSending() throws IOException {
+    // WHEN
+    String answer = exchange("POST /v1/chat/completions HTTP/1.1\r\ncontent-length: 50\r\n\r\n{");
+    // THEN
+    assertThat(answer).startsWith("HTTP/1.1 408");
+  }
+
+  @Test
+  void listsModelsOnlyForTeams() throws IOException {
+    // WHEN
+    String known =
+        exchange(
+            "GET /v1/models HTTP/1.1\r\nconnection: close\r\nauthorization: Bearer "
+                + KEY
+                + "\r\n\r\n");
+    String unknown = exchange("GET /v1/models HTTP/1.1\r\nconnection: close\r\n\r\n");
+    // THEN
+    assertThat(known).startsWith("HTTP/1.1 200");
+    assertThat(unknown).startsWith("HTTP/1.1 401");
+  }
+}
