The engine stand-in resumes streams; the drain test fails when the drain does not wait

Cause: the stand-in was to resume streams and did not. The safeguard 'a drain waits for requests under way', broken by hand, was caught by no test, since the test looked for one stage too late. Change: GET /v1/streams/{id}?from=N at the engine stand-in; the drain test asserts the stage itself.

--- a/mothrill-core/src/test/java/io/mothrill/core/drain/DrainControllerTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/drain/DrainControllerTest.java
@@ -59,13 +59,13 @@
     // GIVEN
     final var done = drain.drain();
     timers.advanceMs(30_000);
-    final boolean early = stage.read() == DrainStage.HANDING_OVER;
+    final DrainStage whileOneIsUnderWay = stage.read();
     // WHEN
     work.idle = true;
     work.handedOver = true;
     timers.advanceMs(200);
     // THEN
-    assertThat(early).isFalse();
+    assertThat(whileOneIsUnderWay).isEqualTo(DrainStage.FINISHING);
     assertThat(done.isDone()).isTrue();
   }
 
--- a/mothrill-lab/src/main/java/io/mothrill/lab/standin/EngineBatch.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/standin/EngineBatch.java
@@ -6,9 +6,11 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** Batches sequences continuously: a new one joins as soon as a slot is free, urgent ones first. */
@@ -21,6 +23,7 @@
   private final List<Sequence> running = new ArrayList<>();
   private final Map<String, Boolean> cachedPrompts;
   private final Map<String, Integer> runs = new LinkedHashMap<>();
+  private final Map<String, Sequence> known = new HashMap<>();
   private final AtomicLong tokens = new AtomicLong();
   private volatile LoadReport reported = new LoadReport(0, 0, false, 0);
 
@@ -40,6 +43,20 @@
 
   synchronized void add(Sequence sequence) {
     runs.merge(sequence.requestId(), 1, Integer::sum);
+    known.put(sequence.requestId(), sequence);
+    enqueue(sequence);
+  }
+
+  /** Goes on with a stream that was broken off; it counts as the same run. */
+  synchronized void resume(Sequence sequence) {
+    enqueue(sequence);
+  }
+
+  synchronized Optional<Sequence> find(String requestId) {
+    return Optional.ofNullable(known.get(requestId));
+  }
+
+  private void enqueue(Sequence sequence) {
     (sequence.isUrgent() ? urgent : batch).addLast(sequence);
   }
 
--- a/mothrill-lab/src/main/java/io/mothrill/lab/standin/EngineHandler.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/standin/EngineHandler.java
@@ -20,7 +20,10 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.QueryStringDecoder;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -30,6 +33,8 @@
   /** A prompt may say how long its answer is, so that answers shorter than the cap occur. */
   private static final Pattern WANTED_TOKENS = Pattern.compile("\\[tokens=(\\d+)]");
 
+  private static final String STREAMS = "/v1/streams/";
+
   private final EngineBatch batch;
   private final EngineFaults faults;
   private Sequence current;
@@ -49,6 +54,10 @@
       refuseLeaving(ctx, requestId);
       return;
     }
+    if (request.uri().startsWith(STREAMS)) {
+      resume(ctx, request.uri());
+      return;
+    }
     JsonNode body = Json.read(ByteBufUtil.getBytes(request.content()));
     StringBuilder prompt = new StringBuilder();
     body.path("messages").forEach(message -> prompt.append(message.path("content").asText()));
@@ -66,6 +75,28 @@
     batch.add(current);
   }
 
+  /** Serves {@code GET /v1/streams/{requestId}?from=N}: the stream from token N on. */
+  private void resume(ChannelHandlerContext ctx, String uri) {
+    QueryStringDecoder query = new QueryStringDecoder(uri);
+    String requestId = query.path().substring(STREAMS.length());
+    int from = Integer.parseInt(query.parameters().getOrDefault("from", List.of("0")).get(0));
+    Optional<Sequence> broken = batch.find(requestId);
+    if (broken.isEmpty() || from >= broken.get().maxTokens()) {
+      ctx.close();
+      return;
+    }
+    Sequence earlier = broken.get();
+    current =
+        new Sequence(
+                requestId,
+                earlier.prompt(),
+                earlier.isUrgent(),
+                earlier.maxTokens(),
+                new StreamAnswer(ctx, requestId))
+            .resumeAt(from);
+    batch.resume(current);
+  }
+
   private int tokensOf(String prompt, int cap) {
     Matcher wanted = WANTED_TOKENS.matcher(prompt);
     int tokens = wanted.find() ? Math.min(cap, Integer.parseInt(wanted.group(1))) : cap;
--- a/mothrill-lab/src/main/java/io/mothrill/lab/standin/Sequence.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/standin/Sequence.java
@@ -48,6 +48,16 @@
     return emitted;
   }
 
+  int maxTokens() {
+    return maxTokens;
+  }
+
+  /** Goes on behind a token that was sent before; the prompt is still cached. */
+  Sequence resumeAt(int token) {
+    emitted = token;
+    return this;
+  }
+
   void cancel() {
     cancelled = true;
   }
--- a/mothrill-lab/src/test/java/io/mothrill/lab/demo/EngineFaultsTest.java
+++ b/mothrill-lab/src/test/java/io/mothrill/lab/demo/EngineFaultsTest.java
@@ -8,7 +8,14 @@
 import io.mothrill.lab.load.CheckingCaller;
 import io.mothrill.lab.standin.EngineServer;
 import io.mothrill.lab.standin.EngineSettings;
+import io.mothrill.lab.standin.EngineText;
+import io.mothrill.wire.http.Address;
+import io.mothrill.wire.http.HttpReply;
+import io.mothrill.wire.http.WholeAnswer;
 import io.mothrill.wire.json.Json;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -100,6 +107,32 @@
     assertThat(cut.billableTokens()).isAtMost(20 + 3);
   }
 
+  @Test
+  void engineGoesOnWithStreamFromAnyToken() {
+    // GIVEN
+    assertThat(call("resumed", true).isServed()).isTrue();
+    EngineServer engine =
+        floor.engines().values().stream().filter(one -> !one.runs().isEmpty()).findFirst().get();
+    String requestId = engine.runs().keySet().iterator().next();
+    // WHEN
+    HttpReply rest =
+        WholeAnswer.of(
+                floor.http(),
+                new Address("127.0.0.1", engine.port()),
+                HttpMethod.GET,
+                "/v1/streams/" + requestId + "?from=18",
+                new DefaultHttpHeaders(),
+                new byte[0],
+                5_000)
+            .join();
+    // THEN
+    String text = new String(rest.body(), StandardCharsets.UTF_8);
+    assertThat(text).contains(EngineText.token("resumed", 18).trim());
+    assertThat(text).contains(EngineText.token("resumed", 19).trim());
+    assertThat(text).doesNotContain("\"content\":\"" + EngineText.token("resumed", 17));
+    assertThat(engine.runs()).containsExactly(requestId, 1);
+  }
+
   @Test
   void killedEngineCostsRepeatableCallsNothing() {
     // GIVEN
