One reader for HOST:PORT; dead state removed

Cause: read again, the change had HOST:PORT parsed in three commands, two of which did not refuse a port that is no number; an account noted on every reservation when it was used, and nothing read it; Rendezvous.rankNames had lost its only caller. Change: Address.parse serves apply/get/watch/delete, audit and load; the dead field, its write on the request path and the dead method are gone.

--- a/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetAccount.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetAccount.java
@@ -36,7 +36,6 @@
   private final Deque<Waiter> waiters = new ArrayDeque<>();
   private boolean asking;
   private long round;
-  private volatile long usedAtMs;
   private volatile long exhaustedNeedTokens;
   private volatile long exhaustedUntilMs = Long.MIN_VALUE;
 
@@ -49,7 +48,6 @@
     this.timers = timers;
     this.sources = List.copyOf(sources);
     this.afterSettling = afterSettling;
-    this.usedAtMs = timers.nowMs();
   }
 
   private record Waiter(
@@ -71,7 +69,6 @@
    * @return the reservation; fails with {@link BudgetException} when there is no room
    */
   public CompletableFuture<Reservation> reserve(long tokens) {
-    usedAtMs = timers.nowMs();
     rate.update(tokens);
     Optional<Reservation> found = tryReserve(tokens);
     if (found.isPresent()) {
@@ -149,7 +146,6 @@
 
   /** Counts tokens lent to others as drawn on, so that a holder holds enough for its domain. */
   void noteLent(long tokens) {
-    usedAtMs = timers.nowMs();
     rate.update(tokens);
   }
 
@@ -158,10 +154,6 @@
     rate.tick();
   }
 
-  long usedAtMs() {
-    return usedAtMs;
-  }
-
   boolean isAsking() {
     synchronized (waiters) {
       return asking;
--- a/mothrill-core/src/main/java/io/mothrill/core/peer/Rendezvous.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/peer/Rendezvous.java
@@ -31,21 +31,6 @@
         .toList();
   }
 
-  /**
-   * Ranks plain names for a key.
-   *
-   * @param key the key
-   * @param names the names
-   * @return the names, first rank first
-   */
-  public static List<String> rankNames(String key, Collection<String> names) {
-    return names.stream()
-        .sorted(
-            Comparator.comparingLong((String name) -> score(key, name))
-                .thenComparing(Comparator.naturalOrder()))
-        .toList();
-  }
-
   /**
    * Places a name for a key on a scale; the name with the greatest share is the same everywhere.
    *
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/cli/AuditCommand.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/cli/AuditCommand.java
@@ -2,8 +2,6 @@
 
 import io.mothrill.core.audit.AuditReport;
 import io.mothrill.core.audit.Auditor;
-import io.mothrill.core.error.FieldError;
-import io.mothrill.core.error.InvalidInputException;
 import io.mothrill.wire.http.Address;
 import io.mothrill.wire.http.HttpClient;
 import io.mothrill.wire.platform.HttpTableService;
@@ -29,7 +27,9 @@
   public int run() throws Exception {
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     try {
-      HttpTableService table = new HttpTableService(new HttpClient(group), address(), TIMEOUT_MS);
+      HttpTableService table =
+          new HttpTableService(
+              new HttpClient(group), Address.parse(platform, "--platform"), TIMEOUT_MS);
       AuditReport report = new Auditor(table).audit().get();
       print(report);
       return report.isClean() ? OK : FAILED;
@@ -38,15 +38,6 @@
     }
   }
 
-  private Address address() {
-    int colon = platform.lastIndexOf(':');
-    if (colon < 0) {
-      throw InvalidInputException.of(FieldError.refused("--platform", "must be HOST:PORT"));
-    }
-    return new Address(
-        platform.substring(0, colon), Integer.parseInt(platform.substring(colon + 1)));
-  }
-
   private static void print(AuditReport report) {
     report
         .budgets()
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/cli/OperatorCommand.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/cli/OperatorCommand.java
@@ -40,7 +40,9 @@
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     try {
       String who = System.getProperty("user.name", "unknown");
-      return run(new OperatorClient(new HttpClient(group), address(), who, TIMEOUT_MS));
+      return run(
+          new OperatorClient(
+              new HttpClient(group), Address.parse(server, "--server"), who, TIMEOUT_MS));
     } finally {
       group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     }
@@ -52,15 +54,6 @@
     return output.equals("json");
   }
 
-  private Address address() {
-    int colon = server.lastIndexOf(':');
-    try {
-      return new Address(server.substring(0, colon), Integer.parseInt(server.substring(colon + 1)));
-    } catch (RuntimeException ex) {
-      throw InvalidInputException.of(FieldError.refused("--server", "must be HOST:PORT"));
-    }
-  }
-
   /** Gives the body of an answer, or prints the error that it holds. */
   JsonNode checked(HttpReply reply) {
     JsonNode node = Json.read(reply.body());
--- a/mothrill-lab/src/main/java/io/mothrill/lab/load/LoadCommand.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/load/LoadCommand.java
@@ -1,7 +1,5 @@
 package io.mothrill.lab.load;
 
-import io.mothrill.core.error.FieldError;
-import io.mothrill.core.error.InvalidInputException;
 import io.mothrill.daemon.cli.Command;
 import io.mothrill.wire.http.Address;
 import io.mothrill.wire.http.HttpClient;
@@ -50,7 +48,8 @@
 
   @Override
   public int run() {
-    List<Address> targets = Arrays.stream(to.split(",", -1)).map(LoadCommand::address).toList();
+    List<Address> targets =
+        Arrays.stream(to.split(",", -1)).map(one -> Address.parse(one, "--to")).toList();
     AtomicInteger next = new AtomicInteger();
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(NioIoHandler.newFactory());
     try {
@@ -64,14 +63,6 @@
     }
   }
 
-  private static Address address(String text) {
-    int colon = text.lastIndexOf(':');
-    if (colon < 0) {
-      throw InvalidInputException.of(FieldError.refused("--to", "must be HOST:PORT,..."));
-    }
-    return new Address(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-  }
-
   private Call call(int number) {
     String team = key.substring(0, Math.max(0, key.indexOf('.')));
     return new Call(team, key, model, "load " + number, tokens, !plain, priority, "");
