--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/plan/ForwardingPlan.java
@@ -0,0 +1,146 @@
+package io.mothrill.core.forward.plan;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/**
+ * One version of everything that is declared for forwarding; immutable.
+ *
+ * <pre>{@code
+ * Optional<Route> route = plan.findRoute("counter.example", "/status/7");
+ * Optional<TeamPlan> team = plan.findTeamByKey("n2ctnfzs989anu6wsjnb");
+ * }</pre>
+ */
+public final class ForwardingPlan {
+
+  private static final ForwardingPlan UNKNOWN =
+      new ForwardingPlan(0, List.of(), List.of(), List.of(), CallerBounds.standard());
+
+  private final long version;
+  private final Map<String, List<Route>> routesByHost;
+  private final Map<String, ServicePlan> services;
+  private final Map<String, TeamPlan> teamsByName;
+  private final Map<String, TeamPlan> teamsByKey = new HashMap<>();
+  private final CallerBounds bounds;
+
+  /**
+   * Creates a plan.
+   *
+   * @param version its version, at least 1
+   * @param routes the routes
+   * @param services the services
+   * @param teams the teams; without any, no request needs a key
+   * @param bounds what callers may send
+   */
+  public ForwardingPlan(
+      long version,
+      List<Route> routes,
+      List<ServicePlan> services,
+      List<TeamPlan> teams,
+      CallerBounds bounds) {
+    this.version = version;
+    this.routesByHost =
+        routes.stream()
+            .sorted(Comparator.comparingInt((Route route) -> route.prefix().length()).reversed())
+            .collect(Collectors.groupingBy(Route::host));
+    this.services =
+        services.stream().collect(Collectors.toMap(ServicePlan::name, Function.identity()));
+    this.teamsByName = teams.stream().collect(Collectors.toMap(TeamPlan::name, team -> team));
+    teams.forEach(team -> team.keys().forEach(key -> teamsByKey.put(key, team)));
+    this.bounds = bounds;
+  }
+
+  /**
+   * Gives the plan before any was read.
+   *
+   * @return a plan with version 0
+   */
+  public static ForwardingPlan unknown() {
+    return UNKNOWN;
+  }
+
+  /**
+   * Says whether a plan was read at all.
+   *
+   * @return false for the plan before the first
+   */
+  public boolean isKnown() {
+    return version > 0;
+  }
+
+  /**
+   * Gives the version.
+   *
+   * @return a number that only grows
+   */
+  public long version() {
+    return version;
+  }
+
+  /**
+   * Finds the route of a request: the longest prefix among those of its host.
+   *
+   * @param host the host, in lower case and without a port
+   * @param path the path, without a query
+   * @return the route, or empty when none fits
+   */
+  public Optional<Route> findRoute(String host, String path) {
+    return routesByHost.getOrDefault(host, List.of()).stream()
+        .filter(route -> path.startsWith(route.prefix()))
+        .findFirst();
+  }
+
+  /**
+   * Finds a service.
+   *
+   * @param name its name
+   * @return the service, or empty when none has the name
+   */
+  public Optional<ServicePlan> findService(String name) {
+    return Optional.ofNullable(services.get(name));
+  }
+
+  /**
+   * Finds the team that holds a key.
+   *
+   * @param key the key that a caller has shown
+   * @return the team, or empty when no team holds the key
+   */
+  public Optional<TeamPlan> findTeamByKey(String key) {
+    return Optional.ofNullable(teamsByKey.get(key));
+  }
+
+  /**
+   * Finds a team by name.
+   *
+   * @param name its name
+   * @return the team, or empty when there is none
+   */
+  public Optional<TeamPlan> findTeam(String name) {
+    return Optional.ofNullable(teamsByName.get(name));
+  }
+
+  /**
+   * Gives all teams.
+   *
+   * @return the teams, in no order
+   */
+  public Collection<TeamPlan> teams() {
+    return teamsByName.values();
+  }
+
+  /**
+   * Gives the bounds for callers.
+   *
+   * @return what callers may send
+   */
+  public CallerBounds bounds() {
+    return bounds;
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/plan/ServicePlan.java
@@ -0,0 +1,22 @@
+package io.mothrill.core.forward.plan;
+
+import java.util.Optional;
+
+/**
+ * One service as declared.
+ *
+ * @param name its name
+ * @param maxConnections how many connections one upstream accepts from all callers together
+ * @param engine what is known of its upstreams when they are model engines
+ */
+public record ServicePlan(String name, int maxConnections, Optional<EnginePlan> engine) {
+
+  /**
+   * What is declared of model engines.
+   *
+   * @param slots how many requests one engine runs at once
+   * @param memoryTokens how many tokens of prompts and answers fit into one engine
+   * @param tokensPerEvent how many tokens one event of a stream holds at most
+   */
+  public record EnginePlan(int slots, long memoryTokens, int tokensPerEvent) {}
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/Demand.java
@@ -0,0 +1,25 @@
+package io.mothrill.core.forward.spending;
+
+/** Follows how fast a team spends here: up quickly, down slowly. */
+final class Demand {
+
+  /** Weight of the newest second while demand grows, so that a burst is seen within two. */
+  private static final double UP = 0.5;
+
+  /** The same while it falls: about ten seconds, so that a pause does not give all away. */
+  private static final double DOWN = 0.1;
+
+  private static final double MS_PER_S = 1_000;
+
+  private double tokensPerS;
+
+  void update(long usedTokens, long elapsedMs) {
+    double rate = Math.max(0, usedTokens) * MS_PER_S / Math.max(1, elapsedMs);
+    double weight = rate > tokensPerS ? UP : DOWN;
+    tokensPerS += weight * (rate - tokensPerS);
+  }
+
+  long tokensPerS() {
+    return Math.round(tokensPerS);
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
@@ -0,0 +1,111 @@
+package io.mothrill.core.forward.spending;
+
+import java.util.List;
+
+/** Works out the next grant of one team for this instance from what the table shows. */
+final class GrantShaper {
+
+  /** What is near covers this much of the demand: the time until the bound begins to open. */
+  private static final long NEAR_S = 3;
+
+  /** Largest requests that fit into what is near, so that single ones need no renewal. */
+  private static final long NEAR_REQUESTS = 2;
+
+  /** The bound opens faster than the demand, as demand grows in bursts. */
+  private static final long OPEN_BY_DEMAND = 3;
+
+  /** In a long silence all that is held opens within this time at the latest. */
+  private static final long OPEN_WITHIN_S = 15;
+
+  /** A share that is off by less than this part is left as it is, to save conflicts. */
+  private static final double TOLERANCE = 0.2;
+
+  private static final long TOLERANCE_TOKENS = 2_000;
+
+  private final SharePolicy policy;
+
+  GrantShaper(SharePolicy policy) {
+    this.policy = policy;
+  }
+
+  /**
+   * What the table and this instance show about a team.
+   *
+   * @param prepaidTokens all that the team may ever spend
+   * @param grantedTokens the sum of all instances' limits
+   * @param ownLimitTokens this instance's limit in the table
+   * @param inTouch the grants of the other instances that renew theirs
+   * @param silent the grants of those that do not
+   * @param demandTokensPerS how fast this instance spends
+   * @param largestTokens the largest request so far
+   * @param wantedTokens what a request is waiting for; 0 when none is
+   * @param leaving true when nothing is to be held any more
+   */
+  record Situation(
+      long prepaidTokens,
+      long grantedTokens,
+      long ownLimitTokens,
+      List<SpendingGrant> inTouch,
+      List<SpendingGrant> silent,
+      long demandTokensPerS,
+      long largestTokens,
+      long wantedTokens,
+      boolean leaving) {
+
+    long freeTokens() {
+      return Math.max(0, prepaidTokens - grantedTokens);
+    }
+
+    long leftTokens(long ownSpentTokens) {
+      long others = inTouch.stream().mapToLong(SpendingGrant::spentTokens).sum();
+      long outOfReach = silent.stream().mapToLong(SpendingGrant::limitTokens).sum();
+      return Math.max(0, prepaidTokens - others - outOfReach - ownSpentTokens);
+    }
+
+    long allDemandTokensPerS() {
+      long others = inTouch.stream().mapToLong(SpendingGrant::demandTokensPerS).sum();
+      return others + demandTokensPerS;
+    }
+  }
+
+  SpendingGrant shape(Situation situation, long spentTokens) {
+    if (situation.leaving()) {
+      return new SpendingGrant(spentTokens, spentTokens, 0, 0, 0);
+    }
+    long holding = holding(situation, spentTokens);
+    long wantedNear =
+        Math.max(
+            NEAR_S * situation.demandTokensPerS(),
+            Math.max(NEAR_REQUESTS * situation.largestTokens(), situation.wantedTokens()));
+    long open = Math.max(OPEN_BY_DEMAND * situation.demandTokensPerS(), holding / OPEN_WITHIN_S);
+    return new SpendingGrant(
+        spentTokens,
+        spentTokens + holding,
+        Math.min(holding, wantedNear),
+        open,
+        situation.demandTokensPerS());
+  }
+
+  private long holding(Situation situation, long spentTokens) {
+    long held = Math.max(0, situation.ownLimitTokens() - spentTokens);
+    long most = held + situation.freeTokens();
+    long target = target(situation, spentTokens);
+    if (situation.wantedTokens() > Math.max(held, target)) {
+      return Math.min(most, situation.wantedTokens());
+    }
+    boolean close = Math.abs(target - held) <= TOLERANCE * held + TOLERANCE_TOKENS;
+    if (close && situation.grantedTokens() <= situation.prepaidTokens()) {
+      return held;
+    }
+    return Math.min(most, target);
+  }
+
+  private long target(Situation situation, long spentTokens) {
+    return policy.holdingTokens(
+        new SharePolicy.Situation(
+            situation.leftTokens(spentTokens),
+            situation.demandTokensPerS(),
+            situation.allDemandTokensPerS(),
+            situation.inTouch().size() + 1));
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/InstanceSpending.java
@@ -0,0 +1,96 @@
+package io.mothrill.core.forward.spending;
+
+import io.mothrill.core.platform.Cells;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+/**
+ * One instance's row: its grants of all teams, renewed together.
+ *
+ * @param sentAtStoreMs when it was sent, by the store's clock, or a little earlier
+ * @param grants the grants by team
+ */
+public record InstanceSpending(long sentAtStoreMs, Map<String, SpendingGrant> grants) {
+
+  private static final String SENT_AT = "sentAtMs";
+  private static final String TEAM_PREFIX = "team.";
+  private static final String SEPARATOR = ",";
+
+  /** Takes a copy of the grants. */
+  public InstanceSpending {
+    grants = Map.copyOf(grants);
+  }
+
+  /**
+   * Gives the grant of a team.
+   *
+   * @param team the team's name
+   * @return its grant, or one under which nothing may be spent
+   */
+  public SpendingGrant grantOf(String team) {
+    return grants.getOrDefault(team, SpendingGrant.NONE);
+  }
+
+  /**
+   * Settles the row of a dead instance.
+   *
+   * @param nowStoreMs the store's clock, read after the instance died
+   * @return a row under which nothing more may be spent
+   */
+  public InstanceSpending closedAt(long nowStoreMs) {
+    long silentMs = Math.max(0, nowStoreMs - sentAtStoreMs);
+    Map<String, SpendingGrant> closed = new TreeMap<>();
+    grants.forEach((team, grant) -> closed.put(team, grant.closedAfterMs(silentMs)));
+    return new InstanceSpending(nowStoreMs, closed);
+  }
+
+  /**
+   * Writes the row's cells.
+   *
+   * @return one cell for each team
+   */
+  public Cells toCells() {
+    Cells cells = Cells.empty().with(SENT_AT, sentAtStoreMs);
+    for (Map.Entry<String, SpendingGrant> entry : grants.entrySet()) {
+      cells = cells.with(TEAM_PREFIX + entry.getKey(), write(entry.getValue()));
+    }
+    return cells;
+  }
+
+  /**
+   * Reads a row.
+   *
+   * @param cells the row's cells; none for a row that does not exist
+   * @return the row
+   */
+  public static InstanceSpending read(Cells cells) {
+    Map<String, SpendingGrant> grants =
+        cells.asMap().entrySet().stream()
+            .filter(entry -> entry.getKey().startsWith(TEAM_PREFIX))
+            .collect(
+                Collectors.toMap(
+                    entry -> entry.getKey().substring(TEAM_PREFIX.length()),
+                    entry -> readGrant(String.valueOf(entry.getValue()))));
+    return new InstanceSpending(cells.number(SENT_AT), grants);
+  }
+
+  private static String write(SpendingGrant grant) {
+    return Arrays.stream(
+            new long[] {
+              grant.spentTokens(),
+              grant.limitTokens(),
+              grant.nearTokens(),
+              grant.openTokensPerS(),
+              grant.demandTokensPerS()
+            })
+        .mapToObj(Long::toString)
+        .collect(Collectors.joining(SEPARATOR));
+  }
+
+  private static SpendingGrant readGrant(String text) {
+    long[] numbers = Arrays.stream(text.split(SEPARATOR)).mapToLong(Long::parseLong).toArray();
+    return new SpendingGrant(numbers[0], numbers[1], numbers[2], numbers[3], numbers[4]);
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -0,0 +1,330 @@
+package io.mothrill.core.forward.spending;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.error.Failures;
+import io.mothrill.core.forward.plan.ForwardingPlan;
+import io.mothrill.core.forward.plan.TeamPlan;
+import io.mothrill.core.platform.Row;
+import io.mothrill.core.platform.RowKey;
+import io.mothrill.core.platform.StoreClock;
+import io.mothrill.core.platform.TableService;
+import io.mothrill.core.platform.Transaction;
+import io.mothrill.core.platform.error.PlatformException;
+import io.mothrill.core.time.Timers;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Stream;
+import org.tinylog.Logger;
+
+/**
+ * Keeps this instance's row of grants renewed and sets tokens aside under it.
+ *
+ * <pre>{@code
+ * spending.reserve(team, 1_540)
+ *     .thenAccept(reservation -> reservation.settle(usedTokens));
+ * }</pre>
+ */
+public final class SpendingController {
+
+  /** How often the row is renewed: a crash loses what was near, which is sized for seconds. */
+  private static final long RENEW_MS = 1_000;
+
+  /** Least pause between two renewals that requests ask for. */
+  private static final long URGENT_PAUSE_MS = 100;
+
+  /** A row that was not renewed for this long belongs to an instance that is gone or cut off. */
+  private static final long SILENT_MS = 12_000;
+
+  /** When to come back if other instances have to hand tokens back first. */
+  private static final long REBALANCED_MS = 1_200;
+
+  /** Longest wait that is told to a caller. */
+  private static final long MAX_RETRY_AFTER_MS = 3_000;
+
+  private final TableService table;
+  private final StoreClock storeClock;
+  private final Section<ForwardingPlan> plan;
+  private final Timers timers;
+  private final GrantShaper shaper;
+  private final RowKey ownKey;
+  private final Map<String, TeamSpending> teams = new ConcurrentHashMap<>();
+  private final Map<String, Demand> demands = new ConcurrentHashMap<>();
+  private final Map<String, Long> wantedTokens = new ConcurrentHashMap<>();
+  private final AtomicReference<CompletableFuture<Boolean>> underWay = new AtomicReference<>();
+  private final AtomicBoolean leaving = new AtomicBoolean();
+  private volatile SpendingTables.Contents contents;
+  private volatile boolean takenOver;
+  private volatile long renewedMs = Long.MIN_VALUE / 2;
+  private volatile long demandCountedMs;
+  private volatile int instanceCount;
+
+  /**
+   * Creates the controller and starts to renew.
+   *
+   * @param instanceId names the machine; a later process there continues with its row
+   * @param table the platform's table
+   * @param storeClock the clock of the table's store
+   * @param plan the plan in force
+   * @param policy how the unspent tokens are shared
+   * @param timers the time
+   */
+  public SpendingController(
+      String instanceId,
+      TableService table,
+      StoreClock storeClock,
+      Section<ForwardingPlan> plan,
+      SharePolicy policy,
+      Timers timers) {
+    this.table = table;
+    this.storeClock = storeClock;
+    this.plan = plan;
+    this.timers = timers;
+    this.shaper = new GrantShaper(policy);
+    this.ownKey = SpendingTables.instanceKey(instanceId);
+    this.demandCountedMs = timers.nowMs();
+    timers.every(RENEW_MS, this::renew);
+  }
+
+  /**
+   * Gives the instances that have renewed their rows lately, this one included.
+   *
+   * @return a count; 0 until the table was read
+   */
+  public int instanceCount() {
+    return instanceCount;
+  }
+
+  /**
+   * Sets tokens aside.
+   *
+   * @param team the team
+   * @param tokens the most that the request can cost
+   * @return the reservation; fails with {@link SpendingException}
+   */
+  public CompletableFuture<SpendingReservation> reserve(TeamPlan team, long tokens) {
+    if (team.prepaidTokens().isEmpty()) {
+      return CompletableFuture.completedFuture(SpendingReservation.UNLIMITED);
+    }
+    Optional<SpendingReservation> atOnce = tryReserve(team.name(), tokens);
+    if (atOnce.isPresent()) {
+      return CompletableFuture.completedFuture(atOnce.get());
+    }
+    if (timers.nowMs() - renewedMs < URGENT_PAUSE_MS) {
+      return CompletableFuture.failedFuture(refusal(team, tokens));
+    }
+    wantedTokens.merge(team.name(), tokens, Long::max);
+    return renew()
+        .thenApply(
+            renewed -> tryReserve(team.name(), tokens).orElseThrow(() -> refusal(team, tokens)));
+  }
+
+  private Optional<SpendingReservation> tryReserve(String team, long tokens) {
+    TeamSpending spending = teams.get(team);
+    if (spending == null || !spending.tryReserve(tokens)) {
+      return Optional.empty();
+    }
+    AtomicBoolean settled = new AtomicBoolean();
+    return Optional.of(
+        usedTokens -> {
+          if (settled.compareAndSet(false, true)) {
+            spending.settle(tokens, usedTokens);
+          }
+        });
+  }
+
+  /**
+   * Explains why tokens cannot be set aside.
+   *
+   * <p>Only a read of the whole table that is as new as a renewal shows that the team itself has
+   * too little; without it the caller is told to come back.
+   */
+  private SpendingException refusal(TeamPlan team, long tokens) {
+    SpendingTables.Contents known = contents;
+    boolean fresh = known != null && timers.nowMs() - renewedMs < RENEW_MS + URGENT_PAUSE_MS;
+    if (fresh) {
+      long left = team.prepaidTokens().getAsLong() - spentElsewhere(known, team.name());
+      long ownSpent =
+          Optional.ofNullable(teams.get(team.name())).map(TeamSpending::spentTokens).orElse(0L);
+      if (left - ownSpent < tokens) {
+        return SpendingException.spent(team.name(), left - ownSpent, tokens);
+      }
+      return SpendingException.notHere(team.name(), tokens, REBALANCED_MS);
+    }
+    TeamSpending spending = teams.get(team.name());
+    long waitMs = spending == null ? RENEW_MS : spending.waitMs(tokens);
+    return SpendingException.notHere(
+        team.name(), tokens, Math.max(URGENT_PAUSE_MS, Math.min(MAX_RETRY_AFTER_MS, waitMs)));
+  }
+
+  private long spentElsewhere(SpendingTables.Contents known, String team) {
+    return known.spentTokens(team) - known.instance(ownKey).grantOf(team).spentTokens();
+  }
+
+  /**
+   * Hands back all tokens that are not spent; to be called when no request is under way any more.
+   *
+   * @return completes when the row was written, or could not be
+   */
+  public CompletableFuture<Boolean> handBack() {
+    leaving.set(true);
+    return renew();
+  }
+
+  /** Renews the row, or joins the renewal that is under way. */
+  private CompletableFuture<Boolean> renew() {
+    CompletableFuture<Boolean> mine = new CompletableFuture<>();
+    CompletableFuture<Boolean> current =
+        underWay.updateAndGet(before -> before == null ? mine : before);
+    if (current != mine) {
+      return current;
+    }
+    table
+        .scan(SpendingTables.TABLE, "", "", SpendingTables.MAX_ROWS)
+        .thenCompose(rows -> write(SpendingTables.Contents.of(rows)))
+        .exceptionally(this::failed)
+        .thenAccept(
+            renewed -> {
+              underWay.set(null);
+              mine.complete(renewed);
+            });
+    return mine;
+  }
+
+  private boolean failed(Throwable error) {
+    Logger.debug("spending not renewed: {}", Failures.unwrap(error).getMessage());
+    return false;
+  }
+
+  private CompletableFuture<Boolean> write(SpendingTables.Contents read) {
+    contents = read;
+    if (!takenOver) {
+      takeOver(read);
+    }
+    long sentAtStoreMs = storeClock.nowMs();
+    instanceCount = 1 + (int) othersInTouch(read, sentAtStoreMs).count();
+    ForwardingPlan inForce = plan.read();
+    inForce.teams().stream()
+        .filter(team -> team.prepaidTokens().isPresent())
+        .forEach(team -> teams.computeIfAbsent(team.name(), name -> new TeamSpending(timers, 0)));
+    countDemand();
+    Map<String, TeamSpending.SentGrant> sent = new TreeMap<>();
+    teams.forEach(
+        (name, spending) -> sent.put(name, propose(name, spending, inForce, read, sentAtStoreMs)));
+    return table
+        .write(transaction(read, sent, sentAtStoreMs))
+        .handle((written, error) -> finish(sent, written, error));
+  }
+
+  /**
+   * Continues with what an earlier process on this machine can have spent at the most.
+   *
+   * <p>Failure: a write of the dead process arrives after its row was read. Symptom: its last
+   * second of spending would be forgotten. The row is read again before each attempt until the
+   * first own write, which is made on the condition that the row is as it was read.
+   */
+  private void takeOver(SpendingTables.Contents read) {
+    InstanceSpending earlier = read.instance(ownKey);
+    InstanceSpending closed = earlier.closedAt(storeClock.nowMs());
+    teams.clear();
+    closed
+        .grants()
+        .forEach((team, grant) -> teams.put(team, new TeamSpending(timers, grant.spentTokens())));
+    Logger.info(
+        "spending continues earlierSentAtMs={} teams={}",
+        earlier.sentAtStoreMs(),
+        closed.grants().size());
+  }
+
+  private Transaction transaction(
+      SpendingTables.Contents read, Map<String, TeamSpending.SentGrant> sent, long sentAtStoreMs) {
+    InstanceSpending before = read.instance(ownKey);
+    Map<String, SpendingGrant> grants = new TreeMap<>();
+    Transaction transaction = new Transaction(List.of(), List.of());
+    for (Map.Entry<String, TeamSpending.SentGrant> entry : sent.entrySet()) {
+      String team = entry.getKey();
+      SpendingGrant grant = entry.getValue().grant();
+      grants.put(team, grant);
+      long change = grant.limitTokens() - before.grantOf(team).limitTokens();
+      if (change != 0) {
+        Row teamRow = read.row(SpendingTables.teamKey(team));
+        long granted = read.grantedTokens(team) + change;
+        transaction = transaction.and(teamRow, SpendingTables.teamCells(granted));
+      }
+    }
+    InstanceSpending next = new InstanceSpending(sentAtStoreMs, grants);
+    return transaction.and(read.row(ownKey), next.toCells());
+  }
+
+  private TeamSpending.SentGrant propose(
+      String team,
+      TeamSpending spending,
+      ForwardingPlan inForce,
+      SpendingTables.Contents read,
+      long nowStoreMs) {
+    OptionalLong prepaid =
+        inForce.findTeam(team).map(TeamPlan::prepaidTokens).orElse(OptionalLong.empty());
+    long wanted = Optional.ofNullable(wantedTokens.remove(team)).orElse(0L);
+    GrantShaper.Situation situation =
+        new GrantShaper.Situation(
+            prepaid.orElse(0),
+            read.grantedTokens(team),
+            read.instance(ownKey).grantOf(team).limitTokens(),
+            othersInTouch(read, nowStoreMs).map(row -> row.grantOf(team)).toList(),
+            othersSilent(read, nowStoreMs).map(row -> row.grantOf(team)).toList(),
+            demandOf(team).tokensPerS(),
+            spending.largestTokens(),
+            wanted,
+            leaving.get() || prepaid.isEmpty());
+    return spending.propose(spent -> shaper.shape(situation, spent));
+  }
+
+  private Stream<InstanceSpending> othersInTouch(SpendingTables.Contents read, long nowStoreMs) {
+    return read.others(ownKey).filter(row -> nowStoreMs - row.sentAtStoreMs() < SILENT_MS);
+  }
+
+  private Stream<InstanceSpending> othersSilent(SpendingTables.Contents read, long nowStoreMs) {
+    return read.others(ownKey).filter(row -> nowStoreMs - row.sentAtStoreMs() >= SILENT_MS);
+  }
+
+  private Demand demandOf(String team) {
+    return demands.computeIfAbsent(team, name -> new Demand());
+  }
+
+  private void countDemand() {
+    long nowMs = timers.nowMs();
+    long elapsedMs = nowMs - demandCountedMs;
+    if (elapsedMs < RENEW_MS / 2) {
+      return;
+    }
+    demandCountedMs = nowMs;
+    teams.forEach((name, spending) -> demandOf(name).update(spending.takeUsedTokens(), elapsedMs));
+  }
+
+  private boolean finish(
+      Map<String, TeamSpending.SentGrant> sent, Boolean written, Throwable error) {
+    if (error == null && written) {
+      takenOver = true;
+      sent.forEach((name, grant) -> teams.get(name).confirm(grant));
+      renewedMs = timers.nowMs();
+      return true;
+    }
+    boolean surelyNot =
+        error == null
+            || Failures.unwrap(error) instanceof PlatformException platform
+                && platform.outcome() == PlatformException.Outcome.NOT_APPLIED;
+    if (surelyNot) {
+      sent.forEach((name, grant) -> teams.get(name).retract(grant));
+    }
+    if (error != null) {
+      failed(error);
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingTables.java
@@ -0,0 +1,79 @@
+package io.mothrill.core.forward.spending;
+
+import io.mothrill.core.platform.Cells;
+import io.mothrill.core.platform.Row;
+import io.mothrill.core.platform.RowKey;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** The rows about spending in the platform's table. */
+final class SpendingTables {
+
+  static final String TABLE = "spending";
+
+  /** Rows of one read: an instance row each, and a row for each team. */
+  static final int MAX_ROWS = 500;
+
+  private static final String INSTANCE_PREFIX = "instance/";
+  private static final String TEAM_PREFIX = "team/";
+  private static final String GRANTED = "granted";
+
+  private SpendingTables() {}
+
+  static RowKey instanceKey(String instanceId) {
+    return new RowKey(TABLE, INSTANCE_PREFIX + instanceId);
+  }
+
+  static RowKey teamKey(String team) {
+    return new RowKey(TABLE, TEAM_PREFIX + team);
+  }
+
+  static Cells teamCells(long grantedTokens) {
+    return Cells.empty().with(GRANTED, grantedTokens);
+  }
+
+  /**
+   * All rows as they were read at one moment.
+   *
+   * @param byKey the rows by key
+   * @param instances the instances' rows, by key
+   */
+  record Contents(Map<RowKey, Row> byKey, Map<RowKey, InstanceSpending> instances) {
+
+    static Contents of(List<Row> rows) {
+      Map<RowKey, Row> byKey =
+          rows.stream().collect(Collectors.toMap(Row::key, Function.identity()));
+      Map<RowKey, InstanceSpending> instances =
+          rows.stream()
+              .filter(row -> row.key().key().startsWith(INSTANCE_PREFIX))
+              .collect(Collectors.toMap(Row::key, row -> InstanceSpending.read(row.cells())));
+      return new Contents(byKey, instances);
+    }
+
+    Row row(RowKey key) {
+      return Optional.ofNullable(byKey.get(key)).orElseGet(() -> Row.absent(key));
+    }
+
+    InstanceSpending instance(RowKey key) {
+      return instances.getOrDefault(key, new InstanceSpending(0, Map.of()));
+    }
+
+    Stream<InstanceSpending> others(RowKey ownKey) {
+      return instances.entrySet().stream()
+          .filter(entry -> !entry.getKey().equals(ownKey))
+          .map(Map.Entry::getValue);
+    }
+
+    long grantedTokens(String team) {
+      return row(teamKey(team)).cells().number(GRANTED);
+    }
+
+    long spentTokens(String team) {
+      return instances.values().stream().mapToLong(row -> row.grantOf(team).spentTokens()).sum();
+    }
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamSpending.java
@@ -0,0 +1,175 @@
+package io.mothrill.core.forward.spending;
+
+import io.mothrill.core.time.Timers;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.LongFunction;
+import java.util.stream.Stream;
+
+/**
+ * What this instance has spent of one team's budget, kept below every row that may be in force.
+ *
+ * <p>Failure: a renewal takes effect though its answer is lost, or takes effect seconds later.
+ * Symptom: the instance counts from one row while the table holds another, and whoever reads the
+ * table after a crash takes too little for spent. So from the moment at which a row is sent until
+ * it is known to be in force, or never to be, the instance stays below the old bound and the new.
+ */
+public final class TeamSpending {
+
+  private final Timers timers;
+  private final AtomicLong spentTokens;
+  private final AtomicLong usedSinceTickTokens = new AtomicLong();
+  private final AtomicReference<List<SentGrant>> possible;
+  private volatile long largestTokens;
+
+  /**
+   * Creates the state of a team, with nothing to spend until a row is confirmed.
+   *
+   * @param timers the time
+   * @param spentTokens the most that an earlier process on this machine can have spent
+   */
+  public TeamSpending(Timers timers, long spentTokens) {
+    this.timers = timers;
+    this.spentTokens = new AtomicLong(spentTokens);
+    SpendingGrant closed = new SpendingGrant(spentTokens, spentTokens, 0, 0, 0);
+    this.possible = new AtomicReference<>(List.of(new SentGrant(closed, timers.nowMs())));
+  }
+
+  /**
+   * A grant and when it was sent.
+   *
+   * @param grant the grant
+   * @param sentAtMs when, by this instance's steady clock
+   */
+  public record SentGrant(SpendingGrant grant, long sentAtMs) {
+
+    long boundAt(long nowMs) {
+      return grant.boundAfterMs(nowMs - sentAtMs);
+    }
+  }
+
+  /**
+   * Sets tokens aside if every row that may be in force allows it.
+   *
+   * @param tokens how many
+   * @return true when they are set aside
+   */
+  public boolean tryReserve(long tokens) {
+    largestTokens = Math.max(largestTokens, tokens);
+    long after = spentTokens.addAndGet(tokens);
+    if (after <= boundTokens()) {
+      usedSinceTickTokens.addAndGet(tokens);
+      return true;
+    }
+    spentTokens.addAndGet(-tokens);
+    return false;
+  }
+
+  /**
+   * Ends a reservation.
+   *
+   * @param reservedTokens what was set aside
+   * @param usedTokens what is owed, at most as many
+   */
+  public void settle(long reservedTokens, long usedTokens) {
+    long returned = reservedTokens - Math.min(reservedTokens, usedTokens);
+    spentTokens.addAndGet(-returned);
+    usedSinceTickTokens.addAndGet(-returned);
+  }
+
+  /**
+   * Proposes a grant that is about to be sent: from now on spending stays below it as well.
+   *
+   * @param shape makes the grant from the tokens spent so far
+   * @return the grant to send
+   */
+  public SentGrant propose(LongFunction<SpendingGrant> shape) {
+    long nowMs = timers.nowMs();
+    while (true) {
+      SentGrant sent = new SentGrant(shape.apply(spentTokens.get()), nowMs);
+      possible.updateAndGet(before -> Stream.concat(before.stream(), Stream.of(sent)).toList());
+      if (spentTokens.get() <= sent.boundAt(nowMs)) {
+        return sent;
+      }
+      // Another thread has reserved in between: the row must show what it took.
+      retract(sent);
+    }
+  }
+
+  /**
+   * Notes that a grant was written; all others can no longer come into force.
+   *
+   * @param sent the grant
+   */
+  public void confirm(SentGrant sent) {
+    possible.set(List.of(sent));
+  }
+
+  /**
+   * Notes that a grant was surely not written.
+   *
+   * @param sent the grant
+   */
+  public void retract(SentGrant sent) {
+    possible.updateAndGet(before -> before.stream().filter(other -> other != sent).toList());
+  }
+
+  /**
+   * Gives what may be spent now, in all.
+   *
+   * @return tokens, counted like those spent
+   */
+  public long boundTokens() {
+    long nowMs = timers.nowMs();
+    return possible.get().stream().mapToLong(sent -> sent.boundAt(nowMs)).min().orElse(0);
+  }
+
+  /**
+   * Says how long it takes until an amount can be set aside without a new row.
+   *
+   * @param tokens the amount
+   * @return milliseconds; {@code Long.MAX_VALUE} when the rows never allow it
+   */
+  public long waitMs(long tokens) {
+    long nowMs = timers.nowMs();
+    long wanted = spentTokens.get() + tokens;
+    return possible.get().stream()
+        .mapToLong(
+            sent -> {
+              long silenceMs = sent.grant().silenceUntilMs(wanted);
+              return silenceMs == Long.MAX_VALUE
+                  ? silenceMs
+                  : Math.max(0, silenceMs - (nowMs - sent.sentAtMs()));
+            })
+        .max()
+        .orElse(Long.MAX_VALUE);
+  }
+
+  /**
+   * Gives what was spent or is set aside.
+   *
+   * @return tokens
+   */
+  public long spentTokens() {
+    return spentTokens.get();
+  }
+
+  /**
+   * Gives the largest reservation that was asked for.
+   *
+   * @return tokens
+   */
+  public long largestTokens() {
+    return largestTokens;
+  }
+
+  /**
+   * Takes what was used since the last call.
+   *
+   * @return tokens
+   */
+  public long takeUsedTokens() {
+    return usedSinceTickTokens.getAndSet(0);
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/PlainCost.java
@@ -0,0 +1,43 @@
+package io.mothrill.core.forward.upstream;
+
+import java.util.List;
+import java.util.function.ToDoubleFunction;
+import java.util.random.RandomGenerator;
+
+/** Cost of plain requests: how full the upstream is, and how far away. */
+public final class PlainCost implements UpstreamCost {
+
+  /** Share of an upstream's slots that another domain must be emptier by to be taken. */
+  private static final double OTHER_DOMAIN = 0.3;
+
+  /** Keeps instances that see the same reports from all taking the same upstream. */
+  private static final double JITTER = 0.15;
+
+  private final String ownDomain;
+  private final UpstreamLoads loads;
+  private final RandomGenerator random;
+
+  /**
+   * Creates the cost.
+   *
+   * @param ownDomain the failure domain of this instance
+   * @param loads the loads of all upstreams
+   * @param random spreads choices between equal upstreams
+   */
+  public PlainCost(String ownDomain, UpstreamLoads loads, RandomGenerator random) {
+    this.ownDomain = ownDomain;
+    this.loads = loads;
+    this.random = random;
+  }
+
+  @Override
+  public ToDoubleFunction<ServingUpstream> compare(
+      UpstreamQuery query, List<ServingUpstream> upstreams, long nowMs) {
+    return upstream -> {
+      double count = loads.of(upstream.id()).estimatedCount(nowMs);
+      double fullness = count / Math.max(1, upstream.slots());
+      double distance = upstream.domain().equals(ownDomain) ? 0 : OTHER_DOMAIN;
+      return fullness + distance + JITTER * random.nextDouble();
+    };
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/PromptMemory.java
@@ -0,0 +1,135 @@
+package io.mothrill.core.forward.upstream;
+
+import io.mothrill.core.forward.request.Prompt;
+import io.mothrill.core.peer.Rendezvous;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Estimates which upstream keeps which shared parts of prompts in its memory.
+ *
+ * <p>Each subject has one home among the upstreams, the same at every instance, so instances send
+ * equal beginnings to the same upstream without talking to each other. What this instance has sent
+ * elsewhere counts as well, for a while.
+ */
+public final class PromptMemory {
+
+  /** How long a sent prompt is taken to be kept; engines drop the least recently used parts. */
+  private static final long KEPT_MS = 20_000;
+
+  /**
+   * Share of the shared parts that a home is taken to keep when this instance has not sent them.
+   */
+  private static final double HOME_KEEPS = 0.7;
+
+  /** The same for the second home, which gets what the first is too busy for. */
+  private static final double SECOND_HOME_KEEPS = 0.35;
+
+  /** Subjects remembered for each upstream: some hundred bytes each. */
+  private static final int MAX_SUBJECTS = 2_048;
+
+  private final Map<String, Map<String, Long>> sentAtMs = new ConcurrentHashMap<>();
+
+  /**
+   * Notes that an upstream reads a prompt.
+   *
+   * @param prompt the prompt
+   * @param upstreamId the upstream
+   * @param nowMs the time
+   */
+  public void onSent(Prompt prompt, String upstreamId, long nowMs) {
+    sentAtMs.computeIfAbsent(upstreamId, id -> newBook()).put(prompt.subject(), nowMs);
+  }
+
+  /**
+   * The upstreams that instances send a subject to, as long as they are not too busy.
+   *
+   * @param first the id of the one that is preferred
+   * @param second the id of the next one; empty when there is only one
+   */
+  public record Homes(String first, String second) {}
+
+  /**
+   * Finds the homes of a prompt's subject.
+   *
+   * @param prompt the prompt
+   * @param upstreams all upstreams that take requests of the service
+   * @return the homes
+   */
+  public Homes homesOf(Prompt prompt, List<ServingUpstream> upstreams) {
+    String first = "";
+    String second = "";
+    double firstShare = -1;
+    double secondShare = -1;
+    for (ServingUpstream upstream : upstreams) {
+      double share = Rendezvous.share(prompt.subject(), upstream.id());
+      if (share > firstShare) {
+        second = first;
+        secondShare = firstShare;
+        first = upstream.id();
+        firstShare = share;
+      } else if (share > secondShare) {
+        second = upstream.id();
+        secondShare = share;
+      }
+    }
+    return new Homes(first, second);
+  }
+
+  /**
+   * Estimates what an upstream would have to read.
+   *
+   * @param prompt the prompt
+   * @param upstream the upstream
+   * @param homes the homes of the prompt's subject
+   * @param nowMs the time
+   * @return tokens
+   */
+  public double unreadTokens(Prompt prompt, ServingUpstream upstream, Homes homes, long nowMs) {
+    double kept = wasSent(prompt, upstream.id(), nowMs) ? 1 : keptShare(upstream.id(), homes);
+    return prompt.inputTokens() - kept * sharedTokens(prompt);
+  }
+
+  private static double keptShare(String upstreamId, Homes homes) {
+    if (upstreamId.equals(homes.first())) {
+      return HOME_KEEPS;
+    }
+    return upstreamId.equals(homes.second()) ? SECOND_HOME_KEEPS : 0;
+  }
+
+  /**
+   * Forgets upstreams that have gone.
+   *
+   * @param list those that are there
+   */
+  public void retain(UpstreamList list) {
+    sentAtMs.keySet().removeIf(id -> !list.contains(id));
+  }
+
+  private boolean wasSent(Prompt prompt, String upstreamId, long nowMs) {
+    Long atMs = sentAtMs.getOrDefault(upstreamId, Map.of()).get(prompt.subject());
+    return atMs != null && nowMs - atMs < KEPT_MS;
+  }
+
+  private static double sharedTokens(Prompt prompt) {
+    return prompt.parts().stream()
+        .limit(Math.max(0, prompt.parts().size() - 1))
+        .mapToLong(Prompt.Part::tokens)
+        .sum();
+  }
+
+  private static Map<String, Long> newBook() {
+    return Collections.synchronizedMap(
+        new LinkedHashMap<>(16, 0.75f, true) {
+          private static final long serialVersionUID = 1L;
+
+          @Override
+          protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+            return size() > MAX_SUBJECTS;
+          }
+        });
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamList.java
@@ -0,0 +1,92 @@
+package io.mothrill.core.forward.upstream;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** All registered upstreams at one moment; immutable. */
+public final class UpstreamList {
+
+  private static final UpstreamList EMPTY = new UpstreamList(List.of());
+
+  private final Map<String, ServingUpstream> byId;
+  private final Map<String, List<ServingUpstream>> takingByService;
+
+  /**
+   * Creates a list.
+   *
+   * @param upstreams the upstreams, each with an id of its own
+   */
+  public UpstreamList(Collection<ServingUpstream> upstreams) {
+    this.byId = new HashMap<>();
+    upstreams.forEach(upstream -> byId.put(upstream.id(), upstream));
+    this.takingByService =
+        upstreams.stream()
+            .filter(upstream -> !upstream.leaving())
+            .collect(Collectors.groupingBy(ServingUpstream::service));
+  }
+
+  /**
+   * Gives the list before any was read.
+   *
+   * @return a list without upstreams
+   */
+  public static UpstreamList empty() {
+    return EMPTY;
+  }
+
+  /**
+   * Lists the upstreams of a service that take new requests.
+   *
+   * @param service the service's name
+   * @return those that are not leaving
+   */
+  public List<ServingUpstream> takingOf(String service) {
+    return takingByService.getOrDefault(service, List.of());
+  }
+
+  /**
+   * Lists everyone.
+   *
+   * @return all upstreams, leaving ones too
+   */
+  public Collection<ServingUpstream> all() {
+    return byId.values();
+  }
+
+  /**
+   * Looks for an upstream.
+   *
+   * @param id its id
+   * @return true when it is in the list
+   */
+  public boolean contains(String id) {
+    return byId.containsKey(id);
+  }
+
+  /**
+   * Adds upstreams of an earlier list that this one lacks.
+   *
+   * <p>One whose address has passed on to another upstream is left out: it is surely gone.
+   *
+   * @param earlier the earlier list
+   * @return a list with both
+   */
+  public UpstreamList keeping(UpstreamList earlier) {
+    Predicate<ServingUpstream> replaced =
+        missing ->
+            byId.values().stream()
+                .anyMatch(
+                    here -> here.host().equals(missing.host()) && here.port() == missing.port());
+    List<ServingUpstream> kept =
+        earlier.all().stream()
+            .filter(upstream -> !contains(upstream.id()))
+            .filter(replaced.negate())
+            .toList();
+    return new UpstreamList(Stream.concat(all().stream(), kept.stream()).toList());
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamLoad.java
@@ -0,0 +1,145 @@
+package io.mothrill.core.forward.upstream;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** What this instance knows of one upstream's load and health; any thread may use it. */
+public final class UpstreamLoad {
+
+  /** How long a reported load counts: reports are some hundred milliseconds old when they come. */
+  private static final long REPORT_FADE_MS = 1_500;
+
+  /** First time of avoidance after a failure; doubles with each further one. */
+  private static final long FIRST_AVOID_MS = 500;
+
+  /** Longest avoidance, so that an upstream that came back is found within seconds. */
+  private static final long MAX_AVOID_MS = 4_000;
+
+  private static final int MAX_DOUBLINGS = 3;
+
+  private final AtomicInteger underWayCount = new AtomicInteger();
+  private final AtomicLong unreadPromptTokens = new AtomicLong();
+  private final AtomicInteger failureStreak = new AtomicInteger();
+  private volatile long avoidUntilMs = Long.MIN_VALUE;
+  private volatile Report report = new Report(0, 0, Long.MIN_VALUE / 2);
+
+  private record Report(int running, int waiting, long atMs) {}
+
+  /**
+   * Counts a request that is sent.
+   *
+   * @param promptTokens the tokens that the upstream has to read for it
+   */
+  public void onSent(long promptTokens) {
+    underWayCount.incrementAndGet();
+    unreadPromptTokens.addAndGet(promptTokens);
+  }
+
+  /**
+   * Notes that a prompt has been read: the first event has come, or the request has ended.
+   *
+   * @param promptTokens as when it was sent
+   */
+  public void onPromptRead(long promptTokens) {
+    unreadPromptTokens.addAndGet(-promptTokens);
+  }
+
+  /** Counts a request that has ended. */
+  public void onEnded() {
+    underWayCount.decrementAndGet();
+  }
+
+  /**
+   * Takes what the upstream said of its load.
+   *
+   * @param running requests that it works on
+   * @param waiting requests that wait at it
+   * @param nowMs the time
+   */
+  public void onReport(int running, int waiting, long nowMs) {
+    report = new Report(running, waiting, nowMs);
+  }
+
+  /** Notes an answer in full: what failed before is over. */
+  public void onSuccess() {
+    failureStreak.set(0);
+  }
+
+  /**
+   * Notes a failure: a broken, silent or refused connection, or a false answer.
+   *
+   * <p>Failure: an upstream that is dead or cut off still stands in the list for seconds. Symptom:
+   * every request sent to it is lost or late. It is avoided for a time that doubles, and then tried
+   * by single requests again, so that a sound one is not lost for long.
+   *
+   * @param nowMs the time
+   */
+  public void onFailure(long nowMs) {
+    int streak = failureStreak.incrementAndGet();
+    long avoidMs = FIRST_AVOID_MS << Math.min(MAX_DOUBLINGS, streak - 1);
+    avoidUntilMs = Math.max(avoidUntilMs, nowMs + Math.min(MAX_AVOID_MS, avoidMs));
+  }
+
+  /**
+   * Notes that the upstream was full.
+   *
+   * @param nowMs the time
+   * @param avoidMs how long it is to be avoided
+   */
+  public void onFull(long nowMs, long avoidMs) {
+    avoidUntilMs = Math.max(avoidUntilMs, nowMs + avoidMs);
+  }
+
+  /**
+   * Says whether the upstream is avoided for now.
+   *
+   * @param nowMs the time
+   * @return true after failures
+   */
+  public boolean isAvoided(long nowMs) {
+    return nowMs < avoidUntilMs;
+  }
+
+  /**
+   * Gives the own requests under way.
+   *
+   * @return a count
+   */
+  public int underWayCount() {
+    return underWayCount.get();
+  }
+
+  /**
+   * Gives the prompt tokens that the upstream still has to read for this instance.
+   *
+   * @return tokens
+   */
+  public long unreadPromptTokens() {
+    return unreadPromptTokens.get();
+  }
+
+  /**
+   * Estimates all requests at the upstream, those of other instances from its last report.
+   *
+   * @param nowMs the time
+   * @return a count
+   */
+  public double estimatedCount(long nowMs) {
+    Report last = report;
+    double weight = Math.max(0, 1 - (nowMs - last.atMs()) / (double) REPORT_FADE_MS);
+    int own = underWayCount.get();
+    return own + weight * Math.max(0, last.running() + last.waiting() - own);
+  }
+
+  /**
+   * Estimates the requests that wait at the upstream.
+   *
+   * @param nowMs the time
+   * @return a count, fading with the age of the report
+   */
+  public double estimatedWaiting(long nowMs) {
+    Report last = report;
+    double weight = Math.max(0, 1 - (nowMs - last.atMs()) / (double) REPORT_FADE_MS);
+    return weight * last.waiting();
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamPicker.java
@@ -0,0 +1,78 @@
+package io.mothrill.core.forward.upstream;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.time.Timers;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.Stream;
+
+/**
+ * Picks the upstream with the least cost among those that take requests.
+ *
+ * <pre>{@code
+ * Optional<ServingUpstream> upstream = picker.pick(new UpstreamQuery("sira", prompt, tried));
+ * }</pre>
+ */
+public final class UpstreamPicker {
+
+  private final Section<UpstreamList> list;
+  private final UpstreamLoads loads;
+  private final UpstreamCost plainCost;
+  private final UpstreamCost promptCost;
+  private final Timers timers;
+
+  /**
+   * Creates the picker.
+   *
+   * @param list the registered upstreams
+   * @param loads their loads
+   * @param plainCost the cost of plain requests
+   * @param promptCost the cost of requests with a prompt
+   * @param timers the time
+   */
+  public UpstreamPicker(
+      Section<UpstreamList> list,
+      UpstreamLoads loads,
+      UpstreamCost plainCost,
+      UpstreamCost promptCost,
+      Timers timers) {
+    this.list = list;
+    this.loads = loads;
+    this.plainCost = plainCost;
+    this.promptCost = promptCost;
+    this.timers = timers;
+  }
+
+  /**
+   * Picks an upstream.
+   *
+   * <p>Upstreams that failed lately are taken only when there is no other.
+   *
+   * @param query the request
+   * @return the upstream, or empty when none is left
+   */
+  public Optional<ServingUpstream> pick(UpstreamQuery query) {
+    long nowMs = timers.nowMs();
+    List<ServingUpstream> taking = list.read().takingOf(query.service());
+    UpstreamCost cost = query.prompt().isPresent() ? promptCost : plainCost;
+    ToDoubleFunction<ServingUpstream> costOf = cost.compare(query, taking, nowMs);
+    List<ServingUpstream> left =
+        taking.stream().filter(upstream -> !query.triedIds().contains(upstream.id())).toList();
+    Optional<ServingUpstream> trusted =
+        cheapest(
+            left.stream().filter(upstream -> !loads.of(upstream.id()).isAvoided(nowMs)), costOf);
+    return trusted.isPresent() ? trusted : cheapest(left.stream(), costOf);
+  }
+
+  private static Optional<ServingUpstream> cheapest(
+      Stream<ServingUpstream> candidates, ToDoubleFunction<ServingUpstream> costOf) {
+    record Priced(ServingUpstream upstream, double cost) {}
+
+    return candidates
+        .map(upstream -> new Priced(upstream, costOf.applyAsDouble(upstream)))
+        .min(Comparator.comparingDouble(Priced::cost))
+        .map(Priced::upstream);
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamQuery.java
@@ -0,0 +1,20 @@
+package io.mothrill.core.forward.upstream;
+
+import io.mothrill.core.forward.request.Prompt;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * What a choice of an upstream is made for.
+ *
+ * @param service the service that the request goes to
+ * @param prompt what is known of its prompt; empty for plain requests
+ * @param triedIds upstreams that have already been tried for it
+ */
+public record UpstreamQuery(String service, Optional<Prompt> prompt, Set<String> triedIds) {
+
+  /** Takes a copy of the ids. */
+  public UpstreamQuery {
+    triedIds = Set.copyOf(triedIds);
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/StateFollower.java
@@ -0,0 +1,112 @@
+package io.mothrill.core.forward.view;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.error.Failures;
+import io.mothrill.core.forward.plan.ForwardingPlan;
+import io.mothrill.core.forward.upstream.UpstreamList;
+import io.mothrill.core.time.Timers;
+import java.util.OptionalLong;
+import org.tinylog.Logger;
+
+/**
+ * Reads plan and upstreams again and again and publishes what is newer.
+ *
+ * <p>Reads go by the clock, not by a feed of changes: a feed may fall silent while changes are
+ * made, and nothing shows it. Each read is whole, so a lost one costs only its turn.
+ */
+public final class StateFollower {
+
+  /** Registrations last several heartbeats; a shorter outage lets none lapse. */
+  private static final long LAPSE_MIN_MS = 1_000;
+
+  private final DeclaredState state;
+  private final Section<ForwardingPlan> plan;
+  private final Section<UpstreamList> upstreams;
+  private final Timers timers;
+  private final ViewSettings settings;
+  private OptionalLong lostMs = OptionalLong.empty();
+  private long regainedMs = Long.MIN_VALUE / 2;
+
+  /**
+   * Creates the follower and reads at once.
+   *
+   * @param state where to read
+   * @param plan the plan in force, which only gets newer
+   * @param upstreams the upstreams that are there
+   * @param timers the time
+   * @param settings how often to read
+   */
+  public StateFollower(
+      DeclaredState state,
+      Section<ForwardingPlan> plan,
+      Section<UpstreamList> upstreams,
+      Timers timers,
+      ViewSettings settings) {
+    this.state = state;
+    this.plan = plan;
+    this.upstreams = upstreams;
+    this.timers = timers;
+    this.settings = settings;
+    readPlan();
+    readUpstreams();
+  }
+
+  private void readPlan() {
+    state
+        .readPlan()
+        .thenAccept(read -> read.ifPresent(this::take))
+        .whenComplete(
+            (nothing, error) -> {
+              noteContact(error);
+              timers.after(settings.pollMs(), this::readPlan);
+            });
+  }
+
+  private void take(ForwardingPlan read) {
+    if (read.version() <= plan.read().version()) {
+      return;
+    }
+    Logger.info("plan in force version={} before={}", read.version(), plan.read().version());
+    plan.update(before -> read.version() > before.version() ? read : before);
+  }
+
+  private void readUpstreams() {
+    state
+        .readUpstreams()
+        .thenAccept(this::take)
+        .whenComplete(
+            (nothing, error) -> {
+              noteContact(error);
+              timers.after(settings.pollMs(), this::readUpstreams);
+            });
+  }
+
+  /**
+   * Publishes a list of upstreams.
+   *
+   * <p>Failure: registrations lapse while the store is away, though the upstreams live. Symptom:
+   * after an outage a whole service seems gone. Upstreams register again within about two seconds,
+   * so missing ones are kept for that long after contact is regained, and are gone after that.
+   */
+  private void take(UpstreamList read) {
+    boolean returning = wasAway() || timers.nowMs() - regainedMs < settings.returnMs();
+    upstreams.update(before -> returning ? read.keeping(before) : read);
+  }
+
+  private boolean wasAway() {
+    return lostMs.isPresent() && timers.nowMs() - lostMs.getAsLong() >= LAPSE_MIN_MS;
+  }
+
+  private void noteContact(Throwable error) {
+    long nowMs = timers.nowMs();
+    if (error != null && lostMs.isEmpty()) {
+      lostMs = OptionalLong.of(nowMs);
+      Logger.warn("store lost: {}", Failures.unwrap(error).getMessage());
+    }
+    if (error == null && lostMs.isPresent()) {
+      regainedMs = wasAway() ? nowMs : regainedMs;
+      lostMs = OptionalLong.empty();
+      Logger.info("store regained");
+    }
+  }
+}
--- /dev/null
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -0,0 +1,183 @@
+package io.mothrill.daemon.forward;
+
+import com.codahale.metrics.MetricRegistry;
+import io.mothrill.core.board.Section;
+import io.mothrill.core.forward.plan.ForwardingPlan;
+import io.mothrill.core.forward.retry.SharedRetryBudget;
+import io.mothrill.core.forward.spending.DemandShares;
+import io.mothrill.core.forward.spending.SpendingController;
+import io.mothrill.core.forward.upstream.PlainCost;
+import io.mothrill.core.forward.upstream.PromptCost;
+import io.mothrill.core.forward.upstream.PromptMemory;
+import io.mothrill.core.forward.upstream.UpstreamList;
+import io.mothrill.core.forward.upstream.UpstreamLoads;
+import io.mothrill.core.forward.upstream.UpstreamPicker;
+import io.mothrill.core.forward.view.StateFollower;
+import io.mothrill.core.time.Subscription;
+import io.mothrill.core.time.Timers;
+import io.mothrill.wire.forward.ForwardEdge;
+import io.mothrill.wire.forward.ForwardParts;
+import io.mothrill.wire.http.HttpServer;
+import io.mothrill.wire.operator.ProbeService;
+import io.netty.channel.EventLoopGroup;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.random.RandomGenerator;
+import org.tinylog.Logger;
+
+/**
+ * One instance that forwards requests: decisions, the sockets around them, and how it leaves.
+ *
+ * <pre>{@code
+ * ForwardInstance instance = new ForwardInstance(settings, ports, group, timers);
+ * instance.leave().join();
+ * instance.close();
+ * }</pre>
+ */
+public final class ForwardInstance {
+
+  /** Callers are sent elsewhere after two questions without a yes, which come every second. */
+  private static final long LEAVE_LEAST_MS = 2_600;
+
+  private static final long LEAVE_CHECK_MS = 100;
+
+  /** Time for the last row, after the last request. */
+  private static final long HAND_BACK_MS = 300;
+
+  private final ForwardSettings settings;
+  private final Timers timers;
+  private final Section<ForwardingPlan> plan = new Section<>(ForwardingPlan.unknown());
+  private final Section<UpstreamList> upstreams = new Section<>(UpstreamList.empty());
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final SpendingController spending;
+  private final ForwardEdge edge;
+  private final HttpServer probeServer;
+  private final HttpServer metricsServer;
+  private final CompletableFuture<Void> left = new CompletableFuture<>();
+  private volatile boolean leaving;
+
+  /**
+   * Starts an instance.
+   *
+   * @param settings its settings
+   * @param ports what it reaches the platform through
+   * @param group the event loops
+   * @param timers the time
+   */
+  public ForwardInstance(
+      ForwardSettings settings, ForwardPorts ports, EventLoopGroup group, Timers timers) {
+    this.settings = settings;
+    this.timers = timers;
+    this.spending =
+        new SpendingController(
+            settings.id(), ports.table(), ports.storeClock(), plan, new DemandShares(), timers);
+    UpstreamLoads loads = new UpstreamLoads();
+    PromptMemory memory = new PromptMemory();
+    upstreams.subscribe(loads::retain);
+    upstreams.subscribe(memory::retain);
+    RandomGenerator random = ThreadLocalRandom.current()::nextLong;
+    UpstreamPicker picker =
+        new UpstreamPicker(
+            upstreams,
+            loads,
+            new PlainCost(settings.domain(), loads, random),
+            new PromptCost(settings.domain(), loads, memory),
+            timers);
+    ForwardParts parts =
+        new ForwardParts(
+            ports.dialect(),
+            plan,
+            picker,
+            loads,
+            memory,
+            spending,
+            new SharedRetryBudget(settings.retries(), spending::instanceCount, timers),
+            new StoryLog(metrics),
+            timers,
+            random);
+    this.edge =
+        new ForwardEdge(
+            group,
+            parts,
+            settings.callers().host(),
+            settings.callers().port(),
+            settings.keptBytes());
+    this.probeServer =
+        HttpServer.ofService(
+            group,
+            settings.probes().host(),
+            settings.probes().port(),
+            new ReadyService(settings.readyPath(), this::unreadyReason));
+    this.metricsServer =
+        HttpServer.ofService(
+            group,
+            settings.probes().host(),
+            settings.metricsPort(),
+            new ProbeService(this::unreadyReason, metrics));
+    var unused = new StateFollower(ports.state(), plan, upstreams, timers, settings.view());
+  }
+
+  private String unreadyReason() {
+    if (leaving) {
+      return "leaving";
+    }
+    return plan.read().isKnown() ? "" : "no plan yet";
+  }
+
+  /**
+   * Leaves without cutting off a request.
+   *
+   * <p>The probe says no at once. What still arrives is served until callers have been sent
+   * elsewhere and the last request has ended, or the time to leave is over.
+   *
+   * @return completes when the process may exit
+   */
+  public CompletableFuture<Void> leave() {
+    if (!leaving) {
+      leaving = true;
+      Logger.info("leaving underWay={}", edge.underWayCount());
+      edge.leave();
+      long beganMs = timers.nowMs();
+      Subscription[] check = new Subscription[1];
+      check[0] = timers.every(LEAVE_CHECK_MS, () -> checkLeft(beganMs, check[0]));
+    }
+    return left;
+  }
+
+  private void checkLeft(long beganMs, Subscription check) {
+    long sinceMs = timers.nowMs() - beganMs;
+    boolean idle = edge.underWayCount() == 0 && edge.connectionCount() == 0;
+    if (sinceMs < settings.leaveMs() && !(idle && sinceMs >= LEAVE_LEAST_MS)) {
+      return;
+    }
+    check.cancel();
+    Logger.info("left underWay={} tookMs={}", edge.underWayCount(), sinceMs);
+    timers.after(HAND_BACK_MS, () -> left.complete(null));
+    spending.handBack().thenRun(() -> left.complete(null));
+  }
+
+  /**
+   * Gives the port for callers.
+   *
+   * @return a TCP port
+   */
+  public int callerPort() {
+    return edge.port();
+  }
+
+  /**
+   * Gives the port for probes.
+   *
+   * @return a TCP port
+   */
+  public int probePort() {
+    return probeServer.port();
+  }
+
+  /** Closes all sockets at once. */
+  public void close() {
+    edge.close();
+    probeServer.close();
+    metricsServer.close();
+  }
+}
--- /dev/null
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardPorts.java
@@ -0,0 +1,17 @@
+package io.mothrill.daemon.forward;
+
+import io.mothrill.core.forward.view.DeclaredState;
+import io.mothrill.core.platform.StoreClock;
+import io.mothrill.core.platform.TableService;
+import io.mothrill.wire.forward.Dialect;
+
+/**
+ * What an instance that forwards reaches its platform through.
+ *
+ * @param table the platform's table
+ * @param storeClock the clock of its store
+ * @param state what is declared and who is there
+ * @param dialect the names on the wire
+ */
+public record ForwardPorts(
+    TableService table, StoreClock storeClock, DeclaredState state, Dialect dialect) {}
--- /dev/null
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardSettings.java
@@ -0,0 +1,33 @@
+package io.mothrill.daemon.forward;
+
+import io.mothrill.core.forward.retry.RetryBounds;
+import io.mothrill.core.forward.view.ViewSettings;
+import io.mothrill.wire.http.Address;
+
+/**
+ * The settings of an instance that forwards.
+ *
+ * @param id names the machine; stays the same when its process is started again
+ * @param domain its failure domain
+ * @param callers where callers connect
+ * @param probes where the platform asks whether it is ready
+ * @param readyPath the path of that question
+ * @param metricsPort where its metrics are, on the address of the probes
+ * @param threadCount event loops
+ * @param keptBytes the most bytes of bodies that are kept at a time
+ * @param view how plan and upstreams are followed
+ * @param retries how often requests may be sent again
+ * @param leaveMs how long requests may go on after the signal to leave
+ */
+public record ForwardSettings(
+    String id,
+    String domain,
+    Address callers,
+    Address probes,
+    String readyPath,
+    int metricsPort,
+    int threadCount,
+    long keptBytes,
+    ViewSettings view,
+    RetryBounds retries,
+    long leaveMs) {}
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/EventSplitter.java
@@ -0,0 +1,73 @@
+package io.mothrill.wire.forward;
+
+import io.netty.buffer.ByteBuf;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+
+/**
+ * Splits the bytes of an event stream into whole events.
+ *
+ * <p>Only whole events go on to the caller, so that a stream can be continued behind the last one
+ * even if its upstream breaks off in the middle of the next.
+ */
+final class EventSplitter {
+
+  private static final String ID_FIELD = "id:";
+
+  private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
+  private boolean lineIsEmpty = true;
+
+  /**
+   * One event.
+   *
+   * @param bytes its bytes with the empty line at its end
+   * @param id its id; absent for events without one
+   */
+  record Event(byte[] bytes, OptionalLong id) {}
+
+  /** Takes bytes and gives the events that they complete. */
+  List<Event> take(ByteBuf content) {
+    List<Event> events = new ArrayList<>(2);
+    while (content.isReadable()) {
+      byte next = content.readByte();
+      partial.write(next);
+      if (next == '\n') {
+        if (lineIsEmpty) {
+          events.add(cut());
+        }
+        lineIsEmpty = true;
+      } else if (next != '\r') {
+        lineIsEmpty = false;
+      }
+    }
+    return events;
+  }
+
+  /** Says whether bytes of an unfinished event are left. */
+  boolean hasPartial() {
+    return partial.size() > 0;
+  }
+
+  private Event cut() {
+    byte[] bytes = partial.toByteArray();
+    partial.reset();
+    return new Event(bytes, idOf(bytes));
+  }
+
+  private static OptionalLong idOf(byte[] bytes) {
+    return new String(bytes, StandardCharsets.UTF_8)
+        .lines()
+        .filter(line -> line.startsWith(ID_FIELD))
+        .map(line -> line.substring(ID_FIELD.length()).strip())
+        .filter(EventSplitter::isNumber)
+        .mapToLong(Long::parseLong)
+        .findFirst();
+  }
+
+  private static boolean isNumber(String text) {
+    return !text.isEmpty() && text.length() < 19 && text.chars().allMatch(Character::isDigit);
+  }
+}
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardEdge.java
@@ -0,0 +1,141 @@
+package io.mothrill.wire.forward;
+
+import io.mothrill.core.time.Timers;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Where callers connect whose requests are forwarded.
+ *
+ * <pre>{@code
+ * ForwardEdge edge = new ForwardEdge(group, parts, "10.1.0.40", 8227, 32 << 20);
+ * edge.leave();
+ * }</pre>
+ */
+public final class ForwardEdge {
+
+  private static final int MAX_LINE_BYTES = 8_192;
+  private static final long SWEEP_MS = 500;
+
+  private final ForwardParts parts;
+  private final EdgeState state;
+  private final Map<EventLoop, UpstreamPool> pools = new ConcurrentHashMap<>();
+  private final Channel listener;
+
+  /**
+   * Starts to listen.
+   *
+   * @param group the event loops
+   * @param parts what requests need
+   * @param host an IP address
+   * @param port a TCP port; 0 for any
+   * @param maxKeptBytes the most bytes of bodies that are kept at a time
+   */
+  public ForwardEdge(
+      EventLoopGroup group, ForwardParts parts, String host, int port, long maxKeptBytes) {
+    this.parts = parts;
+    this.state = new EdgeState(maxKeptBytes);
+    Timers timers = parts.timers();
+    timers.every(SWEEP_MS, () -> sweep(timers.nowMs()));
+    this.listener =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, 1_024)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    initCaller(channel);
+                  }
+                })
+            .bind(host, port)
+            .syncUninterruptibly()
+            .channel();
+  }
+
+  private void initCaller(SocketChannel channel) {
+    UpstreamPool pool =
+        pools.computeIfAbsent(
+            channel.eventLoop(), loop -> new UpstreamPool(loop, parts.dialect(), parts.timers()));
+    CallerConnection connection = new CallerConnection(parts, pool, state);
+    int headerBytes = parts.plan().read().bounds().headerBytes();
+    channel
+        .pipeline()
+        .addLast(new ByteWatch(connection))
+        .addLast(new StrictRequestDecoder(MAX_LINE_BYTES, headerBytes))
+        .addLast(new HttpResponseEncoder())
+        .addLast(connection);
+  }
+
+  private static final class ByteWatch extends ChannelInboundHandlerAdapter {
+    private final CallerConnection connection;
+
+    ByteWatch(CallerConnection connection) {
+      this.connection = connection;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+      connection.onBytes();
+      ctx.fireChannelRead(message);
+    }
+  }
+
+  private void sweep(long nowMs) {
+    state.connections().forEach(connection -> connection.sweep(nowMs));
+    pools.forEach((loop, pool) -> loop.execute(pool::closeUnused));
+  }
+
+  /**
+   * Gives the port.
+   *
+   * @return the port that is listened on
+   */
+  public int port() {
+    return ((InetSocketAddress) listener.localAddress()).getPort();
+  }
+
+  /** Begins to leave: requests are still served, but connections close behind their answers. */
+  public void leave() {
+    state.leave();
+  }
+
+  /**
+   * Counts the requests under way.
+   *
+   * @return a count
+   */
+  public int underWayCount() {
+    return state.underWayCount();
+  }
+
+  /**
+   * Counts the open connections of callers.
+   *
+   * @return a count
+   */
+  public int connectionCount() {
+    return state.connections().size();
+  }
+
+  /** Stops listening and closes all connections. */
+  public void close() {
+    listener.close();
+    state.connections().forEach(CallerConnection::close);
+  }
+}
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardParts.java
@@ -0,0 +1,37 @@
+package io.mothrill.wire.forward;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.forward.plan.ForwardingPlan;
+import io.mothrill.core.forward.retry.SharedRetryBudget;
+import io.mothrill.core.forward.spending.SpendingController;
+import io.mothrill.core.forward.upstream.PromptMemory;
+import io.mothrill.core.forward.upstream.UpstreamLoads;
+import io.mothrill.core.forward.upstream.UpstreamPicker;
+import io.mothrill.core.time.Timers;
+import java.util.random.RandomGenerator;
+
+/**
+ * What every forwarded request needs.
+ *
+ * @param dialect the names on the wire
+ * @param plan the plan in force
+ * @param picker chooses upstreams
+ * @param loads what is known of the upstreams' loads
+ * @param memory which prompts were sent where
+ * @param spending sets prepaid tokens aside
+ * @param retries bounds sends beyond the first
+ * @param log gets a line for each request
+ * @param timers the time
+ * @param random chooses between the services of a split route
+ */
+public record ForwardParts(
+    Dialect dialect,
+    Section<ForwardingPlan> plan,
+    UpstreamPicker picker,
+    UpstreamLoads loads,
+    PromptMemory memory,
+    SpendingController spending,
+    SharedRetryBudget retries,
+    ForwardLog log,
+    Timers timers,
+    RandomGenerator random) {}
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
@@ -0,0 +1,180 @@
+package io.mothrill.wire.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.Optional;
+
+/**
+ * One connection to an upstream, which carries one request at a time.
+ *
+ * <p>Failure: an upstream sends a second answer to an earlier request where the next answer is due,
+ * or bytes that nobody asked for. Symptom: a caller gets the answer to somebody else's request.
+ * Answers are matched by the request's id; others are skipped, and the connection is not used
+ * again. Whatever comes while no request is under way closes it.
+ */
+final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
+
+  /** How long an upstream is taken to keep an unused connection when it does not say so. */
+  private static final long UNTOLD_IDLE_MS = 4_000;
+
+  private static final int FIRST_ERROR_STATUS = 400;
+
+  private final Dialect dialect;
+  private final UpstreamPool pool;
+  private final String upstreamId;
+  private ChannelHandlerContext context;
+  private UpstreamSink sink;
+  private String requestId = "";
+  private ChannelFuture written;
+  private boolean skipping;
+  private boolean reusable;
+  private long idleSinceMs;
+  private long idleLimitMs = UNTOLD_IDLE_MS;
+
+  UpstreamConnection(Dialect dialect, UpstreamPool pool, String upstreamId) {
+    this.dialect = dialect;
+    this.pool = pool;
+    this.upstreamId = upstreamId;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    this.context = ctx;
+  }
+
+  String upstreamId() {
+    return upstreamId;
+  }
+
+  /** Sends a request; its answer goes to the sink. */
+  void send(FullHttpRequest request, String newRequestId, UpstreamSink newSink) {
+    this.sink = newSink;
+    this.requestId = newRequestId;
+    this.skipping = false;
+    this.reusable = true;
+    this.written = context.writeAndFlush(request);
+  }
+
+  /** Stops or continues to read, to slow the upstream down to the caller's pace. */
+  void setReading(boolean reading) {
+    context.channel().config().setAutoRead(reading);
+  }
+
+  /** Gives the request up: the upstream sees its connection close. */
+  void abandon() {
+    sink = null;
+    context.close();
+  }
+
+  boolean isUsable(long nowMs, double shareOfIdleLimit) {
+    return context.channel().isActive() && nowMs - idleSinceMs < idleLimitMs * shareOfIdleLimit;
+  }
+
+  void close() {
+    context.close();
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+    if (sink == null) {
+      ctx.close();
+      return;
+    }
+    if (message.decoderResult().isFailure()) {
+      fail("answer is not HTTP");
+      return;
+    }
+    if (message instanceof HttpResponse head) {
+      onHead(head);
+    }
+    if (sink != null && message instanceof HttpContent content) {
+      onContent(content);
+    }
+  }
+
+  private void onHead(HttpResponse head) {
+    ReplyMarks marks = dialect.readMarks(head);
+    Optional<String> answered = marks.requestId();
+    if (answered.isPresent() && !answered.get().equals(requestId)) {
+      skipping = true;
+      reusable = false;
+      return;
+    }
+    if (answered.isEmpty() && head.status().code() < FIRST_ERROR_STATUS) {
+      fail("answer does not say what it answers");
+      return;
+    }
+    reusable = reusable && HttpUtil.isKeepAlive(head) && hasEnd(head);
+    marks.idleMs().ifPresent(idleMs -> idleLimitMs = idleMs);
+    sink.onHead(head, marks);
+  }
+
+  private static boolean hasEnd(HttpResponse head) {
+    return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+  }
+
+  private void onContent(HttpContent content) {
+    boolean last = content instanceof LastHttpContent;
+    if (skipping) {
+      skipping = !last;
+      return;
+    }
+    ByteBuf bytes = content.content();
+    if (bytes.isReadable()) {
+      sink.onContent(bytes);
+    }
+    if (last && sink != null) {
+      end();
+    }
+  }
+
+  private void end() {
+    UpstreamSink ended = sink;
+    sink = null;
+    // An upstream may answer before it has read the body: the rest must not be cut off or mixed up.
+    if (reusable && written.isSuccess()) {
+      idleSinceMs = pool.nowMs();
+      setReading(true);
+      pool.putBack(this);
+    } else {
+      context.close();
+    }
+    ended.onEnd();
+  }
+
+  private void fail(String detail) {
+    UpstreamSink failed = sink;
+    sink = null;
+    context.close();
+    if (failed != null) {
+      failed.onBroken(detail);
+    }
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    if (sink != null) {
+      sink.onPause();
+    }
+    ctx.fireChannelReadComplete();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    pool.forget(this);
+    fail("connection closed before the answer was whole");
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    fail(String.valueOf(cause.getMessage()));
+  }
+}
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamPool.java
@@ -0,0 +1,130 @@
+package io.mothrill.wire.forward;
+
+import io.mothrill.core.forward.upstream.ServingUpstream;
+import io.mothrill.core.time.Timers;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** Connections to upstreams of one event loop, on which all its methods are called. */
+final class UpstreamPool {
+
+  private static final int MAX_LINE_BYTES = 8_192;
+  private static final int MAX_HEADER_BYTES = 32_768;
+  private static final int MAX_CHUNK_BYTES = 16_384;
+
+  /** Longer than any round trip between failure domains; a dead upstream is given up soon. */
+  private static final int CONNECT_TIMEOUT_MS = 500;
+
+  /** The upstream closes unused connections at its own time; this leaves room for the way there. */
+  private static final double USABLE_SHARE = 0.7;
+
+  /** A request that cannot be sent again takes only connections that were used lately. */
+  private static final double USABLE_SHARE_ONCE = 0.35;
+
+  private final EventLoop loop;
+  private final Dialect dialect;
+  private final Timers timers;
+  private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
+
+  UpstreamPool(EventLoop loop, Dialect dialect, Timers timers) {
+    this.loop = loop;
+    this.dialect = dialect;
+    this.timers = timers;
+  }
+
+  long nowMs() {
+    return timers.nowMs();
+  }
+
+  /**
+   * Takes a connection.
+   *
+   * @param upstream where to
+   * @param onlyOnce true for a request that cannot be sent again if the connection turns out dead
+   * @param onConnected gets the connection
+   * @param onFailed gets the reason when there is none; nothing has reached the upstream then
+   */
+  void take(
+      ServingUpstream upstream,
+      boolean onlyOnce,
+      Consumer<UpstreamConnection> onConnected,
+      Consumer<String> onFailed) {
+    double share = onlyOnce ? USABLE_SHARE_ONCE : USABLE_SHARE;
+    Deque<UpstreamConnection> connections = idle.getOrDefault(upstream.id(), new ArrayDeque<>());
+    UpstreamConnection newest = connections.pollLast();
+    if (newest != null && newest.isUsable(nowMs(), share)) {
+      onConnected.accept(newest);
+      return;
+    }
+    if (newest != null) {
+      newest.close();
+    }
+    connect(upstream, onConnected, onFailed);
+  }
+
+  private void connect(
+      ServingUpstream upstream,
+      Consumer<UpstreamConnection> onConnected,
+      Consumer<String> onFailed) {
+    UpstreamConnection connection = new UpstreamConnection(dialect, this, upstream.id());
+    new Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+        .handler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                channel
+                    .pipeline()
+                    .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                    .addLast(connection);
+              }
+            })
+        .connect(upstream.host(), upstream.port())
+        .addListener(
+            (ChannelFuture connected) -> {
+              if (connected.isSuccess()) {
+                onConnected.accept(connection);
+              } else {
+                onFailed.accept(String.valueOf(connected.cause().getMessage()));
+              }
+            });
+  }
+
+  void putBack(UpstreamConnection connection) {
+    idle.computeIfAbsent(connection.upstreamId(), id -> new ArrayDeque<>()).addLast(connection);
+  }
+
+  void forget(UpstreamConnection connection) {
+    Deque<UpstreamConnection> connections = idle.get(connection.upstreamId());
+    if (connections != null) {
+      connections.remove(connection);
+    }
+  }
+
+  /** Closes connections that have been unused for long; to be called now and then. */
+  void closeUnused() {
+    long nowMs = nowMs();
+    idle.values()
+        .forEach(
+            connections ->
+                connections.stream()
+                    .filter(connection -> !connection.isUsable(nowMs, USABLE_SHARE))
+                    .toList()
+                    .forEach(UpstreamConnection::close));
+    idle.values().removeIf(Deque::isEmpty);
+  }
+}
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/package-info.java
@@ -0,0 +1,2 @@
+/** Forwarding over HTTP: callers' connections, upstreams' connections and what goes between. */
+package io.mothrill.wire.forward;
--- a/mothrill-wire/src/main/java/io/mothrill/wire/platform/TableJson.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/platform/TableJson.java
@@ -79,7 +79,13 @@
     return rows;
   }
 
-  private static JsonNode cells(Cells cells) {
+  /**
+   * Writes the cells of a row.
+   *
+   * @param cells the cells
+   * @return an object with a field for each cell
+   */
+  public static JsonNode cells(Cells cells) {
     ObjectNode node = Json.object();
     cells
         .asMap()
@@ -94,7 +100,13 @@
     return node;
   }
 
-  private static Cells readCells(JsonNode node) {
+  /**
+   * Reads the cells of a row.
+   *
+   * @param node an object with a field for each cell
+   * @return the cells
+   */
+  public static Cells readCells(JsonNode node) {
     Cells[] cells = {Cells.empty()};
     node.fields()
         .forEachRemaining(
