Spending: what is near is sized by usual requests, renewals on demand

Cause: what was near covered two of the largest requests of each team at each instance, so a power loss of all instances burned most of what was left; a renewal that met a conflict waited for the next second. Change: near covers two seconds of demand or one and a half usual requests; a request that needs more waits for a renewal of its own; conflicts are retried at once.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
@@ -6,16 +6,16 @@
 final class GrantShaper {
 
   /** What is near covers this much of the demand: the time until the bound begins to open. */
-  private static final long NEAR_S = 3;
+  private static final double NEAR_S = 2;
 
-  /** Largest requests that fit into what is near, so that single ones need no renewal. */
-  private static final long NEAR_REQUESTS = 2;
+  /** Requests of the usual size that fit into what is near, so that few need a renewal. */
+  private static final double NEAR_REQUESTS = 1.5;
 
   /** The bound opens faster than the demand, as demand grows in bursts. */
-  private static final long OPEN_BY_DEMAND = 3;
+  private static final long OPEN_BY_DEMAND = 2;
 
   /** In a long silence all that is held opens within this time at the latest. */
-  private static final long OPEN_WITHIN_S = 15;
+  private static final long OPEN_WITHIN_S = 25;
 
   /** A share that is off by less than this part is left as it is, to save conflicts. */
   private static final double TOLERANCE = 0.2;
@@ -37,8 +37,8 @@
    * @param inTouch the grants of the other instances that renew theirs
    * @param silent the grants of those that do not
    * @param demandTokensPerS how fast this instance spends
-   * @param largestTokens the largest request so far
-   * @param wantedTokens what a request is waiting for; 0 when none is
+   * @param typicalTokens the usual size of a request
+   * @param wantedTokens what requests are waiting for; 0 when none is
    * @param leaving true when nothing is to be held any more
    */
   record Situation(
@@ -48,7 +48,7 @@
       List<SpendingGrant> inTouch,
       List<SpendingGrant> silent,
       long demandTokensPerS,
-      long largestTokens,
+      long typicalTokens,
       long wantedTokens,
       boolean leaving) {
 
@@ -73,10 +73,9 @@
       return new SpendingGrant(spentTokens, spentTokens, 0, 0, 0);
     }
     long holding = holding(situation, spentTokens);
-    long wantedNear =
-        Math.max(
-            NEAR_S * situation.demandTokensPerS(),
-            Math.max(NEAR_REQUESTS * situation.largestTokens(), situation.wantedTokens()));
+    double usualNear =
+        Math.max(NEAR_S * situation.demandTokensPerS(), NEAR_REQUESTS * situation.typicalTokens());
+    long wantedNear = Math.round(usualNear) + situation.wantedTokens();
     long open = Math.max(OPEN_BY_DEMAND * situation.demandTokensPerS(), holding / OPEN_WITHIN_S);
     return new SpendingGrant(
         spentTokens,
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 import org.tinylog.Logger;
 
@@ -36,8 +37,20 @@
   /** How often the row is renewed: a crash loses what was near, which is sized for seconds. */
   private static final long RENEW_MS = 1_000;
 
-  /** Least pause between two renewals that requests ask for. */
-  private static final long URGENT_PAUSE_MS = 100;
+  /** Least pause between two renewals that requests ask for, so that several share one. */
+  private static final long URGENT_PAUSE_MS = 40;
+
+  /** Renewals that one request waits for before it is refused. */
+  private static final int MAX_WAITS = 2;
+
+  /** Attempts of one renewal when other instances change the same rows at the same time. */
+  private static final int MAX_CONFLICTS = 8;
+
+  /** Longest pause before the next of these attempts; drawn anew for each. */
+  private static final int CONFLICT_PAUSE_MS = 40;
+
+  /** A renewal that took longer ago than this shows that the store is out of reach. */
+  private static final long IN_TOUCH_MS = 2_500;
 
   /** A row that was not renewed for this long belongs to an instance that is gone or cut off. */
   private static final long SILENT_MS = 12_000;
@@ -52,6 +65,7 @@
   private final StoreClock storeClock;
   private final Section<ForwardingPlan> plan;
   private final Timers timers;
+  private final RandomGenerator random;
   private final GrantShaper shaper;
   private final RowKey ownKey;
   private final Map<String, TeamSpending> teams = new ConcurrentHashMap<>();
@@ -74,6 +88,7 @@
    * @param plan the plan in force
    * @param policy how the unspent tokens are shared
    * @param timers the time
+   * @param random spreads attempts after conflicts
    */
   public SpendingController(
       String instanceId,
@@ -81,11 +96,13 @@
       StoreClock storeClock,
       Section<ForwardingPlan> plan,
       SharePolicy policy,
-      Timers timers) {
+      Timers timers,
+      RandomGenerator random) {
     this.table = table;
     this.storeClock = storeClock;
     this.plan = plan;
     this.timers = timers;
+    this.random = random;
     this.shaper = new GrantShaper(policy);
     this.ownKey = SpendingTables.instanceKey(instanceId);
     this.demandCountedMs = timers.nowMs();
@@ -116,13 +133,36 @@
     if (atOnce.isPresent()) {
       return CompletableFuture.completedFuture(atOnce.get());
     }
-    if (timers.nowMs() - renewedMs < URGENT_PAUSE_MS) {
+    return reserveAfterRenewal(team, tokens, MAX_WAITS);
+  }
+
+  private CompletableFuture<SpendingReservation> reserveAfterRenewal(
+      TeamPlan team, long tokens, int waits) {
+    if (waits == 0 || takenOver && !isInTouch()) {
       return CompletableFuture.failedFuture(refusal(team, tokens));
     }
-    wantedTokens.merge(team.name(), tokens, Long::max);
-    return renew()
-        .thenApply(
-            renewed -> tryReserve(team.name(), tokens).orElseThrow(() -> refusal(team, tokens)));
+    wantedTokens.merge(team.name(), tokens, Long::sum);
+    return renewSoon()
+        .thenCompose(
+            renewed ->
+                tryReserve(team.name(), tokens)
+                    .map(CompletableFuture::completedFuture)
+                    .orElseGet(() -> reserveAfterRenewal(team, tokens, waits - 1)));
+  }
+
+  private boolean isInTouch() {
+    return timers.nowMs() - renewedMs < IN_TOUCH_MS;
+  }
+
+  /** Renews at once, or a little after the last renewal, together with whoever asks meanwhile. */
+  private CompletableFuture<Boolean> renewSoon() {
+    long pauseMs = URGENT_PAUSE_MS - (timers.nowMs() - renewedMs);
+    if (pauseMs <= 0) {
+      return renew();
+    }
+    CompletableFuture<Boolean> renewed = new CompletableFuture<>();
+    timers.after(pauseMs, () -> renew().thenAccept(renewed::complete));
+    return renewed;
   }
 
   private Optional<SpendingReservation> tryReserve(String team, long tokens) {
@@ -185,24 +225,40 @@
     if (current != mine) {
       return current;
     }
+    attempt(MAX_CONFLICTS, mine);
+    return mine;
+  }
+
+  /** Reads and writes; begins again when other instances have changed the rows in between. */
+  private void attempt(int attempts, CompletableFuture<Boolean> renewal) {
     table
         .scan(SpendingTables.TABLE, "", "", SpendingTables.MAX_ROWS)
         .thenCompose(rows -> write(SpendingTables.Contents.of(rows)))
         .exceptionally(this::failed)
         .thenAccept(
-            renewed -> {
+            outcome -> {
+              if (outcome == Outcome.CONFLICT && attempts > 1) {
+                long pauseMs = random.nextInt(CONFLICT_PAUSE_MS);
+                timers.after(pauseMs, () -> attempt(attempts - 1, renewal));
+                return;
+              }
               underWay.set(null);
-              mine.complete(renewed);
+              renewal.complete(outcome == Outcome.WRITTEN);
             });
-    return mine;
   }
 
-  private boolean failed(Throwable error) {
+  private enum Outcome {
+    WRITTEN,
+    CONFLICT,
+    FAILED
+  }
+
+  private Outcome failed(Throwable error) {
     Logger.debug("spending not renewed: {}", Failures.unwrap(error).getMessage());
-    return false;
+    return Outcome.FAILED;
   }
 
-  private CompletableFuture<Boolean> write(SpendingTables.Contents read) {
+  private CompletableFuture<Outcome> write(SpendingTables.Contents read) {
     contents = read;
     if (!takenOver) {
       takeOver(read);
@@ -279,7 +335,7 @@
             othersInTouch(read, nowStoreMs).map(row -> row.grantOf(team)).toList(),
             othersSilent(read, nowStoreMs).map(row -> row.grantOf(team)).toList(),
             demandOf(team).tokensPerS(),
-            spending.largestTokens(),
+            spending.typicalTokens(),
             wanted,
             leaving.get() || prepaid.isEmpty());
     return spending.propose(spent -> shaper.shape(situation, spent));
@@ -307,13 +363,13 @@
     teams.forEach((name, spending) -> demandOf(name).update(spending.takeUsedTokens(), elapsedMs));
   }
 
-  private boolean finish(
+  private Outcome finish(
       Map<String, TeamSpending.SentGrant> sent, Boolean written, Throwable error) {
     if (error == null && written) {
       takenOver = true;
       sent.forEach((name, grant) -> teams.get(name).confirm(grant));
       renewedMs = timers.nowMs();
-      return true;
+      return Outcome.WRITTEN;
     }
     boolean surelyNot =
         error == null
@@ -322,9 +378,6 @@
     if (surelyNot) {
       sent.forEach((name, grant) -> teams.get(name).retract(grant));
     }
-    if (error != null) {
-      failed(error);
-    }
-    return false;
+    return error == null ? Outcome.CONFLICT : failed(error);
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamSpending.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamSpending.java
@@ -17,11 +17,14 @@
  */
 public final class TeamSpending {
 
+  /** Weight of the newest reservation in the usual size: about the last ten count. */
+  private static final double NEWEST_WEIGHT = 0.1;
+
   private final Timers timers;
   private final AtomicLong spentTokens;
   private final AtomicLong usedSinceTickTokens = new AtomicLong();
   private final AtomicReference<List<SentGrant>> possible;
-  private volatile long largestTokens;
+  private volatile double typicalTokens;
 
   /**
    * Creates the state of a team, with nothing to spend until a row is confirmed.
@@ -56,10 +59,10 @@
    * @return true when they are set aside
    */
   public boolean tryReserve(long tokens) {
-    largestTokens = Math.max(largestTokens, tokens);
     long after = spentTokens.addAndGet(tokens);
     if (after <= boundTokens()) {
       usedSinceTickTokens.addAndGet(tokens);
+      typicalTokens += NEWEST_WEIGHT * (tokens - typicalTokens);
       return true;
     }
     spentTokens.addAndGet(-tokens);
@@ -156,12 +159,12 @@
   }
 
   /**
-   * Gives the largest reservation that was asked for.
+   * Gives the usual size of a reservation.
    *
    * @return tokens
    */
-  public long largestTokens() {
-    return largestTokens;
+  public long typicalTokens() {
+    return Math.round(typicalTokens);
   }
 
   /**
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -68,14 +68,20 @@
       ForwardSettings settings, ForwardPorts ports, EventLoopGroup group, Timers timers) {
     this.settings = settings;
     this.timers = timers;
+    RandomGenerator random = ThreadLocalRandom.current()::nextLong;
     this.spending =
         new SpendingController(
-            settings.id(), ports.table(), ports.storeClock(), plan, new DemandShares(), timers);
+            settings.id(),
+            ports.table(),
+            ports.storeClock(),
+            plan,
+            new DemandShares(),
+            timers,
+            random);
     UpstreamLoads loads = new UpstreamLoads();
     PromptMemory memory = new PromptMemory();
     upstreams.subscribe(loads::retain);
     upstreams.subscribe(memory::retain);
-    RandomGenerator random = ThreadLocalRandom.current()::nextLong;
     UpstreamPicker picker =
         new UpstreamPicker(
             upstreams,
