Spending: requests wait briefly for tokens; refusals say what is held

Cause: requests waited for a renewal as long as the store's time-out, or were refused although the bound opened a moment later. Change: a request waits at most 250 ms, three times; rows open after 1.5 s; logs are JSON lines.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
@@ -6,16 +6,21 @@
 final class GrantShaper {
 
   /** What is near covers this much of the demand: the time until the bound begins to open. */
-  private static final double NEAR_S = 2;
+  private static final double NEAR_S = 2.5;
 
   /** Requests of the usual size that fit into what is near, so that few need a renewal. */
-  private static final double NEAR_REQUESTS = 1.5;
+  private static final double NEAR_REQUESTS = 2;
 
   /** The bound opens faster than the demand, as demand grows in bursts. */
   private static final long OPEN_BY_DEMAND = 2;
 
+  /**
+   * The bound opens by this many usual requests in a second at least, for teams that ask seldom.
+   */
+  private static final double OPEN_REQUESTS_PER_S = 1;
+
   /** In a long silence all that is held opens within this time at the latest. */
-  private static final long OPEN_WITHIN_S = 25;
+  private static final long OPEN_WITHIN_S = 20;
 
   /** A share that is off by less than this part is left as it is, to save conflicts. */
   private static final double TOLERANCE = 0.2;
@@ -76,12 +81,16 @@
     double usualNear =
         Math.max(NEAR_S * situation.demandTokensPerS(), NEAR_REQUESTS * situation.typicalTokens());
     long wantedNear = Math.round(usualNear) + situation.wantedTokens();
-    long open = Math.max(OPEN_BY_DEMAND * situation.demandTokensPerS(), holding / OPEN_WITHIN_S);
+    double open =
+        Math.max(
+            OPEN_REQUESTS_PER_S * situation.typicalTokens(),
+            Math.max(
+                OPEN_BY_DEMAND * situation.demandTokensPerS(), holding / (double) OPEN_WITHIN_S));
     return new SpendingGrant(
         spentTokens,
         spentTokens + holding,
         Math.min(holding, wantedNear),
-        open,
+        Math.round(open),
         situation.demandTokensPerS());
   }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -40,8 +40,14 @@
   /** Least pause between two renewals that requests ask for, so that several share one. */
   private static final long URGENT_PAUSE_MS = 40;
 
-  /** Renewals that one request waits for before it is refused. */
-  private static final int MAX_WAITS = 2;
+  /** Waits of one request, for a renewal or for the bound to open, before it is refused. */
+  private static final int MAX_WAITS = 3;
+
+  /**
+   * Longest of these waits. A renewal takes about 20 ms; coming back after a refusal takes the
+   * caller a second or more.
+   */
+  private static final long MAX_WAIT_MS = 250;
 
   /** Attempts of one renewal when other instances change the same rows at the same time. */
   private static final int MAX_CONFLICTS = 8;
@@ -50,7 +56,7 @@
   private static final int CONFLICT_PAUSE_MS = 40;
 
   /** A renewal that took longer ago than this shows that the store is out of reach. */
-  private static final long IN_TOUCH_MS = 2_500;
+  private static final long IN_TOUCH_MS = 1_400;
 
   /** A row that was not renewed for this long belongs to an instance that is gone or cut off. */
   private static final long SILENT_MS = 12_000;
@@ -133,21 +139,31 @@
     if (atOnce.isPresent()) {
       return CompletableFuture.completedFuture(atOnce.get());
     }
-    return reserveAfterRenewal(team, tokens, MAX_WAITS);
+    return reserveAfterWait(team, tokens, MAX_WAITS);
   }
 
-  private CompletableFuture<SpendingReservation> reserveAfterRenewal(
+  private CompletableFuture<SpendingReservation> reserveAfterWait(
       TeamPlan team, long tokens, int waits) {
-    if (waits == 0 || takenOver && !isInTouch()) {
+    if (waits == 0) {
       return CompletableFuture.failedFuture(refusal(team, tokens));
     }
-    wantedTokens.merge(team.name(), tokens, Long::sum);
-    return renewSoon()
-        .thenCompose(
-            renewed ->
-                tryReserve(team.name(), tokens)
-                    .map(CompletableFuture::completedFuture)
-                    .orElseGet(() -> reserveAfterRenewal(team, tokens, waits - 1)));
+    TeamSpending spending = teams.get(team.name());
+    long opensInMs = spending == null ? Long.MAX_VALUE : spending.waitMs(tokens);
+    boolean renewing = !takenOver || isInTouch();
+    if (!renewing && opensInMs > MAX_WAIT_MS) {
+      return CompletableFuture.failedFuture(refusal(team, tokens));
+    }
+    CompletableFuture<Boolean> wait = new CompletableFuture<>();
+    timers.after(Math.min(MAX_WAIT_MS, opensInMs), () -> wait.complete(false));
+    if (renewing) {
+      wantedTokens.merge(team.name(), tokens, Long::sum);
+      renewSoon().thenAccept(wait::complete);
+    }
+    return wait.thenCompose(
+        renewed ->
+            tryReserve(team.name(), tokens)
+                .map(CompletableFuture::completedFuture)
+                .orElseGet(() -> reserveAfterWait(team, tokens, waits - 1)));
   }
 
   private boolean isInTouch() {
@@ -186,21 +202,30 @@
    * too little; without it the caller is told to come back.
    */
   private SpendingException refusal(TeamPlan team, long tokens) {
-    SpendingTables.Contents known = contents;
-    boolean fresh = known != null && timers.nowMs() - renewedMs < RENEW_MS + URGENT_PAUSE_MS;
-    if (fresh) {
-      long left = team.prepaidTokens().getAsLong() - spentElsewhere(known, team.name());
-      long ownSpent =
-          Optional.ofNullable(teams.get(team.name())).map(TeamSpending::spentTokens).orElse(0L);
-      if (left - ownSpent < tokens) {
-        return SpendingException.spent(team.name(), left - ownSpent, tokens);
-      }
-      return SpendingException.notHere(team.name(), tokens, REBALANCED_MS);
-    }
     TeamSpending spending = teams.get(team.name());
-    long waitMs = spending == null ? RENEW_MS : spending.waitMs(tokens);
+    if (spending == null) {
+      return SpendingException.notHere(team.name(), tokens, "no row yet", RENEW_MS);
+    }
+    long sinceRenewalMs = timers.nowMs() - renewedMs;
+    if (sinceRenewalMs < RENEW_MS + URGENT_PAUSE_MS) {
+      long left =
+          team.prepaidTokens().getAsLong()
+              - spentElsewhere(contents, team.name())
+              - spending.spentTokens();
+      return left < tokens
+          ? SpendingException.spent(team.name(), left, tokens)
+          : SpendingException.notHere(
+              team.name(), tokens, stateOf(spending, sinceRenewalMs), REBALANCED_MS);
+    }
+    long waitMs = Math.min(MAX_RETRY_AFTER_MS, spending.waitMs(tokens));
     return SpendingException.notHere(
-        team.name(), tokens, Math.max(URGENT_PAUSE_MS, Math.min(MAX_RETRY_AFTER_MS, waitMs)));
+        team.name(), tokens, stateOf(spending, sinceRenewalMs), Math.max(URGENT_PAUSE_MS, waitMs));
+  }
+
+  private static String stateOf(TeamSpending spending, long sinceRenewalMs) {
+    return "spent %d of %d, limit %d, renewed %d ms ago"
+        .formatted(
+            spending.spentTokens(), spending.boundTokens(), spending.limitTokens(), sinceRenewalMs);
   }
 
   private long spentElsewhere(SpendingTables.Contents known, String team) {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingException.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingException.java
@@ -32,12 +32,16 @@
    *
    * @param team the team
    * @param neededTokens what the request needs
+   * @param state what this instance holds and since when
    * @param retryAfterMs when tokens can be there
    * @return the error
    */
-  public static SpendingException notHere(String team, long neededTokens, long retryAfterMs) {
+  public static SpendingException notHere(
+      String team, long neededTokens, String state, long retryAfterMs) {
     return new SpendingException(
-        "no " + neededTokens + " tokens of team " + team + " at hand", false, retryAfterMs);
+        "no " + neededTokens + " tokens of team " + team + " at hand: " + state,
+        false,
+        retryAfterMs);
   }
 
   /**
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingGrant.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingGrant.java
@@ -11,7 +11,7 @@
  * <pre>{@code
  * SpendingGrant grant = new SpendingGrant(1_000, 50_000, 2_000, 500, 100);
  * grant.boundAfterMs(0);      // 3,000: spent and near
- * grant.boundAfterMs(12_000); // 8,000: ten seconds of opening more
+ * grant.boundAfterMs(11_500); // 8,000: ten seconds of opening more
  * }</pre>
  *
  * @param spentTokens what was spent or set aside when the row was sent
@@ -28,10 +28,10 @@
     long demandTokensPerS) {
 
   /**
-   * How long a row counts as new. A machine that is killed is back within about this time, and
-   * loses only what is near; renewals come every second, so two may fail before the bound opens.
+   * How long a row counts as new. A process that is killed is back after about this time, and loses
+   * only what is near; renewals come every second, so the bound opens when one has failed.
    */
-  public static final long FRESH_MS = 2_000;
+  public static final long FRESH_MS = 1_500;
 
   private static final long MS_PER_S = 1_000;
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamSpending.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamSpending.java
@@ -128,6 +128,15 @@
     return possible.get().stream().mapToLong(sent -> sent.boundAt(nowMs)).min().orElse(0);
   }
 
+  /**
+   * Gives what may be spent once all rows that may be in force have opened.
+   *
+   * @return tokens, counted like those spent
+   */
+  public long limitTokens() {
+    return possible.get().stream().mapToLong(sent -> sent.grant().limitTokens()).min().orElse(0);
+  }
+
   /**
    * Says how long it takes until an amount can be set aside without a new row.
    *
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -98,7 +98,7 @@
             memory,
             spending,
             new SharedRetryBudget(settings.retries(), spending::instanceCount, timers),
-            new StoryLog(metrics),
+            new StoryLog(metrics, timers),
             timers,
             random);
     this.edge =
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/StoryLog.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/StoryLog.java
@@ -1,18 +1,36 @@
 package io.mothrill.daemon.forward;
 
 import com.codahale.metrics.MetricRegistry;
+import io.mothrill.core.time.Timers;
+import io.mothrill.daemon.log.LineLimit;
+import io.mothrill.daemon.log.LogFields;
 import io.mothrill.wire.forward.ForwardLog;
+import java.util.stream.Collectors;
 import org.tinylog.Logger;
 
-/** Counts how requests end and writes a line for each that was not served. */
+/**
+ * Counts how requests end and writes a line for each, with what decided about it.
+ *
+ * <p>Requests that failed, were refused or were late go first; of the others only some are written.
+ */
 final class StoryLog implements ForwardLog {
 
   private static final String SERVED = "served";
 
+  /** Lines about trouble in a second; some hundred bytes each. */
+  private static final int TROUBLE_LINES_PER_S = 100;
+
+  /** Lines about requests that went well in a second, as examples to compare with. */
+  private static final int SERVED_LINES_PER_S = 2;
+
   private final MetricRegistry metrics;
+  private final Timers timers;
+  private final LineLimit troubleLines = new LineLimit(TROUBLE_LINES_PER_S);
+  private final LineLimit servedLines = new LineLimit(SERVED_LINES_PER_S);
 
-  StoryLog(MetricRegistry metrics) {
+  StoryLog(MetricRegistry metrics, Timers timers) {
     this.metrics = metrics;
+    this.timers = timers;
   }
 
   @Override
@@ -21,20 +39,46 @@
     if (story.firstMs() >= 0) {
       metrics.histogram("forward.firstMs").update(story.firstMs());
     }
-    if (!story.outcome().equals(SERVED)) {
-      Logger.info(
-          "request id={} route={} team={} outcome={} status={} upstreams={} detail=\"{}\""
-              + " tookMs={} firstMs={} plan={}",
-          story.requestId(),
-          story.route(),
-          story.team(),
-          story.outcome(),
-          story.status(),
-          story.upstreams(),
-          story.detail(),
-          story.tookMs(),
-          story.firstMs(),
-          story.planVersion());
+    boolean trouble = !story.outcome().equals(SERVED) || story.isLate();
+    LineLimit limit = trouble ? troubleLines : servedLines;
+    if (limit.tryLine(timers.nowMs())) {
+      write(story);
     }
   }
+
+  private static void write(Story story) {
+    Logger.info(
+        LogFields.event("request")
+            .with("id", story.requestId())
+            .with("outcome", story.isLate() ? story.outcome() + "_late" : story.outcome())
+            .with("status", story.status())
+            .with("reason", story.reason())
+            .with("route", story.route())
+            .with("team", story.team())
+            .with("offers", offers(story))
+            .with("paidMs", story.paidMs())
+            .with("firstMs", story.firstMs())
+            .with("aimMs", story.aimMs())
+            .with("tookMs", story.tookMs())
+            .with("plan", story.planVersion())
+            .toString());
+  }
+
+  private static String offers(Story story) {
+    return story.offers().stream()
+        .map(
+            offer ->
+                offer.upstreamId()
+                    + " at "
+                    + offer.atMs()
+                    + " ms, under way "
+                    + offer.underWayCount()
+                    + " of "
+                    + offer.estimatedCount()
+                    + ", unread "
+                    + offer.unreadTokens()
+                    + ": "
+                    + offer.result())
+        .collect(Collectors.joining("; "));
+  }
 }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
@@ -75,7 +75,9 @@
   private final long startMs;
   private final ForwardingPlan plan;
   private final Set<String> triedIds = new LinkedHashSet<>();
-  private final List<String> notes = new ArrayList<>(2);
+  private final List<ForwardLog.Offer> offers = new ArrayList<>(1);
+  private String reason = "";
+  private long paidMs;
   private Route route;
   private Optional<TeamPlan> team = Optional.empty();
   private String service = "";
@@ -163,12 +165,13 @@
       }
       return;
     }
+    paidMs = parts.timers().nowMs() - startMs;
     if (granted != null) {
       reservation = granted;
       send();
       return;
     }
-    notes.add(Failures.unwrap(error).getMessage());
+    reason = String.valueOf(Failures.unwrap(error).getMessage());
     refuse(
         Failures.unwrap(error) instanceof SpendingException spending && spending.isSpent()
             ? ForwardRefusal.of(Cause.BUDGET_SPENT)
@@ -271,10 +274,12 @@
                 team.map(TeamPlan::name).orElse(""),
                 outcome,
                 status,
-                String.join(",", triedIds),
-                String.join("; ", notes),
-                parts.timers().nowMs() - startMs,
+                reason,
+                attempt == null ? offers : attempt.withOffer(outcome),
+                paidMs,
                 firstMs,
+                parts.timers().nowMs() - startMs,
+                route == null ? 0 : route.aimMs(),
                 plan.version()));
   }
 
@@ -316,6 +321,11 @@
     private final ServingUpstream upstream;
     private final UpstreamLoad load;
     private final long promptTokens;
+    private final long chosenMs;
+    private final int underWayBefore;
+    private final long unreadBefore;
+    private final long estimatedBefore;
+    private boolean told;
     private UpstreamConnection connection;
     private boolean over;
     private boolean sent;
@@ -326,11 +336,34 @@
     private EventSplitter splitter;
 
     Attempt(ServingUpstream upstream) {
+      long nowMs = parts.timers().nowMs();
       this.upstream = upstream;
       this.load = parts.loads().of(upstream.id());
+      this.chosenMs = nowMs - startMs;
+      this.underWayBefore = load.underWayCount();
+      this.unreadBefore = load.unreadPromptTokens();
+      this.estimatedBefore = Math.round(load.estimatedCount(nowMs));
       this.promptTokens = call.prompt().map(prompt -> prompt.inputTokens()).orElse(0L);
     }
 
+    /** Notes that this upstream did not answer the request. */
+    private void fail(String result) {
+      told = true;
+      offers.add(offer(result));
+    }
+
+    private ForwardLog.Offer offer(String result) {
+      return new ForwardLog.Offer(
+          upstream.id(), chosenMs, underWayBefore, unreadBefore, estimatedBefore, result);
+    }
+
+    private List<ForwardLog.Offer> withOffer(String result) {
+      if (!told) {
+        fail(result);
+      }
+      return offers;
+    }
+
     void connect() {
       pool.take(
           upstream,
@@ -345,7 +378,7 @@
       }
       over = true;
       load.onFailure(parts.timers().nowMs());
-      notes.add(upstream.id() + ": " + detail);
+      fail(detail);
       send();
     }
 
@@ -434,7 +467,7 @@
     private void onSilent(long silentMs) {
       load.onFailure(parts.timers().nowMs());
       if (mayRunAgain()) {
-        notes.add(upstream.id() + ": silent for " + silentMs + " ms");
+        fail("silent for " + silentMs + " ms");
         abandon();
         send();
       } else {
@@ -496,7 +529,7 @@
     private void onNotRun(int status) {
       load.onFull(
           parts.timers().nowMs(), status == MISDIRECTED ? STRANGER_AVOID_MS : FULL_AVOID_MS);
-      notes.add(upstream.id() + ": not run, status " + status);
+      fail("not run, status " + status);
       ranCount--;
       mayHaveRun = ranCount > 0;
       abandon();
@@ -584,8 +617,8 @@
       whole = null;
       finish();
       if (status >= FIRST_SERVER_ERROR) {
-        notes.add(upstream.id() + ": status " + status);
         if (mayRunAgain()) {
+          fail("status " + status);
           bytes.release();
           send();
           return;
@@ -622,7 +655,7 @@
         return;
       }
       load.onFailure(parts.timers().nowMs());
-      notes.add(upstream.id() + ": " + detail);
+      fail(detail);
       abandon();
       if (mayRunAgain()) {
         send();
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardLog.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardLog.java
@@ -1,5 +1,7 @@
 package io.mothrill.wire.forward;
 
+import java.util.List;
+
 /** Gets the story of each forwarded request when it ends. */
 public interface ForwardLog {
 
@@ -18,10 +20,12 @@
    * @param team the team; empty when none was found
    * @param outcome how it ended, in a word
    * @param status the status that the caller got; 0 when it got none
-   * @param upstreams the upstreams that it was sent to, in order, joined by commas
-   * @param detail what was decided on the way
-   * @param tookMs from its head to its end
+   * @param reason why, where the outcome alone does not say it
+   * @param offers the upstreams that it was offered to, in order
+   * @param paidMs how long it waited for tokens to be set aside
    * @param firstMs from its head to the first byte of the answer; -1 when there was none
+   * @param tookMs from its head to its end
+   * @param aimMs the time to the first byte that callers hope for; 0 when no route was found
    * @param planVersion the plan that was in force
    */
   record Story(
@@ -30,9 +34,35 @@
       String team,
       String outcome,
       int status,
-      String upstreams,
-      String detail,
-      long tookMs,
+      String reason,
+      List<Offer> offers,
+      long paidMs,
       long firstMs,
-      long planVersion) {}
+      long tookMs,
+      long aimMs,
+      long planVersion) {
+
+    /** Says whether the first byte came later than hoped for. */
+    public boolean isLate() {
+      return aimMs > 0 && firstMs > aimMs;
+    }
+  }
+
+  /**
+   * One upstream that a request was offered to, with what was known when it was chosen.
+   *
+   * @param upstreamId the upstream
+   * @param atMs from the request's head to the choice
+   * @param underWayCount own requests that were under way there
+   * @param unreadTokens own prompt tokens that it still had to read
+   * @param estimatedCount all requests there, those of other instances by its last report
+   * @param result what came of it
+   */
+  record Offer(
+      String upstreamId,
+      long atMs,
+      int underWayCount,
+      long unreadTokens,
+      long estimatedCount,
+      String result) {}
 }
