Instances lend each other tokens while the store is away

Cause: in a cut of all instances from the store, tokens of a team lay at instances that did not need them while others refused. Change: a lender sets a loan aside as if it had spent it, below its own bound, so the budget holds whatever becomes of either; rests go back once contact is regained.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/InstanceSpending.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/InstanceSpending.java
@@ -10,9 +10,18 @@
  * One instance's row: its grants of all teams, renewed together.
  *
  * @param sentAtStoreMs when it was sent, by the store's clock, or a little earlier
+ * @param host where other instances reach it; empty when it takes no calls of theirs
+ * @param peerPort the TCP port for other instances
  * @param grants the grants by team
  */
-public record InstanceSpending(long sentAtStoreMs, Map<String, SpendingGrant> grants) {
+public record InstanceSpending(
+    long sentAtStoreMs, String host, int peerPort, Map<String, SpendingGrant> grants) {
+
+  /** A row that does not exist. */
+  public static final InstanceSpending NONE = new InstanceSpending(0, "", 0, Map.of());
+
+  private static final String HOST = "host";
+  private static final String PEER_PORT = "peerPort";
 
   private static final String SENT_AT = "sentAtMs";
   private static final String TEAM_PREFIX = "team.";
@@ -43,7 +52,7 @@
     long silentMs = Math.max(0, nowStoreMs - sentAtStoreMs);
     Map<String, SpendingGrant> closed = new TreeMap<>();
     grants.forEach((team, grant) -> closed.put(team, grant.closedAfterMs(silentMs)));
-    return new InstanceSpending(nowStoreMs, closed);
+    return new InstanceSpending(nowStoreMs, host, peerPort, closed);
   }
 
   /**
@@ -52,7 +61,8 @@
    * @return one cell for each team
    */
   public Cells toCells() {
-    Cells cells = Cells.empty().with(SENT_AT, sentAtStoreMs);
+    Cells cells =
+        Cells.empty().with(SENT_AT, sentAtStoreMs).with(HOST, host).with(PEER_PORT, peerPort);
     for (Map.Entry<String, SpendingGrant> entry : grants.entrySet()) {
       cells = cells.with(TEAM_PREFIX + entry.getKey(), write(entry.getValue()));
     }
@@ -73,7 +83,8 @@
                 Collectors.toMap(
                     entry -> entry.getKey().substring(TEAM_PREFIX.length()),
                     entry -> readGrant(String.valueOf(entry.getValue()))));
-    return new InstanceSpending(cells.number(SENT_AT), grants);
+    return new InstanceSpending(
+        cells.number(SENT_AT), cells.text(HOST), (int) cells.number(PEER_PORT), grants);
   }
 
   private static String write(SpendingGrant grant) {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -4,6 +4,9 @@
 import io.mothrill.core.error.Failures;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.plan.TeamPlan;
+import io.mothrill.core.peer.PeerDispatcher;
+import io.mothrill.core.peer.PeerLinks;
+import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.platform.Row;
 import io.mothrill.core.platform.RowKey;
 import io.mothrill.core.platform.StoreClock;
@@ -61,6 +64,12 @@
   /** A row that was not renewed for this long belongs to an instance that is gone or cut off. */
   private static final long SILENT_MS = 12_000;
 
+  /** A loan is for so many requests like the one that needs it, so that few loans are needed. */
+  private static final long BORROW_REQUESTS = 3;
+
+  /** A loan covers so many seconds of the demand here. */
+  private static final long BORROW_S = 2;
+
   /** When to come back if other instances have to hand tokens back first. */
   private static final long REBALANCED_MS = 1_200;
 
@@ -73,7 +82,9 @@
   private final Timers timers;
   private final RandomGenerator random;
   private final GrantShaper shaper;
+  private final InstanceRecord self;
   private final RowKey ownKey;
+  private final SpendingLoans loans;
   private final Map<String, TeamSpending> teams = new ConcurrentHashMap<>();
   private final Map<String, Demand> demands = new ConcurrentHashMap<>();
   private final Map<String, Long> wantedTokens = new ConcurrentHashMap<>();
@@ -88,29 +99,35 @@
   /**
    * Creates the controller and starts to renew.
    *
-   * @param instanceId names the machine; a later process there continues with its row
+   * @param self this instance; a later process on the same machine has the same id
    * @param table the platform's table
    * @param storeClock the clock of the table's store
    * @param plan the plan in force
    * @param policy how the unspent tokens are shared
    * @param timers the time
    * @param random spreads attempts after conflicts
+   * @param links reaches other instances
+   * @param dispatcher gets their requests
    */
   public SpendingController(
-      String instanceId,
+      InstanceRecord self,
       TableService table,
       StoreClock storeClock,
       Section<ForwardingPlan> plan,
       SharePolicy policy,
       Timers timers,
-      RandomGenerator random) {
+      RandomGenerator random,
+      PeerLinks links,
+      PeerDispatcher dispatcher) {
     this.table = table;
     this.storeClock = storeClock;
     this.plan = plan;
     this.timers = timers;
     this.random = random;
     this.shaper = new GrantShaper(policy);
-    this.ownKey = SpendingTables.instanceKey(instanceId);
+    this.self = self;
+    this.ownKey = SpendingTables.instanceKey(self.id());
+    this.loans = new SpendingLoans(links, dispatcher, timers, self, this::findLendable);
     this.demandCountedMs = timers.nowMs();
     timers.every(RENEW_MS, this::renew);
   }
@@ -144,14 +161,11 @@
 
   private CompletableFuture<SpendingReservation> reserveAfterWait(
       TeamPlan team, long tokens, int waits) {
-    if (waits == 0) {
-      return CompletableFuture.failedFuture(refusal(team, tokens));
-    }
     TeamSpending spending = teams.get(team.name());
     long opensInMs = spending == null ? Long.MAX_VALUE : spending.waitMs(tokens);
     boolean renewing = !takenOver || isInTouch();
-    if (!renewing && opensInMs > MAX_WAIT_MS) {
-      return CompletableFuture.failedFuture(refusal(team, tokens));
+    if (waits == 0 || !renewing && opensInMs > MAX_WAIT_MS) {
+      return reserveFromLoan(team, tokens);
     }
     CompletableFuture<Boolean> wait = new CompletableFuture<>();
     timers.after(Math.min(MAX_WAIT_MS, opensInMs), () -> wait.complete(false));
@@ -166,6 +180,21 @@
                 .orElseGet(() -> reserveAfterWait(team, tokens, waits - 1)));
   }
 
+  private CompletableFuture<SpendingReservation> reserveFromLoan(TeamPlan team, long tokens) {
+    if (!takenOver || leaving.get()) {
+      return CompletableFuture.failedFuture(refusal(team, tokens));
+    }
+    long wanted = Math.max(BORROW_REQUESTS * tokens, BORROW_S * demandOf(team.name()).tokensPerS());
+    return loans
+        .borrow(team.name(), tokens, wanted, contents.lenders(ownKey, team.name()))
+        .thenApply(
+            borrowed -> tryReserve(team.name(), tokens).orElseThrow(() -> refusal(team, tokens)));
+  }
+
+  private Optional<TeamSpending> findLendable(String team) {
+    return leaving.get() || !takenOver ? Optional.empty() : Optional.ofNullable(teams.get(team));
+  }
+
   private boolean isInTouch() {
     return timers.nowMs() - renewedMs < IN_TOUCH_MS;
   }
@@ -182,17 +211,25 @@
   }
 
   private Optional<SpendingReservation> tryReserve(String team, long tokens) {
+    return tryOwn(team, tokens)
+        .or(() -> loans.tryReserve(team, tokens))
+        .map(SpendingController::once);
+  }
+
+  private Optional<SpendingReservation> tryOwn(String team, long tokens) {
     TeamSpending spending = teams.get(team);
-    if (spending == null || !spending.tryReserve(tokens)) {
-      return Optional.empty();
-    }
+    return spending != null && spending.tryReserve(tokens)
+        ? Optional.of(usedTokens -> spending.settle(tokens, usedTokens))
+        : Optional.empty();
+  }
+
+  private static SpendingReservation once(SpendingReservation reservation) {
     AtomicBoolean settled = new AtomicBoolean();
-    return Optional.of(
-        usedTokens -> {
-          if (settled.compareAndSet(false, true)) {
-            spending.settle(tokens, usedTokens);
-          }
-        });
+    return usedTokens -> {
+      if (settled.compareAndSet(false, true)) {
+        reservation.settle(usedTokens);
+      }
+    };
   }
 
   /**
@@ -339,7 +376,8 @@
         transaction = transaction.and(teamRow, SpendingTables.teamCells(granted));
       }
     }
-    InstanceSpending next = new InstanceSpending(sentAtStoreMs, grants);
+    InstanceSpending next =
+        new InstanceSpending(sentAtStoreMs, self.host(), self.peerPort(), grants);
     return transaction.and(read.row(ownKey), next.toCells());
   }
 
@@ -394,6 +432,7 @@
       takenOver = true;
       sent.forEach((name, grant) -> teams.get(name).confirm(grant));
       renewedMs = timers.nowMs();
+      loans.handBack();
       return Outcome.WRITTEN;
     }
     boolean surelyNot =
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingTables.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingTables.java
@@ -1,8 +1,10 @@
 package io.mothrill.core.forward.spending;
 
 import io.mothrill.core.platform.Cells;
+import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.platform.Row;
 import io.mothrill.core.platform.RowKey;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -59,7 +61,7 @@
     }
 
     InstanceSpending instance(RowKey key) {
-      return instances.getOrDefault(key, new InstanceSpending(0, Map.of()));
+      return instances.getOrDefault(key, InstanceSpending.NONE);
     }
 
     Stream<InstanceSpending> others(RowKey ownKey) {
@@ -68,6 +70,24 @@
           .map(Map.Entry::getValue);
     }
 
+    /** Lists the other instances that can be reached, those that hold most of a team first. */
+    List<InstanceRecord> lenders(RowKey ownKey, String team) {
+      Comparator<Map.Entry<RowKey, InstanceSpending>> byHolding =
+          Comparator.comparingLong(entry -> entry.getValue().grantOf(team).holdingTokens());
+      return instances.entrySet().stream()
+          .filter(entry -> !entry.getKey().equals(ownKey))
+          .filter(entry -> !entry.getValue().host().isEmpty())
+          .filter(entry -> entry.getValue().grantOf(team).holdingTokens() > 0)
+          .sorted(byHolding.reversed())
+          .map(entry -> record(entry.getKey(), entry.getValue()))
+          .toList();
+    }
+
+    private static InstanceRecord record(RowKey key, InstanceSpending row) {
+      String id = key.key().substring(INSTANCE_PREFIX.length());
+      return new InstanceRecord(id, id, "", row.host(), row.peerPort(), false);
+    }
+
     long grantedTokens(String team) {
       return row(teamKey(team)).cells().number(GRANTED);
     }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamSpending.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamSpending.java
@@ -81,6 +81,33 @@
     usedSinceTickTokens.addAndGet(-returned);
   }
 
+  /**
+   * Sets tokens aside for another instance, as if they were spent.
+   *
+   * @param needTokens the least that helps the other
+   * @param wantedTokens as much as it would like
+   * @param divisor one part of so many of what is free now may go at once
+   * @return what was set aside; 0 when there is too little
+   */
+  public long lend(long needTokens, long wantedTokens, long divisor) {
+    long free = boundTokens() - spentTokens.get();
+    long lent = Math.max(needTokens, Math.min(wantedTokens, free / divisor));
+    if (spentTokens.addAndGet(lent) <= boundTokens()) {
+      return lent;
+    }
+    spentTokens.addAndGet(-lent);
+    return 0;
+  }
+
+  /**
+   * Takes back what another instance has not spent of a loan.
+   *
+   * @param tokens how many
+   */
+  public void takeBack(long tokens) {
+    spentTokens.addAndGet(-tokens);
+  }
+
   /**
    * Proposes a grant that is about to be sent: from now on spending stays below it as well.
    *
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -13,12 +13,18 @@
 import io.mothrill.core.forward.upstream.UpstreamLoads;
 import io.mothrill.core.forward.upstream.UpstreamPicker;
 import io.mothrill.core.forward.view.StateFollower;
+import io.mothrill.core.peer.PeerDispatcher;
+import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.time.Subscription;
 import io.mothrill.core.time.Timers;
 import io.mothrill.wire.forward.ForwardEdge;
 import io.mothrill.wire.forward.ForwardParts;
 import io.mothrill.wire.http.HttpServer;
+import io.mothrill.wire.json.JsonResources;
 import io.mothrill.wire.operator.ProbeService;
+import io.mothrill.wire.peer.NettyPeers;
+import io.mothrill.wire.peer.PeerDecoder;
+import io.mothrill.wire.peer.PeerEncoder;
 import io.netty.channel.EventLoopGroup;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
@@ -49,6 +55,7 @@
   private final Section<ForwardingPlan> plan = new Section<>(ForwardingPlan.unknown());
   private final Section<UpstreamList> upstreams = new Section<>(UpstreamList.empty());
   private final MetricRegistry metrics = new MetricRegistry();
+  private final NettyPeers peers;
   private final SpendingController spending;
   private final ForwardEdge edge;
   private final HttpServer probeServer;
@@ -69,15 +76,25 @@
     this.settings = settings;
     this.timers = timers;
     RandomGenerator random = ThreadLocalRandom.current()::nextLong;
+    PeerDispatcher dispatcher = new PeerDispatcher();
+    this.peers = newPeers(settings, dispatcher, group);
     this.spending =
         new SpendingController(
-            settings.id(),
+            new InstanceRecord(
+                settings.id(),
+                settings.id(),
+                settings.domain(),
+                settings.peers().host(),
+                peers.port(),
+                false),
             ports.table(),
             ports.storeClock(),
             plan,
             new DemandShares(),
             timers,
-            random);
+            random,
+            peers,
+            dispatcher);
     UpstreamLoads loads = new UpstreamLoads();
     PromptMemory memory = new PromptMemory();
     upstreams.subscribe(loads::retain);
@@ -123,6 +140,18 @@
     var unused = new StateFollower(ports.state(), plan, upstreams, timers, settings.view());
   }
 
+  private static NettyPeers newPeers(
+      ForwardSettings settings, PeerDispatcher dispatcher, EventLoopGroup group) {
+    JsonResources codec = new JsonResources();
+    return new NettyPeers(
+        group,
+        new PeerEncoder(codec),
+        new PeerDecoder(codec),
+        dispatcher,
+        settings.peers().host(),
+        settings.peers().port());
+  }
+
   private String unreadyReason() {
     if (leaving) {
       return "leaving";
@@ -185,5 +214,6 @@
     edge.close();
     probeServer.close();
     metricsServer.close();
+    peers.close();
   }
 }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardSettings.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardSettings.java
@@ -10,6 +10,7 @@
  * @param id names the machine; stays the same when its process is started again
  * @param domain its failure domain
  * @param callers where callers connect
+ * @param peers where other instances connect
  * @param probes where the platform asks whether it is ready
  * @param readyPath the path of that question
  * @param metricsPort where its metrics are, on the address of the probes
@@ -23,6 +24,7 @@
     String id,
     String domain,
     Address callers,
+    Address peers,
     Address probes,
     String readyPath,
     int metricsPort,
