Prompts: instances announce long ones; a prompt leaves its home only to be in time

Cause: instances saw only their own prompts, so short requests met engines that read long ones; and every small backlog sent prompts away from the engine that keeps their shared parts. Change: a datagram for each long prompt; a cost that counts a wait for little while the answer is in time behind it, and for much beyond.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -95,6 +95,7 @@
   private volatile long renewedMs = Long.MIN_VALUE / 2;
   private volatile long demandCountedMs;
   private volatile int instanceCount;
+  private volatile List<InstanceRecord> others = List.of();
 
   /**
    * Creates the controller and starts to renew.
@@ -141,6 +142,15 @@
     return instanceCount;
   }
 
+  /**
+   * Lists the other instances that have renewed their rows lately.
+   *
+   * @return the instances, in the order of their ids
+   */
+  public List<InstanceRecord> others() {
+    return others;
+  }
+
   /**
    * Sets tokens aside.
    *
@@ -326,6 +336,7 @@
       takeOver(read);
     }
     long sentAtStoreMs = storeClock.nowMs();
+    others = read.reachable(ownKey, row -> sentAtStoreMs - row.sentAtStoreMs() < SILENT_MS);
     instanceCount = 1 + (int) othersInTouch(read, sentAtStoreMs).count();
     ForwardingPlan inForce = plan.read();
     inForce.teams().stream()
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingTables.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingTables.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -83,6 +84,17 @@
           .toList();
     }
 
+    /** Lists the other instances that can be reached, in the order of their ids. */
+    List<InstanceRecord> reachable(RowKey ownKey, Predicate<InstanceSpending> inTouch) {
+      return instances.entrySet().stream()
+          .filter(entry -> !entry.getKey().equals(ownKey))
+          .filter(entry -> !entry.getValue().host().isEmpty())
+          .filter(entry -> inTouch.test(entry.getValue()))
+          .map(entry -> record(entry.getKey(), entry.getValue()))
+          .sorted(Comparator.comparing(InstanceRecord::id))
+          .toList();
+    }
+
     private static InstanceRecord record(RowKey key, InstanceSpending row) {
       String id = key.key().substring(INSTANCE_PREFIX.length());
       return new InstanceRecord(id, id, "", row.host(), row.peerPort(), false);
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/PromptCost.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/PromptCost.java
@@ -5,16 +5,26 @@
 import java.util.function.ToDoubleFunction;
 
 /**
- * Cost of prompts: the tokens that have to be read before the first one is made.
+ * Cost of prompts, in tokens that have to be read.
  *
- * <p>Counted are the prompts that wait to be read at the upstream, and what it does not keep of
- * this one.
+ * <p>What the upstream does not keep of the prompt has to be read in any case and counts in full.
+ * Prompts that wait to be read there count for little as long as this one is in time behind them,
+ * and for much once it would be late: a prompt goes elsewhere to be in time, not to be first.
  */
 public final class PromptCost implements UpstreamCost {
 
   /** Typical prompt, for the requests of other instances that wait at an upstream. */
   private static final double TYPICAL_PROMPT_TOKENS = 4_000;
 
+  /** Weight of a wait that does no harm, so that equal choices go to the emptier upstream. */
+  private static final double HARMLESS_WAIT = 0.3;
+
+  /** Weight of the part of a wait that makes the answer late. */
+  private static final double HARMFUL_WAIT = 4;
+
+  /** Part of the aim that may pass before the first event; estimates are rough. */
+  private static final double AIM_SHARE = 0.5;
+
   /** A running request slows each step of the others a little, compared with reading a prompt. */
   private static final double RUNNING_TOKENS = 60;
 
@@ -27,6 +37,7 @@
   private final String ownDomain;
   private final UpstreamLoads loads;
   private final PromptMemory memory;
+  private final ReadingSpeed speed;
 
   /**
    * Creates the cost.
@@ -34,11 +45,14 @@
    * @param ownDomain the failure domain of this instance
    * @param loads the loads of all upstreams
    * @param memory which upstream is likely to keep which parts
+   * @param speed how fast upstreams read
    */
-  public PromptCost(String ownDomain, UpstreamLoads loads, PromptMemory memory) {
+  public PromptCost(
+      String ownDomain, UpstreamLoads loads, PromptMemory memory, ReadingSpeed speed) {
     this.ownDomain = ownDomain;
     this.loads = loads;
     this.memory = memory;
+    this.speed = speed;
   }
 
   @Override
@@ -46,12 +60,18 @@
       UpstreamQuery query, List<ServingUpstream> upstreams, long nowMs) {
     Prompt prompt = query.prompt().orElseThrow();
     PromptMemory.Homes homes = memory.homesOf(prompt, upstreams);
+    double tokensPerMs = speed.tokensPerMs();
+    double inTimeTokens = AIM_SHARE * query.aimMs() * tokensPerMs;
     return upstream -> {
       UpstreamLoad load = loads.of(upstream.id());
       double count = load.estimatedCount(nowMs);
-      return load.unreadPromptTokens()
-          + load.estimatedWaiting(nowMs) * TYPICAL_PROMPT_TOKENS
-          + memory.unreadTokens(prompt, upstream, homes, nowMs)
+      double unread = memory.unreadTokens(prompt, upstream, homes, nowMs);
+      double wait =
+          load.unreadPromptTokens(tokensPerMs, nowMs)
+              + load.estimatedWaiting(nowMs) * TYPICAL_PROMPT_TOKENS;
+      return unread
+          + HARMLESS_WAIT * wait
+          + HARMFUL_WAIT * Math.max(0, wait + unread - inTimeTokens)
           + count * RUNNING_TOKENS
           + Math.max(0, count + 1 - upstream.slots()) * OVERFULL_TOKENS
           + (upstream.domain().equals(ownDomain) ? 0 : OTHER_DOMAIN_TOKENS);
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/PromptMemory.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/PromptMemory.java
@@ -23,10 +23,10 @@
   /**
    * Share of the shared parts that a home is taken to keep when this instance has not sent them.
    */
-  private static final double HOME_KEEPS = 0.7;
+  private static final double HOME_KEEPS = 0.85;
 
   /** The same for the second home, which gets what the first is too busy for. */
-  private static final double SECOND_HOME_KEEPS = 0.35;
+  private static final double SECOND_HOME_KEEPS = 0.3;
 
   /** Subjects remembered for each upstream: some hundred bytes each. */
   private static final int MAX_SUBJECTS = 2_048;
@@ -93,6 +93,20 @@
     return prompt.inputTokens() - kept * sharedTokens(prompt);
   }
 
+  /**
+   * Estimates what an upstream has to read for a prompt that is about to be sent to it.
+   *
+   * @param prompt the prompt
+   * @param upstreamId the upstream
+   * @param nowMs the time
+   * @return tokens; all of the prompt unless this instance has sent its like there lately
+   */
+  public long unreadTokens(Prompt prompt, String upstreamId, long nowMs) {
+    return wasSent(prompt, upstreamId, nowMs)
+        ? Math.round(prompt.inputTokens() - sharedTokens(prompt))
+        : prompt.inputTokens();
+  }
+
   private static double keptShare(String upstreamId, Homes homes) {
     if (upstreamId.equals(homes.first())) {
       return HOME_KEEPS;
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamLoad.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamLoad.java
@@ -23,6 +23,15 @@
   private volatile long avoidUntilMs = Long.MIN_VALUE;
   private volatile Report report = new Report(0, 0, Long.MIN_VALUE / 2);
 
+  private volatile Notice notice = new Notice(0, Long.MIN_VALUE / 2);
+
+  private record Notice(double unreadTokens, long atMs) {
+
+    double leftAt(long nowMs, double tokensPerMs) {
+      return Math.max(0, unreadTokens - tokensPerMs * (nowMs - atMs));
+    }
+  }
+
   private record Report(int running, int waiting, long atMs) {}
 
   /**
@@ -44,6 +53,17 @@
     unreadPromptTokens.addAndGet(-promptTokens);
   }
 
+  /**
+   * Takes notice of a prompt that another instance has sent to the upstream.
+   *
+   * @param promptTokens the tokens that the upstream has to read for it
+   * @param tokensPerMs how fast it reads
+   * @param nowMs the time
+   */
+  public synchronized void onNotice(long promptTokens, double tokensPerMs, long nowMs) {
+    notice = new Notice(notice.leftAt(nowMs, tokensPerMs) + promptTokens, nowMs);
+  }
+
   /** Counts a request that has ended. */
   public void onEnded() {
     underWayCount.decrementAndGet();
@@ -110,12 +130,14 @@
   }
 
   /**
-   * Gives the prompt tokens that the upstream still has to read for this instance.
+   * Estimates the prompt tokens that the upstream still has to read, for all instances.
    *
+   * @param tokensPerMs how fast it reads
+   * @param nowMs the time
    * @return tokens
    */
-  public long unreadPromptTokens() {
-    return unreadPromptTokens.get();
+  public double unreadPromptTokens(double tokensPerMs, long nowMs) {
+    return unreadPromptTokens.get() + notice.leftAt(nowMs, tokensPerMs);
   }
 
   /**
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamQuery.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamQuery.java
@@ -8,10 +8,12 @@
  * What a choice of an upstream is made for.
  *
  * @param service the service that the request goes to
+ * @param aimMs the time to the answer, or to a stream's first event, that callers hope for
  * @param prompt what is known of its prompt; empty for plain requests
  * @param triedIds upstreams that have already been tried for it
  */
-public record UpstreamQuery(String service, Optional<Prompt> prompt, Set<String> triedIds) {
+public record UpstreamQuery(
+    String service, long aimMs, Optional<Prompt> prompt, Set<String> triedIds) {
 
   /** Takes a copy of the ids. */
   public UpstreamQuery {
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -9,6 +9,7 @@
 import io.mothrill.core.forward.upstream.PlainCost;
 import io.mothrill.core.forward.upstream.PromptCost;
 import io.mothrill.core.forward.upstream.PromptMemory;
+import io.mothrill.core.forward.upstream.ReadingSpeed;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.upstream.UpstreamLoads;
 import io.mothrill.core.forward.upstream.UpstreamPicker;
@@ -22,6 +23,7 @@
 import io.mothrill.wire.http.HttpServer;
 import io.mothrill.wire.json.JsonResources;
 import io.mothrill.wire.operator.ProbeService;
+import io.mothrill.wire.peer.DatagramNotices;
 import io.mothrill.wire.peer.NettyPeers;
 import io.mothrill.wire.peer.PeerDecoder;
 import io.mothrill.wire.peer.PeerEncoder;
@@ -56,6 +58,7 @@
   private final Section<UpstreamList> upstreams = new Section<>(UpstreamList.empty());
   private final MetricRegistry metrics = new MetricRegistry();
   private final NettyPeers peers;
+  private final DatagramNotices notices;
   private final SpendingController spending;
   private final ForwardEdge edge;
   private final HttpServer probeServer;
@@ -96,6 +99,7 @@
             peers,
             dispatcher);
     UpstreamLoads loads = new UpstreamLoads();
+    ReadingSpeed speed = new ReadingSpeed();
     PromptMemory memory = new PromptMemory();
     upstreams.subscribe(loads::retain);
     upstreams.subscribe(memory::retain);
@@ -104,8 +108,16 @@
             upstreams,
             loads,
             new PlainCost(settings.domain(), loads, random),
-            new PromptCost(settings.domain(), loads, memory),
+            new PromptCost(settings.domain(), loads, memory, speed),
             timers);
+    this.notices =
+        new DatagramNotices(
+            group,
+            settings.peers().host(),
+            settings.peers().port(),
+            spending::others,
+            (upstreamId, tokens) ->
+                loads.of(upstreamId).onNotice(tokens, speed.tokensPerMs(), timers.nowMs()));
     ForwardParts parts =
         new ForwardParts(
             ports.dialect(),
@@ -113,6 +125,8 @@
             picker,
             loads,
             memory,
+            speed,
+            notices,
             spending,
             new SharedRetryBudget(settings.retries(), spending::instanceCount, timers),
             new StoryLog(metrics, timers),
@@ -215,5 +229,6 @@
     probeServer.close();
     metricsServer.close();
     peers.close();
+    notices.close();
   }
 }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
@@ -193,7 +193,7 @@
       return;
     }
     Optional<ServingUpstream> upstream =
-        parts.picker().pick(new UpstreamQuery(service, call.prompt(), triedIds));
+        parts.picker().pick(new UpstreamQuery(service, route.aimMs(), call.prompt(), triedIds));
     if (upstream.isEmpty()) {
       giveUp(Cause.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS);
       return;
@@ -331,6 +331,7 @@
     private boolean sent;
     private boolean promptRead;
     private long heardMs;
+    private long sentMs;
     private HttpResponse answer;
     private ByteBuf whole;
     private EventSplitter splitter;
@@ -341,9 +342,12 @@
       this.load = parts.loads().of(upstream.id());
       this.chosenMs = nowMs - startMs;
       this.underWayBefore = load.underWayCount();
-      this.unreadBefore = load.unreadPromptTokens();
+      this.unreadBefore = Math.round(load.unreadPromptTokens(parts.speed().tokensPerMs(), nowMs));
       this.estimatedBefore = Math.round(load.estimatedCount(nowMs));
-      this.promptTokens = call.prompt().map(prompt -> prompt.inputTokens()).orElse(0L);
+      this.promptTokens =
+          call.prompt()
+              .map(prompt -> parts.memory().unreadTokens(prompt, upstream.id(), nowMs))
+              .orElse(0L);
     }
 
     /** Notes that this upstream did not answer the request. */
@@ -394,7 +398,9 @@
       ranCount++;
       heardMs = nowMs;
       load.onSent(promptTokens);
+      sentMs = nowMs;
       call.prompt().ifPresent(prompt -> parts.memory().onSent(prompt, upstream.id(), nowMs));
+      parts.notices().announce(upstream.id(), promptTokens);
       connection.send(request(nowMs), call.id(), this);
       watchSilence(silenceMs());
     }
@@ -555,6 +561,9 @@
     }
 
     private void pass(EventSplitter.Event event) {
+      if (!promptRead) {
+        parts.speed().onRead(promptTokens, heardMs - sentMs);
+      }
       notePromptRead();
       if (event.id().isPresent() && lastEventId.isPresent()) {
         long expected = lastEventId.getAsLong() + 1;
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardParts.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardParts.java
@@ -5,6 +5,8 @@
 import io.mothrill.core.forward.retry.SharedRetryBudget;
 import io.mothrill.core.forward.spending.SpendingController;
 import io.mothrill.core.forward.upstream.PromptMemory;
+import io.mothrill.core.forward.upstream.PromptNotices;
+import io.mothrill.core.forward.upstream.ReadingSpeed;
 import io.mothrill.core.forward.upstream.UpstreamLoads;
 import io.mothrill.core.forward.upstream.UpstreamPicker;
 import io.mothrill.core.time.Timers;
@@ -18,6 +20,8 @@
  * @param picker chooses upstreams
  * @param loads what is known of the upstreams' loads
  * @param memory which prompts were sent where
+ * @param speed how fast upstreams read prompts
+ * @param notices tells other instances about long prompts
  * @param spending sets prepaid tokens aside
  * @param retries bounds sends beyond the first
  * @param log gets a line for each request
@@ -30,6 +34,8 @@
     UpstreamPicker picker,
     UpstreamLoads loads,
     PromptMemory memory,
+    ReadingSpeed speed,
+    PromptNotices notices,
     SpendingController spending,
     SharedRetryBudget retries,
     ForwardLog log,
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
@@ -0,0 +1,108 @@
+package io.mothrill.wire.peer;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.mothrill.core.forward.upstream.PromptNotices;
+import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.wire.peer.generated.PromptNotice;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.function.Supplier;
+import org.tinylog.Logger;
+
+/** Notices between instances, each in a datagram of its own; nothing is repeated or confirmed. */
+public final class DatagramNotices implements PromptNotices {
+
+  /** Shorter prompts are read before the notice could change a choice. */
+  private static final long MIN_TOKENS = 1_500;
+
+  /**
+   * Most instances that get a notice. With more, each would spend more on notices than a long
+   * prompt costs; those told are a few after this one in the order of their names.
+   */
+  private static final int MAX_TOLD = 80;
+
+  private final Supplier<List<InstanceRecord>> others;
+  private final Channel channel;
+
+  /**
+   * Starts to listen.
+   *
+   * @param group the event loops
+   * @param host an IP address
+   * @param port a UDP port; 0 for any
+   * @param others the instances that are told
+   * @param heard gets the notices of others
+   */
+  public DatagramNotices(
+      EventLoopGroup group,
+      String host,
+      int port,
+      Supplier<List<InstanceRecord>> others,
+      PromptNotices heard) {
+    this.others = others;
+    this.channel =
+        new Bootstrap()
+            .group(group)
+            .channel(NioDatagramChannel.class)
+            .handler(new NoticeHandler(heard))
+            .bind(host, port)
+            .syncUninterruptibly()
+            .channel();
+  }
+
+  @Override
+  public void announce(String upstreamId, long unreadTokens) {
+    if (unreadTokens < MIN_TOKENS) {
+      return;
+    }
+    byte[] notice =
+        PromptNotice.newBuilder()
+            .setUpstreamId(upstreamId)
+            .setUnreadTokens(unreadTokens)
+            .build()
+            .toByteArray();
+    others.get().stream()
+        .limit(MAX_TOLD)
+        .map(peer -> new InetSocketAddress(peer.host(), peer.peerPort()))
+        .forEach(to -> channel.write(new DatagramPacket(Unpooled.wrappedBuffer(notice), to)));
+    channel.flush();
+  }
+
+  /** Stops listening. */
+  public void close() {
+    channel.close();
+  }
+
+  private static final class NoticeHandler extends SimpleChannelInboundHandler<DatagramPacket> {
+    private final PromptNotices heard;
+
+    NoticeHandler(PromptNotices heard) {
+      this.heard = heard;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+      try {
+        PromptNotice notice = PromptNotice.parseFrom(ByteBufUtil.getBytes(packet.content()));
+        heard.announce(notice.getUpstreamId(), notice.getUnreadTokens());
+      } catch (InvalidProtocolBufferException ex) {
+        Logger.debug("notice not understood: {}", ex.getMessage());
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      // An unreachable peer shows here; the socket goes on.
+      Logger.debug("notice failed: {}", cause.getMessage());
+    }
+  }
+}
