--- a/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardRefusal.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardRefusal.java
@@ -38,6 +38,8 @@
     SENT_TOO_SLOWLY(408),
     /** Too many bytes of requests wait already; the request has not run. */
     OUT_OF_MEMORY(503),
+    /** This instance is about to end; the request has not run. */
+    LEAVING(503),
     /** The upstream failed; the request may have run. */
     UPSTREAM_FAILED(502),
     /** No answer came in time; the request may have run. */
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -177,7 +177,8 @@
    * Leaves without cutting off a request.
    *
    * <p>The probe says no at once. What still arrives is served until callers have been sent
-   * elsewhere and the last request has ended, or the time to leave is over.
+   * elsewhere and refused after that; what is under way goes on until it has ended, or the time to
+   * leave is over.
    *
    * @return completes when the process may exit
    */
@@ -195,8 +196,11 @@
 
   private void checkLeft(long beganMs, Subscription check) {
     long sinceMs = timers.nowMs() - beganMs;
-    boolean idle = edge.underWayCount() == 0 && edge.connectionCount() == 0;
-    if (sinceMs < settings.leaveMs() && !(idle && sinceMs >= LEAVE_LEAST_MS)) {
+    if (sinceMs >= LEAVE_LEAST_MS) {
+      edge.refuseNew();
+    }
+    boolean idle = sinceMs >= LEAVE_LEAST_MS && edge.underWayCount() == 0;
+    if (sinceMs < settings.leaveMs() && !idle) {
       return;
     }
     check.cancel();
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/CallerConnection.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/CallerConnection.java
@@ -155,6 +155,10 @@
   }
 
   private void startExchange() {
+    if (edge.isRefusing()) {
+      refuse(ForwardRefusal.comeBackIn(Cause.LEAVING, EdgeState.LEAVING_RETRY_MS));
+      return;
+    }
     exchange =
         new ForwardExchange(
             parts, pool, context.channel().eventLoop(), this, head, call, body, headMs);
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/EdgeState.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/EdgeState.java
@@ -12,6 +12,9 @@
   /** When to come back if requests take too much memory: most are answered within this time. */
   static final long MEMORY_RETRY_MS = 500;
 
+  /** When to come back if the instance leaves: another one, or its next process, is there then. */
+  static final long LEAVING_RETRY_MS = 1_000;
+
   /** How long an unused connection stays while the instance leaves: a request may be on its way. */
   static final long LEAVING_IDLE_MS = 1_500;
 
@@ -20,6 +23,7 @@
   private final AtomicInteger underWayCount = new AtomicInteger();
   private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
   private volatile boolean leaving;
+  private volatile boolean refusing;
 
   EdgeState(long maxKeptBytes) {
     this.maxKeptBytes = maxKeptBytes;
@@ -65,6 +69,14 @@
     leaving = true;
   }
 
+  void refuse() {
+    refusing = true;
+  }
+
+  boolean isRefusing() {
+    return refusing;
+  }
+
   boolean isLeaving() {
     return leaving;
   }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardEdge.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardEdge.java
@@ -115,6 +115,18 @@
     state.leave();
   }
 
+  /**
+   * Refuses whatever arrives from now on, as not run; what is under way goes on.
+   *
+   * <p>Failure: a balancer that has no other instance goes on sending callers while this one
+   * leaves. Symptom: requests that arrive late are cut off by the end of the process. Told early
+   * that they have not run, their callers come back when the next process is there.
+   */
+  public void refuseNew() {
+    state.refuse();
+    listener.close();
+  }
+
   /**
    * Counts the requests under way.
    *
