Spending: property test over cuts, kills, late writes and lost answers

Tests for what was built before: 300 random histories of four instances with a table and peers that fail never spend more than was prepaid; bounds, loans, the answer 402 and the hand-back one by one. Before the first request a twentieth of the holding is near, so that a cut at the start finds something to spend.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
@@ -11,6 +11,9 @@
   /** Requests of the usual size that fit into what is near, so that few need a renewal. */
   private static final double NEAR_REQUESTS = 2;
 
+  /** Part of the holding that is near before the first request has shown a usual size. */
+  private static final int FIRST_NEAR_DIVISOR = 20;
+
   /** The bound opens faster than the demand, as demand grows in bursts. */
   private static final long OPEN_BY_DEMAND = 2;
 
@@ -79,7 +82,10 @@
     }
     long holding = holding(situation, spentTokens);
     double usualNear =
-        Math.max(NEAR_S * situation.demandTokensPerS(), NEAR_REQUESTS * situation.typicalTokens());
+        situation.typicalTokens() == 0
+            ? holding / (double) FIRST_NEAR_DIVISOR
+            : Math.max(
+                NEAR_S * situation.demandTokensPerS(), NEAR_REQUESTS * situation.typicalTokens());
     long wantedNear = Math.round(usualNear) + situation.wantedTokens();
     double open =
         Math.max(
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingControllerTest.java
@@ -0,0 +1,137 @@
+package io.mothrill.core.forward.spending;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class SpendingControllerTest {
+
+  private static final long SETTLED_MS = 6_000;
+
+  private final SpendingWorld world = new SpendingWorld(120_000, 7);
+  private final SpendingWorld.Member first = world.start("ankara-1");
+  private final SpendingWorld.Member second = world.start("konya-1");
+
+  private static int reserveAll(SpendingWorld.Member member, long tokens) {
+    int granted = 0;
+    while (member.tryReserve(tokens)) {
+      granted++;
+    }
+    return granted;
+  }
+
+  @Test
+  void instancesCountEachOther() {
+    world.timers.advanceMs(SETTLED_MS);
+
+    assertThat(first.spending.instanceCount()).isEqualTo(2);
+    assertThat(first.spending.others().stream().map(other -> other.id()).toList())
+        .containsExactly("konya-1");
+  }
+
+  @Test
+  void refusesBeforeTheTableWasRead() {
+    first.cutFromTable = true;
+
+    assertThat(first.tryReserve(100)).isFalse();
+    world.timers.advanceMs(2_000);
+
+    assertThat(first.lastRefusal).contains("no row yet");
+    assertThat(world.spentTokens()).isEqualTo(0);
+  }
+
+  // Both instances lose the table for ten seconds. Callers go on being served from what lies at the
+  // instance, which opens step by step.
+  @Test
+  void goesOnSpendingInALongCut() {
+    world.timers.advanceMs(SETTLED_MS);
+    first.cutFromTable = true;
+    int granted = 0;
+    for (int second = 0; second < 20; second++) {
+      world.timers.advanceMs(500);
+      granted += first.tryReserve(1_000) ? 1 : 0;
+    }
+    assertThat(granted).isAtLeast(15);
+  }
+
+  // The process dies a second after its last renewal. Its successor on the same machine counts
+  // what may have been spent, and the rest of the holding is there for callers again.
+  @Test
+  void aCrashLosesOnlyWhatWasNear() {
+    world.timers.advanceMs(SETTLED_MS);
+    first.tryReserve(1_000);
+    world.timers.advanceMs(1_500);
+    assertThat(world.spentTokens()).isEqualTo(1_000);
+    first.kill();
+    world.timers.advanceMs(700);
+
+    world.start("ankara-1");
+    world.timers.advanceMs(SETTLED_MS);
+
+    long left = world.prepaidTokens() - spentInTable();
+    assertThat(left).isAtLeast(110_000);
+  }
+
+  private long spentInTable() {
+    var rows = world.table.scan(SpendingTables.TABLE, "", "", SpendingTables.MAX_ROWS).join();
+    return SpendingTables.Contents.of(rows).spentTokens(SpendingWorld.TEAM);
+  }
+
+  // One instance has spent all that it held when the table goes away; the other holds enough. The
+  // caller is served from a loan instead of being refused.
+  @Test
+  void borrowsFromAnotherInstanceWhileTheTableIsAway() {
+    world.timers.advanceMs(SETTLED_MS);
+    first.cutFromTable = true;
+    second.cutFromTable = true;
+    world.timers.advanceMs(20_000);
+    reserveAll(first, 5_000);
+    long before = world.spentTokens();
+
+    first.tryReserve(5_000);
+    world.timers.advanceMs(1_000);
+
+    assertThat(world.spentTokens()).isAtLeast(before + 5_000);
+    assertThat(world.spentTokens()).isAtMost(world.prepaidTokens());
+  }
+
+  @Test
+  void saysThatABudgetIsSpentOnlyWhenTheWholeTableShowsIt() {
+    world.timers.advanceMs(SETTLED_MS);
+    for (SpendingWorld.Member member : List.of(first, second)) {
+      for (int round = 0; round < 200; round++) {
+        member.tryReserve(7_000);
+        world.timers.advanceMs(100);
+      }
+    }
+    assertThat(world.spentTokens()).isAtLeast(110_000);
+    assertThat(first.lastRefusal).contains("tokens left");
+
+    first.cutFromTable = true;
+    world.timers.advanceMs(5_000);
+    first.tryReserve(50_000);
+    world.timers.advanceMs(1_000);
+
+    assertThat(first.lastRefusal).contains("at hand");
+  }
+
+  @Test
+  void handsEverythingBackWhenItLeaves() {
+    world.timers.advanceMs(SETTLED_MS);
+    first.tryReserve(1_000);
+    world.timers.advanceMs(500);
+    first.settleOne(400);
+
+    first.spending.handBack();
+    world.timers.advanceMs(100);
+
+    var rows = world.table.scan(SpendingTables.TABLE, "", "", SpendingTables.MAX_ROWS).join();
+    SpendingGrant left =
+        SpendingTables.Contents.of(rows)
+            .instance(SpendingTables.instanceKey("ankara-1"))
+            .grantOf(SpendingWorld.TEAM);
+    assertThat(left.spentTokens()).isEqualTo(400);
+    assertThat(left.holdingTokens()).isEqualTo(0);
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingGrantBoundTest.java
@@ -0,0 +1,43 @@
+package io.mothrill.core.forward.spending;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class SpendingGrantBoundTest {
+
+  private static final SpendingGrant GRANT = new SpendingGrant(1_000, 5_000, 500, 100, 0);
+
+  @Test
+  void isWhatWasSpentAndWhatIsNearWhileTheRowIsFresh() {
+    assertThat(GRANT.boundAfterMs(0)).isEqualTo(1_500);
+    assertThat(GRANT.boundAfterMs(SpendingGrant.FRESH_MS)).isEqualTo(1_500);
+  }
+
+  @Test
+  void opensAtItsRateAfterThat() {
+    assertThat(GRANT.boundAfterMs(SpendingGrant.FRESH_MS + 10_000)).isEqualTo(2_500);
+  }
+
+  @Test
+  void neverPassesTheLimit() {
+    assertThat(GRANT.boundAfterMs(3_600_000)).isEqualTo(5_000);
+  }
+
+  @Test
+  void knowsWhenAnAmountOpens() {
+    long silenceMs = GRANT.silenceUntilMs(2_500);
+
+    assertThat(GRANT.boundAfterMs(silenceMs)).isAtLeast(2_500);
+    assertThat(GRANT.boundAfterMs(silenceMs - 20)).isLessThan(2_500);
+    assertThat(GRANT.silenceUntilMs(5_001)).isEqualTo(Long.MAX_VALUE);
+  }
+
+  @Test
+  void leavesNothingToSpendWhenItIsClosed() {
+    SpendingGrant closed = GRANT.closedAfterMs(SpendingGrant.FRESH_MS + 1_000);
+
+    assertThat(closed.spentTokens()).isEqualTo(1_600);
+    assertThat(closed.boundAfterMs(3_600_000)).isEqualTo(1_600);
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingPropertyTest.java
@@ -0,0 +1,67 @@
+package io.mothrill.core.forward.spending;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+
+/**
+ * Whatever fails in whatever order, a team never spends more than it has prepaid.
+ *
+ * <p>A failure names the seed, with which it happens again.
+ */
+class SpendingPropertyTest {
+
+  private static final List<String> IDS = List.of("ankara-1", "ankara-2", "konya-1", "kayseri-1");
+  private static final int STEPS = 400;
+  private static final long PREPAID_TOKENS = 200_000;
+  private static final int LARGEST_TOKENS = 9_000;
+
+  // Callers spend at all instances while these are cut off from the table or from each other, lose
+  // answers, have writes that take effect seconds later, die and are started again.
+  @Property(tries = 300, seed = "20001")
+  void spendingNeverPassesTheBudget(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    Random choices = new Random(seed);
+    SpendingWorld world = new SpendingWorld(PREPAID_TOKENS, seed);
+    IDS.forEach(world::start);
+    world.timers.advanceMs(3_000);
+    for (int step = 0; step < STEPS; step++) {
+      act(world, choices);
+      assertWithMessage("seed %s, step %s", seed, step)
+          .that(world.spentTokens())
+          .isAtMost(world.prepaidTokens());
+    }
+  }
+
+  private static void act(SpendingWorld world, Random choices) {
+    String id = IDS.get(choices.nextInt(IDS.size()));
+    SpendingWorld.Member member = world.member(id);
+    switch (choices.nextInt(20)) {
+      case 0 -> member.cutFromTable = !member.cutFromTable;
+      case 1 -> member.cutFromPeers = !member.cutFromPeers;
+      case 2 -> member.answersLost = !member.answersLost;
+      case 3 -> member.writesLate = !member.writesLate;
+      case 4 -> restart(world, id, choices);
+      case 5 -> world.timers.advanceMs(choices.nextInt(8_000));
+      case 6 -> topUpSeldom(world, choices);
+      case 7, 8, 9 -> member.settleOne(choices.nextInt(LARGEST_TOKENS));
+      case 10, 11, 12 -> world.timers.advanceMs(choices.nextInt(400));
+      default -> member.tryReserve(1 + choices.nextInt(LARGEST_TOKENS));
+    }
+  }
+
+  private static void restart(SpendingWorld world, String id, Random choices) {
+    world.member(id).kill();
+    world.timers.advanceMs(choices.nextInt(2_500));
+    world.start(id);
+  }
+
+  private static void topUpSeldom(SpendingWorld world, Random choices) {
+    if (choices.nextInt(10) == 0) {
+      world.topUp(20_000);
+    }
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingWorld.java
@@ -0,0 +1,247 @@
+package io.mothrill.core.forward.spending;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.fake.FakeTable;
+import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.forward.plan.CallerBounds;
+import io.mothrill.core.forward.plan.ForwardingPlan;
+import io.mothrill.core.forward.plan.TeamPlan;
+import io.mothrill.core.peer.PeerDispatcher;
+import io.mothrill.core.peer.PeerMessage;
+import io.mothrill.core.peer.error.PeerException;
+import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.platform.Row;
+import io.mothrill.core.platform.RowKey;
+import io.mothrill.core.platform.TableService;
+import io.mothrill.core.platform.Transaction;
+import io.mothrill.core.platform.error.PlatformException;
+import io.mothrill.core.time.Subscription;
+import io.mothrill.core.time.Timers;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+/** Instances that spend one team's budget over a table and peers that fail as a test asks. */
+final class SpendingWorld {
+
+  static final String TEAM = "branch";
+
+  private static final long ANSWER_MS = 3;
+
+  final ManualTimers timers = new ManualTimers();
+  final FakeTable table = new FakeTable(timers);
+  final Section<ForwardingPlan> plan = new Section<>(ForwardingPlan.unknown());
+  final Random random;
+  private final Map<String, Member> members = new HashMap<>();
+  private long prepaidTokens;
+  private long spentTokens;
+
+  SpendingWorld(long prepaidTokens, long seed) {
+    this.random = new Random(seed);
+    topUp(prepaidTokens);
+  }
+
+  void topUp(long tokens) {
+    prepaidTokens += tokens;
+    long version = plan.read().version() + 1;
+    plan.publish(
+        new ForwardingPlan(
+            version, List.of(), List.of(), List.of(team()), CallerBounds.standard()));
+  }
+
+  TeamPlan team() {
+    return new TeamPlan(TEAM, List.of("key"), OptionalInt.empty(), OptionalLong.of(prepaidTokens));
+  }
+
+  long prepaidTokens() {
+    return prepaidTokens;
+  }
+
+  /** All that was set aside and not returned, whatever has become of the instance. */
+  long spentTokens() {
+    return spentTokens;
+  }
+
+  Member start(String id) {
+    Member member = new Member(id);
+    members.put(id, member);
+    return member;
+  }
+
+  Member member(String id) {
+    return members.get(id);
+  }
+
+  /** One process of an instance. */
+  final class Member implements Timers {
+    private final String id;
+    private final List<Held> held = new ArrayList<>();
+    private final PeerDispatcher dispatcher = new PeerDispatcher();
+    final SpendingController spending;
+    boolean dead;
+    boolean cutFromTable;
+    boolean cutFromPeers;
+    boolean answersLost;
+    boolean writesLate;
+    String lastRefusal = "";
+
+    private record Held(SpendingReservation reservation, long tokens) {}
+
+    Member(String id) {
+      this.id = id;
+      this.spending =
+          new SpendingController(
+              new InstanceRecord(id, id, "konya", id, 1, false),
+              new Way(this),
+              () -> timers.nowMs(),
+              plan,
+              new DemandShares(),
+              this,
+              random,
+              this::ask,
+              dispatcher);
+    }
+
+    /** Tries to set tokens aside; what is granted counts as spent at once. */
+    boolean tryReserve(long tokens) {
+      CompletableFuture<SpendingReservation> reserved = spending.reserve(team(), tokens);
+      boolean[] granted = new boolean[1];
+      var unused =
+          reserved.whenComplete(
+              (reservation, error) -> {
+                if (error != null) {
+                  lastRefusal = String.valueOf(error.getMessage());
+                } else if (!dead) {
+                  granted[0] = true;
+                  spentTokens += tokens;
+                  held.add(new Held(reservation, tokens));
+                }
+              });
+      return granted[0];
+    }
+
+    void settleOne(long usedTokens) {
+      if (!held.isEmpty() && !dead) {
+        Held first = held.remove(0);
+        long used = Math.min(usedTokens, first.tokens());
+        first.reservation().settle(used);
+        spentTokens -= first.tokens() - used;
+      }
+    }
+
+    void kill() {
+      dead = true;
+    }
+
+    private CompletableFuture<PeerMessage> ask(
+        InstanceRecord peer, PeerMessage request, long timeoutMs) {
+      CompletableFuture<PeerMessage> reply = new CompletableFuture<>();
+      after(
+          timeoutMs,
+          () -> reply.completeExceptionally(PeerException.noReply(peer.id(), "timeout")));
+      Member to = members.get(peer.id());
+      if (cutFromPeers || to == null || to.cutFromPeers) {
+        return reply;
+      }
+      timers.after(
+          1,
+          () -> {
+            if (!to.dead) {
+              to.dispatcher
+                  .dispatch(request)
+                  .thenAccept(
+                      message -> {
+                        if (!to.answersLost) {
+                          after(1, () -> reply.complete(message));
+                        }
+                      });
+            }
+          });
+      return reply;
+    }
+
+    @Override
+    public long nowMs() {
+      return timers.nowMs();
+    }
+
+    @Override
+    public long wallMs() {
+      return timers.wallMs();
+    }
+
+    @Override
+    public Subscription after(long delayMs, Runnable task) {
+      return timers.after(delayMs, () -> runIfAlive(task));
+    }
+
+    @Override
+    public Subscription every(long periodMs, Runnable task) {
+      return timers.every(periodMs, () -> runIfAlive(task));
+    }
+
+    private void runIfAlive(Runnable task) {
+      if (!dead) {
+        task.run();
+      }
+    }
+  }
+
+  /** One process's way to the table, with the faults of the process. */
+  private final class Way implements TableService {
+    private static final long MAX_LATE_MS = 5_000;
+
+    private final Member member;
+
+    Way(Member member) {
+      this.member = member;
+    }
+
+    @Override
+    public CompletableFuture<List<Row>> read(List<RowKey> keys) {
+      return call(0, () -> table.read(keys).join());
+    }
+
+    @Override
+    public CompletableFuture<List<Row>> scan(
+        String name, String prefix, String afterKey, int limit) {
+      return call(0, () -> table.scan(name, prefix, afterKey, limit).join());
+    }
+
+    @Override
+    public CompletableFuture<Boolean> write(Transaction transaction) {
+      long lateMs = member.writesLate ? random.nextLong(MAX_LATE_MS) : 0;
+      return call(lateMs, () -> table.write(transaction).join());
+    }
+
+    /** A late effect takes place even if its sender is dead by then, and is not answered. */
+    private <T> CompletableFuture<T> call(long lateMs, Supplier<T> effect) {
+      CompletableFuture<T> answer = new CompletableFuture<>();
+      if (member.cutFromTable) {
+        member.after(
+            500, () -> answer.completeExceptionally(PlatformException.unreachable("table")));
+        return answer;
+      }
+      boolean lost = member.answersLost || lateMs > 0;
+      timers.after(
+          1 + lateMs,
+          () -> {
+            T value = effect.get();
+            if (!lost) {
+              member.after(ANSWER_MS, () -> answer.complete(value));
+            }
+          });
+      if (lost) {
+        member.after(
+            1_000, () -> answer.completeExceptionally(PlatformException.answerLost("table")));
+      }
+      return answer;
+    }
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/TeamSpendingTest.java
@@ -0,0 +1,100 @@
+package io.mothrill.core.forward.spending;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.mothrill.core.fake.ManualTimers;
+import org.junit.jupiter.api.Test;
+
+class TeamSpendingTest {
+
+  private final ManualTimers timers = new ManualTimers();
+  private final TeamSpending spending = new TeamSpending(timers, 100);
+
+  private TeamSpending.SentGrant propose(long limit, long near, long openPerS) {
+    return spending.propose(spent -> new SpendingGrant(spent, limit, near, openPerS, 0));
+  }
+
+  @Test
+  void allowsNothingBeforeTheFirstRowIsConfirmed() {
+    // WHEN a row is on its way
+    propose(1_000, 1_000, 0);
+    // THEN
+    assertThat(spending.tryReserve(1)).isFalse();
+  }
+
+  @Test
+  void allowsWhatAConfirmedRowAllows() {
+    spending.confirm(propose(1_000, 300, 0));
+
+    assertThat(spending.tryReserve(300)).isTrue();
+    assertThat(spending.tryReserve(1)).isFalse();
+  }
+
+  @Test
+  void takesBackWhatWasNotUsed() {
+    spending.confirm(propose(1_000, 300, 0));
+    assertThat(spending.tryReserve(300)).isTrue();
+
+    spending.settle(300, 120);
+
+    assertThat(spending.spentTokens()).isEqualTo(220);
+    assertThat(spending.tryReserve(180)).isTrue();
+  }
+
+  // The instance renews its row with a lower bound, and the answer is lost: the table may hold
+  // either row. Whoever reads the table after a crash trusts the row there, so the instance must
+  // stay below both until it knows.
+  @Test
+  void staysBelowBothRowsWhileAnAnswerIsMissing() {
+    spending.confirm(propose(1_000, 900, 0));
+
+    TeamSpending.SentGrant unknown = propose(1_000, 50, 0);
+
+    assertThat(spending.tryReserve(51)).isFalse();
+    spending.retract(unknown);
+    assertThat(spending.tryReserve(51)).isTrue();
+  }
+
+  // The same with a row that gives more: it counts only once it is confirmed.
+  @Test
+  void doesNotTrustAHigherRowBeforeItIsConfirmed() {
+    spending.confirm(propose(1_000, 50, 0));
+
+    TeamSpending.SentGrant unknown = propose(5_000, 4_000, 0);
+
+    assertThat(spending.tryReserve(51)).isFalse();
+    spending.confirm(unknown);
+    assertThat(spending.tryReserve(51)).isTrue();
+  }
+
+  @Test
+  void opensWithTheTimeSinceTheRowWasSent() {
+    spending.confirm(propose(1_000, 0, 100));
+    assertThat(spending.tryReserve(200)).isFalse();
+    assertThat(spending.waitMs(200)).isEqualTo(SpendingGrant.FRESH_MS + 2_000);
+
+    timers.advanceMs(SpendingGrant.FRESH_MS + 2_000);
+
+    assertThat(spending.tryReserve(200)).isTrue();
+  }
+
+  @Test
+  void countsALoanAsSpent() {
+    spending.confirm(propose(1_000, 400, 0));
+
+    long lent = spending.lend(50, 300, 2);
+
+    assertThat(lent).isEqualTo(200);
+    assertThat(spending.spentTokens()).isEqualTo(300);
+    spending.takeBack(80);
+    assertThat(spending.spentTokens()).isEqualTo(220);
+  }
+
+  @Test
+  void lendsNothingRatherThanTooLittle() {
+    spending.confirm(propose(1_000, 40, 0));
+
+    assertThat(spending.lend(50, 300, 2)).isEqualTo(0);
+    assertThat(spending.spentTokens()).isEqualTo(100);
+  }
+}
