--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -354,9 +354,10 @@
   /**
    * Continues with what an earlier process on this machine can have spent at the most.
    *
-   * <p>Failure: a write of the dead process arrives after its row was read. Symptom: its last
-   * second of spending would be forgotten. The row is read again before each attempt until the
-   * first own write, which is made on the condition that the row is as it was read.
+   * <p>That process stayed below its row in force and below any that it had sent, so the row that
+   * is read bounds it, whether or not a late write replaces that row. The first own write is made
+   * on the condition that the row is as it was read; if it is not, the newer one tells more
+   * exactly.
    */
   private void takeOver(SpendingTables.Contents read) {
     InstanceSpending earlier = read.instance(ownKey);
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/retry/SharedRetryBudgetTest.java
@@ -0,0 +1,62 @@
+package io.mothrill.core.forward.retry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.mothrill.core.fake.ManualTimers;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+class SharedRetryBudgetTest {
+
+  private static final RetryBounds BOUNDS = new RetryBounds(0.2, 52, 10_000);
+  private static final String SERVICE = "sira";
+
+  private final ManualTimers timers = new ManualTimers();
+
+  private SharedRetryBudget budget(int instances) {
+    return new SharedRetryBudget(BOUNDS, () -> instances, timers);
+  }
+
+  private static int takeAll(SharedRetryBudget budget) {
+    int taken = 0;
+    while (budget.tryTake(SERVICE)) {
+      taken++;
+    }
+    return taken;
+  }
+
+  // Pattern: every upstream fails, and all instances send again as often as they may, at any
+  // moment of the window. Together they stay below what is allowed, even with half as many
+  // instances more than any of them knows of.
+  @Test
+  void allInstancesTogetherStayBelowTheBoundInAnyWindow() {
+    List<SharedRetryBudget> budgets =
+        new ArrayList<>(IntStream.range(0, 9).mapToObj(index -> budget(6)).toList());
+    int taken = 0;
+    int requests = 0;
+    for (int step = 0; step < 100; step++) {
+      for (SharedRetryBudget budget : budgets) {
+        budget.onRequest(SERVICE);
+        requests++;
+        taken += takeAll(budget);
+      }
+      timers.advanceMs(BOUNDS.windowMs() / 100);
+    }
+    assertThat((double) taken).isAtMost(BOUNDS.share() * requests + BOUNDS.extraCount());
+  }
+
+  @Test
+  void nothingIsSentAgainWhileOthersAreUnknown() {
+    assertThat(takeAll(budget(0))).isEqualTo(0);
+  }
+
+  @Test
+  void servicesDoNotShareTheirBudgets() {
+    SharedRetryBudget budget = budget(6);
+    takeAll(budget);
+
+    assertThat(budget.tryTake("asistan")).isTrue();
+  }
+}
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingControllerTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingControllerTest.java
@@ -116,6 +116,31 @@
     assertThat(first.lastRefusal).contains("at hand");
   }
 
+  // A renewal takes effect but its answer is lost, and then the table goes away. The instance
+  // spends
+  // all that it may and dies. Whoever reads the row that is in force must count no less.
+  @Test
+  void spendsNoMoreThanAnUnansweredRowShows() {
+    world.timers.advanceMs(SETTLED_MS);
+    first.tryReserve(3_000);
+    world.timers.advanceMs(3_000);
+    first.answersLost = true;
+    world.timers.advanceMs(1_100);
+    first.cutFromTable = true;
+    first.cutFromPeers = true;
+    world.timers.advanceMs(1_100);
+
+    reserveAll(first, 100);
+    first.kill();
+
+    var rows = world.table.scan(SpendingTables.TABLE, "", "", SpendingTables.MAX_ROWS).join();
+    InstanceSpending row =
+        SpendingTables.Contents.of(rows).instance(SpendingTables.instanceKey("ankara-1"));
+    long counted = row.closedAt(world.timers.nowMs()).grantOf(SpendingWorld.TEAM).spentTokens();
+    assertThat(world.spentTokens()).isAtLeast(3_000);
+    assertThat(counted).isAtLeast(world.spentTokens());
+  }
+
   @Test
   void handsEverythingBackWhenItLeaves() {
     world.timers.advanceMs(SETTLED_MS);
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/UpstreamListTest.java
@@ -0,0 +1,33 @@
+package io.mothrill.core.forward.upstream;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class UpstreamListTest {
+
+  private static ServingUpstream upstream(String id, String host) {
+    return new ServingUpstream(id, "sira", host, 80, "konya", 6, false);
+  }
+
+  private final UpstreamList earlier =
+      new UpstreamList(List.of(upstream("i-1", "10.0.0.1"), upstream("i-2", "10.0.0.2")));
+
+  @Test
+  void keepsWhatIsMissingAfterAnOutage() {
+    UpstreamList kept = new UpstreamList(List.of(upstream("i-2", "10.0.0.2"))).keeping(earlier);
+
+    assertThat(kept.takingOf("sira").stream().map(ServingUpstream::id))
+        .containsExactly("i-1", "i-2");
+  }
+
+  // The address of an upstream has passed on to another one: the first is surely gone.
+  @Test
+  void doesNotKeepAnUpstreamWhoseAddressIsTaken() {
+    UpstreamList kept = new UpstreamList(List.of(upstream("i-9", "10.0.0.1"))).keeping(earlier);
+
+    assertThat(kept.contains("i-1")).isFalse();
+    assertThat(kept.contains("i-2")).isTrue();
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/UpstreamPickerTest.java
@@ -0,0 +1,151 @@
+package io.mothrill.core.forward.upstream;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.forward.request.Prompt;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class UpstreamPickerTest {
+
+  private static final String SERVICE = "asistan";
+  private static final long AIM_MS = 800;
+
+  private final ManualTimers timers = new ManualTimers();
+  private final UpstreamLoads loads = new UpstreamLoads();
+  private final PromptMemory memory = new PromptMemory();
+  private final ReadingSpeed speed = new ReadingSpeed();
+  private final Section<UpstreamList> list = new Section<>(UpstreamList.empty());
+  private final UpstreamPicker picker =
+      new UpstreamPicker(
+          list,
+          loads,
+          new PlainCost("konya", loads, new Random(1)),
+          new PromptCost("konya", loads, memory, speed),
+          timers);
+
+  @BeforeEach
+  void sixUpstreamsOfOneDomain() {
+    list.publish(
+        new UpstreamList(IntStream.range(0, 6).mapToObj(i -> upstream(i, false)).toList()));
+  }
+
+  private static ServingUpstream upstream(int number, boolean leaving) {
+    return new ServingUpstream("i-" + number, SERVICE, "10.0.0." + number, 80, "konya", 8, leaving);
+  }
+
+  private static Prompt prompt(String subject, long ownTokens) {
+    return new Prompt(
+        "m",
+        5_000 + ownTokens,
+        100,
+        List.of(new Prompt.Part(subject, 5_000), new Prompt.Part("own", ownTokens)));
+  }
+
+  private String pick(Prompt prompt) {
+    return picker
+        .pick(new UpstreamQuery(SERVICE, AIM_MS, Optional.of(prompt), Set.of()))
+        .orElseThrow()
+        .id();
+  }
+
+  private Optional<ServingUpstream> pickPlain(Set<String> tried) {
+    return picker.pick(new UpstreamQuery(SERVICE, AIM_MS, Optional.empty(), tried));
+  }
+
+  @Test
+  void promptsOfOneSubjectMeetAtOneUpstream() {
+    String home = pick(prompt("saver-7", 100));
+
+    assertThat(pick(prompt("saver-7", 4_000))).isEqualTo(home);
+  }
+
+  @Test
+  void subjectsAreSpreadOverUpstreams() {
+    long homes =
+        IntStream.range(0, 60)
+            .mapToObj(number -> pick(prompt("saver-" + number, 100)))
+            .distinct()
+            .count();
+    assertThat(homes).isEqualTo(6);
+  }
+
+  // Pattern: long prompts of many subjects, some of which share a home. A short wait there costs
+  // less than reading the shared part again elsewhere, so the prompt stays.
+  @Test
+  void aPromptWaitsAtItsHomeAsLongAsItIsInTime() {
+    String home = pick(prompt("saver-7", 100));
+    loads.of(home).onNotice(4_000, speed.tokensPerMs(), timers.nowMs());
+
+    assertThat(pick(prompt("saver-7", 100))).isEqualTo(home);
+  }
+
+  // Pattern: one subject gets much of the traffic, or its home reads a very long prompt of another
+  // instance. Behind that the answer would be late, so the prompt goes elsewhere.
+  @Test
+  void aPromptLeavesItsHomeWhenItWouldBeLateThere() {
+    String home = pick(prompt("saver-7", 100));
+    loads.of(home).onNotice(50_000, speed.tokensPerMs(), timers.nowMs());
+
+    assertThat(pick(prompt("saver-7", 100))).isNotEqualTo(home);
+  }
+
+  @Test
+  void whatOthersAnnouncedIsReadAfterAWhile() {
+    String home = pick(prompt("saver-7", 100));
+    loads.of(home).onNotice(50_000, speed.tokensPerMs(), timers.nowMs());
+
+    timers.advanceMs(2_000);
+
+    assertThat(pick(prompt("saver-7", 100))).isEqualTo(home);
+  }
+
+  @Test
+  void aLeavingUpstreamGetsNothingNew() {
+    list.publish(new UpstreamList(List.of(upstream(1, true), upstream(2, false))));
+
+    assertThat(pickPlain(Set.of()).map(ServingUpstream::id)).isEqualTo(Optional.of("i-2"));
+  }
+
+  @Test
+  void anUpstreamIsNotTriedTwice() {
+    list.publish(new UpstreamList(List.of(upstream(1, false))));
+
+    assertThat(pickPlain(Set.of("i-1"))).isEqualTo(Optional.empty());
+  }
+
+  // One upstream has died silently. It is avoided after the first failure, and tried again later.
+  @Test
+  void aFailedUpstreamIsAvoidedForAWhile() {
+    list.publish(new UpstreamList(List.of(upstream(1, false), upstream(2, false))));
+    loads.of("i-1").onFailure(timers.nowMs());
+
+    for (int request = 0; request < 20; request++) {
+      assertThat(pickPlain(Set.of()).orElseThrow().id()).isEqualTo("i-2");
+    }
+    assertThat(loads.of("i-1").isAvoided(timers.nowMs() + 5_000)).isFalse();
+  }
+
+  @Test
+  void failedUpstreamsAreBetterThanNone() {
+    list.publish(new UpstreamList(List.of(upstream(1, false))));
+    loads.of("i-1").onFailure(timers.nowMs());
+
+    assertThat(pickPlain(Set.of()).isPresent()).isTrue();
+  }
+
+  @Test
+  void plainRequestsGoToTheEmptierUpstream() {
+    list.publish(new UpstreamList(List.of(upstream(1, false), upstream(2, false))));
+    loads.of("i-1").onReport(8, 4, timers.nowMs());
+
+    assertThat(pickPlain(Set.of()).orElseThrow().id()).isEqualTo("i-2");
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/view/StateFollowerTest.java
@@ -0,0 +1,120 @@
+package io.mothrill.core.forward.view;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.forward.plan.CallerBounds;
+import io.mothrill.core.forward.plan.ForwardingPlan;
+import io.mothrill.core.forward.upstream.ServingUpstream;
+import io.mothrill.core.forward.upstream.UpstreamList;
+import io.mothrill.core.platform.error.PlatformException;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+class StateFollowerTest {
+
+  private static final ViewSettings SETTINGS = new ViewSettings(500, 2_500);
+  private static final ServingUpstream LIVING =
+      new ServingUpstream("i-1", "sira", "10.0.0.1", 80, "konya", 6, false);
+
+  private final ManualTimers timers = new ManualTimers();
+  private final Section<ForwardingPlan> plan = new Section<>(ForwardingPlan.unknown());
+  private final Section<UpstreamList> upstreams = new Section<>(UpstreamList.empty());
+  private final Store store = new Store();
+
+  private static ForwardingPlan version(long number) {
+    return new ForwardingPlan(number, List.of(), List.of(), List.of(), CallerBounds.standard());
+  }
+
+  private static final class Store implements DeclaredState {
+    private ForwardingPlan newest = version(1);
+    private UpstreamList registered = new UpstreamList(List.of(LIVING));
+    private boolean away;
+
+    @Override
+    public CompletableFuture<Optional<ForwardingPlan>> readPlan() {
+      return away ? failed() : CompletableFuture.completedFuture(Optional.of(newest));
+    }
+
+    @Override
+    public CompletableFuture<UpstreamList> readUpstreams() {
+      return away ? failed() : CompletableFuture.completedFuture(registered);
+    }
+
+    private static <T> CompletableFuture<T> failed() {
+      return CompletableFuture.failedFuture(PlatformException.unreachable("store"));
+    }
+  }
+
+  private void follow() {
+    var unused = new StateFollower(store, plan, upstreams, timers, SETTINGS);
+  }
+
+  @Test
+  void takesANewPlanWithinOnePeriod() {
+    follow();
+    store.newest = version(2);
+
+    timers.advanceMs(SETTINGS.pollMs());
+
+    assertThat(plan.read().version()).isEqualTo(2);
+  }
+
+  // An answer that was read earlier arrives after a newer one: the plan in force stays.
+  @Test
+  void neverGoesBackToAnOlderPlan() {
+    store.newest = version(5);
+    follow();
+    store.newest = version(4);
+
+    timers.advanceMs(5 * SETTINGS.pollMs());
+
+    assertThat(plan.read().version()).isEqualTo(5);
+  }
+
+  @Test
+  void forgetsAnUpstreamThatIsNoLongerRegistered() {
+    follow();
+    store.registered = UpstreamList.empty();
+
+    timers.advanceMs(SETTINGS.pollMs());
+
+    assertThat(upstreams.read().contains("i-1")).isFalse();
+  }
+
+  // The store is away for six seconds and forgets who registered. Callers are still served by the
+  // upstreams known before, which register again within two seconds; those that do not are gone.
+  @Test
+  void keepsUpstreamsThatAreMissingAfterAnOutageForAWhile() {
+    follow();
+    store.away = true;
+    timers.advanceMs(6_000);
+    assertThat(upstreams.read().contains("i-1")).isTrue();
+
+    store.away = false;
+    store.registered = UpstreamList.empty();
+    timers.advanceMs(1_500);
+    assertThat(upstreams.read().contains("i-1")).isTrue();
+
+    timers.advanceMs(2_000);
+    assertThat(upstreams.read().contains("i-1")).isFalse();
+  }
+
+  // A single read fails. No registration can have lapsed in that time, so an upstream that is
+  // missing afterwards has left, and gets nothing new.
+  @Test
+  void doesNotKeepUpstreamsAfterASingleFailedRead() {
+    follow();
+    store.away = true;
+    timers.advanceMs(SETTINGS.pollMs());
+    store.away = false;
+    store.registered = UpstreamList.empty();
+
+    timers.advanceMs(2 * SETTINGS.pollMs());
+
+    assertThat(upstreams.read().contains("i-1")).isFalse();
+  }
+}
