--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -130,6 +130,7 @@
     this.ownKey = SpendingTables.instanceKey(self.id());
     this.loans = new SpendingLoans(links, dispatcher, timers, self, this::findLendable);
     this.demandCountedMs = timers.nowMs();
+    timers.after(0, this::renew);
     timers.every(RENEW_MS, this::renew);
   }
 
@@ -142,6 +143,15 @@
     return instanceCount;
   }
 
+  /**
+   * Says whether the instance has a row of its own in the table.
+   *
+   * @return false until the first row was written
+   */
+  public boolean hasRow() {
+    return takenOver;
+  }
+
   /**
    * Lists the other instances that have renewed their rows lately.
    *
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -47,6 +47,9 @@
   /** Callers are sent elsewhere after two questions without a yes, which come every second. */
   private static final long LEAVE_LEAST_MS = 2_600;
 
+  /** Longest wait for the first tokens; many requests need none, so a longer one helps nobody. */
+  private static final long FIRST_ROW_MS = 2_000;
+
   private static final long LEAVE_CHECK_MS = 100;
 
   /** Time for the last row, after the last request. */
@@ -64,6 +67,7 @@
   private final HttpServer probeServer;
   private final HttpServer metricsServer;
   private final CompletableFuture<Void> left = new CompletableFuture<>();
+  private final long startedMs;
   private volatile boolean leaving;
 
   /**
@@ -78,6 +82,7 @@
       ForwardSettings settings, ForwardPorts ports, EventLoopGroup group, Timers timers) {
     this.settings = settings;
     this.timers = timers;
+    this.startedMs = timers.nowMs();
     RandomGenerator random = ThreadLocalRandom.current()::nextLong;
     PeerDispatcher dispatcher = new PeerDispatcher();
     this.peers = newPeers(settings, dispatcher, group);
@@ -170,7 +175,11 @@
     if (leaving) {
       return "leaving";
     }
-    return plan.read().isKnown() ? "" : "no plan yet";
+    if (!plan.read().isKnown()) {
+      return "no plan yet";
+    }
+    boolean mayWait = timers.nowMs() - startedMs < FIRST_ROW_MS;
+    return mayWait && !spending.hasRow() ? "no tokens yet" : "";
   }
 
   /**
--- /dev/null
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/forward/StrictRequestDecoderTest.java
@@ -0,0 +1,63 @@
+package io.mothrill.wire.forward;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpRequest;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A request whose end two programs could see in different places is refused.
+ *
+ * <p>Otherwise what one of them takes for the body is the next request for the other: a request
+ * that no caller has sent.
+ */
+class StrictRequestDecoderTest {
+
+  private final EmbeddedChannel channel =
+      new EmbeddedChannel(new StrictRequestDecoder(4_096, 4_096));
+
+  private boolean isAccepted(String... headers) {
+    String head = "POST /a HTTP/1.1\r\nHost: h\r\n" + String.join("\r\n", headers) + "\r\n\r\n";
+    channel.writeInbound(Unpooled.copiedBuffer(head, StandardCharsets.US_ASCII));
+    HttpRequest request = channel.readInbound();
+    return request.decoderResult().isSuccess();
+  }
+
+  @Test
+  void refusesALengthBesideChunks() {
+    assertThat(isAccepted("Content-Length: 3", "Transfer-Encoding: chunked")).isFalse();
+  }
+
+  @Test
+  void refusesTwoLengths() {
+    assertThat(isAccepted("Content-Length: 3", "Content-Length: 4")).isFalse();
+  }
+
+  @Test
+  void refusesACodingThatItDoesNotKnow() {
+    assertThat(isAccepted("Transfer-Encoding: xchunked")).isFalse();
+  }
+
+  @Test
+  void refusesChunksNamedTwice() {
+    assertThat(isAccepted("Transfer-Encoding: chunked", "Transfer-Encoding: chunked")).isFalse();
+  }
+
+  @Test
+  void refusesASpaceBeforeTheColon() {
+    assertThat(isAccepted("Content-Length : 3")).isFalse();
+  }
+
+  @Test
+  void acceptsALengthOrChunks() {
+    assertThat(isAccepted("Content-Length: 0")).isTrue();
+  }
+
+  @Test
+  void acceptsChunks() {
+    assertThat(isAccepted("Transfer-Encoding: chunked")).isTrue();
+  }
+}
