Spending: the bound opens slowly at first and fast in a long silence

Change: near covers 1.2 s of demand or one request; the bound opens with the demand until 4 s, then fast.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
@@ -6,24 +6,27 @@
 final class GrantShaper {
 
   /** What is near covers this much of the demand: the time until the bound begins to open. */
-  private static final double NEAR_S = 2.5;
+  private static final double NEAR_S = 1.2;
 
   /** Requests of the usual size that fit into what is near, so that few need a renewal. */
-  private static final double NEAR_REQUESTS = 2;
+  private static final double NEAR_REQUESTS = 1;
 
   /** Part of the holding that is near before the first request has shown a usual size. */
   private static final int FIRST_NEAR_DIVISOR = 20;
 
-  /** The bound opens faster than the demand, as demand grows in bursts. */
-  private static final long OPEN_BY_DEMAND = 2;
+  /** At first the bound opens as fast as tokens are spent: a crash loses no more than its time. */
+  private static final double OPEN_BY_DEMAND = 1.1;
+
+  /** In a long silence it opens faster, as demand grows in bursts. */
+  private static final double LATER_BY_DEMAND = 2.5;
 
   /**
    * The bound opens by this many usual requests in a second at least, for teams that ask seldom.
    */
-  private static final double OPEN_REQUESTS_PER_S = 1;
+  private static final double OPEN_REQUESTS_PER_S = 0.5;
 
   /** In a long silence all that is held opens within this time at the latest. */
-  private static final long OPEN_WITHIN_S = 20;
+  private static final double OPEN_WITHIN_S = 15;
 
   /** A share that is off by less than this part is left as it is, to save conflicts. */
   private static final double TOLERANCE = 0.2;
@@ -78,7 +81,7 @@
 
   SpendingGrant shape(Situation situation, long spentTokens) {
     if (situation.leaving()) {
-      return new SpendingGrant(spentTokens, spentTokens, 0, 0, 0);
+      return new SpendingGrant(spentTokens, spentTokens, 0, 0, 0, 0);
     }
     long holding = holding(situation, spentTokens);
     double usualNear =
@@ -87,16 +90,16 @@
             : Math.max(
                 NEAR_S * situation.demandTokensPerS(), NEAR_REQUESTS * situation.typicalTokens());
     long wantedNear = Math.round(usualNear) + situation.wantedTokens();
+    double demand = situation.demandTokensPerS();
     double open =
-        Math.max(
-            OPEN_REQUESTS_PER_S * situation.typicalTokens(),
-            Math.max(
-                OPEN_BY_DEMAND * situation.demandTokensPerS(), holding / (double) OPEN_WITHIN_S));
+        Math.max(OPEN_REQUESTS_PER_S * situation.typicalTokens(), OPEN_BY_DEMAND * demand);
+    double later = Math.max(LATER_BY_DEMAND * demand, holding / OPEN_WITHIN_S);
     return new SpendingGrant(
         spentTokens,
         spentTokens + holding,
         Math.min(holding, wantedNear),
         Math.round(open),
+        Math.round(Math.max(open, later)),
         situation.demandTokensPerS());
   }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/InstanceSpending.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/InstanceSpending.java
@@ -94,6 +94,7 @@
               grant.limitTokens(),
               grant.nearTokens(),
               grant.openTokensPerS(),
+              grant.laterTokensPerS(),
               grant.demandTokensPerS()
             })
         .mapToObj(Long::toString)
@@ -102,6 +103,7 @@
 
   private static SpendingGrant readGrant(String text) {
     long[] numbers = Arrays.stream(text.split(SEPARATOR)).mapToLong(Long::parseLong).toArray();
-    return new SpendingGrant(numbers[0], numbers[1], numbers[2], numbers[3], numbers[4]);
+    return new SpendingGrant(
+        numbers[0], numbers[1], numbers[2], numbers[3], numbers[4], numbers[5]);
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.ToLongFunction;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 import org.tinylog.Logger;
@@ -182,7 +183,7 @@
   private CompletableFuture<SpendingReservation> reserveAfterWait(
       TeamPlan team, long tokens, int waits) {
     TeamSpending spending = teams.get(team.name());
-    long opensInMs = spending == null ? Long.MAX_VALUE : spending.waitMs(tokens);
+    long opensInMs = spending == null ? SpendingGrant.NEVER_MS : spending.waitMs(tokens);
     boolean renewing = !takenOver || isInTouch();
     if (waits == 0 || !renewing && opensInMs > MAX_WAIT_MS) {
       return reserveFromLoan(team, tokens);
@@ -377,9 +378,16 @@
         .grants()
         .forEach((team, grant) -> teams.put(team, new TeamSpending(timers, grant.spentTokens())));
     Logger.info(
-        "spending continues earlierSentAtMs={} teams={}",
-        earlier.sentAtStoreMs(),
-        closed.grants().size());
+        "spending continues teams={} silentMs={} spentTokens={} countedTokens={} limitTokens={}",
+        closed.grants().size(),
+        closed.sentAtStoreMs() - earlier.sentAtStoreMs(),
+        total(earlier, SpendingGrant::spentTokens),
+        total(closed, SpendingGrant::spentTokens),
+        total(earlier, SpendingGrant::limitTokens));
+  }
+
+  private static long total(InstanceSpending row, ToLongFunction<SpendingGrant> amount) {
+    return row.grants().values().stream().mapToLong(amount).sum();
   }
 
   private Transaction transaction(
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingGrant.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingGrant.java
@@ -4,20 +4,23 @@
  * What one row of the platform's table lets one instance spend of one team's budget.
  *
  * <p>All tokens are counted from the first start of the instance's machine. The bound opens with
- * the time since the row was sent: at once it is a little more than what was spent, later it opens
- * at a fixed rate until it reaches the limit. Whoever reads the row of a dead instance therefore
- * knows the most that it can have spent, and an instance that is cut off goes on spending.
+ * the time since the row was sent: at once it is a little more than what was spent, then it opens
+ * slowly, and after some seconds fast, until it reaches the limit. Whoever reads the row of a dead
+ * instance therefore knows the most that it can have spent, which is little if its successor is
+ * there within seconds, and an instance that is cut off goes on spending.
  *
  * <pre>{@code
- * SpendingGrant grant = new SpendingGrant(1_000, 50_000, 2_000, 500, 100);
- * grant.boundAfterMs(0);      // 3,000: spent and near
- * grant.boundAfterMs(11_500); // 8,000: ten seconds of opening more
+ * SpendingGrant grant = new SpendingGrant(1_000, 50_000, 2_000, 500, 1_500, 100);
+ * grant.boundAfterMs(0);     // 3,000: spent and near
+ * grant.boundAfterMs(2_200); // 3,500: a second of slow opening more
+ * grant.boundAfterMs(5_000); // 5,900: all of the slow opening and a second of the fast one
  * }</pre>
  *
  * @param spentTokens what was spent or set aside when the row was sent
  * @param limitTokens the most that may ever be spent under this row
  * @param nearTokens what may be spent beyond {@code spentTokens} before the bound begins to open
- * @param openTokensPerS how fast the bound opens after that
+ * @param openTokensPerS how fast the bound opens at first
+ * @param laterTokensPerS how fast it opens in a long silence
  * @param demandTokensPerS how fast the instance has spent lately, for sharing out the rest
  */
 public record SpendingGrant(
@@ -25,18 +28,25 @@
     long limitTokens,
     long nearTokens,
     long openTokensPerS,
+    long laterTokensPerS,
     long demandTokensPerS) {
 
+  /** How long a row counts as new: renewals come every second, so one of them has failed then. */
+  public static final long FRESH_MS = 1_200;
+
   /**
-   * How long a row counts as new. A process that is killed is back after about this time, and loses
-   * only what is near; renewals come every second, so the bound opens when one has failed.
+   * Silence after which the bound opens fast: a process that was killed, or lost power for a
+   * moment, has a successor by then, which has closed the row.
    */
-  public static final long FRESH_MS = 1_500;
+  public static final long LONG_SILENCE_MS = 4_000;
+
+  /** A silence that never passes. */
+  public static final long NEVER_MS = Long.MAX_VALUE / 2;
 
   private static final long MS_PER_S = 1_000;
 
   /** A grant under which nothing was spent and nothing may be. */
-  public static final SpendingGrant NONE = new SpendingGrant(0, 0, 0, 0, 0);
+  public static final SpendingGrant NONE = new SpendingGrant(0, 0, 0, 0, 0, 0);
 
   /**
    * Gives the most that may have been spent.
@@ -45,8 +55,9 @@
    * @return tokens, never more than the limit and never less for a longer silence
    */
   public long boundAfterMs(long silentMs) {
-    long openMs = Math.max(0, silentMs - FRESH_MS);
-    long opened = openTokensPerS * openMs / MS_PER_S;
+    long slowMs = Math.max(0, Math.min(silentMs, LONG_SILENCE_MS) - FRESH_MS);
+    long fastMs = Math.max(0, silentMs - LONG_SILENCE_MS);
+    long opened = (openTokensPerS * slowMs + laterTokensPerS * fastMs) / MS_PER_S;
     return Math.min(limitTokens, spentTokens + nearTokens + opened);
   }
 
@@ -54,19 +65,24 @@
    * Gives the silence after which the bound reaches an amount.
    *
    * @param tokens the amount
-   * @return milliseconds since the row was sent; {@code Long.MAX_VALUE} when it never does
+   * @return milliseconds since the row was sent; {@link #NEVER_MS} or more when it never does
    */
   public long silenceUntilMs(long tokens) {
     if (tokens > limitTokens) {
-      return Long.MAX_VALUE;
+      return NEVER_MS;
     }
     long missing = tokens - spentTokens - nearTokens;
+    long slow = openTokensPerS * (LONG_SILENCE_MS - FRESH_MS) / MS_PER_S;
     if (missing <= 0) {
       return 0;
     }
-    return openTokensPerS == 0
-        ? Long.MAX_VALUE
-        : FRESH_MS + (missing * MS_PER_S + openTokensPerS - 1) / openTokensPerS;
+    return missing <= slow
+        ? FRESH_MS + timeFor(missing, openTokensPerS)
+        : LONG_SILENCE_MS + timeFor(missing - slow, laterTokensPerS);
+  }
+
+  private static long timeFor(long tokens, long tokensPerS) {
+    return tokensPerS == 0 ? NEVER_MS : (tokens * MS_PER_S + tokensPerS - 1) / tokensPerS;
   }
 
   /**
@@ -87,6 +103,6 @@
    */
   public SpendingGrant closedAfterMs(long silentMs) {
     long bound = boundAfterMs(silentMs);
-    return new SpendingGrant(bound, bound, 0, 0, 0);
+    return new SpendingGrant(bound, bound, 0, 0, 0, 0);
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamSpending.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamSpending.java
@@ -35,7 +35,7 @@
   public TeamSpending(Timers timers, long spentTokens) {
     this.timers = timers;
     this.spentTokens = new AtomicLong(spentTokens);
-    SpendingGrant closed = new SpendingGrant(spentTokens, spentTokens, 0, 0, 0);
+    SpendingGrant closed = new SpendingGrant(spentTokens, spentTokens, 0, 0, 0, 0);
     this.possible = new AtomicReference<>(List.of(new SentGrant(closed, timers.nowMs())));
   }
 
@@ -168,21 +168,16 @@
    * Says how long it takes until an amount can be set aside without a new row.
    *
    * @param tokens the amount
-   * @return milliseconds; {@code Long.MAX_VALUE} when the rows never allow it
+   * @return milliseconds; years when the rows never allow it
    */
   public long waitMs(long tokens) {
     long nowMs = timers.nowMs();
     long wanted = spentTokens.get() + tokens;
     return possible.get().stream()
-        .mapToLong(
-            sent -> {
-              long silenceMs = sent.grant().silenceUntilMs(wanted);
-              return silenceMs == Long.MAX_VALUE
-                  ? silenceMs
-                  : Math.max(0, silenceMs - (nowMs - sent.sentAtMs()));
-            })
+        .mapToLong(sent -> sent.grant().silenceUntilMs(wanted) - (nowMs - sent.sentAtMs()))
+        .map(waitMs -> Math.max(0, waitMs))
         .max()
-        .orElse(Long.MAX_VALUE);
+        .orElse(SpendingGrant.NEVER_MS);
   }
 
   /**
