--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/Demand.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/Demand.java
@@ -1,6 +1,6 @@
 package io.mothrill.core.forward.spending;
 
-/** Follows how fast a team spends here: up quickly, down slowly. */
+/** Follows how fast a team spends here: its peaks, up quickly and down slowly, and its average. */
 final class Demand {
 
   /** Weight of the newest second while demand grows, so that a burst is seen within two. */
@@ -11,12 +11,21 @@
 
   private static final double MS_PER_S = 1_000;
 
+  /** Weight of the newest second in the average: about the last ten count. */
+  private static final double AVERAGE = 0.15;
+
   private double tokensPerS;
+  private double averageTokensPerS;
 
   void update(long usedTokens, long elapsedMs) {
     double rate = Math.max(0, usedTokens) * MS_PER_S / Math.max(1, elapsedMs);
     double weight = rate > tokensPerS ? UP : DOWN;
     tokensPerS += weight * (rate - tokensPerS);
+    averageTokensPerS += AVERAGE * (rate - averageTokensPerS);
+  }
+
+  long averageTokensPerS() {
+    return Math.round(averageTokensPerS);
   }
 
   long tokensPerS() {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
@@ -6,7 +6,7 @@
 final class GrantShaper {
 
   /** What is near covers this much of the demand: the time until the bound begins to open. */
-  private static final double NEAR_S = 1.2;
+  private static final double NEAR_S = 1.6;
 
   /** Requests of the usual size that fit into what is near, so that few need a renewal. */
   private static final double NEAR_REQUESTS = 1;
@@ -14,8 +14,11 @@
   /** Part of the holding that is near before the first request has shown a usual size. */
   private static final int FIRST_NEAR_DIVISOR = 20;
 
-  /** At first the bound opens as fast as tokens are spent: a crash loses no more than its time. */
-  private static final double OPEN_BY_DEMAND = 1.1;
+  /**
+   * At first the bound opens a little faster than tokens are spent on average: a crash of all
+   * instances loses no more than the time until their successors are there.
+   */
+  private static final double OPEN_BY_DEMAND = 1.4;
 
   /** In a long silence it opens faster, as demand grows in bursts. */
   private static final double LATER_BY_DEMAND = 2.5;
@@ -23,7 +26,7 @@
   /**
    * The bound opens by this many usual requests in a second at least, for teams that ask seldom.
    */
-  private static final double OPEN_REQUESTS_PER_S = 0.5;
+  private static final double OPEN_REQUESTS_PER_S = 0.4;
 
   /** In a long silence all that is held opens within this time at the latest. */
   private static final double OPEN_WITHIN_S = 15;
@@ -47,7 +50,8 @@
    * @param ownLimitTokens this instance's limit in the table
    * @param inTouch the grants of the other instances that renew theirs
    * @param silent the grants of those that do not
-   * @param demandTokensPerS how fast this instance spends
+   * @param demandTokensPerS how fast this instance spends at its peaks
+   * @param averageTokensPerS how fast it spends on average
    * @param typicalTokens the usual size of a request
    * @param wantedTokens what requests are waiting for; 0 when none is
    * @param leaving true when nothing is to be held any more
@@ -59,6 +63,7 @@
       List<SpendingGrant> inTouch,
       List<SpendingGrant> silent,
       long demandTokensPerS,
+      long averageTokensPerS,
       long typicalTokens,
       long wantedTokens,
       boolean leaving) {
@@ -95,11 +100,13 @@
         situation.typicalTokens() == 0
             ? holding / (double) FIRST_NEAR_DIVISOR
             : Math.max(
-                NEAR_S * situation.demandTokensPerS(), NEAR_REQUESTS * situation.typicalTokens());
+                NEAR_S * situation.averageTokensPerS(), NEAR_REQUESTS * situation.typicalTokens());
     long wantedNear = Math.round(usualNear) + situation.wantedTokens();
     double demand = situation.demandTokensPerS();
     double open =
-        Math.max(OPEN_REQUESTS_PER_S * situation.typicalTokens(), OPEN_BY_DEMAND * demand);
+        Math.max(
+            OPEN_REQUESTS_PER_S * situation.typicalTokens(),
+            OPEN_BY_DEMAND * situation.averageTokensPerS());
     double later = Math.max(LATER_BY_DEMAND * demand, holding / OPEN_WITHIN_S);
     return new SpendingGrant(
         spentTokens,
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
@@ -201,6 +201,7 @@
         othersInTouch(read, nowStoreMs).map(row -> row.grantOf(team)).toList(),
         othersSilent(read, nowStoreMs).map(row -> row.grantOf(team)).toList(),
         demandOf(team).tokensPerS(),
+        demandOf(team).averageTokensPerS(),
         spending.typicalTokens(),
         wanted,
         leaving || prepaid.isEmpty());
