Loans that are over are forgotten; the follower's state is guarded

Cause: each loan stayed in a list for good, so a long cut with many loans would have grown it without end; two reads of the store could note contact at once on machines with several threads. Tests of core/forward green.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/Demand.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/Demand.java
@@ -14,10 +14,10 @@
   /** Weight of the newest second in the average: about the last ten count. */
   private static final double AVERAGE = 0.15;
 
-  private double tokensPerS;
-  private double averageTokensPerS;
+  private volatile double tokensPerS;
+  private volatile double averageTokensPerS;
 
-  void update(long usedTokens, long elapsedMs) {
+  synchronized void update(long usedTokens, long elapsedMs) {
     double rate = Math.max(0, usedTokens) * MS_PER_S / Math.max(1, elapsedMs);
     double weight = rate > tokensPerS ? UP : DOWN;
     tokensPerS += weight * (rate - tokensPerS);
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
@@ -91,9 +91,9 @@
   /** Sets tokens aside from loans. */
   Optional<SpendingReservation> tryReserve(String team, long tokens) {
     return loans.getOrDefault(team, List.of()).stream()
-        .filter(loan -> loan.tryTake(tokens))
+        .filter(loan -> loan.tryReserve(tokens))
         .findFirst()
-        .map(loan -> usedTokens -> loan.putBack(tokens - Math.min(tokens, usedTokens)));
+        .map(loan -> usedTokens -> loan.settle(tokens - Math.min(tokens, usedTokens)));
   }
 
   /**
@@ -157,9 +157,10 @@
       return false;
     }
     long tokens = given.slices().stream().mapToLong(PeerMessage.BorrowReply.Slice::tokens).sum();
-    loans
-        .computeIfAbsent(request.budget(), team -> new CopyOnWriteArrayList<>())
-        .add(new Loan(lender, tokens));
+    List<Loan> ofTeam =
+        loans.computeIfAbsent(request.budget(), team -> new CopyOnWriteArrayList<>());
+    ofTeam.removeIf(Loan::isOver);
+    ofTeam.add(new Loan(lender, tokens));
     Logger.info(
         "tokens borrowed team={} tokens={} lender={}", request.budget(), tokens, lender.id());
     return true;
@@ -172,14 +173,17 @@
    */
   void handBack() {
     loans.forEach(
-        (team, ofTeam) ->
-            ofTeam.forEach(
-                loan -> {
-                  long rest = loan.takeRest();
-                  if (rest > 0) {
-                    send(team, loan, rest);
-                  }
-                }));
+        (team, ofTeam) -> {
+          ofTeam.forEach(loan -> handBack(team, loan));
+          ofTeam.removeIf(Loan::isOver);
+        });
+  }
+
+  private void handBack(String team, Loan loan) {
+    long rest = loan.takeRest();
+    if (rest > 0) {
+      send(team, loan, rest);
+    }
   }
 
   private void send(String team, Loan loan, long tokens) {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/StateFollower.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/StateFollower.java
@@ -88,7 +88,7 @@
    * after an outage a whole service seems gone. Upstreams register again within about two seconds,
    * so missing ones are kept for that long after contact is regained, and are gone after that.
    */
-  private void takeUpstreams(UpstreamList read) {
+  private synchronized void takeUpstreams(UpstreamList read) {
     boolean returning = wasAway() || timers.nowMs() - regainedMs < settings.returnMs();
     upstreams.update(before -> returning ? read.keeping(before) : read);
   }
@@ -97,7 +97,7 @@
     return lostMs.isPresent() && timers.nowMs() - lostMs.getAsLong() >= LAPSE_MIN_MS;
   }
 
-  private void noteContact(Throwable error) {
+  private synchronized void noteContact(Throwable error) {
     long nowMs = timers.nowMs();
     if (error != null && lostMs.isEmpty()) {
       lostMs = OptionalLong.of(nowMs);
