--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/CallerConnection.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/CallerConnection.java
@@ -321,14 +321,20 @@
               long quietMs = nowMs - quietSinceMs;
               if (head != null) {
                 refuseIfSlow(nowMs - headMs);
-              } else if (headStarted && quietMs > bounds().headerTimeoutMs()) {
-                refuse(ForwardRefusal.of(Cause.SENT_TOO_SLOWLY));
+              } else if (headStarted) {
+                refuseIfHeadIsSlow(quietMs);
               } else if (quietMs > idleLimitMs()) {
                 context.close();
               }
             });
   }
 
+  private void refuseIfHeadIsSlow(long sinceFirstByteMs) {
+    if (sinceFirstByteMs > bounds().headerTimeoutMs()) {
+      refuse(ForwardRefusal.of(Cause.SENT_TOO_SLOWLY));
+    }
+  }
+
   private void refuseIfSlow(long sinceHeadMs) {
     long allowedMs = call == null ? 0 : call.deadlineMs().orElse(bounds().idleTimeoutMs());
     if (sinceHeadMs > Math.min(allowedMs, bounds().idleTimeoutMs())) {
