A round that brings tokens does not refuse the request that it was for

Cause: a request that finds room takes tokens by atomics alone. When it came between a grant's arrival and the waiting request's turn, it took what the grant was sized for; peers had nothing, and the round ended with 'budget exhausted' although the budget was nearly whole. Seen as a 402 for one of 24 long calls at the start of ./mothrill demo. Change: a round in which a source added tokens refuses nobody; who is still unserved gets another round, eight at the most, and then hears 'out of reach', never 'exhausted'. Test: isNotRefusedWhenAnotherRequestTookWhatWasGrantedForIt failed before with 'has no room'.

--- a/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetAccount.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetAccount.java
@@ -27,6 +27,12 @@
 
   private static final long EXHAUSTED_MS = 20;
 
+  /**
+   * Rounds that bring tokens without serving a request before it is refused: others took the tokens
+   * each time, so more rounds would only add to the load.
+   */
+  private static final int MAX_ROUNDS = 8;
+
   private final String budget;
   private final Timers timers;
   private final List<TokenSource> sources;
@@ -53,6 +59,21 @@
   private record Waiter(
       long needTokens, long joinedRound, CompletableFuture<Reservation> reserved) {}
 
+  /** What the sources that were asked in a round have answered so far. */
+  private record Answers(boolean someUnreachable, boolean someAdded) {
+
+    private static final Answers NONE = new Answers(false, false);
+
+    Answers and(Answer answer) {
+      return new Answers(
+          someUnreachable || answer == Answer.UNREACHABLE, someAdded || answer == Answer.ADDED);
+    }
+
+    boolean allEmpty() {
+      return !someUnreachable && !someAdded;
+    }
+  }
+
   /**
    * Gives the budget's name.
    *
@@ -241,7 +262,7 @@
       round++;
       need = needOfWaiters();
     }
-    askFrom(0, need, false);
+    askFrom(0, need, Answers.NONE);
   }
 
   private Need needOfWaiters() {
@@ -254,9 +275,9 @@
     return new Need(budget, needTokens, ratePerSecond(), availableTokens(), false);
   }
 
-  private void askFrom(int index, Need need, boolean someUnreachable) {
+  private void askFrom(int index, Need need, Answers answers) {
     if (index == sources.size()) {
-      endRound(someUnreachable);
+      endRound(answers);
       return;
     }
     var unused =
@@ -264,10 +285,10 @@
             .get(index)
             .ask(this, need)
             .handle((answer, error) -> error == null ? answer : Answer.UNREACHABLE)
-            .thenAccept(answer -> onAnswer(index, answer, someUnreachable));
+            .thenAccept(answer -> onAnswer(index, answers.and(answer)));
   }
 
-  private void onAnswer(int index, Answer answer, boolean someUnreachable) {
+  private void onAnswer(int index, Answers answers) {
     List<Runnable> completions;
     Optional<Need> rest;
     synchronized (waiters) {
@@ -276,8 +297,7 @@
       rest = asking ? Optional.of(needOfWaiters()) : Optional.empty();
     }
     completions.forEach(Runnable::run);
-    boolean unreachable = someUnreachable || answer == Answer.UNREACHABLE;
-    rest.ifPresent(need -> askFrom(index + 1, need.with(unreachable), unreachable));
+    rest.ifPresent(need -> askFrom(index + 1, need.with(answers.someUnreachable()), answers));
   }
 
   /** Serves waiting requests in order; a smaller one may pass a larger one that lacks tokens. */
@@ -301,22 +321,23 @@
   /**
    * Refuses those that all sources have answered for, and asks again for the others.
    *
-   * <p>Failure: a request joins a round after the platform was asked for less than it needs.
-   * Symptom: it is refused though the budget has room. Only requests that waited when the round
-   * began are refused; the others get a round of their own.
+   * <p>Failure: a request joins a round after the platform was asked for less than it needs, or a
+   * request that found room at once takes what the round has brought. Symptom: it is refused though
+   * the budget has room. Only requests that waited when the round began, and for which it brought
+   * nothing, are refused; the others get a round of their own.
    */
-  private void endRound(boolean someUnreachable) {
+  private void endRound(Answers answers) {
     List<Runnable> completions;
     synchronized (waiters) {
       completions = serveWaiters();
       waiters.removeIf(
           waiter -> {
-            boolean answered = waiter.joinedRound() < round;
-            if (answered) {
+            boolean over = isOver(waiter, answers);
+            if (over) {
               completions.add(
-                  () -> waiter.reserved().completeExceptionally(refusal(waiter, someUnreachable)));
+                  () -> waiter.reserved().completeExceptionally(refusal(waiter, answers)));
             }
-            return answered;
+            return over;
           });
       asking = false;
     }
@@ -324,13 +345,17 @@
     askSources();
   }
 
-  private BudgetException refusal(Waiter waiter, boolean someUnreachable) {
-    if (!someUnreachable) {
-      noteExhausted(waiter.needTokens());
+  private boolean isOver(Waiter waiter, Answers answers) {
+    long rounds = round - waiter.joinedRound();
+    return rounds >= 1 && !answers.someAdded() || rounds >= MAX_ROUNDS;
+  }
+
+  private BudgetException refusal(Waiter waiter, Answers answers) {
+    if (!answers.allEmpty()) {
+      return BudgetException.outOfReach(budgetOutOfReach(budget, waiter.needTokens()));
     }
-    return someUnreachable
-        ? BudgetException.outOfReach(budgetOutOfReach(budget, waiter.needTokens()))
-        : BudgetException.exhausted(budgetExhausted(budget, waiter.needTokens()));
+    noteExhausted(waiter.needTokens());
+    return BudgetException.exhausted(budgetExhausted(budget, waiter.needTokens()));
   }
 
   /**
--- a/mothrill-core/src/test/java/io/mothrill/core/budget/BudgetAccountReserveTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/budget/BudgetAccountReserveTest.java
@@ -6,6 +6,9 @@
 import io.mothrill.core.budget.error.BudgetException;
 import io.mothrill.core.error.Failures;
 import io.mothrill.core.fake.Fault;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.junit.jupiter.api.Test;
@@ -68,6 +71,32 @@
     assertThat(late.join().tokens()).isEqualTo(5_000);
   }
 
+  // The caller's request waits for the platform. What the platform grants for it lies in the pool
+  // for a moment, and a request that comes just then takes it. Were the first refused with that
+  // round, it would hear that the budget is spent although nearly all of it is left.
+  @Test
+  void isNotRefusedWhenAnotherRequestTookWhatWasGrantedForIt() {
+    // GIVEN
+    TokenPool pool = new TokenPool(new AllotmentId("konya-1.1", "branch"), () -> Long.MAX_VALUE);
+    List<Optional<Reservation>> taken = new ArrayList<>();
+    TokenSource platform =
+        (account, need) -> {
+          pool.put(need.needTokens());
+          if (taken.isEmpty()) {
+            taken.add(account.tryReserve(need.needTokens()));
+          }
+          return CompletableFuture.completedFuture(TokenSource.Answer.ADDED);
+        };
+    BudgetAccount account =
+        new BudgetAccount("branch", bench.timers, List.of(platform), settled -> {});
+    account.addPool(pool);
+    // WHEN
+    Reservation served = account.reserve(600).join();
+    // THEN
+    assertThat(taken.get(0)).isPresent();
+    assertThat(served.tokens()).isEqualTo(600);
+  }
+
   // Of a nearly spent budget, what a request did not use is returned at once, and loans are handed
   // back. While another request gathers tokens here, that would take away what it has found: it is
   // refused although the budget has room.
