Renewals read few rows: what they are written on each time, the others in turn

Cause: each renewal of an instance read the rows of all instances. With 70 instances that is 91 rows a second for each of them, of about a kilobyte where there are twenty teams: more than the nine kilobytes a second that an instance may use, and a tenth of a small machine's link. Change: SpendingReader reads the own row and the teams' rows, and all rows so often that six of other instances come in a second. What those have spent since is estimated from their demand. Small changes of shares are followed in turn. 402 needs a whole read of the last three seconds. Conclusion: the table's load grows with the number of instances, not with its square.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
@@ -1,7 +1,5 @@
 package io.mothrill.core.forward.spending;
 
-import java.util.List;
-
 /** Works out the next grant of one team for this instance from what the table shows. */
 final class GrantShaper {
 
@@ -36,6 +34,9 @@
 
   private static final long TOLERANCE_TOKENS = 2_000;
 
+  /** A holding that is less than this part of its share cannot wait for its turn. */
+  private static final double TOO_LITTLE = 0.3;
+
   private final SharePolicy policy;
 
   GrantShaper(SharePolicy policy) {
@@ -48,24 +49,30 @@
    * @param prepaidTokens all that the team may ever spend
    * @param grantedTokens the sum of all instances' limits
    * @param ownLimitTokens this instance's limit in the table
-   * @param inTouch the grants of the other instances that renew theirs
-   * @param silent the grants of those that do not
+   * @param othersSpentTokens what the other instances that renew their rows have spent by now
+   * @param othersDemandTokensPerS how fast they spend at their peaks
+   * @param othersCount how many they are
+   * @param silentLimitTokens the limits of those that do not renew theirs
    * @param demandTokensPerS how fast this instance spends at its peaks
    * @param averageTokensPerS how fast it spends on average
    * @param typicalTokens the usual size of a request
    * @param wantedTokens what requests are waiting for; 0 when none is
+   * @param inTurn true when the holding may follow small changes of its share
    * @param leaving true when nothing is to be held any more
    */
   record Situation(
       long prepaidTokens,
       long grantedTokens,
       long ownLimitTokens,
-      List<SpendingGrant> inTouch,
-      List<SpendingGrant> silent,
+      long othersSpentTokens,
+      long othersDemandTokensPerS,
+      int othersCount,
+      long silentLimitTokens,
       long demandTokensPerS,
       long averageTokensPerS,
       long typicalTokens,
       long wantedTokens,
+      boolean inTurn,
       boolean leaving) {
 
     long freeTokens() {
@@ -73,14 +80,15 @@
     }
 
     long leftTokens(long ownSpentTokens) {
-      long others = inTouch.stream().mapToLong(SpendingGrant::spentTokens).sum();
-      long outOfReach = silent.stream().mapToLong(SpendingGrant::limitTokens).sum();
-      return Math.max(0, prepaidTokens - others - outOfReach - ownSpentTokens);
+      return Math.max(0, prepaidTokens - othersSpentTokens - silentLimitTokens - ownSpentTokens);
     }
 
     long allDemandTokensPerS() {
-      long others = inTouch.stream().mapToLong(SpendingGrant::demandTokensPerS).sum();
-      return others + demandTokensPerS;
+      return othersDemandTokensPerS + demandTokensPerS;
+    }
+
+    boolean isOvergranted() {
+      return grantedTokens > prepaidTokens;
     }
   }
 
@@ -124,11 +132,23 @@
     if (situation.wantedTokens() > Math.max(held, target)) {
       return Math.min(most, situation.wantedTokens());
     }
-    boolean close = Math.abs(target - held) <= TOLERANCE * held + TOLERANCE_TOKENS;
-    if (close && situation.grantedTokens() <= situation.prepaidTokens()) {
-      return held;
+    return mayStay(situation, held, target) ? held : Math.min(most, target);
+  }
+
+  /**
+   * Says whether a holding is kept though its share is another.
+   *
+   * <p>Failure: many instances follow every change of their shares at the same time. Symptom: they
+   * change the same rows, nearly all their writes conflict, and no row is renewed. Small changes
+   * are followed in turn, of which instances have fewer the more of them there are.
+   */
+  private static boolean mayStay(Situation situation, long held, long target) {
+    if (situation.isOvergranted()) {
+      return false;
     }
-    return Math.min(most, target);
+    boolean close = Math.abs(target - held) <= TOLERANCE * held + TOLERANCE_TOKENS;
+    boolean enough = held >= TOO_LITTLE * target;
+    return close || enough && !situation.inTurn();
   }
 
   private static long held(Situation situation, long spentTokens) {
@@ -141,6 +161,6 @@
             situation.leftTokens(spentTokens),
             situation.demandTokensPerS(),
             situation.allDemandTokensPerS(),
-            situation.inTouch().size() + 1));
+            situation.othersCount() + 1));
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -7,12 +7,10 @@
 import io.mothrill.core.peer.PeerDispatcher;
 import io.mothrill.core.peer.PeerLinks;
 import io.mothrill.core.platform.InstanceRecord;
-import io.mothrill.core.platform.Row;
 import io.mothrill.core.platform.StoreClock;
 import io.mothrill.core.platform.TableService;
 import io.mothrill.core.platform.error.PlatformException;
 import io.mothrill.core.time.Timers;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -61,6 +59,12 @@
   /** A loan covers so many seconds of the demand here. */
   private static final long BORROW_S = 2;
 
+  /**
+   * Age up to which the rows of the other instances show that a team has too little left: what they
+   * have spent since would only leave less.
+   */
+  private static final long EVIDENCE_MS = 3_000;
+
   /** When to come back if other instances have to hand tokens back first. */
   private static final long REBALANCED_MS = 1_200;
 
@@ -71,6 +75,7 @@
   private final Section<ForwardingPlan> plan;
   private final Timers timers;
   private final RandomGenerator random;
+  private final SpendingReader reader;
   private final SpendingRows rows;
   private final SpendingLoans loans;
   private final AtomicReference<CompletableFuture<Boolean>> underWay = new AtomicReference<>();
@@ -104,7 +109,9 @@
     this.plan = plan;
     this.timers = timers;
     this.random = random;
-    this.rows = new SpendingRows(self, storeClock, timers, policy);
+    this.reader =
+        new SpendingReader(table, storeClock, timers, SpendingTables.instanceKey(self.id()));
+    this.rows = new SpendingRows(self, storeClock, timers, random, policy);
     this.loans = new SpendingLoans(links, dispatcher, timers, self, this::findLendable);
     timers.after(0, this::renew);
     timers.every(RENEW_MS, this::renew);
@@ -232,8 +239,8 @@
   /**
    * Explains why tokens cannot be set aside.
    *
-   * <p>Only a read of the whole table that is as new as a renewal shows that the team itself has
-   * too little; without it the caller is told to come back.
+   * <p>Only a renewal and a read of the whole table within the last seconds show that the team
+   * itself has too little; without them the caller is told to come back.
    */
   private SpendingException refusal(TeamPlan team, long tokens) {
     return rows.find(team.name())
@@ -245,7 +252,7 @@
     long sinceRenewalMs = timers.nowMs() - renewedMs;
     if (sinceRenewalMs < RENEW_MS + URGENT_PAUSE_MS) {
       long left = rows.leftTokens(team, spending);
-      return left < tokens
+      return left < tokens && reader.sinceWholeReadMs() < EVIDENCE_MS
           ? SpendingException.spent(team.name(), left, tokens)
           : SpendingException.notHere(
               team.name(), tokens, stateOf(spending, sinceRenewalMs), REBALANCED_MS);
@@ -285,8 +292,9 @@
 
   /** Reads and writes; begins again when other instances have changed the rows in between. */
   private void attempt(int attempts, CompletableFuture<Boolean> renewal) {
-    readAll("", new ArrayList<>())
-        .thenCompose(read -> write(SpendingTables.Contents.of(read)))
+    reader
+        .read()
+        .thenCompose(this::write)
         .exceptionally(this::failed)
         .thenAccept(
             outcome -> {
@@ -300,18 +308,6 @@
             });
   }
 
-  private CompletableFuture<List<Row>> readAll(String afterKey, List<Row> before) {
-    return table
-        .scan(SpendingTables.TABLE, "", afterKey, SpendingTables.MAX_ROWS)
-        .thenCompose(
-            page -> {
-              before.addAll(page);
-              return page.size() < SpendingTables.MAX_ROWS
-                  ? CompletableFuture.completedFuture(before)
-                  : readAll(page.get(page.size() - 1).key().key(), before);
-            });
-  }
-
   private enum Outcome {
     WRITTEN,
     CONFLICT,
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingGrant.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingGrant.java
@@ -45,6 +45,9 @@
 
   private static final long MS_PER_S = 1_000;
 
+  /** Demand is followed by its peaks, which are about twice its average. */
+  private static final long PEAK_BY_AVERAGE = 2;
+
   /** A grant under which nothing was spent and nothing may be. */
   public static final SpendingGrant NONE = new SpendingGrant(0, 0, 0, 0, 0, 0);
 
@@ -94,6 +97,17 @@
     return limitTokens - spentTokens;
   }
 
+  /**
+   * Estimates what a living instance has spent since it sent the row.
+   *
+   * @param silentMs milliseconds since the row was sent
+   * @return tokens, never more than the limit
+   */
+  public long expectedSpentAfterMs(long silentMs) {
+    long since = demandTokensPerS * Math.max(0, silentMs) / (PEAK_BY_AVERAGE * MS_PER_S);
+    return Math.min(limitTokens, spentTokens + since);
+  }
+
   /**
    * Settles the grant of a dead instance: the most that it can have spent counts as spent, and
    * nothing more may be.
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
@@ -15,6 +15,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.ToLongFunction;
+import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 import org.tinylog.Logger;
 
@@ -33,26 +34,39 @@
    */
   private static final int MAX_CHANGES = 40;
 
+  /**
+   * Instances that may follow small changes of their shares in one second, on average. Each changes
+   * the rows of most teams, which takes about 15 ms from reading to writing, so six rarely meet.
+   */
+  private static final double TURNS_PER_S = 6;
+
   private final InstanceRecord self;
   private final RowKey ownKey;
   private final StoreClock storeClock;
   private final Timers timers;
+  private final RandomGenerator random;
   private final GrantShaper shaper;
   private final Map<String, TeamSpending> teams = new ConcurrentHashMap<>();
   private final Map<String, Demand> demands = new ConcurrentHashMap<>();
   private final Map<String, Long> wantedTokens = new ConcurrentHashMap<>();
-  private volatile SpendingTables.Contents contents;
+  private volatile SpendingTables.Contents contents = SpendingTables.Contents.EMPTY;
   private volatile boolean takenOver;
   private volatile List<InstanceRecord> others = List.of();
   private volatile int instanceCount;
   private long demandCountedMs;
   private int firstChange;
 
-  SpendingRows(InstanceRecord self, StoreClock storeClock, Timers timers, SharePolicy policy) {
+  SpendingRows(
+      InstanceRecord self,
+      StoreClock storeClock,
+      Timers timers,
+      RandomGenerator random,
+      SharePolicy policy) {
     this.self = self;
     this.ownKey = SpendingTables.instanceKey(self.id());
     this.storeClock = storeClock;
     this.timers = timers;
+    this.random = random;
     this.shaper = new GrantShaper(policy);
     this.demandCountedMs = timers.nowMs();
   }
@@ -110,18 +124,19 @@
       takeOver(read);
     }
     long sentAtStoreMs = storeClock.nowMs();
-    others = read.reachable(ownKey, row -> sentAtStoreMs - row.sentAtStoreMs() < SILENT_MS);
-    instanceCount = 1 + (int) othersInTouch(read, sentAtStoreMs).count();
+    others = read.reachable(ownKey, row -> isInTouch(read, row));
+    instanceCount = 1 + (int) othersInTouch(read).count();
     inForce.teams().stream()
         .filter(team -> team.prepaidTokens().isPresent())
         .forEach(team -> teams.computeIfAbsent(team.name(), name -> new TeamSpending(timers, 0)));
     countDemand();
+    boolean inTurn = random.nextDouble() * instanceCount < TURNS_PER_S;
     Map<String, TeamSpending.SentGrant> sent = new TreeMap<>();
     int position = 0;
     for (Map.Entry<String, TeamSpending> entry : new TreeMap<>(teams).entrySet()) {
       boolean mayChange = isTurnOf(position++);
       GrantShaper.Situation situation =
-          situation(entry.getKey(), entry.getValue(), inForce, read, sentAtStoreMs, leaving);
+          situation(entry.getKey(), entry.getValue(), inForce, read, inTurn, leaving);
       sent.put(
           entry.getKey(),
           entry.getValue().propose(spent -> shaper.shape(situation, spent, mayChange)));
@@ -189,7 +204,7 @@
       TeamSpending spending,
       ForwardingPlan inForce,
       SpendingTables.Contents read,
-      long nowStoreMs,
+      boolean inTurn,
       boolean leaving) {
     OptionalLong prepaid =
         inForce.findTeam(team).map(TeamPlan::prepaidTokens).orElse(OptionalLong.empty());
@@ -198,21 +213,32 @@
         prepaid.orElse(0),
         read.grantedTokens(team),
         read.instance(ownKey).grantOf(team).limitTokens(),
-        othersInTouch(read, nowStoreMs).map(row -> row.grantOf(team)).toList(),
-        othersSilent(read, nowStoreMs).map(row -> row.grantOf(team)).toList(),
+        othersInTouch(read).mapToLong(row -> expectedSpentTokens(row, team)).sum(),
+        othersInTouch(read).mapToLong(row -> row.grantOf(team).demandTokensPerS()).sum(),
+        (int) othersInTouch(read).count(),
+        othersSilent(read).mapToLong(row -> row.grantOf(team).limitTokens()).sum(),
         demandOf(team).tokensPerS(),
         demandOf(team).averageTokensPerS(),
         spending.typicalTokens(),
         wanted,
+        inTurn,
         leaving || prepaid.isEmpty());
   }
 
-  private Stream<InstanceSpending> othersInTouch(SpendingTables.Contents read, long nowStoreMs) {
-    return read.others(ownKey).filter(row -> nowStoreMs - row.sentAtStoreMs() < SILENT_MS);
+  private long expectedSpentTokens(InstanceSpending row, String team) {
+    return row.grantOf(team).expectedSpentAfterMs(storeClock.nowMs() - row.sentAtStoreMs());
+  }
+
+  private static boolean isInTouch(SpendingTables.Contents read, InstanceSpending row) {
+    return read.wholeAtStoreMs() - row.sentAtStoreMs() < SILENT_MS;
+  }
+
+  private Stream<InstanceSpending> othersInTouch(SpendingTables.Contents read) {
+    return read.others(ownKey).filter(row -> isInTouch(read, row));
   }
 
-  private Stream<InstanceSpending> othersSilent(SpendingTables.Contents read, long nowStoreMs) {
-    return read.others(ownKey).filter(row -> nowStoreMs - row.sentAtStoreMs() >= SILENT_MS);
+  private Stream<InstanceSpending> othersSilent(SpendingTables.Contents read) {
+    return read.others(ownKey).filter(row -> !isInTouch(read, row));
   }
 
   private Demand demandOf(String team) {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingTables.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingTables.java
@@ -5,6 +5,7 @@
 import io.mothrill.core.platform.Row;
 import io.mothrill.core.platform.RowKey;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,7 +23,7 @@
   static final int MAX_ROWS = 500;
 
   private static final String INSTANCE_PREFIX = "instance/";
-  private static final String TEAM_PREFIX = "team/";
+  static final String TEAM_PREFIX = "team/";
   private static final String GRANTED = "granted";
 
   private SpendingTables() {}
@@ -40,21 +41,35 @@
   }
 
   /**
-   * All rows as they were read at one moment.
+   * All rows as they are known.
    *
    * @param byKey the rows by key
    * @param instances the instances' rows, by key
+   * @param wholeAtStoreMs when the rows of all instances were read, by the store's clock
    */
-  record Contents(Map<RowKey, Row> byKey, Map<RowKey, InstanceSpending> instances) {
+  record Contents(
+      Map<RowKey, Row> byKey, Map<RowKey, InstanceSpending> instances, long wholeAtStoreMs) {
 
-    static Contents of(List<Row> rows) {
+    static final Contents EMPTY = new Contents(Map.of(), Map.of(), 0);
+
+    static Contents of(List<Row> rows, long wholeAtStoreMs) {
       Map<RowKey, Row> byKey =
           rows.stream().collect(Collectors.toMap(Row::key, Function.identity()));
       Map<RowKey, InstanceSpending> instances =
           rows.stream()
               .filter(row -> row.key().key().startsWith(INSTANCE_PREFIX))
               .collect(Collectors.toMap(Row::key, row -> InstanceSpending.read(row.cells())));
-      return new Contents(byKey, instances);
+      return new Contents(byKey, instances, wholeAtStoreMs);
+    }
+
+    /** Takes newer rows in place of those that are known; the others stay as they are. */
+    Contents withNewer(List<Row> rows) {
+      Contents newer = of(rows, wholeAtStoreMs);
+      Map<RowKey, Row> allRows = new HashMap<>(byKey);
+      allRows.putAll(newer.byKey());
+      Map<RowKey, InstanceSpending> allInstances = new HashMap<>(instances);
+      allInstances.putAll(newer.instances());
+      return new Contents(allRows, allInstances, wholeAtStoreMs);
     }
 
     Row row(RowKey key) {
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingControllerTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingControllerTest.java
@@ -75,7 +75,7 @@
 
   private long spentInTable() {
     var rows = world.table.scan(SpendingTables.TABLE, "", "", SpendingTables.MAX_ROWS).join();
-    return SpendingTables.Contents.of(rows).spentTokens(SpendingWorld.TEAM);
+    return SpendingTables.Contents.of(rows, 0).spentTokens(SpendingWorld.TEAM);
   }
 
   // One instance has spent all that it held when the table goes away; the other holds enough. The
@@ -135,7 +135,7 @@
 
     var rows = world.table.scan(SpendingTables.TABLE, "", "", SpendingTables.MAX_ROWS).join();
     InstanceSpending row =
-        SpendingTables.Contents.of(rows).instance(SpendingTables.instanceKey("ankara-1"));
+        SpendingTables.Contents.of(rows, 0).instance(SpendingTables.instanceKey("ankara-1"));
     long counted = row.closedAt(world.timers.nowMs()).grantOf(SpendingWorld.TEAM).spentTokens();
     assertThat(world.spentTokens()).isAtLeast(3_000);
     assertThat(counted).isAtLeast(world.spentTokens());
@@ -153,7 +153,7 @@
 
     var rows = world.table.scan(SpendingTables.TABLE, "", "", SpendingTables.MAX_ROWS).join();
     SpendingGrant left =
-        SpendingTables.Contents.of(rows)
+        SpendingTables.Contents.of(rows, 0)
             .instance(SpendingTables.instanceKey("ankara-1"))
             .grantOf(SpendingWorld.TEAM);
     assertThat(left.spentTokens()).isEqualTo(400);
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingOfManyInstancesTest.java
@@ -0,0 +1,91 @@
+package io.mothrill.core.forward.spending;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Seventy instances draw on one budget: the load on the table must grow with their number, not with
+ * its square.
+ */
+class SpendingOfManyInstancesTest {
+
+  private static final int INSTANCES = 70;
+
+  /** All instances start within this time of each other, as a whole fleet does. */
+  private static final int START_SPREAD_MS = 300;
+
+  private static final long SETTLED_MS = 15_000;
+  private static final long MEASURED_S = 20;
+  private static final long TOKENS = 1_000;
+
+  private final SpendingWorld world = new SpendingWorld(70_000_000, 11);
+
+  private List<SpendingWorld.Member> startAll() {
+    List<SpendingWorld.Member> members =
+        IntStream.range(0, INSTANCES)
+            .mapToObj(
+                number -> {
+                  world.timers.advanceMs(START_SPREAD_MS / INSTANCES);
+                  return world.start("konya-" + number);
+                })
+            .toList();
+    world.timers.advanceMs(SETTLED_MS);
+    return members;
+  }
+
+  /** Each instance is asked for a thousand tokens a second, at a moment of its own. */
+  private void spendOneSecond(List<SpendingWorld.Member> members) {
+    for (SpendingWorld.Member member : members) {
+      world.timers.advanceMs(1_000 / INSTANCES);
+      member.tryReserve(TOKENS);
+    }
+  }
+
+  // Each renewal that read the rows of all instances would cost 70 rows; the links of small
+  // instances would be busy with little else.
+  @Test
+  void renewalReadsFewRowsOfOthers() {
+    List<SpendingWorld.Member> members = startAll();
+    long before = world.rowsRead();
+
+    for (int second = 0; second < MEASURED_S; second++) {
+      spendOneSecond(members);
+    }
+
+    long rowsPerInstanceAndSecond = (world.rowsRead() - before) / (INSTANCES * MEASURED_S);
+    assertThat(rowsPerInstanceAndSecond).isAtMost(15);
+  }
+
+  // All instances follow the shares of a budget that is being spent. If all of them changed the
+  // team's row each second, most of their writes would meet a conflict.
+  @Test
+  void fewWritesMeetConflicts() {
+    List<SpendingWorld.Member> members = startAll();
+    long writesBefore = world.writeCount();
+    long conflictsBefore = world.conflictCount();
+
+    for (int second = 0; second < MEASURED_S; second++) {
+      spendOneSecond(members);
+    }
+
+    long writes = world.writeCount() - writesBefore;
+    long conflicts = world.conflictCount() - conflictsBefore;
+    assertThat(conflicts).isAtMost(writes / 5);
+  }
+
+  @Test
+  void everyInstanceIsServed() {
+    List<SpendingWorld.Member> members = startAll();
+
+    for (int second = 0; second < MEASURED_S; second++) {
+      spendOneSecond(members);
+    }
+    world.timers.advanceMs(1_000);
+
+    assertThat(world.spentTokens()).isAtLeast(INSTANCES * MEASURED_S * TOKENS * 98 / 100);
+    assertThat(world.spentTokens()).isAtMost(world.prepaidTokens());
+  }
+}
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingWorld.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingWorld.java
@@ -41,6 +41,9 @@
   private final Map<String, Member> members = new HashMap<>();
   private long prepaidTokens;
   private long spentTokens;
+  private long rowsRead;
+  private long writeCount;
+  private long conflictCount;
 
   SpendingWorld(long prepaidTokens, long seed) {
     this.random = new Random(seed);
@@ -68,6 +71,32 @@
     return spentTokens;
   }
 
+  /** Rows that were read by all instances so far. */
+  long rowsRead() {
+    return rowsRead;
+  }
+
+  /** Transactions that were sent so far, those that met a conflict too. */
+  long writeCount() {
+    return writeCount;
+  }
+
+  /** Transactions that were not written as another instance had changed a row. */
+  long conflictCount() {
+    return conflictCount;
+  }
+
+  private List<Row> count(List<Row> rows) {
+    rowsRead += rows.size();
+    return rows;
+  }
+
+  private boolean count(boolean written) {
+    writeCount++;
+    conflictCount += written ? 0 : 1;
+    return written;
+  }
+
   Member start(String id) {
     Member member = new Member(id);
     members.put(id, member);
@@ -205,19 +234,19 @@
 
     @Override
     public CompletableFuture<List<Row>> read(List<RowKey> keys) {
-      return call(0, () -> table.read(keys).join());
+      return call(0, () -> count(table.read(keys).join()));
     }
 
     @Override
     public CompletableFuture<List<Row>> scan(
         String name, String prefix, String afterKey, int limit) {
-      return call(0, () -> table.scan(name, prefix, afterKey, limit).join());
+      return call(0, () -> count(table.scan(name, prefix, afterKey, limit).join()));
     }
 
     @Override
     public CompletableFuture<Boolean> write(Transaction transaction) {
       long lateMs = member.writesLate ? random.nextLong(MAX_LATE_MS) : 0;
-      return call(lateMs, () -> table.write(transaction).join());
+      return call(lateMs, () -> count(table.write(transaction).join()));
     }
 
     /** A late effect takes place even if its sender is dead by then, and is not answered. */
