Ready only once the upstreams are known

Cause: an instance said that it was ready as soon as it had plan and tokens. The list of upstreams is read beside them, and when it came last, first callers heard that no upstream was there. Seen as a 503 in ForwardingTest once renewals had become faster. Change: the probe says 'no upstreams yet' until a list was read; an empty one counts. Test: StartingTest failed before with a 200 of the probe. Conclusion: callers are sent to an instance only when it can serve them.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamList.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamList.java
@@ -39,6 +39,15 @@
     return EMPTY;
   }
 
+  /**
+   * Says whether a list was ever read.
+   *
+   * @return false for {@link #empty()} only; a list that was read may have no upstreams
+   */
+  public boolean isKnown() {
+    return this != EMPTY;
+  }
+
   /**
    * Lists the upstreams of a service that take new requests.
    *
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -178,6 +178,9 @@
     if (!plan.read().isKnown()) {
       return "no plan yet";
     }
+    if (!upstreams.read().isKnown()) {
+      return "no upstreams yet";
+    }
     boolean mayWait = timers.nowMs() - startedMs < FIRST_ROW_MS;
     return mayWait && !spending.hasRow() ? "no tokens yet" : "";
   }
