Notices of prompts: the more instances, the longer the prompts that are told

Cause: every prompt of 1,500 tokens was told to all others. With 68 instances and 380 such prompts a second that is 25,000 datagrams a second, 370 for each instance to read (computed from the figures of the deployment). Change: a prompt is told if it has 100 tokens for each instance that hears of it, 1,500 at least; nothing changes with up to 15 instances. Conclusion: at 68 instances only prompts that hold an upstream up for 80 ms and more are told.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
@@ -24,6 +24,16 @@
   /** Shorter prompts are read before the notice could change a choice. */
   private static final long MIN_TOKENS = 1_500;
 
+  /**
+   * Tokens of a prompt for each instance that is told of it.
+   *
+   * <p>Failure: every instance tells all others of every prompt. Symptom: the datagrams grow with
+   * the square of the fleet, and small instances do little else. A prompt that holds an upstream up
+   * for longer is worth more of them: with seventy instances those of 7,000 tokens and more are
+   * told, about 50 to 90 ms of an upstream's time.
+   */
+  private static final long TOKENS_PER_TOLD = 100;
+
   /**
    * Most instances that get a notice. With more, each would spend more on notices than a long
    * prompt costs; those told are a few after this one in the order of their names.
@@ -61,7 +71,8 @@
 
   @Override
   public void announce(String upstreamId, long unreadTokens) {
-    if (unreadTokens < MIN_TOKENS) {
+    List<InstanceRecord> told = others.get().stream().limit(MAX_TOLD).toList();
+    if (unreadTokens < Math.max(MIN_TOKENS, TOKENS_PER_TOLD * told.size())) {
       return;
     }
     byte[] notice =
@@ -70,8 +81,7 @@
             .setUnreadTokens(unreadTokens)
             .build()
             .toByteArray();
-    others.get().stream()
-        .limit(MAX_TOLD)
+    told.stream()
         .map(peer -> new InetSocketAddress(peer.host(), peer.peerPort()))
         .forEach(to -> channel.write(new DatagramPacket(Unpooled.wrappedBuffer(notice), to)));
     channel.flush();
