--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -135,6 +135,27 @@
     return rows.isTakenOver();
   }
 
+  /**
+   * Says how old the own row is.
+   *
+   * @return milliseconds since it was last renewed; very many when it never was
+   */
+  public long sinceRenewalMs() {
+    return timers.nowMs() - renewedMs;
+  }
+
+  /**
+   * Gives what is held of a team's budget here and not spent yet.
+   *
+   * @param team the team
+   * @return tokens, some of which may open only later
+   */
+  public long heldTokens(String team) {
+    return rows.find(team)
+        .map(spending -> spending.limitTokens() - spending.spentTokens())
+        .orElse(0L);
+  }
+
   /**
    * Lists the other instances that have renewed their rows lately.
    *
@@ -201,7 +222,7 @@
   }
 
   private boolean isInTouch() {
-    return timers.nowMs() - renewedMs < IN_TOUCH_MS;
+    return sinceRenewalMs() < IN_TOUCH_MS;
   }
 
   /** Renews at once, or a little after the last renewal, together with whoever asks meanwhile. */
@@ -249,7 +270,7 @@
   }
 
   private SpendingException refusal(TeamPlan team, TeamSpending spending, long tokens) {
-    long sinceRenewalMs = timers.nowMs() - renewedMs;
+    long sinceRenewalMs = sinceRenewalMs();
     if (sinceRenewalMs < RENEW_MS + URGENT_PAUSE_MS) {
       long left = rows.leftTokens(team, spending);
       return left < tokens && reader.sinceWholeReadMs() < EVIDENCE_MS
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/StateFollower.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/StateFollower.java
@@ -26,6 +26,8 @@
   private final ViewSettings settings;
   private OptionalLong lostMs = OptionalLong.empty();
   private long regainedMs = Long.MIN_VALUE / 2;
+  private volatile long planReadMs;
+  private volatile long upstreamsReadMs;
 
   /**
    * Creates the follower and reads at once.
@@ -47,6 +49,8 @@
     this.upstreams = upstreams;
     this.timers = timers;
     this.settings = settings;
+    this.planReadMs = timers.nowMs();
+    this.upstreamsReadMs = planReadMs;
     readPlan();
     readUpstreams();
   }
@@ -54,7 +58,11 @@
   private void readPlan() {
     state
         .readPlan()
-        .thenAccept(read -> read.ifPresent(this::takePlan))
+        .thenAccept(
+            read -> {
+              read.ifPresent(this::takePlan);
+              planReadMs = timers.nowMs();
+            })
         .whenComplete(
             (nothing, error) -> {
               noteContact(error);
@@ -91,6 +99,25 @@
   private synchronized void takeUpstreams(UpstreamList read) {
     boolean returning = wasAway() || timers.nowMs() - regainedMs < settings.returnMs();
     upstreams.update(before -> returning ? read.keeping(before) : read);
+    upstreamsReadMs = timers.nowMs();
+  }
+
+  /**
+   * Says how old the view of the plan is.
+   *
+   * @return milliseconds since it was last read, or since the start
+   */
+  public long planAgeMs() {
+    return timers.nowMs() - planReadMs;
+  }
+
+  /**
+   * Says how old the view of the upstreams is.
+   *
+   * @return milliseconds since they were last read, or since the start
+   */
+  public long upstreamsAgeMs() {
+    return timers.nowMs() - upstreamsReadMs;
   }
 
   private boolean wasAway() {
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/Mothrill.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/Mothrill.java
@@ -10,6 +10,7 @@
 import io.mothrill.daemon.cli.ServeCommand;
 import io.mothrill.daemon.cli.TeamKeyCommand;
 import io.mothrill.daemon.cli.WatchCommand;
+import io.mothrill.daemon.explain.ExplainCommand;
 import java.util.Map;
 import java.util.function.Supplier;
 
@@ -18,14 +19,24 @@
 
   private static final Map<String, Supplier<Command>> COMMANDS =
       Map.of(
-          "serve", ServeCommand::new,
-          "check-settings", CheckSettingsCommand::new,
-          "team-key", TeamKeyCommand::new,
-          "apply", ApplyCommand::new,
-          "get", GetCommand::new,
-          "watch", WatchCommand::new,
-          "delete", DeleteCommand::new,
-          "audit", AuditCommand::new);
+          "serve",
+          ServeCommand::new,
+          "check-settings",
+          CheckSettingsCommand::new,
+          "explain",
+          ExplainCommand::new,
+          "team-key",
+          TeamKeyCommand::new,
+          "apply",
+          ApplyCommand::new,
+          "get",
+          GetCommand::new,
+          "watch",
+          WatchCommand::new,
+          "delete",
+          DeleteCommand::new,
+          "audit",
+          AuditCommand::new);
 
   private Mothrill() {}
 
--- /dev/null
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/explain/LogLine.java
@@ -0,0 +1,50 @@
+package io.mothrill.daemon.explain;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
+import java.util.Optional;
+
+/**
+ * One line of an instance's log.
+ *
+ * @param source the file that it stands in, which is one instance's log
+ * @param at when it was written, by the instance's time of day
+ * @param fields all its fields
+ */
+record LogLine(String source, Instant at, JsonNode fields) {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  /** Reads a line; empty when it is not one of mothrill's. */
+  static Optional<LogLine> parse(String source, String text) {
+    try {
+      JsonNode fields = MAPPER.readTree(text);
+      return Optional.of(new LogLine(source, Instant.parse(fields.path("time").asText()), fields));
+    } catch (IOException | DateTimeParseException ex) {
+      return Optional.empty();
+    }
+  }
+
+  boolean isEvent(String event) {
+    return text("event").equals(event);
+  }
+
+  boolean isRequest(String id) {
+    return isEvent("request") && text("id").equals(id);
+  }
+
+  boolean says(String beginning) {
+    return text("message").startsWith(beginning);
+  }
+
+  String text(String field) {
+    return fields.path(field).asText();
+  }
+
+  long number(String field) {
+    return fields.path(field).asLong();
+  }
+}
--- /dev/null
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/explain/package-info.java
@@ -0,0 +1,2 @@
+/** Tells from the logs alone what became of a request and why. */
+package io.mothrill.daemon.explain;
--- /dev/null
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -0,0 +1,54 @@
+package io.mothrill.daemon.forward;
+
+import com.codahale.metrics.MetricRegistry;
+import io.mothrill.core.board.Section;
+import io.mothrill.core.forward.plan.ForwardingPlan;
+import io.mothrill.core.forward.plan.TeamPlan;
+import io.mothrill.core.forward.spending.SpendingController;
+import io.mothrill.core.forward.upstream.UpstreamList;
+import io.mothrill.core.forward.view.StateFollower;
+import io.mothrill.daemon.log.JsonLinesWriter;
+import io.mothrill.wire.forward.ForwardEdge;
+
+/** Shows the state of an instance among its metrics: what it believes, and how old that is. */
+final class ForwardGauges {
+
+  private final MetricRegistry metrics;
+
+  ForwardGauges(MetricRegistry metrics) {
+    this.metrics = metrics;
+  }
+
+  void showView(
+      Section<ForwardingPlan> plan, Section<UpstreamList> upstreams, StateFollower follower) {
+    metrics.gauge("view.planVersion", () -> () -> plan.read().version());
+    metrics.gauge("view.planAgeMs", () -> follower::planAgeMs);
+    metrics.gauge("view.upstreamCount", () -> () -> upstreams.read().all().size());
+    metrics.gauge("view.upstreamsAgeMs", () -> follower::upstreamsAgeMs);
+  }
+
+  void showEdge(ForwardEdge edge) {
+    metrics.gauge("edge.underWayCount", () -> edge::underWayCount);
+    metrics.gauge("edge.connectionCount", () -> edge::connectionCount);
+  }
+
+  /** Shows what is held of each team's budget, also of teams that come later. */
+  void showSpending(Section<ForwardingPlan> plan, SpendingController spending) {
+    metrics.gauge("spending.instanceCount", () -> spending::instanceCount);
+    metrics.gauge("spending.renewalAgeMs", () -> spending::sinceRenewalMs);
+    plan.subscribe(
+        newest ->
+            newest.teams().stream()
+                .filter(team -> team.prepaidTokens().isPresent())
+                .map(TeamPlan::name)
+                .forEach(team -> showTeam(team, spending)));
+  }
+
+  private void showTeam(String team, SpendingController spending) {
+    metrics.gauge("spending.heldTokens." + team, () -> () -> spending.heldTokens(team));
+  }
+
+  void showLog() {
+    metrics.gauge("log.droppedCount", () -> JsonLinesWriter::droppedCount);
+  }
+}
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -156,7 +156,13 @@
             settings.probes().host(),
             settings.metricsPort(),
             new ProbeService(this::unreadyReason, metrics));
-    var unused = new StateFollower(ports.state(), plan, upstreams, timers, settings.view());
+    ForwardGauges gauges = new ForwardGauges(metrics);
+    gauges.showEdge(edge);
+    gauges.showSpending(plan, spending);
+    gauges.showLog();
+    StateFollower follower =
+        new StateFollower(ports.state(), plan, upstreams, timers, settings.view());
+    gauges.showView(plan, upstreams, follower);
   }
 
   private static NettyPeers newPeers(
@@ -239,6 +245,15 @@
     return probeServer.port();
   }
 
+  /**
+   * Gives the port for metrics.
+   *
+   * @return a TCP port
+   */
+  public int metricsPort() {
+    return metricsServer.port();
+  }
+
   /** Closes all sockets at once. */
   public void close() {
     edge.close();
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/StoryLog.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/StoryLog.java
@@ -36,6 +36,13 @@
   @Override
   public void onEnded(Story story) {
     metrics.counter("forward." + story.outcome()).inc();
+    metrics.histogram("forward.paidMs").update(story.paidMs());
+    if (story.offers().size() > 1) {
+      metrics.counter("forward.offeredAgain").inc(story.offers().size() - 1);
+    }
+    if (story.isLate()) {
+      metrics.counter("forward.late").inc();
+    }
     if (story.firstMs() >= 0) {
       metrics.histogram("forward.firstMs").update(story.firstMs());
     }
--- /dev/null
+++ b/mothrill-daemon/src/test/java/io/mothrill/daemon/explain/ExplanationTest.java
@@ -0,0 +1,71 @@
+package io.mothrill.daemon.explain;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class ExplanationTest {
+
+  private static final String LOST =
+      "{\"time\":\"2026-05-01T10:00:00Z\",\"level\":\"WARN\",\"message\":\"store lost: timeout\"}";
+  private static final String REGAINED =
+      "{\"time\":\"2026-05-01T10:00:09Z\",\"level\":\"INFO\",\"message\":\"store regained\"}";
+  private static final String REFUSED =
+      "{\"time\":\"2026-05-01T10:00:05Z\",\"level\":\"INFO\",\"event\":\"request\",\"id\":\"a1\","
+          + "\"outcome\":\"tokens_elsewhere\",\"status\":503,\"reason\":\"spent 5 of 6\","
+          + "\"route\":\"r1\",\"team\":\"branch\",\"paidMs\":250,\"tookMs\":260,\"plan\":7}";
+  private static final String LATE =
+      "{\"time\":\"2026-05-01T10:00:20Z\",\"level\":\"INFO\",\"event\":\"request\",\"id\":\"a2\","
+          + "\"outcome\":\"served_late\",\"status\":200,\"route\":\"r1\",\"team\":\"branch\","
+          + "\"offers\":\"i-1 at 0 ms, under way 9 of 12, unread 30000: served\","
+          + "\"firstMs\":900,\"aimMs\":400,\"tookMs\":1400,\"plan\":7}";
+
+  @TempDir private Path folder;
+
+  private List<String> explain(String id, String... lines) throws IOException {
+    Path log = folder.resolve("edge-1.log");
+    Files.write(log, List.of(lines));
+    return new Explanation(LogBook.read(List.of(log))).of(id);
+  }
+
+  // The caller heard 503 for lack of tokens. The log shows that the instance had been cut off from
+  // the store for five seconds by then, which is why tokens could not be moved there.
+  @Test
+  void tellsThatTheInstanceWasOutOfReachOfTheStore() throws IOException {
+    String story = String.join("\n", explain("a1", REGAINED, REFUSED, LOST));
+
+    assertThat(story).contains("a1 at edge-1.log: tokens_elsewhere, status 503 after 260 ms");
+    assertThat(story).contains("reason given: spent 5 of 6");
+    assertThat(story).contains("out of reach of the store (5000 ms before its end)");
+  }
+
+  @Test
+  void tellsWhatWaitedAtTheUpstreamOfLateRequest() throws IOException {
+    String story = String.join("\n", explain("a2", LOST, REGAINED, LATE));
+
+    assertThat(story).contains("offered to i-1 at 0 ms, under way 9 of 12, unread 30000: served");
+    assertThat(story).contains("first byte after 900 ms");
+    assertThat(story).doesNotContain("out of reach");
+  }
+
+  @Test
+  void hasNoStoryOfRequestThatNoLineIsAbout() throws IOException {
+    assertThat(explain("a3", LOST, REFUSED)).isEmpty();
+  }
+
+  @Test
+  void countsLinesOfOthers() throws IOException {
+    Path log = folder.resolve("mixed.log");
+    Files.write(log, List.of("warning: something else", "", LOST));
+
+    LogBook book = LogBook.read(List.of(log));
+
+    assertThat(book.unreadableCount()).isEqualTo(1);
+    assertThat(book.lines()).hasSize(1);
+  }
+}
