Budgets and retries of many instances: pieces, first requests, saved-up sends

(1) An instance that no caller of a team had met held a twentieth of its share near, and nothing opened in a cut. (2) Shares are two or three requests; all but 8 in 100 lay in such pieces. (3) In a cut all asked the same two lenders. (4) The part of each instance in the shared retries was below one send, so none was ever made: each 421 of a replaced upstream became a refusal.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/retry/SharedRetryBudget.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/retry/SharedRetryBudget.java
@@ -68,20 +68,46 @@
     return known == 0 ? 0 : bounds.extraCount() / (2 * known * (1 + UNSEEN_SHARE));
   }
 
+  /**
+   * Gives the most that may be spent at once.
+   *
+   * <p>Failure: with many instances the part of each is less than one send. Symptom: no instance
+   * ever sends again, though all together may. As long as one send of each stays below half of what
+   * is allowed besides, each may save up for one; with more instances only what requests earn is
+   * spent.
+   */
+  private double most() {
+    double capacity = capacity();
+    int known = instanceCount.getAsInt();
+    boolean mayHaveOne = known > 0 && known <= bounds.extraCount() / 2;
+    return capacity >= 1 || !mayHaveOne ? Math.floor(capacity) : 1;
+  }
+
   private final class Bucket {
     private double spent;
     private double earned;
     private long countedMs;
+    private long earnedMs;
 
     Bucket(long nowMs) {
       this.countedMs = nowMs;
+      this.earnedMs = nowMs;
     }
 
     synchronized void earn(double amount) {
-      earned = Math.min(capacity() + amount, earned + amount);
+      fadeEarned();
+      earned = Math.min(Math.max(1, capacity()) + amount, earned + amount);
+    }
+
+    /** What requests have earned counts for one window, as it does in the bound. */
+    private void fadeEarned() {
+      long nowMs = timers.nowMs();
+      earned *= Math.max(0, 1 - (nowMs - earnedMs) / (double) bounds.windowMs());
+      earnedMs = nowMs;
     }
 
     synchronized boolean tryTake() {
+      fadeEarned();
       long nowMs = timers.nowMs();
       double capacity = capacity();
       double refill = capacity * (nowMs - countedMs) / bounds.windowMs();
@@ -91,7 +117,7 @@
         earned -= 1;
         return true;
       }
-      if (spent + 1 > capacity) {
+      if (spent + 1 > most()) {
         return false;
       }
       spent += 1;
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
@@ -9,8 +9,12 @@
   /** Requests of the usual size that fit into what is near, so that few need a renewal. */
   private static final double NEAR_REQUESTS = 1;
 
-  /** Part of the holding that is near before the first request has shown a usual size. */
-  private static final int FIRST_NEAR_DIVISOR = 20;
+  /**
+   * Usual size of a request before the first one has shown it: a long prompt with its output. Were
+   * less near, an instance that no caller of the team has met yet could not serve the first one
+   * while the store is away.
+   */
+  private static final long FIRST_TYPICAL_TOKENS = 16_000;
 
   /**
    * At first the bound opens a little faster than tokens are spent on average: a crash of all
@@ -104,17 +108,13 @@
   }
 
   private static SpendingGrant shape(Situation situation, long spentTokens, long holding) {
-    double usualNear =
-        situation.typicalTokens() == 0
-            ? holding / (double) FIRST_NEAR_DIVISOR
-            : Math.max(
-                NEAR_S * situation.averageTokensPerS(), NEAR_REQUESTS * situation.typicalTokens());
+    long typical =
+        situation.typicalTokens() == 0 ? FIRST_TYPICAL_TOKENS : situation.typicalTokens();
+    double usualNear = Math.max(NEAR_S * situation.averageTokensPerS(), NEAR_REQUESTS * typical);
     long wantedNear = Math.round(usualNear) + situation.wantedTokens();
     double demand = situation.demandTokensPerS();
     double open =
-        Math.max(
-            OPEN_REQUESTS_PER_S * situation.typicalTokens(),
-            OPEN_BY_DEMAND * situation.averageTokensPerS());
+        Math.max(OPEN_REQUESTS_PER_S * typical, OPEN_BY_DEMAND * situation.averageTokensPerS());
     double later = Math.max(LATER_BY_DEMAND * demand, holding / OPEN_WITHIN_S);
     return new SpendingGrant(
         spentTokens,
@@ -143,7 +143,7 @@
    * are followed in turn, of which instances have fewer the more of them there are.
    */
   private static boolean mayStay(Situation situation, long held, long target) {
-    if (situation.isOvergranted()) {
+    if (situation.isOvergranted() || target == 0) {
       return false;
     }
     boolean close = Math.abs(target - held) <= TOLERANCE * held + TOLERANCE_TOKENS;
@@ -161,6 +161,7 @@
             situation.leftTokens(spentTokens),
             situation.demandTokensPerS(),
             situation.allDemandTokensPerS(),
-            situation.othersCount() + 1));
+            situation.othersCount() + 1,
+            situation.typicalTokens()));
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SharePolicy.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SharePolicy.java
@@ -10,9 +10,14 @@
    * @param ownDemandTokensPerS how fast this instance spends
    * @param allDemandTokensPerS how fast all instances in touch spend, this one included
    * @param instanceCount the instances in touch, this one included
+   * @param typicalTokens the usual size of a request; 0 before the first one
    */
   record Situation(
-      long leftTokens, long ownDemandTokensPerS, long allDemandTokensPerS, int instanceCount) {}
+      long leftTokens,
+      long ownDemandTokensPerS,
+      long allDemandTokensPerS,
+      int instanceCount,
+      long typicalTokens) {}
 
   /**
    * Decides.
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
@@ -30,7 +30,7 @@
   private static final long ANSWER_MS = 150;
 
   /** Peers that are asked for one request, one after the other. */
-  private static final int MAX_ASKED = 2;
+  private static final int MAX_ASKED = 3;
 
   /** Pause after a team found no lender, so that a spent budget costs no messages. */
   private static final long NO_LENDER_PAUSE_MS = 500;
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
@@ -36,9 +36,9 @@
 
   /**
    * Instances that may follow small changes of their shares in one second, on average. Each changes
-   * the rows of most teams, which takes about 15 ms from reading to writing, so six rarely meet.
+   * the rows of most teams, which takes 15 to 25 ms from reading to writing, so few of them meet.
    */
-  private static final double TURNS_PER_S = 6;
+  private static final double TURNS_PER_S = 12;
 
   private final InstanceRecord self;
   private final RowKey ownKey;
@@ -101,7 +101,7 @@
 
   /** Lists whom to ask for a loan. */
   List<InstanceRecord> lenders(String team) {
-    return contents.lenders(ownKey, team);
+    return contents.lenders(ownKey, team, random);
   }
 
   /** Asks for tokens in the next row. */
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingTables.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingTables.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -86,16 +87,26 @@
           .map(Map.Entry::getValue);
     }
 
-    /** Lists the other instances that can be reached, those that hold most of a team first. */
-    List<InstanceRecord> lenders(RowKey ownKey, String team) {
-      Comparator<Map.Entry<RowKey, InstanceSpending>> byHolding =
-          Comparator.comparingLong(entry -> entry.getValue().grantOf(team).holdingTokens());
+    /**
+     * Lists the other instances that can be reached, those that hold much of a team first.
+     *
+     * <p>Chance has a part in the order: many instances that lack tokens at the same time would ask
+     * the same one otherwise, and find it empty.
+     */
+    List<InstanceRecord> lenders(RowKey ownKey, String team, RandomGenerator random) {
+      record Lender(InstanceRecord instance, double rank) {}
+
       return instances.entrySet().stream()
           .filter(entry -> !entry.getKey().equals(ownKey))
           .filter(entry -> !entry.getValue().host().isEmpty())
           .filter(entry -> entry.getValue().grantOf(team).holdingTokens() > 0)
-          .sorted(byHolding.reversed())
-          .map(entry -> record(entry.getKey(), entry.getValue()))
+          .map(
+              entry ->
+                  new Lender(
+                      record(entry.getKey(), entry.getValue()),
+                      entry.getValue().grantOf(team).holdingTokens() * random.nextDouble(0.5, 1)))
+          .sorted(Comparator.comparingDouble(Lender::rank).reversed())
+          .map(Lender::instance)
           .toList();
     }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamSpending.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamSpending.java
@@ -62,7 +62,8 @@
     long after = spentTokens.addAndGet(tokens);
     if (after <= boundTokens()) {
       usedSinceTickTokens.addAndGet(tokens);
-      typicalTokens += NEWEST_WEIGHT * (tokens - typicalTokens);
+      double weight = typicalTokens == 0 ? 1 : NEWEST_WEIGHT;
+      typicalTokens += weight * (tokens - typicalTokens);
       return true;
     }
     spentTokens.addAndGet(-tokens);
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/retry/SharedRetryBudgetTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/retry/SharedRetryBudgetTest.java
@@ -11,6 +11,7 @@
 class SharedRetryBudgetTest {
 
   private static final RetryBounds BOUNDS = new RetryBounds(0.2, 52, 10_000);
+  private static final RetryBounds MANY = new RetryBounds(0.2, 176, 10_000);
   private static final String SERVICE = "sira";
 
   private final ManualTimers timers = new ManualTimers();
@@ -47,6 +48,48 @@
     assertThat((double) taken).isAtMost(BOUNDS.share() * requests + BOUNDS.extraCount());
   }
 
+  // With seventy instances the part of each is less than one send. A caller whose request met an
+  // upstream that had just been replaced must not be refused for that.
+  @Test
+  void oneOfManyInstancesMaySendAgain() {
+    SharedRetryBudget budget = new SharedRetryBudget(MANY, () -> 70, timers);
+
+    assertThat(takeAll(budget)).isEqualTo(1);
+  }
+
+  // Pattern: seventy instances with seven requests a second each, and all upstreams fail for as
+  // long as the calm before had let the instances save up.
+  @Test
+  void manyInstancesTogetherStayBelowTheBound() {
+    List<SharedRetryBudget> budgets =
+        IntStream.range(0, 70)
+            .mapToObj(index -> new SharedRetryBudget(MANY, () -> 70, timers))
+            .toList();
+    for (int step = 0; step < 70; step++) {
+      budgets.forEach(budget -> budget.onRequest(SERVICE));
+      timers.advanceMs(MANY.windowMs() / 70);
+    }
+    int taken = 0;
+    for (int step = 0; step < 70; step++) {
+      for (SharedRetryBudget budget : budgets) {
+        budget.onRequest(SERVICE);
+        taken += takeAll(budget);
+      }
+      timers.advanceMs(MANY.windowMs() / 70);
+    }
+    assertThat((double) taken).isAtMost(MANY.share() * 70 * 70 + MANY.extraCount());
+  }
+
+  // With more instances than sends are allowed besides, only what requests earn may be spent.
+  @Test
+  void thousandsOfInstancesSpendOnlyWhatRequestsEarn() {
+    SharedRetryBudget budget = new SharedRetryBudget(MANY, () -> 1_700, timers);
+
+    assertThat(takeAll(budget)).isEqualTo(0);
+    IntStream.range(0, 15).forEach(request -> budget.onRequest(SERVICE));
+    assertThat(takeAll(budget)).isEqualTo(1);
+  }
+
   @Test
   void nothingIsSentAgainWhileOthersAreUnknown() {
     assertThat(takeAll(budget(0))).isEqualTo(0);
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingControllerTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingControllerTest.java
@@ -116,6 +116,29 @@
     assertThat(first.lastRefusal).contains("at hand");
   }
 
+  // Nearly all is spent, and what is left lies in two places, each with less than a request needs.
+  // A caller whose request fits into both together must not hear that it should come back for ever.
+  @Test
+  void servesRequestFromTheLastTokensOfSeveralInstances() {
+    world.timers.advanceMs(SETTLED_MS);
+    while (world.spentTokens() < 110_000) {
+      first.tryReserve(4_000);
+      second.tryReserve(4_000);
+      world.timers.advanceMs(200);
+    }
+    second.tryReserve(2_000);
+    world.timers.advanceMs(200);
+    long left = world.prepaidTokens() - world.spentTokens();
+    world.timers.advanceMs(3_000);
+    long before = world.spentTokens();
+
+    first.tryReserve(left);
+    world.timers.advanceMs(2_000);
+
+    assertThat(world.spentTokens()).isEqualTo(before + left);
+    assertThat(world.spentTokens()).isEqualTo(world.prepaidTokens());
+  }
+
   // A renewal takes effect but its answer is lost, and then the table goes away. The instance
   // spends
   // all that it may and dies. Whoever reads the row that is in force must count no less.
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -16,8 +16,11 @@
   /** A full upstream has a free place again about when its next requests end. */
   private static final long FULL_AVOID_MS = 250;
 
-  /** An address that another upstream has taken is gone from the list within seconds. */
-  private static final long STRANGER_AVOID_MS = 3_000;
+  /**
+   * An upstream whose address another one has taken never comes back under its id; it stays in the
+   * list for as long as the list is not read, which may be a long outage of the store.
+   */
+  private static final long STRANGER_AVOID_MS = 60_000;
 
   private static final int MISDIRECTED = 421;
   private static final int FIRST_SERVER_ERROR = 500;
