A request waits for tokens that open within 600 ms

Their callers lost a connection, and came back to an instance that had as little. Change: after no instance could lend, a request waits for the bound if it opens within 600 ms. Test: waitsForTokensThatOpenSoon; failed before.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -44,6 +44,12 @@
    */
   private static final long MAX_WAIT_MS = 250;
 
+  /**
+   * Longest wait for the bound to open after no instance could lend: a caller that is sent away
+   * comes back no earlier, and to an instance that may have as little.
+   */
+  private static final long MAX_OPENING_WAIT_MS = 600;
+
   /** Attempts of one renewal when other instances change the same rows at the same time. */
   private static final int MAX_CONFLICTS = 8;
 
@@ -185,10 +191,7 @@
 
   private CompletableFuture<SpendingReservation> reserveAfterWait(
       TeamPlan team, long tokens, int waits) {
-    long opensInMs =
-        rows.find(team.name())
-            .map(spending -> spending.waitMs(tokens))
-            .orElse(SpendingGrant.NEVER_MS);
+    long opensInMs = opensInMs(team, tokens);
     boolean renewing = !rows.isTakenOver() || isInTouch();
     if (waits == 0 || !renewing && opensInMs > MAX_WAIT_MS) {
       return reserveFromLoan(team, tokens);
@@ -213,8 +216,33 @@
     long wanted = Math.max(BORROW_REQUESTS * tokens, BORROW_S * rows.demandTokensPerS(team.name()));
     return loans
         .borrow(team.name(), tokens, wanted, rows.lenders(team.name()))
-        .thenApply(
-            borrowed -> tryReserve(team.name(), tokens).orElseThrow(() -> refusal(team, tokens)));
+        .thenCompose(
+            borrowed ->
+                tryReserve(team.name(), tokens)
+                    .map(CompletableFuture::completedFuture)
+                    .orElseGet(() -> reserveWhenOpen(team, tokens)));
+  }
+
+  private CompletableFuture<SpendingReservation> reserveWhenOpen(TeamPlan team, long tokens) {
+    long opensInMs = opensInMs(team, tokens);
+    if (opensInMs > MAX_OPENING_WAIT_MS) {
+      return CompletableFuture.failedFuture(refusal(team, tokens));
+    }
+    CompletableFuture<SpendingReservation> reserved = new CompletableFuture<>();
+    timers.after(
+        opensInMs,
+        () ->
+            tryReserve(team.name(), tokens)
+                .ifPresentOrElse(
+                    reserved::complete,
+                    () -> reserved.completeExceptionally(refusal(team, tokens))));
+    return reserved;
+  }
+
+  private long opensInMs(TeamPlan team, long tokens) {
+    return rows.find(team.name())
+        .map(spending -> spending.waitMs(tokens))
+        .orElse(SpendingGrant.NEVER_MS);
   }
 
   private Optional<TeamSpending> findLendable(String team) {
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingControllerTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingControllerTest.java
@@ -96,6 +96,25 @@
     assertThat(world.spentTokens()).isAtMost(world.prepaidTokens());
   }
 
+  // All instances have just lost the table and none can lend. What the request needs opens here
+  // within half a second: its caller is served then, instead of being sent away for as long.
+  @Test
+  void waitsForTokensThatOpenSoon() {
+    world.timers.advanceMs(SETTLED_MS);
+    first.tryReserve(2_000);
+    world.timers.advanceMs(1_000);
+    first.cutFromTable = true;
+    first.cutFromPeers = true;
+    world.timers.advanceMs(1_600);
+    reserveAll(first, 100);
+    long before = world.spentTokens();
+
+    first.tryReserve(250);
+    world.timers.advanceMs(900);
+
+    assertThat(world.spentTokens()).isAtLeast(before + 250);
+  }
+
   @Test
   void saysThatBudgetIsSpentOnlyWhenTheWholeTableShowsIt() {
     world.timers.advanceMs(SETTLED_MS);
