A request larger than its instance's holding gets tokens from the table at once

Cause: with many instances, small changes of shares wait for a turn. And an instance that had just met a team changed its row at once, which made the other instances' writes conflict. Change: what a request wants is always asked for; a holding of two usual requests waits for its turn. Test: requestLargerThanTheHoldingIsServedAtOnce, failed before.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/DemandShares.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/DemandShares.java
@@ -38,9 +38,6 @@
   }
 
   private static double keptBack(Situation situation) {
-    if (situation.typicalTokens() == 0) {
-      return LEAST_KEPT_BACK;
-    }
     double equalShareTokens = situation.leftTokens() / (double) situation.instanceCount();
     double requests = equalShareTokens / situation.typicalTokens();
     return Math.max(LEAST_KEPT_BACK, 1 / (1 + requests));
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
@@ -38,9 +38,12 @@
 
   private static final long TOLERANCE_TOKENS = 2_000;
 
-  /** A holding that is less than this part of its share cannot wait for its turn. */
+  /** A holding that is less than this part of its share cannot wait for its turn, */
   private static final double TOO_LITTLE = 0.3;
 
+  /** unless it covers so many usual requests: the next one can ask for more if it has to. */
+  private static final long ENOUGH_REQUESTS = 2;
+
   private final SharePolicy policy;
 
   GrantShaper(SharePolicy policy) {
@@ -91,6 +94,11 @@
       return othersDemandTokensPerS + demandTokensPerS;
     }
 
+    /** The usual size of a request, or a guess before the first one. */
+    long usualTokens() {
+      return typicalTokens == 0 ? FIRST_TYPICAL_TOKENS : typicalTokens;
+    }
+
     boolean isOvergranted() {
       return grantedTokens > prepaidTokens;
     }
@@ -108,8 +116,7 @@
   }
 
   private static SpendingGrant shape(Situation situation, long spentTokens, long holding) {
-    long typical =
-        situation.typicalTokens() == 0 ? FIRST_TYPICAL_TOKENS : situation.typicalTokens();
+    long typical = situation.usualTokens();
     double usualNear = Math.max(NEAR_S * situation.averageTokensPerS(), NEAR_REQUESTS * typical);
     long wantedNear = Math.round(usualNear) + situation.wantedTokens();
     double demand = situation.demandTokensPerS();
@@ -129,8 +136,8 @@
     long held = held(situation, spentTokens);
     long most = held + situation.freeTokens();
     long target = target(situation, spentTokens);
-    if (situation.wantedTokens() > Math.max(held, target)) {
-      return Math.min(most, situation.wantedTokens());
+    if (situation.wantedTokens() > held) {
+      return Math.min(most, Math.max(target, situation.wantedTokens()));
     }
     return mayStay(situation, held, target) ? held : Math.min(most, target);
   }
@@ -147,7 +154,8 @@
       return false;
     }
     boolean close = Math.abs(target - held) <= TOLERANCE * held + TOLERANCE_TOKENS;
-    boolean enough = held >= TOO_LITTLE * target;
+    boolean enough =
+        held >= TOO_LITTLE * target || held >= ENOUGH_REQUESTS * situation.usualTokens();
     return close || enough && !situation.inTurn();
   }
 
@@ -162,6 +170,6 @@
             situation.demandTokensPerS(),
             situation.allDemandTokensPerS(),
             situation.othersCount() + 1,
-            situation.typicalTokens()));
+            situation.usualTokens()));
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SharePolicy.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SharePolicy.java
@@ -10,7 +10,7 @@
    * @param ownDemandTokensPerS how fast this instance spends
    * @param allDemandTokensPerS how fast all instances in touch spend, this one included
    * @param instanceCount the instances in touch, this one included
-   * @param typicalTokens the usual size of a request; 0 before the first one
+   * @param typicalTokens the usual size of a request, or a guess before the first one
    */
   record Situation(
       long leftTokens,
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingOfManyInstancesTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingOfManyInstancesTest.java
@@ -21,6 +21,12 @@
   private static final long MEASURED_S = 20;
   private static final long TOKENS = 1_000;
 
+  /** As many as what stays in the table can make up for. */
+  private static final int LARGE_REQUESTS = 8;
+
+  /** More than the equal share of each instance, a million. */
+  private static final long LARGE_TOKENS = 1_500_000;
+
   private final SpendingWorld world = new SpendingWorld(70_000_000, 11);
 
   private List<SpendingWorld.Member> startAll() {
@@ -76,6 +82,21 @@
     assertThat(conflicts).isAtMost(writes / 5);
   }
 
+  // A request is larger than what its instance holds, and the table has room. It must not wait for
+  // the turn of its instance, which comes once in six seconds.
+  @Test
+  void requestLargerThanTheHoldingIsServedAtOnce() {
+    List<SpendingWorld.Member> members = startAll();
+    long before = world.spentTokens();
+
+    for (SpendingWorld.Member member : members.subList(0, LARGE_REQUESTS)) {
+      member.tryReserve(LARGE_TOKENS);
+      world.timers.advanceMs(300);
+    }
+
+    assertThat(world.spentTokens()).isEqualTo(before + LARGE_REQUESTS * LARGE_TOKENS);
+  }
+
   @Test
   void everyInstanceIsServed() {
     List<SpendingWorld.Member> members = startAll();
