--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
@@ -8,6 +8,7 @@
 import io.mothrill.core.platform.StoreClock;
 import io.mothrill.core.platform.Transaction;
 import io.mothrill.core.time.Timers;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -75,9 +76,13 @@
    * A row that is about to be sent.
    *
    * @param sent the grants in it, by team
+   * @param wantedTokens what requests wait for and it brings, by team
    * @param transaction writes it, and the rows of teams whose share changes
    */
-  record Proposal(Map<String, TeamSpending.SentGrant> sent, Transaction transaction) {}
+  record Proposal(
+      Map<String, TeamSpending.SentGrant> sent,
+      Map<String, Long> wantedTokens,
+      Transaction transaction) {}
 
   Optional<TeamSpending> find(String team) {
     return Optional.ofNullable(teams.get(team));
@@ -130,19 +135,33 @@
         .filter(team -> team.prepaidTokens().isPresent())
         .forEach(team -> teams.computeIfAbsent(team.name(), name -> new TeamSpending(timers, 0)));
     countDemand();
+    Map<String, Long> wanted = takeWanted();
     boolean inTurn = random.nextDouble() * instanceCount < TURNS_PER_S;
     Map<String, TeamSpending.SentGrant> sent = new TreeMap<>();
     int position = 0;
     for (Map.Entry<String, TeamSpending> entry : new TreeMap<>(teams).entrySet()) {
       boolean mayChange = isTurnOf(position++);
       GrantShaper.Situation situation =
-          situation(entry.getKey(), entry.getValue(), inForce, read, inTurn, leaving);
+          situation(
+              entry.getKey(),
+              entry.getValue(),
+              inForce,
+              read,
+              wanted.getOrDefault(entry.getKey(), 0L),
+              inTurn,
+              leaving);
       sent.put(
           entry.getKey(),
           entry.getValue().propose(spent -> shaper.shape(situation, spent, mayChange)));
     }
     firstChange = teams.isEmpty() ? 0 : (firstChange + MAX_CHANGES) % teams.size();
-    return new Proposal(sent, transaction(read, sent, sentAtStoreMs));
+    return new Proposal(sent, wanted, transaction(read, sent, sentAtStoreMs));
+  }
+
+  private Map<String, Long> takeWanted() {
+    Map<String, Long> wanted = new HashMap<>();
+    wantedTokens.keySet().forEach(team -> wanted.put(team, wantedTokens.remove(team)));
+    return wanted;
   }
 
   private boolean isTurnOf(int position) {
@@ -204,11 +223,11 @@
       TeamSpending spending,
       ForwardingPlan inForce,
       SpendingTables.Contents read,
+      long wanted,
       boolean inTurn,
       boolean leaving) {
     OptionalLong prepaid =
         inForce.findTeam(team).map(TeamPlan::prepaidTokens).orElse(OptionalLong.empty());
-    long wanted = Optional.ofNullable(wantedTokens.remove(team)).orElse(0L);
     return new GrantShaper.Situation(
         prepaid.orElse(0),
         read.grantedTokens(team),
@@ -261,8 +280,15 @@
     proposal.sent().forEach((name, grant) -> teams.get(name).confirm(grant));
   }
 
-  /** Notes that a row was surely not written. */
+  /**
+   * Notes that a row was surely not written.
+   *
+   * <p>Failure: another instance has changed a team's row in between. Symptom: the next attempt no
+   * longer asks for what requests wait for, and they are refused though the table has room. So what
+   * they want is asked for again.
+   */
   void retract(Proposal proposal) {
+    proposal.wantedTokens().forEach(this::want);
     proposal.sent().forEach((name, grant) -> teams.get(name).retract(grant));
   }
 }
