Renewals read teams' rows only if tokens may move; upstreams are polled by the time to leave

Change: a renewal that moves no tokens reads its own row alone (with 68 instances about five in six); upstreams are read three times in the time in which a leaving one may get something new, apart from the plan.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -335,21 +335,22 @@
     if (current != mine) {
       return current;
     }
-    attempt(MAX_CONFLICTS, mine);
+    attempt(MAX_CONFLICTS, rows.drawTurn(), mine);
     return mine;
   }
 
   /** Reads and writes; begins again when other instances have changed the rows in between. */
-  private void attempt(int attempts, CompletableFuture<Boolean> renewal) {
+  private void attempt(int attempts, boolean inTurn, CompletableFuture<Boolean> renewal) {
+    boolean mayMoveTokens = inTurn || leaving.get() || rows.needsTokens();
     reader
-        .read()
-        .thenCompose(this::write)
+        .read(mayMoveTokens)
+        .thenCompose(read -> write(read, inTurn, mayMoveTokens))
         .exceptionally(this::failed)
         .thenAccept(
             outcome -> {
               if (outcome == Outcome.CONFLICT && attempts > 1) {
                 long pauseMs = random.nextInt(CONFLICT_PAUSE_MS);
-                timers.after(pauseMs, () -> attempt(attempts - 1, renewal));
+                timers.after(pauseMs, () -> attempt(attempts - 1, inTurn, renewal));
                 return;
               }
               underWay.set(null);
@@ -368,8 +369,11 @@
     return Outcome.FAILED;
   }
 
-  private CompletableFuture<Outcome> write(SpendingTables.Contents read) {
-    SpendingRows.Proposal proposal = rows.propose(read, plan.read(), leaving.get());
+  private CompletableFuture<Outcome> write(
+      SpendingTables.Contents read, boolean inTurn, boolean mayMoveTokens) {
+    SpendingRows.Proposal proposal =
+        rows.propose(
+            read, plan.read(), new SpendingRows.Moves(mayMoveTokens, inTurn, leaving.get()));
     return table
         .write(proposal.transaction())
         .handle((written, error) -> finish(proposal, written, error));
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingReader.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingReader.java
@@ -42,10 +42,13 @@
     this.ownKey = ownKey;
   }
 
-  /** Reads what the next row is written on; fails as the table does. */
-  CompletableFuture<SpendingTables.Contents> read() {
-    CompletableFuture<SpendingTables.Contents> read =
-        sinceWholeReadMs() >= wholeReadPauseMs() ? readWhole() : readOwn();
+  /**
+   * Reads what the next row is written on; fails as the table does.
+   *
+   * @param withTeams true when the rows of teams may change with it
+   */
+  CompletableFuture<SpendingTables.Contents> read(boolean withTeams) {
+    CompletableFuture<SpendingTables.Contents> read = readNeeded(withTeams);
     return read.thenApply(
         contents -> {
           latest = contents;
@@ -53,6 +56,13 @@
         });
   }
 
+  private CompletableFuture<SpendingTables.Contents> readNeeded(boolean withTeams) {
+    if (sinceWholeReadMs() >= wholeReadPauseMs()) {
+      return readWhole();
+    }
+    return withTeams ? readOwnAndTeams() : readOwn().thenApply(own -> latest.withNewer(own));
+  }
+
   /** Says how old the rows of the other instances are. */
   long sinceWholeReadMs() {
     return timers.nowMs() - wholeReadMs;
@@ -73,8 +83,12 @@
             });
   }
 
-  private CompletableFuture<SpendingTables.Contents> readOwn() {
-    CompletableFuture<List<Row>> own = table.read(List.of(ownKey));
+  private CompletableFuture<List<Row>> readOwn() {
+    return table.read(List.of(ownKey));
+  }
+
+  private CompletableFuture<SpendingTables.Contents> readOwnAndTeams() {
+    CompletableFuture<List<Row>> own = readOwn();
     return readPages(SpendingTables.TEAM_PREFIX, "", new ArrayList<>())
         .thenCombine(
             own,
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
@@ -122,8 +122,27 @@
     return team.prepaidTokens().orElse(0) - elsewhere - spending.spentTokens();
   }
 
+  /**
+   * Which tokens may move between this instance and the teams' rows with the next row.
+   *
+   * @param any false when the teams' rows were not read, so that none may
+   * @param inTurn true when holdings may follow small changes of their shares
+   * @param leaving true when all are handed back
+   */
+  record Moves(boolean any, boolean inTurn, boolean leaving) {}
+
+  /** Draws whether it is this instance's turn to follow small changes of its shares. */
+  boolean drawTurn() {
+    return random.nextDouble() * instanceCount < TURNS_PER_S;
+  }
+
+  /** Says whether tokens have to move though it is not this instance's turn. */
+  boolean needsTokens() {
+    return !takenOver || !wantedTokens.isEmpty();
+  }
+
   /** Works out the next row from what was just read; spending stays below it from now on. */
-  Proposal propose(SpendingTables.Contents read, ForwardingPlan inForce, boolean leaving) {
+  Proposal propose(SpendingTables.Contents read, ForwardingPlan inForce, Moves moves) {
     contents = read;
     if (!takenOver) {
       takeOver(read);
@@ -136,11 +155,10 @@
         .forEach(team -> teams.computeIfAbsent(team.name(), name -> new TeamSpending(timers, 0)));
     countDemand();
     Map<String, Long> wanted = takeWanted();
-    boolean inTurn = random.nextDouble() * instanceCount < TURNS_PER_S;
     Map<String, TeamSpending.SentGrant> sent = new TreeMap<>();
     int position = 0;
     for (Map.Entry<String, TeamSpending> entry : new TreeMap<>(teams).entrySet()) {
-      boolean mayChange = isTurnOf(position++);
+      boolean mayChange = moves.any() && isTurnOf(position++);
       GrantShaper.Situation situation =
           situation(
               entry.getKey(),
@@ -148,8 +166,7 @@
               inForce,
               read,
               wanted.getOrDefault(entry.getKey(), 0L),
-              inTurn,
-              leaving);
+              moves);
       sent.put(
           entry.getKey(),
           entry.getValue().propose(spent -> shaper.shape(situation, spent, mayChange)));
@@ -224,8 +241,7 @@
       ForwardingPlan inForce,
       SpendingTables.Contents read,
       long wanted,
-      boolean inTurn,
-      boolean leaving) {
+      Moves moves) {
     OptionalLong prepaid =
         inForce.findTeam(team).map(TeamPlan::prepaidTokens).orElse(OptionalLong.empty());
     return new GrantShaper.Situation(
@@ -240,8 +256,8 @@
         demandOf(team).averageTokensPerS(),
         spending.typicalTokens(),
         wanted,
-        inTurn,
-        leaving || prepaid.isEmpty());
+        moves.inTurn(),
+        moves.leaving() || prepaid.isEmpty());
   }
 
   private long expectedSpentTokens(InstanceSpending row, String team) {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/StateFollower.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/StateFollower.java
@@ -66,7 +66,7 @@
         .whenComplete(
             (nothing, error) -> {
               noteContact(error);
-              timers.after(settings.pollMs(), this::readPlan);
+              timers.after(settings.planPollMs(), this::readPlan);
             });
   }
 
@@ -85,7 +85,7 @@
         .whenComplete(
             (nothing, error) -> {
               noteContact(error);
-              timers.after(settings.pollMs(), this::readUpstreams);
+              timers.after(settings.upstreamPollMs(), this::readUpstreams);
             });
   }
 
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/view/StateFollowerTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/view/StateFollowerTest.java
@@ -16,7 +16,7 @@
 
 class StateFollowerTest {
 
-  private static final ViewSettings SETTINGS = new ViewSettings(500, 2_500);
+  private static final ViewSettings SETTINGS = new ViewSettings(500, 500, 2_500);
   private static final ServingUpstream LIVING =
       new ServingUpstream("i-1", "sira", "10.0.0.1", 80, "konya", 6, false);
 
@@ -58,7 +58,7 @@
     follow();
     store.newest = version(2);
 
-    timers.advanceMs(SETTINGS.pollMs());
+    timers.advanceMs(SETTINGS.planPollMs());
 
     assertThat(plan.read().version()).isEqualTo(2);
   }
@@ -70,7 +70,7 @@
     follow();
     store.newest = version(4);
 
-    timers.advanceMs(5 * SETTINGS.pollMs());
+    timers.advanceMs(5 * SETTINGS.planPollMs());
 
     assertThat(plan.read().version()).isEqualTo(5);
   }
@@ -80,7 +80,7 @@
     follow();
     store.registered = UpstreamList.empty();
 
-    timers.advanceMs(SETTINGS.pollMs());
+    timers.advanceMs(SETTINGS.planPollMs());
 
     assertThat(upstreams.read().contains("i-1")).isFalse();
   }
@@ -109,11 +109,11 @@
   void doesNotKeepUpstreamsAfterSingleFailedRead() {
     follow();
     store.away = true;
-    timers.advanceMs(SETTINGS.pollMs());
+    timers.advanceMs(SETTINGS.planPollMs());
     store.away = false;
     store.registered = UpstreamList.empty();
 
-    timers.advanceMs(2 * SETTINGS.pollMs());
+    timers.advanceMs(2 * SETTINGS.planPollMs());
 
     assertThat(upstreams.read().contains("i-1")).isFalse();
   }
