A wish that the own holding covers needs no team rows

Cause: a request larger than what is near, though not than what is held, only needs a new own row; its renewal read and could change the teams' rows all the same, and met the conflicts of others. Change: teams' rows are read for a wish only when it passes what is held.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -157,9 +157,7 @@
    * @return tokens, some of which may open only later
    */
   public long heldTokens(String team) {
-    return rows.find(team)
-        .map(spending -> spending.limitTokens() - spending.spentTokens())
-        .orElse(0L);
+    return rows.heldTokens(team);
   }
 
   /**
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
@@ -138,7 +138,14 @@
 
   /** Says whether tokens have to move though it is not this instance's turn. */
   boolean needsTokens() {
-    return !takenOver || !wantedTokens.isEmpty();
+    return !takenOver
+        || wantedTokens.entrySet().stream()
+            .anyMatch(wanted -> wanted.getValue() > heldTokens(wanted.getKey()));
+  }
+
+  /** Gives what is held of a team's budget and not spent yet; some of it may open only later. */
+  long heldTokens(String team) {
+    return find(team).map(spending -> spending.limitTokens() - spending.spentTokens()).orElse(0L);
   }
 
   /** Works out the next row from what was just read; spending stays below it from now on. */
