--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/DemandShares.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/DemandShares.java
@@ -8,8 +8,7 @@
  * for instances that are new or in sudden need.
  *
  * <p>The fewer usual requests an equal share covers, the more stays in the table: requests differ
- * in size, and with many instances a share of two or three of them is often too little for the
- * next.
+ * in size, and with many instances a share of one or two of them is often too little for the next.
  *
  * <p>Failure: the last tokens lie in pieces, each smaller than a request. Symptom: every instance
  * refuses a request that all of them together could serve. When an equal share would not cover one
@@ -40,6 +39,6 @@
   private static double keptBack(Situation situation) {
     double equalShareTokens = situation.leftTokens() / (double) situation.instanceCount();
     double requests = equalShareTokens / situation.typicalTokens();
-    return Math.max(LEAST_KEPT_BACK, 1 / (1 + requests));
+    return Math.max(LEAST_KEPT_BACK, 1 / Math.pow(1 + requests, 2));
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
@@ -10,11 +10,12 @@
   private static final double NEAR_REQUESTS = 1;
 
   /**
-   * Usual size of a request before the first one has shown it: a long prompt with its output. Were
-   * less near, an instance that no caller of the team has met yet could not serve the first one
-   * while the store is away.
+   * Usual size of a request before the first one has shown it: a middling prompt with its output.
+   * Were much less near, an instance that no caller of the team has met yet could not serve the
+   * first one while the store is away; with 16,000, each loss of power of all instances costs more
+   * than that saves.
    */
-  private static final long FIRST_TYPICAL_TOKENS = 16_000;
+  private static final long FIRST_TYPICAL_TOKENS = 6_000;
 
   /**
    * At first the bound opens a little faster than tokens are spent on average: a crash of all
