--- a/mothrill-core/src/main/java/io/mothrill/core/request/Exchange.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/Exchange.java
@@ -32,7 +32,7 @@
   private final CallRequest request;
   private final CallerStream caller;
   private final Consumer<Exchange> onOver;
-  private final AnswerLog answer;
+  private final AnswerDelivery answer;
   private final Set<String> failedUpstreams = new HashSet<>();
   private CallPlan plan;
   private Reservation reservation;
@@ -43,8 +43,6 @@
   private int attempts;
   private boolean claimed;
   private boolean mayHaveRun;
-  private boolean headSent;
-  private boolean callerGone;
   private boolean over;
 
   Exchange(
@@ -53,7 +51,7 @@
     this.request = request;
     this.caller = caller;
     this.onOver = onOver;
-    this.answer = new AnswerLog(parts.settings().keptAnswerBytes());
+    this.answer = new AnswerDelivery(caller, new AnswerLog(parts.settings().keptAnswerBytes()));
   }
 
   void start() {
@@ -110,9 +108,7 @@
       refuse(Refusal.answerGone());
       return;
     }
-    caller.head(stored.get().status(), stored.get().contentType());
-    caller.piece(stored.get().body());
-    caller.end();
+    answer.replay(stored.get());
     close();
   }
 
@@ -196,10 +192,6 @@
 
   void head(int status, String contentType) {
     answer.head(status, contentType);
-    headSent = true;
-    if (!callerGone) {
-      caller.head(status, contentType);
-    }
   }
 
   void piece(byte[] bytes, Usage used) {
@@ -209,34 +201,21 @@
       cutOff();
       return;
     }
-    deliver(bytes);
-  }
-
-  private void deliver(byte[] bytes) {
     answer.piece(bytes);
-    if (!callerGone) {
-      caller.piece(bytes);
-    }
   }
 
   /** Ends an answer that is longer than its cap: no more was reserved for it. */
   private void cutOff() {
     upstream.cancel();
     Logger.warn("request={} exceeded its output cap and was cut", plan.requestId());
-    deliver(request.cutEnding());
+    answer.piece(request.cutEnding());
     end();
   }
 
   void end() {
     Optional<StoredAnswer> whole = answer.whole();
     long owedTokens = plan.cost(answer.status(), usage.totalTokens());
-    finish(owedTokens, whole, this::endCaller);
-  }
-
-  private void endCaller() {
-    if (!callerGone) {
-      caller.end();
-    }
+    finish(owedTokens, whole, answer::end);
   }
 
   /** Settles, copies the bill to another instance, and only then lets the caller see the end. */
@@ -290,7 +269,7 @@
   private boolean mayTryAgain(UpstreamFailure failure) {
     boolean harmless = failure.isNotRun() || plan.repeatable();
     return harmless
-        && !headSent
+        && !answer.isBegun()
         && attempts < parts.settings().maxAttempts()
         && parts.retryBudget().tryRetry();
   }
@@ -311,7 +290,7 @@
   public void onCallerGone() {
     caller.execute(
         () -> {
-          callerGone = true;
+          answer.onCallerGone();
           boolean goesOn = over || (plan != null && plan.keyed() && upstream != null);
           if (!goesOn) {
             giveUp();
@@ -340,7 +319,7 @@
     caller.execute(
         () -> {
           if (upstream != null && !over) {
-            upstream.setReading(writable || callerGone);
+            upstream.setReading(writable || answer.isCallerGone());
           }
         });
   }
@@ -387,13 +366,7 @@
         refusal.code(),
         refusal.notRun());
     parts.metrics().counter(MetricRegistry.name("refused", refusal.code())).inc();
-    if (!callerGone) {
-      if (headSent) {
-        caller.abort();
-      } else {
-        caller.refuse(refusal);
-      }
-    }
+    answer.refuse(refusal);
     close();
   }
 
