--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
@@ -39,10 +39,10 @@
 
   private static final long TOLERANCE_TOKENS = 2_000;
 
-  /** A holding that is less than this part of its share cannot wait for its turn, */
+  /** A holding that is less than this part of its share does not wait for its turn. */
   private static final double TOO_LITTLE = 0.3;
 
-  /** unless it covers so many usual requests: the next one can ask for more if it has to. */
+  /** A holding of so many usual requests waits in any case: a larger request asks for itself. */
   private static final long ENOUGH_REQUESTS = 2;
 
   private final SharePolicy policy;
