--- a/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetAccount.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/budget/BudgetAccount.java
@@ -332,7 +332,7 @@
       completions = serveWaiters();
       waiters.removeIf(
           waiter -> {
-            boolean over = isOver(waiter, answers);
+            boolean over = endsUnserved(waiter, answers);
             if (over) {
               completions.add(
                   () -> waiter.reserved().completeExceptionally(refusal(waiter, answers)));
@@ -345,9 +345,9 @@
     askSources();
   }
 
-  private boolean isOver(Waiter waiter, Answers answers) {
+  private boolean endsUnserved(Waiter waiter, Answers answers) {
     long rounds = round - waiter.joinedRound();
-    return rounds >= 1 && !answers.someAdded() || rounds >= MAX_ROUNDS;
+    return (rounds >= 1 && !answers.someAdded()) || rounds >= MAX_ROUNDS;
   }
 
   private BudgetException refusal(Waiter waiter, Answers answers) {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
@@ -157,7 +157,7 @@
     boolean close = Math.abs(target - held) <= TOLERANCE * held + TOLERANCE_TOKENS;
     boolean enough =
         held >= TOO_LITTLE * target || held >= ENOUGH_REQUESTS * situation.usualTokens();
-    return close || enough && !situation.inTurn();
+    return close || (enough && !situation.inTurn());
   }
 
   private static long held(Situation situation, long spentTokens) {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
@@ -154,7 +154,7 @@
     if (!takenOver) {
       takeOver(read);
     }
-    long sentAtStoreMs = storeClock.nowMs();
+    final long sentAtStoreMs = storeClock.nowMs();
     others = read.reachable(ownKey, row -> isInTouch(read, row));
     instanceCount = 1 + (int) othersInTouch(read).count();
     inForce.teams().stream()
--- a/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
@@ -51,7 +51,7 @@
   void tellsFewPeersOfMiddlingPrompt() throws Exception {
     // GIVEN
     int port = freePort();
-    DatagramNotices listening = listener(port);
+    final DatagramNotices listening = listener(port);
     DatagramNotices speaking = speaker(port, 5);
     // WHEN
     speaking.announce("i-1", 2_000);
@@ -67,7 +67,7 @@
   void tellsManyPeersOnlyOfLongPrompts() throws Exception {
     // GIVEN
     int port = freePort();
-    DatagramNotices listening = listener(port);
+    final DatagramNotices listening = listener(port);
     DatagramNotices speaking = speaker(port, 70);
     // WHEN
     speaking.announce("i-1", 2_000);
