Missing upstreams are kept only to the end of their time

Cause: an upstream that never says that it leaves was taken off the list while one instance had lost the store. That instance kept it as missing after an outage for 2.5 s, and noticed the end of that only at its next read, up to 0.5 s later. Ruled out: silent connections to the store, as each read was answered within 31 ms.

Change: the list is read once more just when the time ends.

Conclusion: what the users call gone after about two seconds now is.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/StateFollower.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/StateFollower.java
@@ -145,9 +145,23 @@
       Logger.warn("store lost: {}", Failures.unwrap(error).getMessage());
     }
     if (error == null && lostMs.isPresent()) {
-      regainedMs = wasAway() ? nowMs : regainedMs;
+      if (wasAway()) {
+        noteReturn(nowMs);
+      }
       lostMs = OptionalLong.empty();
       Logger.info("store regained");
     }
   }
+
+  /**
+   * Begins to keep missing upstreams, and reads once more when that ends.
+   *
+   * <p>Failure: an upstream was taken off the list while the store was out of reach of this
+   * instance only. Symptom: until the next turn to read, it gets requests though it leaves. Reading
+   * at the end of the time makes that turn come at once.
+   */
+  private void noteReturn(long nowMs) {
+    regainedMs = nowMs;
+    var unused = timers.after(settings.returnMs(), this::readUpstreams);
+  }
 }
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/view/StateFollowerTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/view/StateFollowerTest.java
@@ -54,7 +54,11 @@
   }
 
   private void follow() {
-    var unused = new StateFollower(store, plan, upstreams, timers, SETTINGS);
+    follow(SETTINGS);
+  }
+
+  private void follow(ViewSettings settings) {
+    var unused = new StateFollower(store, plan, upstreams, timers, settings);
   }
 
   @Test
@@ -122,6 +126,26 @@
     assertThat(upstreams.read().contains("i-1")).isFalse();
   }
 
+  // An upstream is taken off the list while this instance alone has lost the store. It is kept for
+  // the time in which living ones register again, and gets nothing new from the end of that time:
+  // not only from the next turn to read, which may come nearly a period later.
+  @Test
+  void stopsKeepingMissingUpstreamsAtTheEndOfTheirTime() {
+    ViewSettings settings = new ViewSettings(500, 700, 2_500);
+    long regainedMs = 6_500;
+    follow(settings);
+    store.away = true;
+    timers.advanceMs(regainedMs - 1);
+    store.away = false;
+    store.registered = UpstreamList.empty();
+
+    timers.advanceMs(settings.returnMs());
+    assertThat(upstreams.read().contains("i-1")).isTrue();
+
+    timers.advanceMs(1);
+    assertThat(upstreams.read().contains("i-1")).isFalse();
+  }
+
   // A single read fails. No registration can have lapsed in that time, so an upstream that is
   // missing afterwards has left, and gets nothing new.
   @Test
