--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/InstanceSpending.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/InstanceSpending.java
@@ -61,12 +61,12 @@
    * @return one cell for each team
    */
   public Cells toCells() {
-    Cells cells =
-        Cells.empty().with(SENT_AT, sentAtStoreMs).with(HOST, host).with(PEER_PORT, peerPort);
-    for (Map.Entry<String, SpendingGrant> entry : grants.entrySet()) {
-      cells = cells.with(TEAM_PREFIX + entry.getKey(), write(entry.getValue()));
-    }
-    return cells;
+    Cells.Builder cells = Cells.builder();
+    cells.add(SENT_AT, sentAtStoreMs);
+    cells.add(HOST, host);
+    cells.add(PEER_PORT, peerPort);
+    grants.forEach((team, grant) -> cells.add(TEAM_PREFIX + team, write(grant)));
+    return cells.build();
   }
 
   /**
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingReader.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingReader.java
@@ -48,12 +48,12 @@
    * @param withTeams true when the rows of teams may change with it
    */
   CompletableFuture<SpendingTables.Contents> read(boolean withTeams) {
-    CompletableFuture<SpendingTables.Contents> read = readNeeded(withTeams);
-    return read.thenApply(
-        contents -> {
-          latest = contents;
-          return contents;
-        });
+    return readNeeded(withTeams)
+        .thenApply(
+            contents -> {
+              latest = contents;
+              return contents;
+            });
   }
 
   private CompletableFuture<SpendingTables.Contents> readNeeded(boolean withTeams) {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
@@ -17,7 +17,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.ToLongFunction;
 import java.util.random.RandomGenerator;
-import java.util.stream.Stream;
+import java.util.stream.Collectors;
 import org.tinylog.Logger;
 
 /** What this instance has spent of each team's budget, and the row that says so in the table. */
@@ -156,7 +156,8 @@
     }
     final long sentAtStoreMs = storeClock.nowMs();
     others = read.reachable(ownKey, row -> isInTouch(read, row));
-    instanceCount = 1 + (int) othersInTouch(read).count();
+    final OthersSpending othersSpending = addUp(read);
+    instanceCount = 1 + othersSpending.inTouchCount();
     inForce.teams().stream()
         .filter(team -> team.prepaidTokens().isPresent())
         .forEach(team -> teams.computeIfAbsent(team.name(), name -> new TeamSpending(timers, 0)));
@@ -172,6 +173,7 @@
               entry.getValue(),
               inForce,
               read,
+              othersSpending,
               wanted.getOrDefault(entry.getKey(), 0L),
               moves);
       sent.put(
@@ -247,18 +249,20 @@
       TeamSpending spending,
       ForwardingPlan inForce,
       SpendingTables.Contents read,
+      OthersSpending othersSpending,
       long wanted,
       Moves moves) {
     OptionalLong prepaid =
         inForce.findTeam(team).map(TeamPlan::prepaidTokens).orElse(OptionalLong.empty());
+    OthersSpending.Sums sums = othersSpending.of(team);
     return new GrantShaper.Situation(
         prepaid.orElse(0),
         read.grantedTokens(team),
         read.instance(ownKey).grantOf(team).limitTokens(),
-        othersInTouch(read).mapToLong(row -> expectedSpentTokens(row, team)).sum(),
-        othersInTouch(read).mapToLong(row -> row.grantOf(team).demandTokensPerS()).sum(),
-        (int) othersInTouch(read).count(),
-        othersSilent(read).mapToLong(row -> row.grantOf(team).limitTokens()).sum(),
+        sums.spentTokens(),
+        sums.demandTokensPerS(),
+        othersSpending.inTouchCount(),
+        sums.silentLimitTokens(),
         demandOf(team).tokensPerS(),
         demandOf(team).averageTokensPerS(),
         spending.typicalTokens(),
@@ -267,20 +271,15 @@
         moves.leaving() || prepaid.isEmpty());
   }
 
-  private long expectedSpentTokens(InstanceSpending row, String team) {
-    return row.grantOf(team).expectedSpentAfterMs(storeClock.nowMs() - row.sentAtStoreMs());
-  }
-
   private static boolean isInTouch(SpendingTables.Contents read, InstanceSpending row) {
     return read.wholeAtStoreMs() - row.sentAtStoreMs() < SILENT_MS;
   }
 
-  private Stream<InstanceSpending> othersInTouch(SpendingTables.Contents read) {
-    return read.others(ownKey).filter(row -> isInTouch(read, row));
-  }
-
-  private Stream<InstanceSpending> othersSilent(SpendingTables.Contents read) {
-    return read.others(ownKey).filter(row -> !isInTouch(read, row));
+  private OthersSpending addUp(SpendingTables.Contents read) {
+    Map<Boolean, List<InstanceSpending>> rowsByInTouch =
+        read.others(ownKey).collect(Collectors.partitioningBy(row -> isInTouch(read, row)));
+    return new OthersSpending(
+        rowsByInTouch.get(true), rowsByInTouch.get(false), storeClock.nowMs());
   }
 
   private Demand demandOf(String team) {
--- a/mothrill-core/src/main/java/io/mothrill/core/platform/Cells.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/platform/Cells.java
@@ -32,6 +32,51 @@
     return EMPTY;
   }
 
+  /**
+   * Begins cells that get many values; each {@code with} of the cells themselves copies them all.
+   *
+   * @return a builder without cells
+   */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Collects cells one by one. */
+  public static final class Builder {
+    private final Map<String, Object> values = new TreeMap<>();
+
+    private Builder() {}
+
+    /**
+     * Adds or replaces a number.
+     *
+     * @param name the cell's name
+     * @param value the number
+     */
+    public void add(String name, long value) {
+      values.put(name, value);
+    }
+
+    /**
+     * Adds or replaces a text.
+     *
+     * @param name the cell's name
+     * @param value the text
+     */
+    public void add(String name, String value) {
+      values.put(name, value);
+    }
+
+    /**
+     * Ends the collection.
+     *
+     * @return the cells so far
+     */
+    public Cells build() {
+      return new Cells(new TreeMap<>(values));
+    }
+  }
+
   /**
    * Adds or replaces a number.
    *
--- a/mothrill-wire/src/main/java/io/mothrill/wire/platform/TableJson.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/platform/TableJson.java
@@ -107,15 +107,17 @@
    * @return the cells
    */
   public static Cells readCells(JsonNode node) {
-    Cells[] cells = {Cells.empty()};
-    node.fields()
-        .forEachRemaining(
-            cell ->
-                cells[0] =
-                    cell.getValue().isTextual()
-                        ? cells[0].with(cell.getKey(), cell.getValue().asText())
-                        : cells[0].with(cell.getKey(), cell.getValue().asLong()));
-    return cells[0];
+    Cells.Builder cells = Cells.builder();
+    node.fields().forEachRemaining(cell -> readCell(cell.getKey(), cell.getValue(), cells));
+    return cells.build();
+  }
+
+  private static void readCell(String name, JsonNode value, Cells.Builder cells) {
+    if (value.isTextual()) {
+      cells.add(name, value.asText());
+    } else {
+      cells.add(name, value.asLong());
+    }
   }
 
   /**
