One way to turn a broken call into the platform's error, one answer about readiness, one JSON mapper

Cause: the two clients of stores translated errors alike, the two services that say whether an instance is ready answered alike, and the log reader had a mapper of its own; a mend of one would have missed its twin.

Change: CallFailure, ReadyAnswer, Json.

Conclusion: three twins fewer.

--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/explain/LogLine.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/explain/LogLine.java
@@ -1,8 +1,8 @@
 package io.mothrill.daemon.explain;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import java.io.IOException;
+import io.mothrill.core.error.InvalidInputException;
+import io.mothrill.wire.json.Json;
 import java.time.Instant;
 import java.time.format.DateTimeParseException;
 import java.util.Optional;
@@ -16,14 +16,12 @@
  */
 record LogLine(String source, Instant at, JsonNode fields) {
 
-  private static final ObjectMapper MAPPER = new ObjectMapper();
-
   /** Reads a line; empty when it is not one of mothrill's. */
   static Optional<LogLine> parse(String source, String text) {
     try {
-      JsonNode fields = MAPPER.readTree(text);
+      JsonNode fields = Json.read(text);
       return Optional.of(new LogLine(source, Instant.parse(fields.path("time").asText()), fields));
-    } catch (IOException | DateTimeParseException ex) {
+    } catch (InvalidInputException | DateTimeParseException ex) {
       return Optional.empty();
     }
   }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/operator/ProbeService.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/operator/ProbeService.java
@@ -12,7 +12,6 @@
 
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
-  private static final int UNAVAILABLE = 503;
 
   private final Supplier<String> unreadyReason;
   private final MetricRegistry metrics;
@@ -33,16 +32,9 @@
     return CompletableFuture.completedFuture(
         switch (input.path()) {
           case "/livez" -> HttpReply.text(OK, "ok\n");
-          case "/readyz" -> readyz();
+          case "/readyz" -> ReadyAnswer.of(unreadyReason.get());
           case "/metrics" -> HttpReply.text(OK, MetricsPage.render(metrics));
           default -> HttpReply.text(NOT_FOUND, "not found\n");
         });
   }
-
-  private HttpReply readyz() {
-    String reason = unreadyReason.get();
-    return reason.isEmpty()
-        ? HttpReply.text(OK, "ready\n")
-        : HttpReply.text(UNAVAILABLE, reason + "\n");
-  }
 }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/platform/PlatformClient.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/platform/PlatformClient.java
@@ -1,13 +1,11 @@
 package io.mothrill.wire.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import io.mothrill.core.error.Failures;
 import io.mothrill.core.platform.error.PlatformException;
 import io.mothrill.wire.http.Address;
 import io.mothrill.wire.http.HttpClient;
 import io.mothrill.wire.http.HttpReply;
 import io.mothrill.wire.http.WholeAnswer;
-import io.mothrill.wire.http.error.HttpException;
 import io.mothrill.wire.json.Json;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -34,8 +32,7 @@
   CompletableFuture<HttpReply> call(HttpMethod method, String path, byte[] body) {
     return WholeAnswer.of(http, platform, method, path, new DefaultHttpHeaders(), body, timeoutMs)
         .thenApply(reply -> checked(path, reply))
-        .exceptionallyCompose(
-            error -> CompletableFuture.failedFuture(translate(path, Failures.unwrap(error))));
+        .exceptionallyCompose(error -> CompletableFuture.failedFuture(CallFailure.of(path, error)));
   }
 
   private static HttpReply checked(String path, HttpReply reply) {
@@ -44,13 +41,4 @@
     }
     return reply;
   }
-
-  private static Throwable translate(String path, Throwable error) {
-    if (error instanceof HttpException http) {
-      return http.isSent()
-          ? PlatformException.answerLost(path + ": " + http.getMessage())
-          : PlatformException.unreachable(path + ": " + http.getMessage());
-    }
-    return error;
-  }
 }
