--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingPiecesTest.java
@@ -0,0 +1,63 @@
+package io.mothrill.core.forward.spending;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.mothrill.core.platform.InstanceRecord;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** What one request needs, put together from several loans. */
+class SpendingPiecesTest {
+
+  private static final InstanceRecord LENDER =
+      new InstanceRecord("konya-1", "konya-1", "konya", "10.0.0.1", 1, false);
+
+  private final Loan first = new Loan(LENDER, 5_000);
+  private final Loan second = new Loan(LENDER, 6_000);
+
+  private Optional<SpendingReservation> reserve(long tokens) {
+    SpendingPieces pieces = new SpendingPieces(tokens);
+    pieces.addFrom(first::reserveUpTo);
+    pieces.addFrom(second::reserveUpTo);
+    return pieces.whole();
+  }
+
+  @Test
+  void takesFromTheNextPlaceOnlyWhatIsStillMissing() {
+    assertThat(reserve(9_000)).isPresent();
+
+    assertThat(first.leftTokens()).isEqualTo(0);
+    assertThat(second.leftTokens()).isEqualTo(2_000);
+  }
+
+  // All places together have too little. What was set aside on the way must not stay so: it would
+  // be lost to every later request.
+  @Test
+  void givesAllBackWhenThePiecesAreTooLittle() {
+    assertThat(reserve(12_000)).isEmpty();
+
+    assertThat(first.leftTokens()).isEqualTo(5_000);
+    assertThat(second.leftTokens()).isEqualTo(6_000);
+  }
+
+  // A request used less than was set aside for it. Each place counts what was used there, in their
+  // order, and has the rest again; none counts a token twice.
+  @Test
+  void chargesThePlacesInTheirOrder() {
+    reserve(9_000).orElseThrow().settle(5_500);
+
+    assertThat(first.leftTokens()).isEqualTo(0);
+    assertThat(second.leftTokens()).isEqualTo(5_500);
+  }
+
+  @Test
+  void loanIsOverOnlyWhenNothingCanComeBack() {
+    SpendingReservation reservation = reserve(5_000).orElseThrow();
+    assertThat(first.isOver()).isFalse();
+
+    reservation.settle(5_000);
+
+    assertThat(first.isOver()).isTrue();
+    assertThat(second.isOver()).isFalse();
+  }
+}
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingPropertyTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingPropertyTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Random;
+import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
@@ -15,29 +16,42 @@
  */
 class SpendingPropertyTest {
 
-  private static final List<String> IDS = List.of("ankara-1", "ankara-2", "konya-1", "kayseri-1");
+  private static final List<String> FEW = List.of("ankara-1", "ankara-2", "konya-1", "kayseri-1");
+  private static final List<String> MANY =
+      IntStream.range(0, 24).mapToObj(number -> "konya-" + number).toList();
+
   private static final int STEPS = 400;
-  private static final long PREPAID_TOKENS = 200_000;
+  private static final long TOKENS_EACH = 50_000;
   private static final int LARGEST_TOKENS = 9_000;
 
   // Callers spend at all instances while these are cut off from the table or from each other, lose
   // answers, have writes that take effect seconds later, die and are started again.
   @Property(tries = 300, seed = "20001")
   void spendingNeverPassesTheBudget(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    spend(FEW, STEPS, seed);
+  }
+
+  // The same with so many instances that requests borrow from others before they ask the table.
+  @Property(tries = 60, seed = "20002")
+  void manyInstancesNeverSpendMoreThanTheBudget(
+      @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    spend(MANY, 3 * STEPS, seed);
+  }
+
+  private static void spend(List<String> ids, int steps, long seed) {
     Random choices = new Random(seed);
-    SpendingWorld world = new SpendingWorld(PREPAID_TOKENS, seed);
-    IDS.forEach(world::start);
+    SpendingWorld world = new SpendingWorld(TOKENS_EACH * ids.size(), seed);
+    ids.forEach(world::start);
     world.timers.advanceMs(3_000);
-    for (int step = 0; step < STEPS; step++) {
-      act(world, choices);
+    for (int step = 0; step < steps; step++) {
+      act(world, ids.get(choices.nextInt(ids.size())), choices);
       assertWithMessage("seed %s, step %s", seed, step)
           .that(world.spentTokens())
           .isAtMost(world.prepaidTokens());
     }
   }
 
-  private static void act(SpendingWorld world, Random choices) {
-    String id = IDS.get(choices.nextInt(IDS.size()));
+  private static void act(SpendingWorld world, String id, Random choices) {
     SpendingWorld.Member member = world.member(id);
     switch (choices.nextInt(20)) {
       case 0 -> member.cutFromTable = !member.cutFromTable;
