--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/DemandSharesTest.java
@@ -0,0 +1,54 @@
+package io.mothrill.core.forward.spending;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class DemandSharesTest {
+
+  private static final long LEFT_TOKENS = 7_000_000;
+  private static final long TYPICAL_TOKENS = 5_000;
+  private static final int INSTANCES = 70;
+
+  private final SharePolicy policy = new DemandShares();
+
+  private long holding(long ownTokensPerS, long allTokensPerS) {
+    return policy.holdingTokens(
+        new SharePolicy.Situation(
+            LEFT_TOKENS, ownTokensPerS, allTokensPerS, INSTANCES, TYPICAL_TOKENS));
+  }
+
+  // Seventy instances together get seven requests a second. The one that was not asked lately gets
+  // the next request as likely as any other, and must hold enough for several.
+  @Test
+  void instanceWithoutDemandHoldsSeveralRequestsWhenRequestsAreRare() {
+    assertThat(holding(0, 7 * TYPICAL_TOKENS)).isAtLeast(10 * TYPICAL_TOKENS);
+  }
+
+  @Test
+  void sharesFollowDemandWhenManyRequestsTellIt() {
+    long perInstance = 10 * TYPICAL_TOKENS;
+    long busy = holding(2 * perInstance, INSTANCES * perInstance);
+    long quiet = holding(0, INSTANCES * perInstance);
+
+    assertThat(busy).isAtLeast(5 * quiet);
+  }
+
+  @Test
+  void allSharesTogetherLeaveSomethingInTheTable() {
+    long equal = holding(TYPICAL_TOKENS, INSTANCES * TYPICAL_TOKENS);
+
+    assertThat(INSTANCES * equal).isLessThan(LEFT_TOKENS);
+  }
+
+  // A share would be less than one request. Held in pieces it would serve nobody.
+  @Test
+  void holdsNothingWhenTheSharesAreSmallerThanOneRequest() {
+    long holding =
+        policy.holdingTokens(
+            new SharePolicy.Situation(
+                INSTANCES * TYPICAL_TOKENS - 1, 100, 7_000, INSTANCES, TYPICAL_TOKENS));
+
+    assertThat(holding).isEqualTo(0);
+  }
+}
