Renewal of the spending row is split off; one way to try again or go on

Change: SpendingRenewal with its settings; tryReserveOr; borrow completes without a value; SpendingTables.withAddress; two comments that no longer said what is so.

No behaviour changes.

Conclusion: the controller reads as the ways to tokens, in their order.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -1,7 +1,6 @@
 package io.mothrill.core.forward.spending;
 
 import io.mothrill.core.board.Section;
-import io.mothrill.core.error.Failures;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.plan.TeamPlan;
 import io.mothrill.core.peer.PeerDispatcher;
@@ -9,16 +8,13 @@
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.platform.StoreClock;
 import io.mothrill.core.platform.TableService;
-import io.mothrill.core.platform.error.PlatformException;
 import io.mothrill.core.time.Timers;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
-import org.tinylog.Logger;
 
 /**
  * Keeps this instance's row of grants renewed and sets tokens aside under it.
@@ -30,12 +26,6 @@
  */
 public final class SpendingController {
 
-  /** How often the row is renewed: a crash loses what was near, which is sized for seconds. */
-  private static final long RENEW_MS = 1_000;
-
-  /** Least pause between two renewals that requests ask for, so that several share one. */
-  private static final long URGENT_PAUSE_MS = 40;
-
   /** Waits of one request, for a renewal or for the bound to open, before it is refused. */
   private static final int MAX_WAITS = 3;
 
@@ -51,17 +41,6 @@
    */
   private static final long MAX_OPENING_WAIT_MS = 600;
 
-  /** Attempts of one renewal when other instances change the same rows at the same time. */
-  private static final int MAX_CONFLICTS = 8;
-
-  /**
-   * Attempts that may move tokens; the others only renew the own row, which no one else changes.
-   */
-  private static final int MOVING_ATTEMPTS = 3;
-
-  /** Longest pause before the second of these attempts, doubled for each one after it. */
-  private static final int CONFLICT_PAUSE_MS = 40;
-
   /** A renewal that took longer ago than this shows that the store is out of reach. */
   private static final long IN_TOUCH_MS = 1_400;
 
@@ -71,14 +50,6 @@
    */
   private static final int MANY_INSTANCES = 20;
 
-  /**
-   * Renewals that requests may ask for in one second, all instances together: a part of a table
-   * that writes each transaction in 5 ms takes 200, and conflicts need some of them.
-   */
-  private static final long URGENT_WRITES_PER_S = 150;
-
-  private static final long MS_PER_S = 1_000;
-
   /** A loan is for so many requests like the one that needs it, so that few loans are needed. */
   private static final long BORROW_REQUESTS = 3;
 
@@ -97,16 +68,11 @@
   /** Longest wait that is told to a caller. */
   private static final long MAX_RETRY_AFTER_MS = 3_000;
 
-  private final TableService table;
-  private final Section<ForwardingPlan> plan;
   private final Timers timers;
-  private final RandomGenerator random;
   private final SpendingReader reader;
   private final SpendingRows rows;
   private final SpendingLoans loans;
-  private final AtomicReference<CompletableFuture<Boolean>> underWay = new AtomicReference<>();
-  private final AtomicBoolean leaving = new AtomicBoolean();
-  private volatile long renewedMs = Long.MIN_VALUE / 2;
+  private final SpendingRenewal renewal;
 
   /**
    * Creates the controller and starts to renew.
@@ -131,16 +97,12 @@
       RandomGenerator random,
       PeerLinks links,
       PeerDispatcher dispatcher) {
-    this.table = table;
-    this.plan = plan;
     this.timers = timers;
-    this.random = random;
     this.reader =
         new SpendingReader(table, storeClock, timers, SpendingTables.instanceKey(self.id()));
     this.rows = new SpendingRows(self, storeClock, timers, random, policy);
     this.loans = new SpendingLoans(links, dispatcher, timers, self, this::findLendable);
-    timers.after(0, this::renew);
-    timers.every(RENEW_MS, this::renew);
+    this.renewal = new SpendingRenewal(table, reader, rows, plan, timers, random, loans::handBack);
   }
 
   /**
@@ -167,7 +129,7 @@
    * @return milliseconds since it was last renewed; very many when it never was
    */
   public long sinceRenewalMs() {
-    return timers.nowMs() - renewedMs;
+    return renewal.sinceRenewalMs();
   }
 
   /**
@@ -200,10 +162,17 @@
     if (team.prepaidTokens().isEmpty()) {
       return CompletableFuture.completedFuture(SpendingReservation.UNLIMITED);
     }
-    Optional<SpendingReservation> atOnce = tryReserve(team.name(), tokens);
-    if (atOnce.isPresent()) {
-      return CompletableFuture.completedFuture(atOnce.get());
-    }
+    return tryReserveOr(team, tokens, () -> reserveElsewhere(team, tokens));
+  }
+
+  private CompletableFuture<SpendingReservation> tryReserveOr(
+      TeamPlan team, long tokens, Supplier<CompletableFuture<SpendingReservation>> otherwise) {
+    return tryReserve(team.name(), tokens)
+        .map(CompletableFuture::completedFuture)
+        .orElseGet(otherwise);
+  }
+
+  private CompletableFuture<SpendingReservation> reserveElsewhere(TeamPlan team, long tokens) {
     return rows.isTakenOver() && rows.instanceCount() > MANY_INSTANCES
         ? reserveFromLoan(team, tokens, () -> reserveAfterWait(team, tokens, MAX_WAITS))
         : reserveAfterWait(team, tokens, MAX_WAITS);
@@ -220,32 +189,24 @@
     timers.after(Math.min(MAX_WAIT_MS, opensInMs), () -> wait.complete(false));
     if (renewing) {
       rows.want(team.name(), tokens);
-      renewSoon().thenAccept(wait::complete);
+      renewal.renewSoon().thenAccept(wait::complete);
     }
     return wait.thenCompose(
-        renewed ->
-            tryReserve(team.name(), tokens)
-                .map(CompletableFuture::completedFuture)
-                .orElseGet(() -> reserveAfterWait(team, tokens, waits - 1)));
+        renewed -> tryReserveOr(team, tokens, () -> reserveAfterWait(team, tokens, waits - 1)));
   }
 
   private CompletableFuture<SpendingReservation> reserveFromLoan(TeamPlan team, long tokens) {
-    return rows.isTakenOver() && !leaving.get()
+    return rows.isTakenOver() && !renewal.isLeaving()
         ? reserveFromLoan(team, tokens, () -> reserveWhenOpen(team, tokens))
         : CompletableFuture.failedFuture(refusal(team, tokens));
   }
 
   private CompletableFuture<SpendingReservation> reserveFromLoan(
       TeamPlan team, long tokens, Supplier<CompletableFuture<SpendingReservation>> otherwise) {
-    return borrow(team, tokens)
-        .thenCompose(
-            borrowed ->
-                tryReserve(team.name(), tokens)
-                    .map(CompletableFuture::completedFuture)
-                    .orElseGet(otherwise));
+    return borrow(team, tokens).thenCompose(asked -> tryReserveOr(team, tokens, otherwise));
   }
 
-  private CompletableFuture<Boolean> borrow(TeamPlan team, long tokens) {
+  private CompletableFuture<Void> borrow(TeamPlan team, long tokens) {
     String name = team.name();
     long here = rows.find(name).map(TeamSpending::freeTokens).orElse(0L) + loans.leftTokens(name);
     long wanted = Math.max(BORROW_REQUESTS * tokens, BORROW_S * rows.demandTokensPerS(name));
@@ -275,35 +236,13 @@
   }
 
   private Optional<TeamSpending> findLendable(String team) {
-    return leaving.get() || !rows.isTakenOver() ? Optional.empty() : rows.find(team);
+    return renewal.isLeaving() || !rows.isTakenOver() ? Optional.empty() : rows.find(team);
   }
 
   private boolean isInTouch() {
     return sinceRenewalMs() < IN_TOUCH_MS;
   }
 
-  /** Renews at once, or a little after the last renewal, together with whoever asks meanwhile. */
-  private CompletableFuture<Boolean> renewSoon() {
-    long pauseMs = urgentPauseMs() - (timers.nowMs() - renewedMs);
-    if (pauseMs <= 0) {
-      return renew();
-    }
-    CompletableFuture<Boolean> renewed = new CompletableFuture<>();
-    timers.after(pauseMs, () -> renew().thenAccept(renewed::complete));
-    return renewed;
-  }
-
-  /**
-   * Gives the least pause between two renewals that requests ask for.
-   *
-   * <p>Failure: each of many instances renews whenever a request lacks tokens. Symptom: writes
-   * queue at the table until most of them conflict, and no instance gets tokens any more. Together
-   * they stay below what the table takes.
-   */
-  private long urgentPauseMs() {
-    return Math.max(URGENT_PAUSE_MS, rows.instanceCount() * MS_PER_S / URGENT_WRITES_PER_S);
-  }
-
   private Optional<SpendingReservation> tryReserve(String team, long tokens) {
     return tryOwn(team, tokens).or(() -> tryPieces(team, tokens)).map(SpendingController::once);
   }
@@ -356,12 +295,15 @@
   private SpendingException refusal(TeamPlan team, long tokens) {
     return rows.find(team.name())
         .map(spending -> refusal(team, spending, tokens))
-        .orElseGet(() -> SpendingException.notHere(team.name(), tokens, "no row yet", RENEW_MS));
+        .orElseGet(
+            () ->
+                SpendingException.notHere(
+                    team.name(), tokens, "no row yet", SpendingRenewal.PERIOD_MS));
   }
 
   private SpendingException refusal(TeamPlan team, TeamSpending spending, long tokens) {
     long sinceRenewalMs = sinceRenewalMs();
-    if (sinceRenewalMs < RENEW_MS + URGENT_PAUSE_MS) {
+    if (sinceRenewalMs < SpendingRenewal.PERIOD_MS + SpendingRenewal.LEAST_PAUSE_MS) {
       long left = rows.leftTokens(team, spending);
       return left < tokens && reader.sinceWholeReadMs() < EVIDENCE_MS
           ? SpendingException.spent(team.name(), left, tokens)
@@ -370,7 +312,10 @@
     }
     long waitMs = Math.min(MAX_RETRY_AFTER_MS, spending.waitMs(tokens));
     return SpendingException.notHere(
-        team.name(), tokens, stateOf(spending, sinceRenewalMs), Math.max(URGENT_PAUSE_MS, waitMs));
+        team.name(),
+        tokens,
+        stateOf(spending, sinceRenewalMs),
+        Math.max(SpendingRenewal.LEAST_PAUSE_MS, waitMs));
   }
 
   private static String stateOf(TeamSpending spending, long sinceRenewalMs) {
@@ -385,82 +330,6 @@
    * @return completes when the row was written, or could not be
    */
   public CompletableFuture<Boolean> handBack() {
-    leaving.set(true);
-    return renew();
-  }
-
-  /** Renews the row, or joins the renewal that is under way. */
-  private CompletableFuture<Boolean> renew() {
-    CompletableFuture<Boolean> mine = new CompletableFuture<>();
-    CompletableFuture<Boolean> current =
-        underWay.updateAndGet(before -> before == null ? mine : before);
-    if (current != mine) {
-      return current;
-    }
-    attempt(MAX_CONFLICTS, rows.drawTurn(), mine);
-    return mine;
-  }
-
-  /** Reads and writes; begins again when other instances have changed the rows in between. */
-  private void attempt(int attempts, boolean inTurn, CompletableFuture<Boolean> renewal) {
-    boolean mayMoveTokens =
-        leaving.get()
-            || attempts > MAX_CONFLICTS - MOVING_ATTEMPTS && (inTurn || rows.needsTokens());
-    reader
-        .read(mayMoveTokens)
-        .thenCompose(read -> write(read, inTurn, mayMoveTokens))
-        .exceptionally(this::failed)
-        .thenAccept(
-            outcome -> {
-              if (outcome == Outcome.CONFLICT && attempts > 1) {
-                long pauseMs = conflictPauseMs(MAX_CONFLICTS - attempts);
-                timers.after(pauseMs, () -> attempt(attempts - 1, false, renewal));
-                return;
-              }
-              underWay.set(null);
-              renewal.complete(outcome == Outcome.WRITTEN);
-            });
-  }
-
-  private long conflictPauseMs(int earlier) {
-    return random.nextInt(CONFLICT_PAUSE_MS << earlier);
-  }
-
-  private enum Outcome {
-    WRITTEN,
-    CONFLICT,
-    FAILED
-  }
-
-  private Outcome failed(Throwable error) {
-    Logger.debug("spending not renewed: {}", Failures.unwrap(error).getMessage());
-    return Outcome.FAILED;
-  }
-
-  private CompletableFuture<Outcome> write(
-      SpendingTables.Contents read, boolean inTurn, boolean mayMoveTokens) {
-    SpendingRows.Proposal proposal =
-        rows.propose(
-            read, plan.read(), new SpendingRows.Moves(mayMoveTokens, inTurn, leaving.get()));
-    return table
-        .write(proposal.transaction())
-        .handle((written, error) -> finish(proposal, written, error));
-  }
-
-  private Outcome finish(SpendingRows.Proposal proposal, Boolean written, Throwable error) {
-    if (error == null && written) {
-      rows.confirm(proposal);
-      renewedMs = timers.nowMs();
-      loans.handBack();
-      return Outcome.WRITTEN;
-    }
-    boolean surelyNot =
-        error == null
-            || Failures.unwrap(error) instanceof PlatformException platform
-                && platform.outcome() == PlatformException.Outcome.NOT_APPLIED;
-    if (surelyNot) {
-      rows.retract(proposal);
-    }
-    return error == null ? Outcome.CONFLICT : failed(error);
+    return renewal.handBack();
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
@@ -18,7 +18,7 @@
 import org.tinylog.Logger;
 
 /**
- * Lends and borrows tokens between instances while the table cannot move them.
+ * Lends and borrows tokens between instances, where the table cannot move them or not soon enough.
  *
  * <p>A lender sets what it lends aside as if it had spent it, below its own bound. So whoever reads
  * its row after a crash counts the loan as spent, and the budget holds whatever becomes of lender,
@@ -43,7 +43,7 @@
   private final InstanceRecord self;
   private final Function<String, Optional<TeamSpending>> ownSpending;
   private final Map<String, List<Loan>> loans = new ConcurrentHashMap<>();
-  private final Map<String, CompletableFuture<Boolean>> underWay = new ConcurrentHashMap<>();
+  private final Map<String, CompletableFuture<Void>> underWay = new ConcurrentHashMap<>();
   private final Map<String, Long> noLenderMs = new ConcurrentHashMap<>();
   private final AtomicLong transferCount = new AtomicLong();
 
@@ -105,16 +105,16 @@
    * @param needTokens what is lacking, from one lender or several
    * @param wantedTokens as much as would be good from each
    * @param lenders whom to ask, in order
-   * @return true when all that is lacking was borrowed
+   * @return completes when the lenders were asked, whatever they gave
    */
-  CompletableFuture<Boolean> borrow(
+  CompletableFuture<Void> borrow(
       String team, long needTokens, long wantedTokens, List<InstanceRecord> lenders) {
     Long failedMs = noLenderMs.get(team);
     if (failedMs != null && timers.nowMs() - failedMs < NO_LENDER_PAUSE_MS) {
-      return CompletableFuture.completedFuture(false);
+      return CompletableFuture.completedFuture(null);
     }
-    CompletableFuture<Boolean> mine = new CompletableFuture<>();
-    CompletableFuture<Boolean> current = underWay.putIfAbsent(team, mine);
+    CompletableFuture<Void> mine = new CompletableFuture<>();
+    CompletableFuture<Void> current = underWay.putIfAbsent(team, mine);
     if (current != null) {
       return current;
     }
@@ -125,7 +125,7 @@
                 noLenderMs.put(team, timers.nowMs());
               }
               underWay.remove(team);
-              mine.complete(missing <= 0);
+              mine.complete(null);
             });
     return mine;
   }
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRenewal.java
@@ -0,0 +1,195 @@
+package io.mothrill.core.forward.spending;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.error.Failures;
+import io.mothrill.core.forward.plan.ForwardingPlan;
+import io.mothrill.core.platform.TableService;
+import io.mothrill.core.platform.error.PlatformException;
+import io.mothrill.core.time.Timers;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.random.RandomGenerator;
+import org.tinylog.Logger;
+
+/** Renews this instance's row: in each period, and when requests lack tokens. */
+final class SpendingRenewal {
+
+  /** How often the row is renewed: a crash loses what was near, which is sized for seconds. */
+  static final long PERIOD_MS = 1_000;
+
+  /** Least pause between two renewals that requests ask for, so that several share one. */
+  static final long LEAST_PAUSE_MS = 40;
+
+  /** Attempts of one renewal when other instances change the same rows at the same time. */
+  private static final int MAX_CONFLICTS = 8;
+
+  /**
+   * Attempts that may move tokens; the others only renew the own row, which no one else changes.
+   */
+  private static final int MOVING_ATTEMPTS = 3;
+
+  /** Longest pause before the second of these attempts, doubled for each one after it. */
+  private static final int CONFLICT_PAUSE_MS = 40;
+
+  /**
+   * Renewals that requests may ask for in one second, all instances together: a part of a table
+   * that writes each transaction in 5 ms takes 200, and conflicts need some of them.
+   */
+  private static final long URGENT_WRITES_PER_S = 150;
+
+  private static final long MS_PER_S = 1_000;
+
+  private final TableService table;
+  private final SpendingReader reader;
+  private final SpendingRows rows;
+  private final Section<ForwardingPlan> plan;
+  private final Timers timers;
+  private final RandomGenerator random;
+  private final Runnable onRenewed;
+  private final AtomicReference<CompletableFuture<Boolean>> underWay = new AtomicReference<>();
+  private final AtomicBoolean leaving = new AtomicBoolean();
+  private volatile long renewedMs = Long.MIN_VALUE / 2;
+
+  /**
+   * Starts to renew.
+   *
+   * @param table the platform's table
+   * @param reader reads what a renewal is written on
+   * @param rows works out the next row
+   * @param plan the plan in force
+   * @param timers the time
+   * @param random spreads attempts after conflicts
+   * @param onRenewed runs after each row that was written
+   */
+  SpendingRenewal(
+      TableService table,
+      SpendingReader reader,
+      SpendingRows rows,
+      Section<ForwardingPlan> plan,
+      Timers timers,
+      RandomGenerator random,
+      Runnable onRenewed) {
+    this.table = table;
+    this.reader = reader;
+    this.rows = rows;
+    this.plan = plan;
+    this.timers = timers;
+    this.random = random;
+    this.onRenewed = onRenewed;
+    timers.after(0, this::renew);
+    timers.every(PERIOD_MS, this::renew);
+  }
+
+  /** Says how old the row is; very many milliseconds when none was written. */
+  long sinceRenewalMs() {
+    return timers.nowMs() - renewedMs;
+  }
+
+  boolean isLeaving() {
+    return leaving.get();
+  }
+
+  /** Renews with nothing held any more. */
+  CompletableFuture<Boolean> handBack() {
+    leaving.set(true);
+    return renew();
+  }
+
+  /** Renews at once, or a little after the last renewal, together with whoever asks meanwhile. */
+  CompletableFuture<Boolean> renewSoon() {
+    long pauseMs = urgentPauseMs() - sinceRenewalMs();
+    if (pauseMs <= 0) {
+      return renew();
+    }
+    CompletableFuture<Boolean> renewed = new CompletableFuture<>();
+    timers.after(pauseMs, () -> renew().thenAccept(renewed::complete));
+    return renewed;
+  }
+
+  /**
+   * Gives the least pause between two renewals that requests ask for.
+   *
+   * <p>Failure: each of many instances renews whenever a request lacks tokens. Symptom: writes
+   * queue at the table until most of them conflict, and no instance gets tokens any more. Together
+   * they stay below what the table takes.
+   */
+  private long urgentPauseMs() {
+    return Math.max(LEAST_PAUSE_MS, rows.instanceCount() * MS_PER_S / URGENT_WRITES_PER_S);
+  }
+
+  /** Renews the row, or joins the renewal that is under way. */
+  private CompletableFuture<Boolean> renew() {
+    CompletableFuture<Boolean> mine = new CompletableFuture<>();
+    CompletableFuture<Boolean> current =
+        underWay.updateAndGet(before -> before == null ? mine : before);
+    if (current != mine) {
+      return current;
+    }
+    attempt(MAX_CONFLICTS, rows.drawTurn(), mine);
+    return mine;
+  }
+
+  /** Reads and writes; begins again when other instances have changed the rows in between. */
+  private void attempt(int attempts, boolean inTurn, CompletableFuture<Boolean> renewal) {
+    boolean mayMoveTokens =
+        leaving.get()
+            || attempts > MAX_CONFLICTS - MOVING_ATTEMPTS && (inTurn || rows.needsTokens());
+    reader
+        .read(mayMoveTokens)
+        .thenCompose(read -> write(read, inTurn, mayMoveTokens))
+        .exceptionally(this::failed)
+        .thenAccept(
+            outcome -> {
+              if (outcome == Outcome.CONFLICT && attempts > 1) {
+                long pauseMs = conflictPauseMs(MAX_CONFLICTS - attempts);
+                timers.after(pauseMs, () -> attempt(attempts - 1, false, renewal));
+                return;
+              }
+              underWay.set(null);
+              renewal.complete(outcome == Outcome.WRITTEN);
+            });
+  }
+
+  private long conflictPauseMs(int earlier) {
+    return random.nextInt(CONFLICT_PAUSE_MS << earlier);
+  }
+
+  private enum Outcome {
+    WRITTEN,
+    CONFLICT,
+    FAILED
+  }
+
+  private Outcome failed(Throwable error) {
+    Logger.debug("spending not renewed: {}", Failures.unwrap(error).getMessage());
+    return Outcome.FAILED;
+  }
+
+  private CompletableFuture<Outcome> write(
+      SpendingTables.Contents read, boolean inTurn, boolean mayMoveTokens) {
+    SpendingRows.Proposal proposal =
+        rows.propose(
+            read, plan.read(), new SpendingRows.Moves(mayMoveTokens, inTurn, leaving.get()));
+    return table
+        .write(proposal.transaction())
+        .handle((written, error) -> finish(proposal, written, error));
+  }
+
+  private Outcome finish(SpendingRows.Proposal proposal, Boolean written, Throwable error) {
+    if (error == null && written) {
+      rows.confirm(proposal);
+      renewedMs = timers.nowMs();
+      onRenewed.run();
+      return Outcome.WRITTEN;
+    }
+    boolean surelyNot =
+        error == null
+            || Failures.unwrap(error) instanceof PlatformException platform
+                && platform.outcome() == PlatformException.Outcome.NOT_APPLIED;
+    if (surelyNot) {
+      rows.retract(proposal);
+    }
+    return error == null ? Outcome.CONFLICT : failed(error);
+  }
+}
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingTables.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingTables.java
@@ -96,9 +96,7 @@
     List<InstanceRecord> lenders(RowKey ownKey, String team, RandomGenerator random) {
       record Lender(InstanceRecord instance, double rank) {}
 
-      return instances.entrySet().stream()
-          .filter(entry -> !entry.getKey().equals(ownKey))
-          .filter(entry -> !entry.getValue().host().isEmpty())
+      return withAddress(ownKey)
           .filter(entry -> entry.getValue().grantOf(team).holdingTokens() > 0)
           .map(
               entry ->
@@ -112,15 +110,19 @@
 
     /** Lists the other instances that can be reached, in the order of their ids. */
     List<InstanceRecord> reachable(RowKey ownKey, Predicate<InstanceSpending> inTouch) {
-      return instances.entrySet().stream()
-          .filter(entry -> !entry.getKey().equals(ownKey))
-          .filter(entry -> !entry.getValue().host().isEmpty())
+      return withAddress(ownKey)
           .filter(entry -> inTouch.test(entry.getValue()))
           .map(entry -> record(entry.getKey(), entry.getValue()))
           .sorted(Comparator.comparing(InstanceRecord::id))
           .toList();
     }
 
+    private Stream<Map.Entry<RowKey, InstanceSpending>> withAddress(RowKey ownKey) {
+      return instances.entrySet().stream()
+          .filter(entry -> !entry.getKey().equals(ownKey))
+          .filter(entry -> !entry.getValue().host().isEmpty());
+    }
+
     private static InstanceRecord record(RowKey key, InstanceSpending row) {
       String id = key.key().substring(INSTANCE_PREFIX.length());
       return new InstanceRecord(id, id, "", row.host(), row.peerPort(), false);
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamSpending.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamSpending.java
@@ -20,7 +20,7 @@
   /** Weight of the newest reservation in the usual size: about the last ten count. */
   private static final double NEWEST_WEIGHT = 0.1;
 
-  /** A request is put together from so many loans at the most; smaller ones are not worth it. */
+  /** A request is put together from so many pieces at the most; smaller ones help too little. */
   private static final long MAX_PIECES = 4;
 
   private final Timers timers;
