--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingControllerTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingControllerTest.java
@@ -69,13 +69,13 @@
     world.start("ankara-1");
     world.timers.advanceMs(SETTLED_MS);
 
-    long left = world.prepaidTokens() - spentInTable();
+    long left = world.prepaidTokens() - contentsOfTable().spentTokens(SpendingWorld.TEAM);
     assertThat(left).isAtLeast(110_000);
   }
 
-  private long spentInTable() {
+  private SpendingTables.Contents contentsOfTable() {
     var rows = world.table.scan(SpendingTables.TABLE, "", "", SpendingTables.MAX_ROWS).join();
-    return SpendingTables.Contents.of(rows, 0).spentTokens(SpendingWorld.TEAM);
+    return SpendingTables.Contents.of(rows, 0);
   }
 
   // One instance has spent all that it held when the table goes away; the other holds enough. The
@@ -159,8 +159,7 @@
   }
 
   // A renewal takes effect but its answer is lost, and then the table goes away. The instance
-  // spends
-  // all that it may and dies. Whoever reads the row that is in force must count no less.
+  // spends all that it may and dies. Whoever reads the row that is in force must count no less.
   @Test
   void spendsNoMoreThanAnUnansweredRowShows() {
     world.timers.advanceMs(SETTLED_MS);
@@ -175,9 +174,7 @@
     reserveAll(first, 100);
     first.kill();
 
-    var rows = world.table.scan(SpendingTables.TABLE, "", "", SpendingTables.MAX_ROWS).join();
-    InstanceSpending row =
-        SpendingTables.Contents.of(rows, 0).instance(SpendingTables.instanceKey("ankara-1"));
+    InstanceSpending row = contentsOfTable().instance(SpendingTables.instanceKey("ankara-1"));
     long counted = row.closedAt(world.timers.nowMs()).grantOf(SpendingWorld.TEAM).spentTokens();
     assertThat(world.spentTokens()).isAtLeast(3_000);
     assertThat(counted).isAtLeast(world.spentTokens());
@@ -193,9 +190,8 @@
     first.spending.handBack();
     world.timers.advanceMs(100);
 
-    var rows = world.table.scan(SpendingTables.TABLE, "", "", SpendingTables.MAX_ROWS).join();
     SpendingGrant left =
-        SpendingTables.Contents.of(rows, 0)
+        contentsOfTable()
             .instance(SpendingTables.instanceKey("ankara-1"))
             .grantOf(SpendingWorld.TEAM);
     assertThat(left.spentTokens()).isEqualTo(400);
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingOfManyTeamsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingOfManyTeamsTest.java
@@ -5,7 +5,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
+import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestInstance;
 
 /**
  * Seventy instances serve two dozen teams, each of which asks each instance once in three seconds.
@@ -14,6 +16,7 @@
  * lie in one part of the table, which writes 200 transactions a second, and the renewals of each
  * second take a third of them.
  */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class SpendingOfManyTeamsTest {
 
   private static final int INSTANCES = 70;
@@ -83,7 +86,8 @@
     }
   }
 
-  private void measure() {
+  @BeforeAll
+  void measure() {
     startAll();
     serve(SETTLED_S);
     asked = 0;
@@ -96,15 +100,11 @@
   // that lacks tokens waited for the table, its one part would be busy with conflicts.
   @Test
   void fewRequestsWaitForTheTable() {
-    measure();
-
     assertThat(soon).isAtLeast(asked * 90 / 100);
   }
 
   @Test
   void hardlyAnyRequestIsRefusedWhileTheBudgetHasEnough() {
-    measure();
-
     assertThat(refused).isAtMost(asked * 2 / 100);
   }
 }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/CallerConnection.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/CallerConnection.java
@@ -161,7 +161,8 @@
     }
     exchange =
         new ForwardExchange(
-            parts, pool, context.channel().eventLoop(), this, head, call, body, headMs);
+            new ForwardArrival(
+                parts, pool, context.channel().eventLoop(), this, head, call, body, headMs));
     edge.onStarted();
     exchange.start();
   }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -79,13 +79,13 @@
   ForwardAttempt(
       ForwardWork work, ForwardProgress progress, Owner owner, ServingUpstream upstream) {
     this.work = work;
-    this.parts = work.parts();
+    this.parts = work.arrival().parts();
     this.progress = progress;
     this.owner = owner;
     long nowMs = parts.timers().nowMs();
     this.upstream = upstream;
     this.load = parts.loads().of(upstream.id());
-    this.chosenMs = nowMs - work.startMs();
+    this.chosenMs = nowMs - work.arrival().startMs();
     this.underWayBefore = load.underWayCount();
     this.unreadBefore = Math.round(load.unreadPromptTokens(parts.speed().tokensPerMs(), nowMs));
     this.estimatedBefore = Math.round(load.estimatedCount(nowMs));
@@ -122,7 +122,8 @@
   }
 
   void connect() {
-    work.pool()
+    work.arrival()
+        .pool()
         .take(
             upstream,
             !work.route().kind().isRepeatable(),
@@ -178,7 +179,8 @@
             .after(
                 delayMs,
                 () ->
-                    work.loop()
+                    work.arrival()
+                        .loop()
                         .execute(
                             () -> {
                               if (over || owner.hasEnded()) {
@@ -299,7 +301,7 @@
     }
     if (!progress.streamStarted) {
       progress.streamStarted = true;
-      progress.firstMs = parts.timers().nowMs() - work.startMs();
+      progress.firstMs = work.elapsedMs();
       work.reply().startStream(answer.status(), parts.dialect().toCaller(answer.headers()));
     }
     if (event.id().isPresent()) {
@@ -363,7 +365,7 @@
       work.reply().breakOff();
       return;
     }
-    progress.firstMs = parts.timers().nowMs() - work.startMs();
+    progress.firstMs = work.elapsedMs();
     if (isFalsePromise(status)) {
       bytes.release();
       owner.refuse(ForwardRefusal.of(Cause.UPSTREAM_FAILED));
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
@@ -5,7 +5,6 @@
 import io.mothrill.core.forward.plan.Route;
 import io.mothrill.core.forward.plan.ServicePlan;
 import io.mothrill.core.forward.plan.TeamPlan;
-import io.mothrill.core.forward.request.ForwardCall;
 import io.mothrill.core.forward.request.ForwardRefusal;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
 import io.mothrill.core.forward.spending.SpendingException;
@@ -13,12 +12,10 @@
 import io.mothrill.core.forward.upstream.ServingUpstream;
 import io.mothrill.core.forward.upstream.UpstreamQuery;
 import io.mothrill.core.time.Subscription;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.LinkedHashSet;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 
@@ -44,14 +41,8 @@
 
   private static final long NO_PLAN_RETRY_MS = 500;
 
+  private final ForwardArrival arrival;
   private final ForwardParts parts;
-  private final UpstreamPool pool;
-  private final EventLoop loop;
-  private final CallerReply reply;
-  private final HttpRequest head;
-  private final ForwardCall call;
-  private final ByteBuf body;
-  private final long startMs;
   private final ForwardingPlan plan;
   private final Set<String> triedIds = new LinkedHashSet<>();
   private final ForwardProgress progress = new ForwardProgress();
@@ -63,23 +54,9 @@
   private ForwardAttempt attempt;
   private boolean ended;
 
-  ForwardExchange(
-      ForwardParts parts,
-      UpstreamPool pool,
-      EventLoop loop,
-      CallerReply reply,
-      HttpRequest head,
-      ForwardCall call,
-      ByteBuf body,
-      long startMs) {
-    this.parts = parts;
-    this.pool = pool;
-    this.loop = loop;
-    this.reply = reply;
-    this.head = head;
-    this.call = call;
-    this.body = body;
-    this.startMs = startMs;
+  ForwardExchange(ForwardArrival arrival) {
+    this.arrival = arrival;
+    this.parts = arrival.parts();
     this.plan = parts.plan().read();
   }
 
@@ -92,7 +69,7 @@
     }
     parts.retries().onRequest(work.service());
     timeUp = parts.timers().after(work.leftMs(), () -> onLoop(this::onTimeUp));
-    if (call.prompt().isPresent() && work.team().isPresent()) {
+    if (arrival.call().prompt().isPresent() && work.team().isPresent()) {
       reserve();
     } else {
       sendElsewhere();
@@ -103,34 +80,28 @@
     if (!plan.isKnown()) {
       return Optional.of(ForwardRefusal.comeBackIn(Cause.NO_PLAN, NO_PLAN_RETRY_MS));
     }
-    Optional<Route> found = plan.findRoute(call.host(), call.path());
+    Optional<Route> found = plan.findRoute(arrival.call().host(), arrival.call().path());
     if (found.isEmpty()) {
       return Optional.of(ForwardRefusal.of(Cause.NO_ROUTE));
     }
     Route route = found.get();
-    Optional<TeamPlan> team = call.key().flatMap(plan::findTeamByKey);
+    Optional<TeamPlan> team = arrival.call().key().flatMap(plan::findTeamByKey);
     boolean needsKey = !plan.teams().isEmpty() && !route.isPublic();
     work =
         new ForwardWork(
-            parts,
-            pool,
-            loop,
-            reply,
-            head,
-            call,
-            body,
+            arrival,
             route,
             route.serviceAt(parts.random().nextDouble()),
             needsKey ? team : Optional.empty(),
-            startMs,
-            startMs + Math.min(route.timeoutMs(), call.deadlineMs().orElse(Long.MAX_VALUE)));
+            arrival.startMs()
+                + Math.min(route.timeoutMs(), arrival.call().deadlineMs().orElse(Long.MAX_VALUE)));
     return needsKey && team.isEmpty()
         ? Optional.of(ForwardRefusal.of(Cause.UNKNOWN_KEY))
         : Optional.empty();
   }
 
   private void reserve() {
-    long tokens = call.prompt().orElseThrow().maxTokens();
+    long tokens = arrival.call().prompt().orElseThrow().maxTokens();
     parts
         .spending()
         .reserve(work.team().orElseThrow(), tokens)
@@ -144,7 +115,7 @@
       }
       return;
     }
-    paidMs = parts.timers().nowMs() - startMs;
+    paidMs = parts.timers().nowMs() - arrival.startMs();
     if (granted != null) {
       reservation = granted;
       sendElsewhere();
@@ -173,7 +144,7 @@
       return;
     }
     UpstreamQuery query =
-        new UpstreamQuery(work.service(), work.route().aimMs(), call.prompt(), triedIds);
+        new UpstreamQuery(work.service(), work.route().aimMs(), arrival.call().prompt(), triedIds);
     Optional<ServingUpstream> upstream = parts.picker().pick(query);
     if (upstream.isEmpty()) {
       giveUp(Cause.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS);
@@ -189,7 +160,7 @@
   public void giveUp(Cause ifNotRun, long retryAfterMs) {
     if (progress.streamStarted) {
       end("broken", 0);
-      reply.breakOff();
+      arrival.reply().breakOff();
     } else if (progress.mayHaveRun) {
       refuse(ForwardRefusal.of(Cause.UPSTREAM_FAILED));
     } else {
@@ -204,7 +175,7 @@
     abandonAttempt();
     if (progress.streamStarted) {
       end("timeout", 0);
-      reply.breakOff();
+      arrival.reply().breakOff();
     } else if (progress.mayHaveRun) {
       refuse(ForwardRefusal.of(Cause.TIMED_OUT));
     } else {
@@ -214,11 +185,13 @@
 
   @Override
   public void refuse(ForwardRefusal refusal) {
-    end(refusal.cause().name().toLowerCase(java.util.Locale.ROOT), refusal.cause().status());
-    reply.sendWhole(
-        HttpResponseStatus.valueOf(refusal.cause().status()),
-        parts.dialect().ofRefusal(call, refusal),
-        Unpooled.EMPTY_BUFFER);
+    end(refusal.cause().name().toLowerCase(Locale.ROOT), refusal.cause().status());
+    arrival
+        .reply()
+        .sendWhole(
+            HttpResponseStatus.valueOf(refusal.cause().status()),
+            parts.dialect().ofRefusal(arrival.call(), refusal),
+            Unpooled.EMPTY_BUFFER);
   }
 
   /** The caller has gone: nobody needs the answer any more. */
@@ -247,12 +220,12 @@
     ended = true;
     timeUp.cancel();
     reservation.settle(owedTokens());
-    body.release();
+    arrival.body().release();
     parts
         .log()
         .onEnded(
             new ForwardLog.Story(
-                call.id(),
+                arrival.call().id(),
                 work == null ? "" : work.route().name(),
                 work == null ? "" : work.team().map(TeamPlan::name).orElse(""),
                 outcome,
@@ -261,14 +234,14 @@
                 attempt == null ? progress.offers : attempt.withOffer(outcome),
                 paidMs,
                 progress.firstMs,
-                parts.timers().nowMs() - startMs,
+                parts.timers().nowMs() - arrival.startMs(),
                 work == null ? 0 : work.route().aimMs(),
                 plan.version()));
   }
 
   /** What the team owes: the prompt once if it may have been read, and what was delivered. */
   private long owedTokens() {
-    if (!progress.mayHaveRun || call.prompt().isEmpty()) {
+    if (!progress.mayHaveRun || arrival.call().prompt().isEmpty()) {
       return 0;
     }
     int perEvent =
@@ -276,8 +249,9 @@
             .flatMap(ServicePlan::engine)
             .map(ServicePlan.EnginePlan::tokensPerEvent)
             .orElse(1);
-    long output = Math.min(call.prompt().get().maxOutputTokens(), progress.eventCount * perEvent);
-    return call.prompt().get().inputTokens() + output;
+    long output =
+        Math.min(arrival.call().prompt().get().maxOutputTokens(), progress.eventCount * perEvent);
+    return arrival.call().prompt().get().inputTokens() + output;
   }
 
   @Override
@@ -300,10 +274,10 @@
   }
 
   private void onLoop(Runnable task) {
-    if (loop.inEventLoop()) {
+    if (arrival.loop().inEventLoop()) {
       task.run();
     } else {
-      loop.execute(task);
+      arrival.loop().execute(task);
     }
   }
 }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamRequest.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamRequest.java
@@ -24,16 +24,16 @@
             OptionalLong.of(work.leftMs()),
             urgency(work),
             lastEventId.isPresent() ? lastEventId : work.call().continuesAfter());
-    HttpHeaders fromCaller = work.head().headers();
-    HttpHeaders headers = work.parts().dialect().toUpstream(fromCaller, send);
-    if (work.body().isReadable() || fromCaller.contains(HttpHeaderNames.CONTENT_LENGTH)) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, work.body().readableBytes());
+    HttpHeaders fromCaller = work.arrival().head().headers();
+    HttpHeaders headers = work.arrival().parts().dialect().toUpstream(fromCaller, send);
+    if (work.arrival().body().isReadable() || fromCaller.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, work.arrival().body().readableBytes());
     }
     return new DefaultFullHttpRequest(
         HttpVersion.HTTP_1_1,
-        work.head().method(),
-        work.head().uri(),
-        work.body().retainedDuplicate(),
+        work.arrival().head().method(),
+        work.arrival().head().uri(),
+        work.arrival().body().retainedDuplicate(),
         headers,
         new DefaultHttpHeaders());
   }
--- a/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
@@ -47,34 +47,29 @@
     }
   }
 
-  @Test
-  void tellsFewPeersOfMiddlingPrompt() throws Exception {
-    // GIVEN
+  /** Announces prompts to so many peers, and gives the first that one of them hears of. */
+  private Long firstHeard(int peerCount, long... announcedTokens) throws Exception {
     int port = freePort();
     final DatagramNotices listening = listener(port);
-    DatagramNotices speaking = speaker(port, 5);
-    // WHEN
-    speaking.announce("i-1", 2_000);
-    // THEN
-    assertThat(heard.poll(WAIT_S, TimeUnit.SECONDS)).isEqualTo(2_000);
+    DatagramNotices speaking = speaker(port, peerCount);
+    for (long tokens : announcedTokens) {
+      speaking.announce("i-1", tokens);
+    }
+    Long first = heard.poll(WAIT_S, TimeUnit.SECONDS);
     speaking.close();
     listening.close();
+    return first;
+  }
+
+  @Test
+  void tellsFewPeersOfMiddlingPrompt() throws Exception {
+    assertThat(firstHeard(5, 2_000)).isEqualTo(2_000);
   }
 
   // Seventy instances serve hundreds of middling prompts a second. Were each told to all others,
   // every instance would get thousands of datagrams; only the long prompts are.
   @Test
   void tellsManyPeersOnlyOfLongPrompts() throws Exception {
-    // GIVEN
-    int port = freePort();
-    final DatagramNotices listening = listener(port);
-    DatagramNotices speaking = speaker(port, 70);
-    // WHEN
-    speaking.announce("i-1", 2_000);
-    speaking.announce("i-1", 7_000);
-    // THEN
-    assertThat(heard.poll(WAIT_S, TimeUnit.SECONDS)).isEqualTo(7_000);
-    speaking.close();
-    listening.close();
+    assertThat(firstHeard(70, 2_000, 7_000)).isEqualTo(7_000);
   }
 }
