--- a/mothrill-core/src/main/java/io/mothrill/core/forward/plan/ForwardingPlan.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/plan/ForwardingPlan.java
@@ -1,5 +1,7 @@
 package io.mothrill.core.forward.plan;
 
+import io.mothrill.core.error.FieldError;
+import io.mothrill.core.error.InvalidInputException;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -37,6 +39,7 @@
    * @param services the services
    * @param teams the teams; without any, no request needs a key
    * @param bounds what callers may send
+   * @throws InvalidInputException when two services or two teams have the same name
    */
   public ForwardingPlan(
       long version,
@@ -49,13 +52,24 @@
         routes.stream()
             .sorted(Comparator.comparingInt((Route route) -> route.prefix().length()).reversed())
             .collect(Collectors.groupingBy(Route::host));
-    this.services =
-        services.stream().collect(Collectors.toMap(ServicePlan::name, Function.identity()));
-    this.teamsByName = teams.stream().collect(Collectors.toMap(TeamPlan::name, team -> team));
+    this.services = byName("services", services, ServicePlan::name);
+    this.teamsByName = byName("teams", teams, TeamPlan::name);
     teams.forEach(team -> team.keys().forEach(key -> teamsByKey.put(key, team)));
     this.bounds = bounds;
   }
 
+  private static <T> Map<String, T> byName(
+      String field, List<T> declared, Function<T, String> nameOf) {
+    Map<String, T> byName = new HashMap<>();
+    for (T one : declared) {
+      String name = nameOf.apply(one);
+      if (byName.put(name, one) != null) {
+        throw InvalidInputException.of(FieldError.refused(field, "has '" + name + "' twice"));
+      }
+    }
+    return byName;
+  }
+
   /**
    * Gives the plan before any was read.
    *
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/InstanceSpending.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/InstanceSpending.java
@@ -3,8 +3,11 @@
 import io.mothrill.core.platform.Cells;
 import java.util.Arrays;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
+import org.tinylog.Logger;
 
 /**
  * One instance's row: its grants of all teams, renewed together.
@@ -27,6 +30,9 @@
   private static final String TEAM_PREFIX = "team.";
   private static final String SEPARATOR = ",";
 
+  /** Six whole numbers of up to 18 digits. */
+  private static final Pattern GRANT = Pattern.compile("\\d{1,18}(,\\d{1,18}){5}");
+
   /** Takes a copy of the grants. */
   public InstanceSpending {
     grants = Map.copyOf(grants);
@@ -76,13 +82,15 @@
    * @return the row
    */
   public static InstanceSpending read(Cells cells) {
-    Map<String, SpendingGrant> grants =
-        cells.asMap().entrySet().stream()
-            .filter(entry -> entry.getKey().startsWith(TEAM_PREFIX))
-            .collect(
-                Collectors.toMap(
-                    entry -> entry.getKey().substring(TEAM_PREFIX.length()),
-                    entry -> readGrant(String.valueOf(entry.getValue()))));
+    Map<String, SpendingGrant> grants = new TreeMap<>();
+    cells.asMap().entrySet().stream()
+        .filter(entry -> entry.getKey().startsWith(TEAM_PREFIX))
+        .forEach(
+            entry ->
+                readGrant(String.valueOf(entry.getValue()))
+                    .ifPresent(
+                        grant ->
+                            grants.put(entry.getKey().substring(TEAM_PREFIX.length()), grant)));
     return new InstanceSpending(
         cells.number(SENT_AT), cells.text(HOST), (int) cells.number(PEER_PORT), grants);
   }
@@ -101,9 +109,17 @@
         .collect(Collectors.joining(SEPARATOR));
   }
 
-  private static SpendingGrant readGrant(String text) {
+  /**
+   * Reads a grant; empty for one that no instance has written. That is safe: its limit stays in the
+   * sum of the team's row, so nobody else gets those tokens.
+   */
+  private static Optional<SpendingGrant> readGrant(String text) {
+    if (!GRANT.matcher(text).matches()) {
+      Logger.error("grant not understood text={}", text);
+      return Optional.empty();
+    }
     long[] numbers = Arrays.stream(text.split(SEPARATOR)).mapToLong(Long::parseLong).toArray();
-    return new SpendingGrant(
-        numbers[0], numbers[1], numbers[2], numbers[3], numbers[4], numbers[5]);
+    return Optional.of(
+        new SpendingGrant(numbers[0], numbers[1], numbers[2], numbers[3], numbers[4], numbers[5]));
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingTables.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingTables.java
@@ -27,6 +27,9 @@
   static final String TEAM_PREFIX = "team/";
   private static final String GRANTED = "granted";
 
+  /** More than any budget, and far from the largest number that sums may reach. */
+  private static final long ALL_GRANTED = Long.MAX_VALUE / 4;
+
   private SpendingTables() {}
 
   static RowKey instanceKey(String instanceId) {
@@ -128,8 +131,19 @@
       return new InstanceRecord(id, id, "", row.host(), row.peerPort(), false);
     }
 
+    /**
+     * Gives the sum of all limits of a team.
+     *
+     * <p>Failure: another program has overwritten the team's row. Symptom: if it counted as nothing
+     * granted, the whole budget would be granted once more. So all counts as granted: nobody gets
+     * more than is held already.
+     */
     long grantedTokens(String team) {
-      return row(teamKey(team)).cells().number(GRANTED);
+      Row row = row(teamKey(team));
+      boolean understood =
+          row.cells().find(GRANTED).filter(Long.class::isInstance).isPresent()
+              && row.cells().number(GRANTED) >= 0;
+      return row.exists() && !understood ? ALL_GRANTED : row.cells().number(GRANTED);
     }
 
     long spentTokens(String team) {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/PlainCost.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/PlainCost.java
@@ -34,7 +34,7 @@
   public ToDoubleFunction<ServingUpstream> compare(
       UpstreamQuery query, List<ServingUpstream> upstreams, long nowMs) {
     return upstream -> {
-      double count = loads.of(upstream.id()).estimatedCount(nowMs);
+      double count = loads.of(upstream.incarnation()).estimatedCount(nowMs);
       double fullness = count / Math.max(1, upstream.slots());
       double distance = upstream.domain().equals(ownDomain) ? 0 : OTHER_DOMAIN;
       return fullness + distance + JITTER * random.nextDouble();
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/PromptCost.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/PromptCost.java
@@ -63,7 +63,7 @@
     double tokensPerMs = speed.tokensPerMs();
     double inTimeTokens = AIM_SHARE * query.aimMs() * tokensPerMs;
     return upstream -> {
-      UpstreamLoad load = loads.of(upstream.id());
+      UpstreamLoad load = loads.of(upstream.incarnation());
       double count = load.estimatedCount(nowMs);
       double unread = memory.unreadTokens(prompt, upstream, homes, nowMs);
       double wait =
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/PromptMemory.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/PromptMemory.java
@@ -37,11 +37,11 @@
    * Notes that an upstream reads a prompt.
    *
    * @param prompt the prompt
-   * @param upstreamId the upstream
+   * @param incarnation the start of the upstream that it is sent to
    * @param nowMs the time
    */
-  public void onSent(Prompt prompt, String upstreamId, long nowMs) {
-    sentAtMs.computeIfAbsent(upstreamId, id -> newBook()).put(prompt.subject(), nowMs);
+  public void onSent(Prompt prompt, String incarnation, long nowMs) {
+    sentAtMs.computeIfAbsent(incarnation, name -> newBook()).put(prompt.subject(), nowMs);
   }
 
   /**
@@ -89,7 +89,8 @@
    * @return tokens
    */
   public double unreadTokens(Prompt prompt, ServingUpstream upstream, Homes homes, long nowMs) {
-    double kept = wasSent(prompt, upstream.id(), nowMs) ? 1 : keptShare(upstream.id(), homes);
+    double kept =
+        wasSent(prompt, upstream.incarnation(), nowMs) ? 1 : keptShare(upstream.id(), homes);
     return prompt.inputTokens() - kept * sharedTokens(prompt);
   }
 
@@ -97,12 +98,12 @@
    * Estimates what an upstream has to read for a prompt that is about to be sent to it.
    *
    * @param prompt the prompt
-   * @param upstreamId the upstream
+   * @param incarnation the start of the upstream that it is sent to
    * @param nowMs the time
    * @return tokens; all of the prompt unless this instance has sent its like there lately
    */
-  public long unreadTokens(Prompt prompt, String upstreamId, long nowMs) {
-    return wasSent(prompt, upstreamId, nowMs)
+  public long unreadTokens(Prompt prompt, String incarnation, long nowMs) {
+    return wasSent(prompt, incarnation, nowMs)
         ? Math.round(prompt.inputTokens() - sharedTokens(prompt))
         : prompt.inputTokens();
   }
@@ -120,11 +121,11 @@
    * @param list those that are there
    */
   public void retain(UpstreamList list) {
-    sentAtMs.keySet().removeIf(id -> !list.contains(id));
+    sentAtMs.keySet().removeIf(incarnation -> !list.containsIncarnation(incarnation));
   }
 
-  private boolean wasSent(Prompt prompt, String upstreamId, long nowMs) {
-    Long atMs = sentAtMs.getOrDefault(upstreamId, Map.of()).get(prompt.subject());
+  private boolean wasSent(Prompt prompt, String incarnation, long nowMs) {
+    Long atMs = sentAtMs.getOrDefault(incarnation, Map.of()).get(prompt.subject());
     return atMs != null && nowMs - atMs < KEPT_MS;
   }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/PromptNotices.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/PromptNotices.java
@@ -7,8 +7,8 @@
   /**
    * Tells that a prompt was sent.
    *
-   * @param upstreamId the upstream that reads it
+   * @param incarnation the start of the upstream that reads it
    * @param unreadTokens what it probably has to read
    */
-  void announce(String upstreamId, long unreadTokens);
+  void announce(String incarnation, long unreadTokens);
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamList.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamList.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -77,6 +78,38 @@
     return byId.containsKey(id);
   }
 
+  /**
+   * Looks for an upstream by its id.
+   *
+   * @param id its id
+   * @return the upstream as it was last heard of
+   */
+  public Optional<ServingUpstream> find(String id) {
+    return Optional.ofNullable(byId.get(id));
+  }
+
+  /**
+   * Looks for one start of an upstream.
+   *
+   * @param incarnation what {@link ServingUpstream#incarnation()} gave
+   * @return true when that process is in the list
+   */
+  public boolean containsIncarnation(String incarnation) {
+    return find(ServingUpstream.idOf(incarnation))
+        .filter(upstream -> upstream.incarnation().equals(incarnation))
+        .isPresent();
+  }
+
+  /**
+   * Says whether a process has been followed by another one with the same id.
+   *
+   * @param incarnation what {@link ServingUpstream#incarnation()} gave for the earlier process
+   * @return true when the list shows a later start
+   */
+  public boolean hasReplaced(String incarnation) {
+    return contains(ServingUpstream.idOf(incarnation)) && !containsIncarnation(incarnation);
+  }
+
   /**
    * Adds upstreams of an earlier list that this one lacks.
    *
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamLoad.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamLoad.java
@@ -1,5 +1,8 @@
 package io.mothrill.core.forward.upstream;
 
+import io.mothrill.core.time.Subscription;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -23,6 +26,8 @@
   private volatile long avoidUntilMs = Long.MIN_VALUE;
   private volatile Report report = new Report(0, 0, Long.MIN_VALUE / 2);
 
+  private final Set<Runnable> watchers = ConcurrentHashMap.newKeySet();
+
   private volatile Notice notice = new Notice(0, Long.MIN_VALUE / 2);
 
   private record Notice(double unreadTokens, long atMs) {
@@ -64,6 +69,30 @@
     notice = new Notice(notice.leftAt(nowMs, tokensPerMs) + promptTokens, nowMs);
   }
 
+  /**
+   * Asks to be told when another process has followed this one.
+   *
+   * <p>Failure: an upstream crashes and starts again under its id and address, and the way to it is
+   * silent. Symptom: its callers wait for an answer that nobody works on. They are told with the
+   * first list that shows the new process.
+   *
+   * @param watcher called once at the most, on the thread that reads the list; must not block
+   * @return a handle to end with
+   */
+  public Subscription onReplaced(Runnable watcher) {
+    watchers.add(watcher);
+    return () -> watchers.remove(watcher);
+  }
+
+  /** Tells all who have asked that another process has followed this one. */
+  void replaced() {
+    for (Runnable watcher : watchers) {
+      if (watchers.remove(watcher)) {
+        watcher.run();
+      }
+    }
+  }
+
   /** Counts a request that has ended. */
   public void onEnded() {
     underWayCount.decrementAndGet();
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamLoads.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamLoads.java
@@ -3,7 +3,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** The loads of all upstreams by id. */
+/** The loads of all upstreams; a process that starts again under its id begins without any. */
 public final class UpstreamLoads {
 
   private final Map<String, UpstreamLoad> loads = new ConcurrentHashMap<>();
@@ -11,21 +11,27 @@
   /**
    * Finds the load of an upstream, with none of it known at first.
    *
-   * @param id the upstream's id
+   * @param incarnation what {@link ServingUpstream#incarnation()} gives
    * @return its load
    */
-  public UpstreamLoad of(String id) {
-    return loads.computeIfAbsent(id, unused -> new UpstreamLoad());
+  public UpstreamLoad of(String incarnation) {
+    return loads.computeIfAbsent(incarnation, unused -> new UpstreamLoad());
   }
 
   /**
-   * Forgets upstreams that have gone and have nothing under way.
+   * Forgets upstreams that have gone and have nothing under way, and tells requests that are under
+   * way at a process that another one has followed.
    *
    * @param list those that are there
    */
   public void retain(UpstreamList list) {
+    loads.entrySet().stream()
+        .filter(entry -> list.hasReplaced(entry.getKey()))
+        .forEach(entry -> entry.getValue().replaced());
     loads
         .entrySet()
-        .removeIf(entry -> !list.contains(entry.getKey()) && entry.getValue().underWayCount() == 0);
+        .removeIf(
+            entry ->
+                !list.containsIncarnation(entry.getKey()) && entry.getValue().underWayCount() == 0);
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamPicker.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamPicker.java
@@ -59,10 +59,13 @@
     UpstreamCost cost = query.prompt().isPresent() ? promptCost : plainCost;
     ToDoubleFunction<ServingUpstream> costOf = cost.compare(query, taking, nowMs);
     List<ServingUpstream> left =
-        taking.stream().filter(upstream -> !query.triedIds().contains(upstream.id())).toList();
+        taking.stream()
+            .filter(upstream -> !query.tried().contains(upstream.incarnation()))
+            .toList();
     Optional<ServingUpstream> trusted =
         cheapest(
-            left.stream().filter(upstream -> !loads.of(upstream.id()).isAvoided(nowMs)), costOf);
+            left.stream().filter(upstream -> !loads.of(upstream.incarnation()).isAvoided(nowMs)),
+            costOf);
     return trusted.isPresent() ? trusted : cheapest(left.stream(), costOf);
   }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamQuery.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamQuery.java
@@ -10,13 +10,13 @@
  * @param service the service that the request goes to
  * @param aimMs the time to the answer, or to a stream's first event, that callers hope for
  * @param prompt what is known of its prompt; empty for plain requests
- * @param triedIds upstreams that have already been tried for it
+ * @param tried the starts of upstreams that it was already offered to
  */
 public record UpstreamQuery(
-    String service, long aimMs, Optional<Prompt> prompt, Set<String> triedIds) {
+    String service, long aimMs, Optional<Prompt> prompt, Set<String> tried) {
 
-  /** Takes a copy of the ids. */
+  /** Takes a copy of the names. */
   public UpstreamQuery {
-    triedIds = Set.copyOf(triedIds);
+    tried = Set.copyOf(tried);
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/StateFollower.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/StateFollower.java
@@ -3,6 +3,7 @@
 import io.mothrill.core.board.Section;
 import io.mothrill.core.error.Failures;
 import io.mothrill.core.forward.plan.ForwardingPlan;
+import io.mothrill.core.forward.upstream.NewestWords;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.time.Timers;
 import java.util.OptionalLong;
@@ -29,6 +30,7 @@
   private final Section<UpstreamList> upstreams;
   private final Timers timers;
   private final ViewSettings settings;
+  private final NewestWords words = new NewestWords();
   private OptionalLong lostMs = OptionalLong.empty();
   private long regainedMs = Long.MIN_VALUE / 2;
   private long upstreamsStartedMs = Long.MIN_VALUE;
@@ -107,7 +109,11 @@
     }
     upstreamsStartedMs = startedMs;
     boolean returning = wasAway() || timers.nowMs() - regainedMs < settings.returnMs();
-    upstreams.update(before -> returning ? read.keeping(before) : read);
+    upstreams.update(
+        before -> {
+          UpstreamList current = words.correct(read, before);
+          return returning ? current.keeping(before) : current;
+        });
     upstreamsReadMs = timers.nowMs();
   }
 
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/UpstreamListTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/UpstreamListTest.java
@@ -8,7 +8,7 @@
 class UpstreamListTest {
 
   private static ServingUpstream upstream(String id, String host) {
-    return new ServingUpstream(id, "sira", host, 80, "konya", 6, false);
+    return new ServingUpstream(id, "sira", host, 80, "konya", 6, false, UpstreamWord.UNTOLD);
   }
 
   private final UpstreamList earlier =
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/UpstreamPickerTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/UpstreamPickerTest.java
@@ -38,7 +38,8 @@
   }
 
   private static ServingUpstream upstream(int number, boolean leaving) {
-    return new ServingUpstream("i-" + number, SERVICE, "10.0.0." + number, 80, "konya", 8, leaving);
+    return new ServingUpstream(
+        "i-" + number, SERVICE, "10.0.0." + number, 80, "konya", 8, leaving, UpstreamWord.UNTOLD);
   }
 
   private static Prompt prompt(String subject, long ownTokens) {
@@ -82,7 +83,7 @@
   @Test
   void promptWaitsAtItsHomeAsLongAsItIsInTime() {
     String home = pick(prompt("saver-7", 100));
-    loads.of(home).onNotice(4_000, speed.tokensPerMs(), timers.nowMs());
+    loads.of(home + "@0").onNotice(4_000, speed.tokensPerMs(), timers.nowMs());
 
     assertThat(pick(prompt("saver-7", 100))).isEqualTo(home);
   }
@@ -92,7 +93,7 @@
   @Test
   void promptLeavesItsHomeWhenItWouldBeLateThere() {
     String home = pick(prompt("saver-7", 100));
-    loads.of(home).onNotice(50_000, speed.tokensPerMs(), timers.nowMs());
+    loads.of(home + "@0").onNotice(50_000, speed.tokensPerMs(), timers.nowMs());
 
     assertThat(pick(prompt("saver-7", 100))).isNotEqualTo(home);
   }
@@ -100,7 +101,7 @@
   @Test
   void whatOthersAnnouncedIsReadAfterWhile() {
     String home = pick(prompt("saver-7", 100));
-    loads.of(home).onNotice(50_000, speed.tokensPerMs(), timers.nowMs());
+    loads.of(home + "@0").onNotice(50_000, speed.tokensPerMs(), timers.nowMs());
 
     timers.advanceMs(2_000);
 
@@ -118,25 +119,25 @@
   void anUpstreamIsNotTriedTwice() {
     list.publish(new UpstreamList(List.of(upstream(1, false))));
 
-    assertThat(pickPlain(Set.of("i-1"))).isEqualTo(Optional.empty());
+    assertThat(pickPlain(Set.of("i-1@0"))).isEqualTo(Optional.empty());
   }
 
   // One upstream has died silently. It is avoided after the first failure, and tried again later.
   @Test
   void failedUpstreamIsAvoidedForWhile() {
     list.publish(new UpstreamList(List.of(upstream(1, false), upstream(2, false))));
-    loads.of("i-1").onFailure(timers.nowMs());
+    loads.of("i-1@0").onFailure(timers.nowMs());
 
     for (int request = 0; request < 20; request++) {
       assertThat(pickPlain(Set.of()).orElseThrow().id()).isEqualTo("i-2");
     }
-    assertThat(loads.of("i-1").isAvoided(timers.nowMs() + 5_000)).isFalse();
+    assertThat(loads.of("i-1@0").isAvoided(timers.nowMs() + 5_000)).isFalse();
   }
 
   @Test
   void failedUpstreamsAreBetterThanNone() {
     list.publish(new UpstreamList(List.of(upstream(1, false))));
-    loads.of("i-1").onFailure(timers.nowMs());
+    loads.of("i-1@0").onFailure(timers.nowMs());
 
     assertThat(pickPlain(Set.of()).isPresent()).isTrue();
   }
@@ -144,7 +145,7 @@
   @Test
   void plainRequestsGoToTheEmptierUpstream() {
     list.publish(new UpstreamList(List.of(upstream(1, false), upstream(2, false))));
-    loads.of("i-1").onReport(8, 4, timers.nowMs());
+    loads.of("i-1@0").onReport(8, 4, timers.nowMs());
 
     assertThat(pickPlain(Set.of()).orElseThrow().id()).isEqualTo("i-2");
   }
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/UpstreamStartTest.java
@@ -0,0 +1,112 @@
+package io.mothrill.core.forward.upstream;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.mothrill.core.forward.request.Prompt;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+
+/** A process starts again under the id of an earlier one; nothing of that one is believed of it. */
+class UpstreamStartTest {
+
+  private static final Prompt PROMPT =
+      new Prompt(
+          "m", 6_000, 100, List.of(new Prompt.Part("saver", 5_000), new Prompt.Part("own", 1_000)));
+
+  private final NewestWords words = new NewestWords();
+  private final UpstreamLoads loads = new UpstreamLoads();
+  private final PromptMemory memory = new PromptMemory();
+
+  private static ServingUpstream said(long startedMs, long number, boolean leaving) {
+    return new ServingUpstream(
+        "i-1", "sira", "10.0.0.1", 80, "konya", 6, leaving, new UpstreamWord(startedMs, number));
+  }
+
+  private static UpstreamList list(ServingUpstream... upstreams) {
+    return new UpstreamList(List.of(upstreams));
+  }
+
+  @Test
+  void loadAndFailuresOfTheEarlierProcessAreForgotten() {
+    ServingUpstream earlier = said(1_000, 9, false);
+    ServingUpstream later = said(2_000, 1, false);
+    loads.of(earlier.incarnation()).onReport(6, 20, 0);
+    loads.of(earlier.incarnation()).onFailure(0);
+
+    loads.retain(list(later));
+
+    assertThat(loads.of(later.incarnation()).estimatedCount(0)).isEqualTo(0);
+    assertThat(loads.of(later.incarnation()).isAvoided(1)).isFalse();
+  }
+
+  @Test
+  void promptsThatTheEarlierProcessReadAreReadAgain() {
+    ServingUpstream earlier = said(1_000, 9, false);
+    ServingUpstream later = said(2_000, 1, false);
+    memory.onSent(PROMPT, earlier.incarnation(), 0);
+
+    assertThat(memory.unreadTokens(PROMPT, earlier.incarnation(), 1)).isEqualTo(1_000);
+    assertThat(memory.unreadTokens(PROMPT, later.incarnation(), 1)).isEqualTo(6_000);
+  }
+
+  // The process crashed with a request under way, and its connection fell silent. The request's
+  // caller must not wait for an answer that nobody works on.
+  @Test
+  void requestsAtTheEarlierProcessAreToldOnce() {
+    ServingUpstream earlier = said(1_000, 9, false);
+    UpstreamLoad load = loads.of(earlier.incarnation());
+    AtomicInteger told = new AtomicInteger();
+    load.onSent(0);
+    load.onReplaced(told::incrementAndGet);
+    load.onReplaced(told::incrementAndGet).cancel();
+
+    loads.retain(list(earlier));
+    assertThat(told.get()).isEqualTo(0);
+
+    loads.retain(list(said(2_000, 1, false)));
+    loads.retain(list(said(2_000, 2, false)));
+    assertThat(told.get()).isEqualTo(1);
+  }
+
+  // A report of the earlier process is written late, over that of the later one. Requests go on to
+  // the later process.
+  @Test
+  void lateWordOfTheEarlierProcessDoesNotBringItBack() {
+    UpstreamList newest = words.correct(list(said(2_000, 1, false)), UpstreamList.empty());
+
+    UpstreamList corrected = words.correct(list(said(1_000, 9, false)), newest);
+
+    assertThat(corrected.containsIncarnation(said(2_000, 1, false).incarnation())).isTrue();
+    assertThat(corrected.containsIncarnation(said(1_000, 9, false).incarnation())).isFalse();
+  }
+
+  // An upstream has said that it leaves, and an earlier word of the same process arrives after
+  // that. It must get nothing new.
+  @Test
+  void lateWordDoesNotTakeBackThatAnUpstreamLeaves() {
+    UpstreamList leaving = words.correct(list(said(1_000, 5, true)), UpstreamList.empty());
+
+    UpstreamList corrected = words.correct(list(said(1_000, 4, false)), leaving);
+
+    assertThat(corrected.takingOf("sira")).isEmpty();
+  }
+
+  // The later process has gone, and then a word of the earlier one arrives: nobody is there.
+  @Test
+  void lateWordCountsForNothingOnceTheUpstreamIsGone() {
+    words.correct(list(said(2_000, 1, false)), UpstreamList.empty());
+    UpstreamList gone = words.correct(UpstreamList.empty(), list(said(2_000, 1, false)));
+
+    assertThat(words.correct(list(said(1_000, 9, false)), gone).all()).isEmpty();
+  }
+
+  @Test
+  void processThatTellsNoStartIsTakenAsItIs() {
+    ServingUpstream untold =
+        new ServingUpstream("i-1", "sira", "10.0.0.1", 80, "konya", 6, false, UpstreamWord.UNTOLD);
+    UpstreamList before = words.correct(list(untold), UpstreamList.empty());
+
+    assertThat(words.correct(list(untold), before).takingOf("sira")).hasSize(1);
+  }
+}
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/view/StateFollowerTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/view/StateFollowerTest.java
@@ -8,6 +8,7 @@
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.upstream.ServingUpstream;
 import io.mothrill.core.forward.upstream.UpstreamList;
+import io.mothrill.core.forward.upstream.UpstreamWord;
 import io.mothrill.core.platform.error.PlatformException;
 import java.util.List;
 import java.util.Optional;
@@ -18,7 +19,7 @@
 
   private static final ViewSettings SETTINGS = new ViewSettings(500, 500, 2_500);
   private static final ServingUpstream LIVING =
-      new ServingUpstream("i-1", "sira", "10.0.0.1", 80, "konya", 6, false);
+      new ServingUpstream("i-1", "sira", "10.0.0.1", 80, "konya", 6, false, UpstreamWord.UNTOLD);
 
   private final ManualTimers timers = new ManualTimers();
   private final Section<ForwardingPlan> plan = new Section<>(ForwardingPlan.unknown());
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -67,6 +67,7 @@
   private boolean told;
   private UpstreamConnection connection;
   private Subscription silence = () -> {};
+  private Subscription replacement = () -> {};
   private boolean over;
   private boolean sent;
   private boolean promptRead;
@@ -84,7 +85,7 @@
     this.owner = owner;
     long nowMs = parts.timers().nowMs();
     this.upstream = upstream;
-    this.load = parts.loads().of(upstream.id());
+    this.load = parts.loads().of(upstream.incarnation());
     this.chosenMs = nowMs - work.arrival().startMs();
     this.underWayBefore = load.underWayCount();
     this.unreadBefore = Math.round(load.unreadPromptTokens(parts.speed().tokensPerMs(), nowMs));
@@ -92,7 +93,7 @@
     this.promptTokens =
         work.call()
             .prompt()
-            .map(prompt -> parts.memory().unreadTokens(prompt, upstream.id(), nowMs))
+            .map(prompt -> parts.memory().unreadTokens(prompt, upstream.incarnation(), nowMs))
             .orElse(0L);
   }
 
@@ -153,10 +154,15 @@
     sentMs = parts.timers().nowMs();
     heardMs = sentMs;
     load.onSent(promptTokens);
-    work.call().prompt().ifPresent(prompt -> parts.memory().onSent(prompt, upstream.id(), sentMs));
-    parts.notices().announce(upstream.id(), promptTokens);
+    work.call()
+        .prompt()
+        .ifPresent(prompt -> parts.memory().onSent(prompt, upstream.incarnation(), sentMs));
+    parts.notices().announce(upstream.incarnation(), promptTokens);
     connection.send(
         UpstreamRequest.of(work, upstream.id(), progress.lastEventId), work.call().id(), this);
+    replacement =
+        load.onReplaced(
+            () -> work.arrival().loop().execute(() -> onBroken("upstream has started again")));
     watchSilence(silenceMs());
   }
 
@@ -220,6 +226,7 @@
   private void finish() {
     over = true;
     silence.cancel();
+    replacement.cancel();
     if (sent) {
       notePromptRead();
       load.onEnded();
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
@@ -29,7 +29,7 @@
 
   private final Dialect dialect;
   private final UpstreamPool pool;
-  private final String upstreamId;
+  private final String incarnation;
   private ChannelHandlerContext context;
   private UpstreamSink sink;
   private String requestId = "";
@@ -39,10 +39,10 @@
   private long idleSinceMs;
   private long idleLimitMs = UNTOLD_IDLE_MS;
 
-  UpstreamConnection(Dialect dialect, UpstreamPool pool, String upstreamId) {
+  UpstreamConnection(Dialect dialect, UpstreamPool pool, String incarnation) {
     this.dialect = dialect;
     this.pool = pool;
-    this.upstreamId = upstreamId;
+    this.incarnation = incarnation;
   }
 
   @Override
@@ -50,8 +50,8 @@
     this.context = ctx;
   }
 
-  String upstreamId() {
-    return upstreamId;
+  String incarnation() {
+    return incarnation;
   }
 
   /** Sends a request; its answer goes to the sink. */
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamPool.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamPool.java
@@ -61,7 +61,8 @@
       Consumer<UpstreamConnection> onConnected,
       Consumer<String> onFailed) {
     double share = onlyOnce ? USABLE_SHARE_ONCE : USABLE_SHARE;
-    Deque<UpstreamConnection> connections = idle.getOrDefault(upstream.id(), new ArrayDeque<>());
+    Deque<UpstreamConnection> connections =
+        idle.getOrDefault(upstream.incarnation(), new ArrayDeque<>());
     UpstreamConnection newest = connections.pollLast();
     if (newest != null && newest.isUsable(nowMs(), share)) {
       onConnected.accept(newest);
@@ -77,7 +78,7 @@
       ServingUpstream upstream,
       Consumer<UpstreamConnection> onConnected,
       Consumer<String> onFailed) {
-    UpstreamConnection connection = new UpstreamConnection(dialect, this, upstream.id());
+    UpstreamConnection connection = new UpstreamConnection(dialect, this, upstream.incarnation());
     new Bootstrap()
         .group(loop)
         .channel(NioSocketChannel.class)
@@ -105,11 +106,11 @@
   }
 
   void putBack(UpstreamConnection connection) {
-    idle.computeIfAbsent(connection.upstreamId(), id -> new ArrayDeque<>()).addLast(connection);
+    idle.computeIfAbsent(connection.incarnation(), name -> new ArrayDeque<>()).addLast(connection);
   }
 
   void forget(UpstreamConnection connection) {
-    Deque<UpstreamConnection> connections = idle.get(connection.upstreamId());
+    Deque<UpstreamConnection> connections = idle.get(connection.incarnation());
     if (connections != null) {
       connections.remove(connection);
     }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
@@ -40,6 +40,9 @@
    */
   private static final int MAX_TOLD = 80;
 
+  /** Longer than any prompt that an upstream's memory could take. */
+  private static final long MAX_TOKENS = 10_000_000;
+
   private final Supplier<List<InstanceRecord>> others;
   private final Channel channel;
 
@@ -70,14 +73,14 @@
   }
 
   @Override
-  public void announce(String upstreamId, long unreadTokens) {
+  public void announce(String incarnation, long unreadTokens) {
     List<InstanceRecord> told = others.get().stream().limit(MAX_TOLD).toList();
     if (unreadTokens < Math.max(MIN_TOKENS, TOKENS_PER_TOLD * told.size())) {
       return;
     }
     byte[] notice =
         PromptNotice.newBuilder()
-            .setUpstreamId(upstreamId)
+            .setUpstreamId(incarnation)
             .setUnreadTokens(unreadTokens)
             .build()
             .toByteArray();
@@ -92,7 +95,8 @@
     channel.close();
   }
 
-  private static final class NoticeHandler extends SimpleChannelInboundHandler<DatagramPacket> {
+  /** Reads notices; bytes of other programs are passed over. */
+  static final class NoticeHandler extends SimpleChannelInboundHandler<DatagramPacket> {
     private final PromptNotices heard;
 
     NoticeHandler(PromptNotices heard) {
@@ -103,7 +107,9 @@
     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
       try {
         PromptNotice notice = PromptNotice.parseFrom(ByteBufUtil.getBytes(packet.content()));
-        heard.announce(notice.getUpstreamId(), notice.getUnreadTokens());
+        if (notice.getUnreadTokens() >= 0 && notice.getUnreadTokens() <= MAX_TOKENS) {
+          heard.announce(notice.getUpstreamId(), notice.getUnreadTokens());
+        }
       } catch (InvalidProtocolBufferException ex) {
         Logger.debug("notice not understood: {}", ex.getMessage());
       }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/platform/TableJson.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/platform/TableJson.java
@@ -112,10 +112,11 @@
     return cells.build();
   }
 
+  /** Leaves out what no cell can be: read as 0 it would look like a number that someone meant. */
   private static void readCell(String name, JsonNode value, Cells.Builder cells) {
     if (value.isTextual()) {
       cells.add(name, value.asText());
-    } else {
+    } else if (value.isIntegralNumber() && value.canConvertToLong()) {
       cells.add(name, value.asLong());
     }
   }
--- /dev/null
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/peer/ForeignNoticesTest.java
@@ -0,0 +1,64 @@
+package io.mothrill.wire.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.mothrill.wire.peer.generated.PromptNotice;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.DatagramPacket;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** What comes to the port for notices from anyone but an instance does no harm. */
+class ForeignNoticesTest {
+
+  private static final InetSocketAddress HERE = new InetSocketAddress("127.0.0.1", 9);
+
+  private final List<Long> heardTokens = new ArrayList<>();
+  private final EmbeddedChannel channel =
+      new EmbeddedChannel(
+          new DatagramNotices.NoticeHandler((incarnation, tokens) -> heardTokens.add(tokens)));
+
+  private void receive(byte[] bytes) {
+    channel.writeInbound(new DatagramPacket(Unpooled.wrappedBuffer(bytes), HERE));
+  }
+
+  private static byte[] notice(long tokens) {
+    return PromptNotice.newBuilder()
+        .setUpstreamId("i-1@0")
+        .setUnreadTokens(tokens)
+        .build()
+        .toByteArray();
+  }
+
+  @Test
+  void passesOnWhatAnotherInstanceSays() {
+    receive(notice(4_000));
+
+    assertThat(heardTokens).containsExactly(4_000L);
+  }
+
+  // A datagram of another program claims a prompt that no upstream could ever read. Taken at its
+  // word, the upstream would get nothing for hours.
+  @Test
+  void passesOverImpossiblePrompts() {
+    receive(notice(Long.MAX_VALUE));
+    receive(notice(-1));
+
+    assertThat(heardTokens).isEmpty();
+  }
+
+  @Property(tries = 400, seed = "30005")
+  void bytesThatMeanNothingDoNoHarm(@ForAll byte[] bytes) {
+    receive(bytes);
+    channel.checkException();
+
+    heardTokens.clear();
+    receive(notice(4_000));
+    assertThat(heardTokens).containsExactly(4_000L);
+  }
+}
