--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -83,6 +83,8 @@
    * @param plan the plan in force
    * @param policy how the unspent tokens are shared
    * @param timers the time
+   * @param startedMs when this process had begun, by the clock of the timers; an earlier process of
+   *     the same instance was dead by then
    * @param random spreads attempts after conflicts
    * @param links reaches other instances
    * @param dispatcher gets their requests
@@ -94,13 +96,14 @@
       Section<ForwardingPlan> plan,
       SharePolicy policy,
       Timers timers,
+      long startedMs,
       RandomGenerator random,
       PeerLinks links,
       PeerDispatcher dispatcher) {
     this.timers = timers;
     this.reader =
         new SpendingReader(table, storeClock, timers, SpendingTables.instanceKey(self.id()));
-    this.rows = new SpendingRows(self, storeClock, timers, random, policy);
+    this.rows = new SpendingRows(self, storeClock, timers, startedMs, random, policy);
     this.loans = new SpendingLoans(links, dispatcher, timers, self, this::findLendable);
     this.renewal = new SpendingRenewal(table, reader, rows, plan, timers, random, loans::handBack);
   }
@@ -303,7 +306,7 @@
 
   private SpendingException refusal(TeamPlan team, TeamSpending spending, long tokens) {
     long sinceRenewalMs = sinceRenewalMs();
-    if (sinceRenewalMs < SpendingRenewal.PERIOD_MS + SpendingRenewal.LEAST_PAUSE_MS) {
+    if (sinceRenewalMs < SpendingRenewal.LONGEST_PAUSE_MS + SpendingRenewal.LEAST_PAUSE_MS) {
       long left = rows.leftTokens(team, spending);
       return left < tokens && reader.sinceWholeReadMs() < EVIDENCE_MS
           ? SpendingException.spent(team.name(), left, tokens)
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRenewal.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRenewal.java
@@ -8,7 +8,6 @@
 import io.mothrill.core.time.Timers;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
 import org.tinylog.Logger;
 
@@ -18,6 +17,25 @@
   /** How often the row is renewed: a crash loses what was near, which is sized for seconds. */
   static final long PERIOD_MS = 1_000;
 
+  /**
+   * How often it is looked whether a renewal is due.
+   *
+   * <p>Failure: an instance that was cut off for long reaches the store for a second between two
+   * cuts, and its next attempt is due later. Symptom: its row shows what it had spent before the
+   * first cut, and if it dies, all that it held counts as spent: up to a tenth of a budget was seen
+   * to go that way. In a silence it tries four times a second.
+   */
+  private static final long CHECK_MS = 250;
+
+  /** The longest time from one renewal to the next while the store answers. */
+  static final long LONGEST_PAUSE_MS = PERIOD_MS + CHECK_MS;
+
+  /**
+   * A read that takes longer may hang on a connection that has gone silent: another one is begun
+   * beside it, and the first that is answered counts.
+   */
+  private static final long HANGING_MS = 240;
+
   /** Least pause between two renewals that requests ask for, so that several share one. */
   static final long LEAST_PAUSE_MS = 40;
 
@@ -47,7 +65,7 @@
   private final Timers timers;
   private final RandomGenerator random;
   private final Runnable onRenewed;
-  private final AtomicReference<CompletableFuture<Boolean>> underWay = new AtomicReference<>();
+  private final RenewalRounds rounds;
   private final AtomicBoolean leaving = new AtomicBoolean();
   private volatile long renewedMs = Long.MIN_VALUE / 2;
 
@@ -77,8 +95,9 @@
     this.timers = timers;
     this.random = random;
     this.onRenewed = onRenewed;
+    this.rounds = new RenewalRounds(timers, HANGING_MS);
     timers.after(0, this::renew);
-    timers.every(PERIOD_MS, this::renew);
+    timers.every(CHECK_MS, this::renewIfDue);
   }
 
   /** Says how old the row is; very many milliseconds when none was written. */
@@ -118,39 +137,53 @@
     return Math.max(LEAST_PAUSE_MS, rows.instanceCount() * MS_PER_S / URGENT_WRITES_PER_S);
   }
 
+  private void renewIfDue() {
+    if (sinceRenewalMs() >= PERIOD_MS - CHECK_MS / 2) {
+      renew();
+    }
+  }
+
   /** Renews the row, or joins the renewal that is under way. */
   private CompletableFuture<Boolean> renew() {
-    CompletableFuture<Boolean> mine = new CompletableFuture<>();
-    CompletableFuture<Boolean> current =
-        underWay.updateAndGet(before -> before == null ? mine : before);
-    if (current != mine) {
-      return current;
+    RenewalRounds.Round round = rounds.join();
+    if (round.begin()) {
+      attempt(MAX_CONFLICTS, rows.drawTurn(), round);
     }
-    attempt(MAX_CONFLICTS, rows.drawTurn(), mine);
-    return mine;
+    return round.result();
   }
 
   /** Reads and writes; begins again when other instances have changed the rows in between. */
-  private void attempt(int attempts, boolean inTurn, CompletableFuture<Boolean> renewal) {
+  private void attempt(int attempts, boolean inTurn, RenewalRounds.Round round) {
     boolean mayMoveTokens =
         leaving.get()
             || attempts > MAX_CONFLICTS - MOVING_ATTEMPTS && (inTurn || rows.needsTokens());
+    rounds.onReading(round);
     reader
         .read(mayMoveTokens)
-        .thenCompose(read -> write(read, inTurn, mayMoveTokens))
+        .thenCompose(read -> writeUnlessOvertaken(read, inTurn, mayMoveTokens, round))
         .exceptionally(this::failed)
         .thenAccept(
             outcome -> {
+              rounds.onWritten(round, outcome == Outcome.WRITTEN);
               if (outcome == Outcome.CONFLICT && attempts > 1) {
                 long pauseMs = conflictPauseMs(MAX_CONFLICTS - attempts);
-                timers.after(pauseMs, () -> attempt(attempts - 1, false, renewal));
+                timers.after(pauseMs, () -> attempt(attempts - 1, false, round));
                 return;
               }
-              underWay.set(null);
-              renewal.complete(outcome == Outcome.WRITTEN);
+              rounds.end(round, outcome == Outcome.WRITTEN || outcome == Outcome.OVERTAKEN);
             });
   }
 
+  private CompletableFuture<Outcome> writeUnlessOvertaken(
+      SpendingTables.Contents read,
+      boolean inTurn,
+      boolean mayMoveTokens,
+      RenewalRounds.Round round) {
+    return rounds.tryWrite(round)
+        ? write(read, inTurn, mayMoveTokens)
+        : CompletableFuture.completedFuture(Outcome.OVERTAKEN);
+  }
+
   private long conflictPauseMs(int earlier) {
     return random.nextInt(CONFLICT_PAUSE_MS << earlier);
   }
@@ -158,6 +191,8 @@
   private enum Outcome {
     WRITTEN,
     CONFLICT,
+    /** Another round wrote, or writes, a row that is as new. */
+    OVERTAKEN,
     FAILED
   }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
@@ -45,6 +45,7 @@
   private final RowKey ownKey;
   private final StoreClock storeClock;
   private final Timers timers;
+  private final long startedMs;
   private final RandomGenerator random;
   private final GrantShaper shaper;
   private final Map<String, TeamSpending> teams = new ConcurrentHashMap<>();
@@ -61,12 +62,14 @@
       InstanceRecord self,
       StoreClock storeClock,
       Timers timers,
+      long startedMs,
       RandomGenerator random,
       SharePolicy policy) {
     this.self = self;
     this.ownKey = SpendingTables.instanceKey(self.id());
     this.storeClock = storeClock;
     this.timers = timers;
+    this.startedMs = startedMs;
     this.random = random;
     this.shaper = new GrantShaper(policy);
     this.demandCountedMs = timers.nowMs();
@@ -207,10 +210,14 @@
    * is read bounds it, whether or not a late write replaces that row. The first own write is made
    * on the condition that the row is as it was read; if it is not, the newer one tells more
    * exactly.
+   *
+   * <p>It was dead when this process began, so its bound counts up to then and not up to the read:
+   * a runtime takes most of a second to start, in which a bound that opens by 300,000 tokens a
+   * second over a fleet would burn as many.
    */
   private void takeOver(SpendingTables.Contents read) {
     InstanceSpending earlier = read.instance(ownKey);
-    InstanceSpending closed = earlier.closedAt(storeClock.nowMs());
+    InstanceSpending closed = earlier.closedAt(storeClock.latestMs(startedMs));
     teams.clear();
     closed
         .grants()
--- a/mothrill-core/src/main/java/io/mothrill/core/platform/StoreClock.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/platform/StoreClock.java
@@ -7,7 +7,6 @@
  * arrives, and from then on this instance's own steady clock is added, which stands still while the
  * instance is suspended.
  */
-@FunctionalInterface
 public interface StoreClock {
 
   /**
@@ -16,4 +15,13 @@
    * @return milliseconds by the store's clock, the true ones or fewer
    */
   long nowMs();
+
+  /**
+   * Says what the clock can have shown at the most at an earlier moment, before the store's first
+   * answer to this process.
+   *
+   * @param steadyMs the moment, by this instance's steady clock
+   * @return milliseconds by the store's clock, the true ones or more
+   */
+  long latestMs(long steadyMs);
 }
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingControllerTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingControllerTest.java
@@ -78,6 +78,39 @@
     return SpendingTables.Contents.of(rows, 0);
   }
 
+  // The process dies, and its successor begins soon but reaches the table only after seconds. The
+  // dead process cannot have spent what would have opened since, so the team loses none of it.
+  @Test
+  void crashLosesNothingForTheTimeAfterTheSuccessorBegan() {
+    world.timers.advanceMs(SETTLED_MS);
+    first.tryReserve(1_000);
+    world.timers.advanceMs(1_500);
+    first.kill();
+    world.timers.advanceMs(500);
+
+    SpendingWorld.Member successor = world.start("ankara-1");
+    successor.cutFromTable = true;
+    world.timers.advanceMs(9_000);
+    successor.cutFromTable = false;
+    world.timers.advanceMs(SETTLED_MS);
+
+    long left = world.prepaidTokens() - contentsOfTable().spentTokens(SpendingWorld.TEAM);
+    assertThat(left).isAtLeast(110_000);
+  }
+
+  // The table is out of reach for seconds and back for less than one. The row must be renewed in
+  // that time: if the instance dies in the next cut, all that opened since the first would be lost.
+  @Test
+  void renewsWithinHalfSecondWhenTheTableIsBack() {
+    world.timers.advanceMs(SETTLED_MS);
+    first.cutFromTable = true;
+    world.timers.advanceMs(5_050);
+    first.cutFromTable = false;
+    world.timers.advanceMs(500);
+
+    assertThat(first.spending.sinceRenewalMs()).isAtMost(500);
+  }
+
   // One instance has spent all that it held when the table goes away; the other holds enough. The
   // caller is served from a loan instead of being refused.
   @Test
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingWorld.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingWorld.java
@@ -12,6 +12,7 @@
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.platform.Row;
 import io.mothrill.core.platform.RowKey;
+import io.mothrill.core.platform.StoreClock;
 import io.mothrill.core.platform.TableService;
 import io.mothrill.core.platform.Transaction;
 import io.mothrill.core.platform.error.PlatformException;
@@ -153,10 +154,11 @@
           new SpendingController(
               new InstanceRecord(id, id, "konya", id, 1, false),
               new Way(this),
-              () -> timers.nowMs(),
+              new TestClock(),
               plan,
               new DemandShares(),
               this,
+              timers.nowMs(),
               random,
               this::ask,
               dispatcher);
@@ -255,6 +257,19 @@
     }
   }
 
+  /** The store's clock is that of the timers. */
+  private final class TestClock implements StoreClock {
+    @Override
+    public long nowMs() {
+      return timers.nowMs();
+    }
+
+    @Override
+    public long latestMs(long steadyMs) {
+      return steadyMs;
+    }
+  }
+
   /** One process's way to the table, with the faults of the process. */
   private final class Way implements TableService {
     private static final long MAX_LATE_MS = 5_000;
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -100,6 +100,7 @@
             plan,
             new DemandShares(),
             timers,
+            ports.startedMs(),
             random,
             peers,
             dispatcher);
@@ -121,8 +122,11 @@
             settings.peers().host(),
             settings.peers().port(),
             spending::others,
-            (upstreamId, tokens) ->
-                loads.of(upstreamId).onNotice(tokens, speed.tokensPerMs(), timers.nowMs()));
+            (incarnation, tokens) -> {
+              if (upstreams.read().containsIncarnation(incarnation)) {
+                loads.of(incarnation).onNotice(tokens, speed.tokensPerMs(), timers.nowMs());
+              }
+            });
     ForwardParts parts =
         new ForwardParts(
             ports.dialect(),
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardPorts.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardPorts.java
@@ -12,6 +12,11 @@
  * @param storeClock the clock of its store
  * @param state what is declared and who is there
  * @param dialect the names on the wire
+ * @param startedMs when the process had begun, by the clock of the timers
  */
 public record ForwardPorts(
-    TableService table, StoreClock storeClock, DeclaredState state, Dialect dialect) {}
+    TableService table,
+    StoreClock storeClock,
+    DeclaredState state,
+    Dialect dialect,
+    long startedMs) {}
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/StoryLog.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/StoryLog.java
@@ -63,6 +63,8 @@
             .with("route", story.route())
             .with("team", story.team())
             .with("offers", offers(story))
+            .with("mostTokens", story.tokens().most())
+            .with("owedTokens", story.tokens().owed())
             .with("paidMs", story.paidMs())
             .with("firstMs", story.firstMs())
             .with("aimMs", story.aimMs())
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
@@ -7,6 +7,7 @@
 import io.mothrill.core.forward.plan.TeamPlan;
 import io.mothrill.core.forward.request.ForwardRefusal;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
+import io.mothrill.core.forward.request.Prompt;
 import io.mothrill.core.forward.spending.SpendingException;
 import io.mothrill.core.forward.spending.SpendingReservation;
 import io.mothrill.core.forward.upstream.ServingUpstream;
@@ -44,7 +45,7 @@
   private final ForwardArrival arrival;
   private final ForwardParts parts;
   private final ForwardingPlan plan;
-  private final Set<String> triedIds = new LinkedHashSet<>();
+  private final Set<String> tried = new LinkedHashSet<>();
   private final ForwardProgress progress = new ForwardProgress();
   private String reason = "";
   private long paidMs;
@@ -144,13 +145,13 @@
       return;
     }
     UpstreamQuery query =
-        new UpstreamQuery(work.service(), work.route().aimMs(), arrival.call().prompt(), triedIds);
+        new UpstreamQuery(work.service(), work.route().aimMs(), arrival.call().prompt(), tried);
     Optional<ServingUpstream> upstream = parts.picker().pick(query);
     if (upstream.isEmpty()) {
       giveUp(Cause.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS);
       return;
     }
-    triedIds.add(upstream.get().id());
+    tried.add(upstream.get().incarnation());
     attempt = new ForwardAttempt(work, progress, this, upstream.get());
     attempt.connect();
   }
@@ -219,7 +220,8 @@
   public void end(String outcome, int status) {
     ended = true;
     timeUp.cancel();
-    reservation.settle(owedTokens());
+    long owedTokens = owedTokens();
+    reservation.settle(owedTokens);
     arrival.body().release();
     parts
         .log()
@@ -232,6 +234,8 @@
                 status,
                 reason,
                 attempt == null ? progress.offers : attempt.withOffer(outcome),
+                new ForwardLog.Tokens(
+                    arrival.call().prompt().map(Prompt::maxTokens).orElse(0L), owedTokens),
                 paidMs,
                 progress.firstMs,
                 parts.timers().nowMs() - arrival.startMs(),
@@ -262,7 +266,7 @@
   @Override
   public boolean mayOfferAgain() {
     Route route = work.route();
-    return triedIds.size() < Math.max(MAX_OFFERS, route.maxAttempts())
+    return tried.size() < Math.max(MAX_OFFERS, route.maxAttempts())
         && progress.ranCount < route.maxAttempts()
         && work.leftMs() > MIN_LEFT_MS
         && parts.retries().tryTake(work.service());
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardLog.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardLog.java
@@ -22,6 +22,7 @@
    * @param status the status that the caller got; 0 when it got none
    * @param reason why, where the outcome alone does not say it
    * @param offers the upstreams that it was offered to, in order
+   * @param tokens what it could have cost, and what its team owes for it
    * @param paidMs how long it waited for tokens to be set aside
    * @param firstMs from its head to the first byte of the answer; -1 when there was none
    * @param tookMs from its head to its end
@@ -36,6 +37,7 @@
       int status,
       String reason,
       List<Offer> offers,
+      Tokens tokens,
       long paidMs,
       long firstMs,
       long tookMs,
@@ -48,6 +50,14 @@
     }
   }
 
+  /**
+   * What a request costs its team.
+   *
+   * @param most the most that it could cost; 0 without a prompt
+   * @param owed what counts as spent at its end; 0 when it surely did not run
+   */
+  record Tokens(long most, long owed) {}
+
   /**
    * One upstream that a request was offered to, with what was known when it was chosen.
    *
--- a/mothrill-wire/src/main/java/io/mothrill/wire/time/NettyTimers.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/time/NettyTimers.java
@@ -25,7 +25,17 @@
 
   @Override
   public long nowMs() {
-    return System.nanoTime() / NANOS_PER_MS;
+    return toMs(System.nanoTime());
+  }
+
+  /**
+   * Gives a moment by the clock of all these timers.
+   *
+   * @param nanos what {@link System#nanoTime()} gave then
+   * @return milliseconds, comparable with {@link #nowMs()}
+   */
+  public static long toMs(long nanos) {
+    return nanos / NANOS_PER_MS;
   }
 
   @Override
