--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
@@ -3,8 +3,8 @@
 /** Works out the next grant of one team for this instance from what the table shows. */
 final class GrantShaper {
 
-  /** What is near covers this much of the demand: the time until the bound begins to open. */
-  private static final double NEAR_S = 1.6;
+  /** What is near covers this much of the demand: the time from one renewal to the next. */
+  private static final double NEAR_S = 1.0;
 
   /** Requests of the usual size that fit into what is near, so that few need a renewal. */
   private static final double NEAR_REQUESTS = 1;
@@ -18,10 +18,10 @@
   private static final long FIRST_TYPICAL_TOKENS = 6_000;
 
   /**
-   * At first the bound opens a little faster than tokens are spent on average: a crash of all
-   * instances loses no more than the time until their successors are there.
+   * At first the bound opens as fast as tokens are spent on average: a crash of all instances loses
+   * no more than the time until their successors have begun.
    */
-  private static final double OPEN_BY_DEMAND = 1.4;
+  private static final double OPEN_BY_DEMAND = 1.0;
 
   /** In a long silence it opens faster, as demand grows in bursts. */
   private static final double LATER_BY_DEMAND = 2.5;
@@ -29,7 +29,7 @@
   /**
    * The bound opens by this many usual requests in a second at least, for teams that ask seldom.
    */
-  private static final double OPEN_REQUESTS_PER_S = 0.4;
+  private static final double OPEN_REQUESTS_PER_S = 0.25;
 
   /** In a long silence all that is held opens within this time at the latest. */
   private static final double OPEN_WITHIN_S = 15;
@@ -45,6 +45,9 @@
   /** A holding of so many usual requests waits in any case: a larger request asks for itself. */
   private static final long ENOUGH_REQUESTS = 2;
 
+  /** With so many others an equal share of a budget is of the size of a few requests. */
+  private static final int MANY_INSTANCES = 20;
+
   private final SharePolicy policy;
 
   GrantShaper(SharePolicy policy) {
@@ -65,6 +68,8 @@
    * @param averageTokensPerS how fast it spends on average
    * @param typicalTokens the usual size of a request
    * @param wantedTokens what requests are waiting for; 0 when none is
+   * @param holder true when this instance has the team's tokens ready for its failure domain
+   * @param holderCount how many instances do so for a domain each
    * @param inTurn true when the holding may follow small changes of its share
    * @param leaving true when nothing is to be held any more
    */
@@ -80,6 +85,8 @@
       long averageTokensPerS,
       long typicalTokens,
       long wantedTokens,
+      boolean holder,
+      int holderCount,
       boolean inTurn,
       boolean leaving) {
 
@@ -119,10 +126,12 @@
   private static SpendingGrant shape(Situation situation, long spentTokens, long holding) {
     long typical = situation.usualTokens();
     double usualNear = Math.max(NEAR_S * situation.averageTokensPerS(), NEAR_REQUESTS * typical);
-    long wantedNear = Math.round(usualNear) + situation.wantedTokens();
+    long ready = situation.holder() ? Math.round(usualNear) : 0;
+    long wantedNear = ready + situation.wantedTokens();
     double demand = situation.demandTokensPerS();
-    double open =
+    double usualOpen =
         Math.max(OPEN_REQUESTS_PER_S * typical, OPEN_BY_DEMAND * situation.averageTokensPerS());
+    double open = situation.holder() ? usualOpen : 0;
     double later = Math.max(LATER_BY_DEMAND * demand, holding / OPEN_WITHIN_S);
     return new SpendingGrant(
         spentTokens,
@@ -164,13 +173,22 @@
     return Math.max(0, situation.ownLimitTokens() - spentTokens);
   }
 
+  /**
+   * Gives the share to hold. In a large fleet only the holders have one: split among all, it would
+   * be pieces smaller than a request. In a small one the others hold some too, which opens only in
+   * a long silence, for when their holder is lost as well.
+   */
   private long target(Situation situation, long spentTokens) {
+    boolean largeFleet = situation.othersCount() >= MANY_INSTANCES;
+    if (largeFleet && !situation.holder()) {
+      return 0;
+    }
     return policy.holdingTokens(
         new SharePolicy.Situation(
             situation.leftTokens(spentTokens),
             situation.demandTokensPerS(),
             situation.allDemandTokensPerS(),
-            situation.othersCount() + 1,
+            largeFleet ? situation.holderCount() : situation.othersCount() + 1,
             situation.usualTokens()));
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/InstanceSpending.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/InstanceSpending.java
@@ -15,16 +15,22 @@
  * @param sentAtStoreMs when it was sent, by the store's clock, or a little earlier
  * @param host where other instances reach it; empty when it takes no calls of theirs
  * @param peerPort the TCP port for other instances
+ * @param domain its failure domain; empty when it does not say so
  * @param grants the grants by team
  */
 public record InstanceSpending(
-    long sentAtStoreMs, String host, int peerPort, Map<String, SpendingGrant> grants) {
+    long sentAtStoreMs,
+    String host,
+    int peerPort,
+    String domain,
+    Map<String, SpendingGrant> grants) {
 
   /** A row that does not exist. */
-  public static final InstanceSpending NONE = new InstanceSpending(0, "", 0, Map.of());
+  public static final InstanceSpending NONE = new InstanceSpending(0, "", 0, "", Map.of());
 
   private static final String HOST = "host";
   private static final String PEER_PORT = "peerPort";
+  private static final String DOMAIN = "domain";
 
   private static final String SENT_AT = "sentAtMs";
   private static final String TEAM_PREFIX = "team.";
@@ -58,7 +64,7 @@
     long silentMs = Math.max(0, nowStoreMs - sentAtStoreMs);
     Map<String, SpendingGrant> closed = new TreeMap<>();
     grants.forEach((team, grant) -> closed.put(team, grant.closedAfterMs(silentMs)));
-    return new InstanceSpending(nowStoreMs, host, peerPort, closed);
+    return new InstanceSpending(nowStoreMs, host, peerPort, domain, closed);
   }
 
   /**
@@ -71,6 +77,7 @@
     cells.add(SENT_AT, sentAtStoreMs);
     cells.add(HOST, host);
     cells.add(PEER_PORT, peerPort);
+    cells.add(DOMAIN, domain);
     grants.forEach((team, grant) -> cells.add(TEAM_PREFIX + team, write(grant)));
     return cells.build();
   }
@@ -92,7 +99,11 @@
                         grant ->
                             grants.put(entry.getKey().substring(TEAM_PREFIX.length()), grant)));
     return new InstanceSpending(
-        cells.number(SENT_AT), cells.text(HOST), (int) cells.number(PEER_PORT), grants);
+        cells.number(SENT_AT),
+        cells.text(HOST),
+        (int) cells.number(PEER_PORT),
+        cells.text(DOMAIN),
+        grants);
   }
 
   private static String write(SpendingGrant grant) {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -39,17 +39,11 @@
    * Longest wait for the bound to open after no instance could lend: a caller that is sent away
    * comes back no earlier, and to an instance that may have as little.
    */
-  private static final long MAX_OPENING_WAIT_MS = 600;
+  private static final long MAX_OPENING_WAIT_MS = 1_000;
 
   /** A renewal that took longer ago than this shows that the store is out of reach. */
   private static final long IN_TOUCH_MS = 1_400;
 
-  /**
-   * With more instances than this, a request that lacks tokens asks other instances before the
-   * table: the table writes one row after the other for all of them, a loan takes two messages.
-   */
-  private static final int MANY_INSTANCES = 20;
-
   /** A loan is for so many requests like the one that needs it, so that few loans are needed. */
   private static final long BORROW_REQUESTS = 3;
 
@@ -104,7 +98,7 @@
     this.reader =
         new SpendingReader(table, storeClock, timers, SpendingTables.instanceKey(self.id()));
     this.rows = new SpendingRows(self, storeClock, timers, startedMs, random, policy);
-    this.loans = new SpendingLoans(links, dispatcher, timers, self, this::findLendable);
+    this.loans = new SpendingLoans(links, dispatcher, timers, self, this::findLendable, this::grow);
     this.renewal = new SpendingRenewal(table, reader, rows, plan, timers, random, loans::handBack);
   }
 
@@ -175,10 +169,30 @@
         .orElseGet(otherwise);
   }
 
+  /** Asks the holder of the team in this failure domain, which has tokens ready, then the table. */
   private CompletableFuture<SpendingReservation> reserveElsewhere(TeamPlan team, long tokens) {
-    return rows.isTakenOver() && rows.instanceCount() > MANY_INSTANCES
-        ? reserveFromLoan(team, tokens, () -> reserveAfterWait(team, tokens, MAX_WAITS))
-        : reserveAfterWait(team, tokens, MAX_WAITS);
+    String name = team.name();
+    if (!rows.isTakenOver() || rows.holders().isSelf(name)) {
+      return reserveAfterWait(team, tokens, MAX_WAITS);
+    }
+    return loans
+        .borrowFromHolders(name, lackingTokens(name, tokens), rows.holders().othersFor(name))
+        .thenCompose(
+            asked -> tryReserveOr(team, tokens, () -> reserveAfterWait(team, tokens, MAX_WAITS)));
+  }
+
+  private long lackingTokens(String team, long tokens) {
+    long here = rows.find(team).map(TeamSpending::freeTokens).orElse(0L) + loans.leftTokens(team);
+    return Math.max(1, tokens - here);
+  }
+
+  /** Renews for a loan, unless the store is out of reach. */
+  private Optional<CompletableFuture<Boolean>> grow(String team, long needTokens) {
+    if (!isInTouch() || renewal.isLeaving()) {
+      return Optional.empty();
+    }
+    rows.want(team, needTokens);
+    return Optional.of(renewal.renewSoon());
   }
 
   private CompletableFuture<SpendingReservation> reserveAfterWait(
@@ -211,9 +225,8 @@
 
   private CompletableFuture<Void> borrow(TeamPlan team, long tokens) {
     String name = team.name();
-    long here = rows.find(name).map(TeamSpending::freeTokens).orElse(0L) + loans.leftTokens(name);
     long wanted = Math.max(BORROW_REQUESTS * tokens, BORROW_S * rows.demandTokensPerS(name));
-    return loans.borrow(name, Math.max(1, tokens - here), wanted, rows.lenders(name));
+    return loans.borrow(name, lackingTokens(name, tokens), wanted, rows.lenders(name));
   }
 
   private CompletableFuture<SpendingReservation> reserveWhenOpen(TeamPlan team, long tokens) {
@@ -260,17 +273,13 @@
   private Optional<SpendingReservation> tryPieces(TeamSpending spending, String team, long tokens) {
     SpendingPieces pieces = new SpendingPieces(tokens);
     pieces.addFrom(spending::reserveUpTo);
-    long ownTokens = tokens - pieces.missingTokens();
     loans.addTo(pieces, team);
     return pieces
         .whole()
         .map(
             whole -> {
               spending.noteSize(tokens);
-              return usedTokens -> {
-                whole.settle(usedTokens);
-                spending.noteUsed(Math.max(0, usedTokens - ownTokens));
-              };
+              return whole;
             });
   }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingGrant.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingGrant.java
@@ -5,7 +5,7 @@
  *
  * <p>All tokens are counted from the first start of the instance's machine. The bound opens with
  * the time since the row was sent: at once it is a little more than what was spent, then it opens
- * slowly, and after three seconds fast, until it reaches the limit. Whoever reads the row of a dead
+ * slowly, and after two and a half seconds fast, until it reaches the limit. Whoever reads the row of a dead
  * instance therefore knows the most that it can have spent, which is little if its successor is
  * there within seconds, and an instance that is cut off goes on spending.
  *
@@ -13,7 +13,7 @@
  * SpendingGrant grant = new SpendingGrant(1_000, 50_000, 2_000, 500, 1_500, 100);
  * grant.boundAfterMs(0);     // 3,000: spent and near
  * grant.boundAfterMs(2_200); // 3,500: a second of slow opening more
- * grant.boundAfterMs(4_200); // 5,500: all of the slow opening and a second of the fast one
+ * grant.boundAfterMs(3_600); // 5,200: all of the slow opening and a second of the fast one
  * }</pre>
  *
  * @param spentTokens what was spent or set aside when the row was sent
@@ -38,7 +38,7 @@
    * Silence after which the bound opens fast: a process that was killed, or lost power for a
    * moment, has a successor by then, which has closed the row.
    */
-  public static final long LONG_SILENCE_MS = 3_200;
+  public static final long LONG_SILENCE_MS = 2_600;
 
   /** A silence that never passes. */
   public static final long NEVER_MS = Long.MAX_VALUE / 2;
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.tinylog.Logger;
 
 /**
@@ -35,6 +36,15 @@
   /** Pause after a team found no lender, so that a spent budget costs no messages. */
   private static final long NO_LENDER_PAUSE_MS = 500;
 
+  /** A reply that comes later than the borrower waits is still taken, and handed back. */
+  private static final long LATE_ANSWER_MS = 2_000;
+
+  /** A holder that has just not answered is passed over for so long, and the table is asked. */
+  private static final long SILENT_PAUSE_MS = 1_000;
+
+  /** Time for a renewal that a loan needs, within that in which the borrower waits. */
+  private static final long GROWTH_MS = 100;
+
   /** Part of what a lender has over that one loan may take. */
   private static final long LENT_DIVISOR = 2;
 
@@ -42,9 +52,11 @@
   private final Timers timers;
   private final InstanceRecord self;
   private final Function<String, Optional<TeamSpending>> ownSpending;
+  private final Growth growth;
   private final Map<String, List<Loan>> loans = new ConcurrentHashMap<>();
   private final Map<String, CompletableFuture<Void>> underWay = new ConcurrentHashMap<>();
   private final Map<String, Long> noLenderMs = new ConcurrentHashMap<>();
+  private final Map<String, Long> silentMs = new ConcurrentHashMap<>();
   private final AtomicLong transferCount = new AtomicLong();
 
   SpendingLoans(
@@ -52,7 +64,9 @@
       PeerDispatcher dispatcher,
       Timers timers,
       InstanceRecord self,
-      Function<String, Optional<TeamSpending>> ownSpending) {
+      Function<String, Optional<TeamSpending>> ownSpending,
+      Growth growth) {
+    this.growth = growth;
     this.links = links;
     this.timers = timers;
     this.self = self;
@@ -61,15 +75,43 @@
     dispatcher.on(PeerMessage.HandBack.class, this::takeBack);
   }
 
+  /** Gets tokens from the table for a loan that is larger than what is ready here. */
+  interface Growth {
+
+    /** Asks for tokens; completes when they may be there. Gives nothing out of touch. */
+    Optional<CompletableFuture<Boolean>> grow(String team, long needTokens);
+  }
+
   private CompletableFuture<PeerMessage> lend(PeerMessage.BorrowRequest request) {
-    long lent =
-        ownSpending
-            .apply(request.budget())
-            .map(
-                spending ->
-                    spending.lend(request.needTokens(), request.wantedTokens(), LENT_DIVISOR))
-            .orElse(0L);
-    if (lent > 0) {
+    long lent = tryLend(request);
+    Optional<CompletableFuture<Boolean>> grown =
+        lent == 0 && request.mayGrow()
+            ? growth.grow(request.budget(), request.needTokens())
+            : Optional.empty();
+    return grown
+        .map(growing -> lendOnceGrown(request, growing))
+        .orElseGet(() -> CompletableFuture.completedFuture(lent))
+        .thenApply(tokens -> replyWith(request, tokens));
+  }
+
+  /** Answers in any case before the borrower stops to wait: a later loan would reach nobody. */
+  private CompletableFuture<Long> lendOnceGrown(
+      PeerMessage.BorrowRequest request, CompletableFuture<Boolean> growing) {
+    CompletableFuture<Boolean> wait = new CompletableFuture<>();
+    growing.thenAccept(wait::complete);
+    timers.after(GROWTH_MS, () -> wait.complete(false));
+    return wait.thenApply(grown -> grown ? tryLend(request) : 0L);
+  }
+
+  private long tryLend(PeerMessage.BorrowRequest request) {
+    return ownSpending
+        .apply(request.budget())
+        .map(spending -> spending.lend(request.needTokens(), request.wantedTokens(), LENT_DIVISOR))
+        .orElse(0L);
+  }
+
+  private PeerMessage replyWith(PeerMessage.BorrowRequest request, long lent) {
+    if (lent > request.needTokens()) {
       Logger.info("tokens lent team={} tokens={}", request.budget(), lent);
     }
     List<PeerMessage.BorrowReply.Slice> slices =
@@ -78,7 +120,7 @@
             : List.of(
                 new PeerMessage.BorrowReply.Slice(
                     new AllotmentId(self.incarnation(), request.budget()), lent, Long.MAX_VALUE));
-    return CompletableFuture.completedFuture(new PeerMessage.BorrowReply(slices, true));
+    return new PeerMessage.BorrowReply(slices, true);
   }
 
   private CompletableFuture<PeerMessage> takeBack(PeerMessage.HandBack request) {
@@ -118,7 +160,7 @@
     if (current != null) {
       return current;
     }
-    ask(team, needTokens, wantedTokens, lenders.stream().limit(MAX_ASKED).toList())
+    ask(team, needTokens, wantedTokens, lenders.stream().limit(MAX_ASKED).toList(), false)
         .thenAccept(
             missing -> {
               if (missing == needTokens) {
@@ -130,38 +172,92 @@
     return mine;
   }
 
+  /**
+   * Reserves just what one request lacks from the holders of its team.
+   *
+   * @param team the team
+   * @param needTokens what is lacking
+   * @param holders whom to ask, in order
+   * @return completes when the holders were asked, whatever they gave
+   */
+  CompletableFuture<Void> borrowFromHolders(
+      String team, long needTokens, List<InstanceRecord> holders) {
+    List<InstanceRecord> answering =
+        holders.stream().filter(holder -> !isSilent(holder.id())).toList();
+    return ask(team, needTokens, needTokens, answering, true).thenApply(missing -> null);
+  }
+
+  private boolean isSilent(String id) {
+    Long sinceMs = silentMs.get(id);
+    return sinceMs != null && timers.nowMs() - sinceMs < SILENT_PAUSE_MS;
+  }
+
   /** Asks one lender after the other; gives what is still lacking afterwards. */
   private CompletableFuture<Long> ask(
-      String team, long needTokens, long wantedTokens, List<InstanceRecord> lenders) {
+      String team,
+      long needTokens,
+      long wantedTokens,
+      List<InstanceRecord> lenders,
+      boolean mayGrow) {
     if (lenders.isEmpty() || needTokens <= 0) {
       return CompletableFuture.completedFuture(needTokens);
     }
     InstanceRecord lender = lenders.get(0);
-    return links
-        .ask(
+    return askOne(
             lender,
-            new PeerMessage.BorrowRequest(nextTransfer(), team, needTokens, wantedTokens, false),
-            ANSWER_MS)
-        .thenApply(reply -> take(team, lender, reply))
+            new PeerMessage.BorrowRequest(nextTransfer(), team, needTokens, wantedTokens, mayGrow))
+        .thenCompose(
+            borrowed ->
+                ask(
+                    team,
+                    needTokens - borrowed,
+                    wantedTokens,
+                    lenders.subList(1, lenders.size()),
+                    mayGrow));
+  }
+
+  /**
+   * Asks one lender and waits only as long as a request can.
+   *
+   * <p>Failure: the lender's answer is late, for one of both machines is slow. Symptom: the lender
+   * counts the tokens as spent and nobody has them. A late loan is therefore taken when it comes,
+   * and what is left of it goes back with the next renewal.
+   */
+  private CompletableFuture<Long> askOne(InstanceRecord lender, PeerMessage.BorrowRequest request) {
+    CompletableFuture<Long> borrowed = new CompletableFuture<>();
+    timers.after(
+        ANSWER_MS,
+        () -> {
+          if (borrowed.complete(0L)) {
+            silentMs.put(lender.id(), timers.nowMs());
+          }
+        });
+    links
+        .ask(lender, request, LATE_ANSWER_MS)
+        .thenApply(reply -> take(request, lender, reply))
         .exceptionally(
             error -> {
+              silentMs.put(lender.id(), timers.nowMs());
               Logger.debug("no loan from {}: {}", lender.id(), Failures.unwrap(error).getMessage());
               return 0L;
             })
-        .thenCompose(
-            borrowed ->
-                ask(team, needTokens - borrowed, wantedTokens, lenders.subList(1, lenders.size())));
+        .thenAccept(borrowed::complete);
+    return borrowed;
   }
 
-  private long take(String team, InstanceRecord lender, PeerMessage reply) {
+  private long take(PeerMessage.BorrowRequest request, InstanceRecord lender, PeerMessage reply) {
     if (!(reply instanceof PeerMessage.BorrowReply given) || given.slices().isEmpty()) {
       return 0;
     }
     long tokens = given.slices().stream().mapToLong(PeerMessage.BorrowReply.Slice::tokens).sum();
-    List<Loan> ofTeam = loans.computeIfAbsent(team, name -> new CopyOnWriteArrayList<>());
+    List<Loan> ofTeam =
+        loans.computeIfAbsent(request.budget(), name -> new CopyOnWriteArrayList<>());
     ofTeam.removeIf(Loan::isOver);
     ofTeam.add(new Loan(lender, tokens));
-    Logger.info("tokens borrowed team={} tokens={} lender={}", team, tokens, lender.id());
+    if (tokens > request.needTokens()) {
+      Logger.info(
+          "tokens borrowed team={} tokens={} lender={}", request.budget(), tokens, lender.id());
+    }
     return tokens;
   }
 
@@ -173,33 +269,31 @@
   void handBack() {
     loans.forEach(
         (team, ofTeam) -> {
-          ofTeam.forEach(loan -> handBack(team, loan));
+          Map<InstanceRecord, Long> rests =
+              ofTeam.stream()
+                  .collect(
+                      Collectors.groupingBy(Loan::lender, Collectors.summingLong(Loan::takeRest)));
+          rests.forEach((lender, rest) -> handBack(team, lender, rest));
           ofTeam.removeIf(Loan::isOver);
         });
   }
 
-  private void handBack(String team, Loan loan) {
-    long rest = loan.takeRest();
-    if (rest > 0) {
-      send(team, loan, rest);
+  private void handBack(String team, InstanceRecord lender, long tokens) {
+    if (tokens == 0) {
+      return;
     }
-  }
-
-  private void send(String team, Loan loan, long tokens) {
-    AllotmentId allotment = new AllotmentId(loan.lender().incarnation(), team);
+    AllotmentId allotment = new AllotmentId(lender.incarnation(), team);
     var unused =
         links
             .ask(
-                loan.lender(),
-                new PeerMessage.HandBack(nextTransfer(), allotment, tokens),
-                ANSWER_MS)
+                lender, new PeerMessage.HandBack(nextTransfer(), allotment, tokens), LATE_ANSWER_MS)
             .exceptionally(
                 error -> {
                   Logger.warn(
                       "tokens stranded team={} tokens={} lender={}: {}",
                       team,
                       tokens,
-                      loan.lender().id(),
+                      lender.id(),
                       Failures.unwrap(error).getMessage());
                   return new PeerMessage.Done();
                 });
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
@@ -54,6 +54,7 @@
   private volatile SpendingTables.Contents contents = SpendingTables.Contents.EMPTY;
   private volatile boolean takenOver;
   private volatile List<InstanceRecord> others = List.of();
+  private volatile TeamHolders holders;
   private volatile int instanceCount;
   private long demandCountedMs;
   private int firstChange;
@@ -73,6 +74,7 @@
     this.random = random;
     this.shaper = new GrantShaper(policy);
     this.demandCountedMs = timers.nowMs();
+    this.holders = new TeamHolders(self, List.of());
   }
 
   /**
@@ -103,13 +105,19 @@
     return instanceCount;
   }
 
+  /** Says who has tokens of each team ready. */
+  TeamHolders holders() {
+    return holders;
+  }
+
   long demandTokensPerS(String team) {
     return demandOf(team).tokensPerS();
   }
 
   /** Lists whom to ask for a loan. */
   List<InstanceRecord> lenders(String team) {
-    return contents.lenders(ownKey, team, random);
+    TeamHolders known = holders;
+    return contents.lenders(ownKey, team, instance -> known.isHolder(team, instance), random);
   }
 
   /** Asks for tokens in the next row. */
@@ -163,6 +171,7 @@
     }
     final long sentAtStoreMs = storeClock.nowMs();
     others = read.reachable(ownKey, row -> isInTouch(read, row));
+    holders = new TeamHolders(self, others);
     final OthersSpending othersSpending = addUp(read);
     instanceCount = 1 + othersSpending.inTouchCount();
     inForce.teams().stream()
@@ -252,7 +261,7 @@
       }
     }
     InstanceSpending next =
-        new InstanceSpending(sentAtStoreMs, self.host(), self.peerPort(), grants);
+        new InstanceSpending(sentAtStoreMs, self.host(), self.peerPort(), self.domain(), grants);
     return transaction.and(read.row(ownKey), next.toCells());
   }
 
@@ -279,6 +288,8 @@
         demandOf(team).averageTokensPerS(),
         spending.typicalTokens(),
         wanted,
+        holders.isSelf(team),
+        holders.countOfEach(),
         moves.inTurn(),
         moves.leaving() || prepaid.isEmpty());
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingTables.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingTables.java
@@ -91,12 +91,14 @@
     }
 
     /**
-     * Lists the other instances that can be reached, those that hold much of a team first.
+     * Lists the other instances that can be reached: first the holders of the team, whose tokens
+     * open early, then those that hold much of it.
      *
      * <p>Chance has a part in the order: many instances that lack tokens at the same time would ask
      * the same one otherwise, and find it empty.
      */
-    List<InstanceRecord> lenders(RowKey ownKey, String team, RandomGenerator random) {
+    List<InstanceRecord> lenders(
+        RowKey ownKey, String team, Predicate<InstanceRecord> isHolder, RandomGenerator random) {
       record Lender(InstanceRecord instance, double rank) {}
 
       return withAddress(ownKey)
@@ -106,7 +108,10 @@
                   new Lender(
                       record(entry.getKey(), entry.getValue()),
                       entry.getValue().grantOf(team).holdingTokens() * random.nextDouble(0.5, 1)))
-          .sorted(Comparator.comparingDouble(Lender::rank).reversed())
+          .sorted(
+              Comparator.comparing((Lender lender) -> isHolder.test(lender.instance()))
+                  .thenComparingDouble(Lender::rank)
+                  .reversed())
           .map(Lender::instance)
           .toList();
     }
@@ -128,7 +133,7 @@
 
     private static InstanceRecord record(RowKey key, InstanceSpending row) {
       String id = key.key().substring(INSTANCE_PREFIX.length());
-      return new InstanceRecord(id, id, "", row.host(), row.peerPort(), false);
+      return new InstanceRecord(id, id, row.domain(), row.host(), row.peerPort(), false);
     }
 
     /**
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamHolders.java
@@ -0,0 +1,73 @@
+package io.mothrill.core.forward.spending;
+
+import io.mothrill.core.peer.Rendezvous;
+import io.mothrill.core.platform.InstanceRecord;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/**
+ * Which instance of each failure domain has tokens of a team ready; immutable.
+ *
+ * <p>Failure: each of some instances keeps a request's worth of each team's budget open, in case
+ * the next request comes to it. Symptom: when all of them lose power, every pair of team and
+ * instance loses that much: with eight instances and ten teams up to a tenth of all budgets, and
+ * with sixty-four instances no piece is as large as a request. One holder in each domain is enough:
+ * the others reserve from it for each request, which takes a message each way within the domain,
+ * and a domain that is cut off has a holder of its own.
+ *
+ * <p>Everyone who knows the same instances names the same holders, so nothing has to be agreed.
+ */
+final class TeamHolders {
+
+  /** The holder and the one that takes its place: asked in turn before the table is. */
+  private static final int ASKED = 2;
+
+  private final InstanceRecord self;
+  private final Map<String, List<InstanceRecord>> byDomain;
+  private final Map<String, List<InstanceRecord>> ranked = new ConcurrentHashMap<>();
+
+  /**
+   * Works out the holders.
+   *
+   * @param self this instance
+   * @param others the others that renew their rows
+   */
+  TeamHolders(InstanceRecord self, List<InstanceRecord> others) {
+    this.self = self;
+    this.byDomain =
+        Stream.concat(Stream.of(self), others.stream())
+            .collect(Collectors.groupingBy(InstanceRecord::domain));
+  }
+
+  private List<InstanceRecord> rankedFor(String team) {
+    return ranked.computeIfAbsent(team, name -> Rendezvous.rank(name, byDomain.get(self.domain())));
+  }
+
+  /** Says whether this instance holds a team's tokens for its domain. */
+  boolean isSelf(String team) {
+    return rankedFor(team).get(0).id().equals(self.id());
+  }
+
+  /** Lists the other instances to reserve a team's tokens from, in order. */
+  List<InstanceRecord> othersFor(String team) {
+    return rankedFor(team).stream()
+        .limit(ASKED)
+        .filter(instance -> !instance.id().equals(self.id()))
+        .toList();
+  }
+
+  /** Says whether an instance holds a team's tokens for its own domain. */
+  boolean isHolder(String team, InstanceRecord instance) {
+    return Rendezvous.rank(team, byDomain.getOrDefault(instance.domain(), List.of())).stream()
+        .limit(1)
+        .anyMatch(holder -> holder.id().equals(instance.id()));
+  }
+
+  /** Gives the number of holders of each team: one in each domain. */
+  int countOfEach() {
+    return byDomain.size();
+  }
+}
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamSpending.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamSpending.java
@@ -109,11 +109,6 @@
     typicalTokens += weight * (tokens - typicalTokens);
   }
 
-  /** Notes tokens of other instances that were used here: they are demand of this instance too. */
-  void noteUsed(long tokens) {
-    usedSinceTickTokens.addAndGet(tokens);
-  }
-
   /**
    * Ends a reservation.
    *
@@ -127,7 +122,8 @@
   }
 
   /**
-   * Sets tokens aside for another instance, as if they were spent.
+   * Sets tokens aside for another instance, as if they were spent. They count as demand here, where
+   * more of them will be asked for.
    *
    * @param needTokens what the other lacks for one request; a good part of it helps as well
    * @param wantedTokens as much as it would like
@@ -137,7 +133,12 @@
   public long lend(long needTokens, long wantedTokens, long divisor) {
     long free = freeTokens();
     long lent = Math.min(free, Math.max(needTokens, Math.min(wantedTokens, free / divisor)));
-    return lent > 0 && lent >= needTokens / MAX_PIECES && tryTake(lent) ? lent : 0;
+    if (lent == 0 || lent < needTokens / MAX_PIECES || !tryTake(lent)) {
+      return 0;
+    }
+    usedSinceTickTokens.addAndGet(lent);
+    noteSize(needTokens);
+    return lent;
   }
 
   /**
@@ -147,6 +148,7 @@
    */
   public void takeBack(long tokens) {
     spentTokens.addAndGet(-tokens);
+    usedSinceTickTokens.addAndGet(-tokens);
   }
 
   /**
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamPicker.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamPicker.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.Stream;
 
@@ -21,6 +22,7 @@
   private final UpstreamLoads loads;
   private final UpstreamCost plainCost;
   private final UpstreamCost promptCost;
+  private final Predicate<String> reachedDomains;
   private final Timers timers;
 
   /**
@@ -30,6 +32,7 @@
    * @param loads their loads
    * @param plainCost the cost of plain requests
    * @param promptCost the cost of requests with a prompt
+   * @param reachedDomains says of a failure domain whether the way there is open
    * @param timers the time
    */
   public UpstreamPicker(
@@ -37,18 +40,21 @@
       UpstreamLoads loads,
       UpstreamCost plainCost,
       UpstreamCost promptCost,
+      Predicate<String> reachedDomains,
       Timers timers) {
     this.list = list;
     this.loads = loads;
     this.plainCost = plainCost;
     this.promptCost = promptCost;
+    this.reachedDomains = reachedDomains;
     this.timers = timers;
   }
 
   /**
    * Picks an upstream.
    *
-   * <p>Upstreams that failed lately are taken only when there is no other.
+   * <p>Upstreams that failed lately, or in domains that are cut off, are taken only when there is
+   * no other.
    *
    * @param query the request
    * @return the upstream, or empty when none is left
@@ -62,11 +68,17 @@
         taking.stream()
             .filter(upstream -> !query.tried().contains(upstream.incarnation()))
             .toList();
-    Optional<ServingUpstream> trusted =
-        cheapest(
-            left.stream().filter(upstream -> !loads.of(upstream.incarnation()).isAvoided(nowMs)),
-            costOf);
-    return trusted.isPresent() ? trusted : cheapest(left.stream(), costOf);
+    return cheapest(left.stream().filter(upstream -> isTrusted(upstream, nowMs)), costOf)
+        .or(() -> cheapest(left.stream().filter(this::isReached), costOf))
+        .or(() -> cheapest(left.stream(), costOf));
+  }
+
+  private boolean isTrusted(ServingUpstream upstream, long nowMs) {
+    return isReached(upstream) && !loads.of(upstream.incarnation()).isAvoided(nowMs);
+  }
+
+  private boolean isReached(ServingUpstream upstream) {
+    return reachedDomains.test(upstream.domain());
   }
 
   private static Optional<ServingUpstream> cheapest(
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/OthersSpendingTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/OthersSpendingTest.java
@@ -16,6 +16,7 @@
         sentAtMs,
         "10.0.0.1",
         1,
+        "konya",
         Map.of(team, new SpendingGrant(spent, limit, 0, 0, 0, DEMAND_TOKENS_PER_S)));
   }
 
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingWorld.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingWorld.java
@@ -133,6 +133,11 @@
     return members.get(id);
   }
 
+  /** Instances are named after their failure domains. */
+  private static String domainOf(String id) {
+    return id.substring(0, id.lastIndexOf('-'));
+  }
+
   /** One process of an instance. */
   final class Member implements Timers {
     private final String id;
@@ -152,7 +157,7 @@
       this.id = id;
       this.spending =
           new SpendingController(
-              new InstanceRecord(id, id, "konya", id, 1, false),
+              new InstanceRecord(id, id, domainOf(id), id, 1, false),
               new Way(this),
               new TestClock(),
               plan,
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/DomainReachTest.java
@@ -0,0 +1,114 @@
+package io.mothrill.core.forward.upstream;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.peer.PeerMessage;
+import io.mothrill.core.peer.error.PeerException;
+import io.mothrill.core.platform.InstanceRecord;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+class DomainReachTest {
+
+  private static final InstanceRecord SELF = instance("konya-1", "konya");
+  private static final List<InstanceRecord> OTHERS =
+      List.of(
+          instance("konya-2", "konya"),
+          instance("kayseri-1", "kayseri"),
+          instance("kayseri-2", "kayseri"),
+          instance("ankara-1", "ankara"));
+
+  private final ManualTimers timers = new ManualTimers();
+  private final Set<String> silent = new HashSet<>();
+  private final Set<String> refusing = new HashSet<>();
+  private int askedCount;
+  private final DomainReach reach = new DomainReach(SELF, () -> OTHERS, this::ask, timers);
+
+  private static InstanceRecord instance(String id, String domain) {
+    return new InstanceRecord(id, id, domain, "host of " + id, 1, false);
+  }
+
+  private CompletableFuture<PeerMessage> ask(
+      InstanceRecord peer, PeerMessage request, long timeoutMs) {
+    askedCount++;
+    CompletableFuture<PeerMessage> reply = new CompletableFuture<>();
+    if (refusing.contains(peer.id())) {
+      reply.completeExceptionally(PeerException.connectionRefused(peer.id()));
+    } else if (silent.contains(peer.id())) {
+      timers.after(
+          timeoutMs,
+          () -> reply.completeExceptionally(PeerException.noReply(peer.id(), "timeout")));
+    } else {
+      timers.after(2, () -> reply.complete(new PeerMessage.Done()));
+    }
+    return reply;
+  }
+
+  // A domain is cut off. Within less than a second it is known, and nothing is said of the others.
+  @Test
+  void seesThatDomainIsCutOff() {
+    timers.advanceMs(1_000);
+    silent.addAll(Set.of("kayseri-1", "kayseri-2"));
+
+    timers.advanceMs(1_000);
+
+    assertThat(reach.isOpen("kayseri")).isFalse();
+    assertThat(reach.isOpen("ankara")).isTrue();
+    assertThat(reach.isOpen("konya")).isTrue();
+  }
+
+  @Test
+  void seesThatTheDomainIsBack() {
+    silent.addAll(Set.of("kayseri-1", "kayseri-2"));
+    timers.advanceMs(2_000);
+    silent.clear();
+
+    timers.advanceMs(500);
+
+    assertThat(reach.isOpen("kayseri")).isTrue();
+  }
+
+  // One instance of the domain stands still while the other answers: the way there is open.
+  @Test
+  void oneSilentInstanceIsNoCut() {
+    silent.add("kayseri-1");
+
+    for (int check = 0; check < 50; check++) {
+      timers.advanceMs(100);
+      assertThat(reach.isOpen("kayseri")).isTrue();
+    }
+  }
+
+  // All processes of the domain are being restarted. Their machines refuse connections, so the way
+  // there is open, and so are the upstreams.
+  @Test
+  void refusedConnectionShowsThatTheWayIsOpen() {
+    refusing.addAll(Set.of("kayseri-1", "kayseri-2"));
+
+    timers.advanceMs(3_000);
+
+    assertThat(reach.isOpen("kayseri")).isTrue();
+  }
+
+  @Test
+  void asksNobodyWhileNoticesCome() {
+    for (int notice = 0; notice < 20; notice++) {
+      reach.onHeard("host of kayseri-2");
+      reach.onHeard("host of ankara-1");
+      timers.advanceMs(200);
+    }
+
+    assertThat(askedCount).isEqualTo(0);
+  }
+
+  @Test
+  void domainWithoutInstancesCountsAsOpen() {
+    timers.advanceMs(3_000);
+
+    assertThat(reach.isOpen("elsewhere")).isTrue();
+  }
+}
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/UpstreamPickerTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/UpstreamPickerTest.java
@@ -5,6 +5,7 @@
 import io.mothrill.core.board.Section;
 import io.mothrill.core.fake.ManualTimers;
 import io.mothrill.core.forward.request.Prompt;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -18,6 +19,7 @@
   private static final String SERVICE = "asistan";
   private static final long AIM_MS = 800;
 
+  private final Set<String> cutOff = new HashSet<>();
   private final ManualTimers timers = new ManualTimers();
   private final UpstreamLoads loads = new UpstreamLoads();
   private final PromptMemory memory = new PromptMemory();
@@ -29,6 +31,7 @@
           loads,
           new PlainCost("konya", loads, new Random(1)),
           new PromptCost("konya", loads, memory, speed),
+          domain -> !cutOff.contains(domain),
           timers);
 
   @BeforeEach
@@ -134,6 +137,22 @@
     assertThat(loads.of("i-1@0").isAvoided(timers.nowMs() + 5_000)).isFalse();
   }
 
+  // Pattern: a failure domain is cut off while its upstreams still stand in the list. Requests go
+  // to the others, also when one of those has just failed, and there only if there is no other.
+  @Test
+  void upstreamsOfDomainThatIsCutOffComeLast() {
+    ServingUpstream here = upstream(1, false);
+    ServingUpstream there =
+        new ServingUpstream(
+            "i-2", SERVICE, "10.1.0.2", 80, "kayseri", 8, false, UpstreamWord.UNTOLD);
+    list.publish(new UpstreamList(List.of(here, there)));
+    cutOff.add("kayseri");
+    loads.of(here.incarnation()).onFailure(timers.nowMs());
+
+    assertThat(pickPlain(Set.of()).orElseThrow().id()).isEqualTo("i-1");
+    assertThat(pickPlain(Set.of(here.incarnation())).orElseThrow().id()).isEqualTo("i-2");
+  }
+
   @Test
   void failedUpstreamsAreBetterThanNone() {
     list.publish(new UpstreamList(List.of(upstream(1, false))));
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -6,6 +6,7 @@
 import io.mothrill.core.forward.retry.SharedRetryBudget;
 import io.mothrill.core.forward.spending.DemandShares;
 import io.mothrill.core.forward.spending.SpendingController;
+import io.mothrill.core.forward.upstream.DomainReach;
 import io.mothrill.core.forward.upstream.PlainCost;
 import io.mothrill.core.forward.upstream.PromptCost;
 import io.mothrill.core.forward.upstream.PromptMemory;
@@ -15,6 +16,7 @@
 import io.mothrill.core.forward.upstream.UpstreamPicker;
 import io.mothrill.core.forward.view.StateFollower;
 import io.mothrill.core.peer.PeerDispatcher;
+import io.mothrill.core.peer.PeerMessage;
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.time.Subscription;
 import io.mothrill.core.time.Timers;
@@ -86,15 +88,17 @@
     RandomGenerator random = ThreadLocalRandom.current()::nextLong;
     PeerDispatcher dispatcher = new PeerDispatcher();
     this.peers = newPeers(settings, dispatcher, group);
+    InstanceRecord self =
+        new InstanceRecord(
+            settings.id(),
+            settings.id(),
+            settings.domain(),
+            settings.peers().host(),
+            peers.port(),
+            false);
     this.spending =
         new SpendingController(
-            new InstanceRecord(
-                settings.id(),
-                settings.id(),
-                settings.domain(),
-                settings.peers().host(),
-                peers.port(),
-                false),
+            self,
             ports.table(),
             ports.storeClock(),
             plan,
@@ -104,6 +108,10 @@
             random,
             peers,
             dispatcher);
+    DomainReach reach = new DomainReach(self, spending::others, peers, timers);
+    dispatcher.on(
+        PeerMessage.Heartbeat.class,
+        heartbeat -> CompletableFuture.completedFuture(new PeerMessage.Done()));
     UpstreamLoads loads = new UpstreamLoads();
     ReadingSpeed speed = new ReadingSpeed();
     PromptMemory memory = new PromptMemory();
@@ -115,6 +123,7 @@
             loads,
             new PlainCost(settings.domain(), loads, random),
             new PromptCost(settings.domain(), loads, memory, speed),
+            reach::isOpen,
             timers);
     this.notices =
         new DatagramNotices(
@@ -126,10 +135,12 @@
               if (upstreams.read().containsIncarnation(incarnation)) {
                 loads.of(incarnation).onNotice(tokens, speed.tokensPerMs(), timers.nowMs());
               }
-            });
+            },
+            reach::onHeard);
     ForwardParts parts =
         new ForwardParts(
             ports.dialect(),
+            knownOnceRead(),
             plan,
             picker,
             loads,
@@ -181,6 +192,15 @@
         settings.peers().port());
   }
 
+  /** Completes with the first plan and list of upstreams, whichever comes last. */
+  private CompletableFuture<Void> knownOnceRead() {
+    CompletableFuture<Void> planKnown = new CompletableFuture<>();
+    CompletableFuture<Void> upstreamsKnown = new CompletableFuture<>();
+    plan.subscribe(first -> planKnown.complete(null));
+    upstreams.subscribe(first -> upstreamsKnown.complete(null));
+    return CompletableFuture.allOf(planKnown, upstreamsKnown);
+  }
+
   private String unreadyReason() {
     if (leaving) {
       return "leaving";
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
@@ -19,6 +19,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 
 /**
  * Leads one request from its arrival to its final answer, on its caller's event loop.
@@ -42,9 +43,16 @@
 
   private static final long NO_PLAN_RETRY_MS = 500;
 
+  /**
+   * Longest wait of a process that has just started for its first plan and upstreams. They take a
+   * few answers of the store; a caller that is sent away comes back half a second later at the
+   * earliest.
+   */
+  private static final long KNOWN_WAIT_MS = 400;
+
   private final ForwardArrival arrival;
   private final ForwardParts parts;
-  private final ForwardingPlan plan;
+  private ForwardingPlan plan;
   private final Set<String> tried = new LinkedHashSet<>();
   private final ForwardProgress progress = new ForwardProgress();
   private String reason = "";
@@ -61,8 +69,27 @@
     this.plan = parts.plan().read();
   }
 
-  /** Decides where the request goes and sends it. */
+  /** Decides where the request goes and sends it, if need be once the process can decide. */
   void start() {
+    if (parts.known().isDone()) {
+      begin();
+      return;
+    }
+    CompletableFuture<Void> waited = new CompletableFuture<>();
+    parts.known().thenRun(() -> waited.complete(null));
+    timeUp = parts.timers().after(KNOWN_WAIT_MS, () -> waited.complete(null));
+    waited.thenRun(() -> onLoop(this::beginAfterWait));
+  }
+
+  private void beginAfterWait() {
+    if (!ended) {
+      timeUp.cancel();
+      plan = parts.plan().read();
+      begin();
+    }
+  }
+
+  private void begin() {
     Optional<ForwardRefusal> refusal = admit();
     if (refusal.isPresent()) {
       refuse(refusal.get());
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardParts.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardParts.java
@@ -10,12 +10,14 @@
 import io.mothrill.core.forward.upstream.UpstreamLoads;
 import io.mothrill.core.forward.upstream.UpstreamPicker;
 import io.mothrill.core.time.Timers;
+import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 
 /**
  * What every forwarded request needs.
  *
  * @param dialect the names on the wire
+ * @param known completes once the first plan and the first list of upstreams were read
  * @param plan the plan in force
  * @param picker chooses upstreams
  * @param loads what is known of the upstreams' loads
@@ -30,6 +32,7 @@
  */
 public record ForwardParts(
     Dialect dialect,
+    CompletableFuture<Void> known,
     Section<ForwardingPlan> plan,
     UpstreamPicker picker,
     UpstreamLoads loads,
--- a/mothrill-wire/src/main/java/io/mothrill/wire/json/Json.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/json/Json.java
@@ -1,21 +1,37 @@
 package io.mothrill.wire.json;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.mothrill.core.error.FieldError;
 import io.mothrill.core.error.InvalidInputException;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 
-/** The one JSON mapper of the product. */
+/**
+ * Reads and writes JSON as trees.
+ *
+ * <p>Trees are read and written token by token, without a mapper of objects: a mapper prepares
+ * calendars and locales that no tree needs, which takes a fifth of a second of the start of a
+ * process, in which callers wait.
+ */
 public final class Json {
 
-  private static final ObjectMapper MAPPER =
-      new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+  /** Deeper than any document here, and shallow enough for the small stacks of event loops. */
+  private static final int MAX_DEPTH = 100;
+
+  private static final JsonFactory FACTORY =
+      JsonFactory.builder()
+          .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH).build())
+          .build();
+  private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
   private Json() {}
 
@@ -27,8 +43,8 @@
    * @throws InvalidInputException when the text is not JSON
    */
   public static JsonNode read(byte[] bytes) {
-    try {
-      return checked(MAPPER.readTree(bytes));
+    try (JsonParser parser = FACTORY.createParser(bytes)) {
+      return checked(JsonTrees.readWhole(parser, NODES));
     } catch (JsonProcessingException ex) {
       throw InvalidInputException.of(FieldError.refused("$", "is not JSON: " + where(ex)));
     } catch (IOException ex) {
@@ -69,7 +85,7 @@
    * @return an empty object
    */
   public static ObjectNode object() {
-    return MAPPER.createObjectNode();
+    return NODES.objectNode();
   }
 
   /**
@@ -78,7 +94,7 @@
    * @return an empty array
    */
   public static ArrayNode array() {
-    return MAPPER.createArrayNode();
+    return NODES.arrayNode();
   }
 
   /**
@@ -88,6 +104,12 @@
    * @return UTF-8 text
    */
   public static byte[] bytes(JsonNode node) {
-    return node.toString().getBytes(StandardCharsets.UTF_8);
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try (JsonGenerator generator = FACTORY.createGenerator(bytes)) {
+      JsonTrees.write(node, generator);
+    } catch (IOException ex) {
+      throw new IllegalStateException("writing to memory cannot fail", ex);
+    }
+    return bytes.toByteArray();
   }
 }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
@@ -15,6 +15,7 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.tinylog.Logger;
 
@@ -54,19 +55,21 @@
    * @param port a UDP port; 0 for any
    * @param others the instances that are told
    * @param heard gets the notices of others
+   * @param heardHosts gets the IP address of each instance that sent one
    */
   public DatagramNotices(
       EventLoopGroup group,
       String host,
       int port,
       Supplier<List<InstanceRecord>> others,
-      PromptNotices heard) {
+      PromptNotices heard,
+      Consumer<String> heardHosts) {
     this.others = others;
     this.channel =
         new Bootstrap()
             .group(group)
             .channel(NioDatagramChannel.class)
-            .handler(new NoticeHandler(heard))
+            .handler(new NoticeHandler(heard, heardHosts))
             .bind(host, port)
             .syncUninterruptibly()
             .channel();
@@ -98,15 +101,18 @@
   /** Reads notices; bytes of other programs are passed over. */
   static final class NoticeHandler extends SimpleChannelInboundHandler<DatagramPacket> {
     private final PromptNotices heard;
+    private final Consumer<String> heardHosts;
 
-    NoticeHandler(PromptNotices heard) {
+    NoticeHandler(PromptNotices heard, Consumer<String> heardHosts) {
       this.heard = heard;
+      this.heardHosts = heardHosts;
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
       try {
         PromptNotice notice = PromptNotice.parseFrom(ByteBufUtil.getBytes(packet.content()));
+        heardHosts.accept(packet.sender().getAddress().getHostAddress());
         if (notice.getUnreadTokens() >= 0 && notice.getUnreadTokens() <= MAX_TOKENS) {
           heard.announce(notice.getUpstreamId(), notice.getUnreadTokens());
         }
--- a/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
@@ -32,13 +32,13 @@
 
   private DatagramNotices listener(int port) {
     return new DatagramNotices(
-        group, HOST, port, List::of, (upstreamId, tokens) -> heard.add(tokens));
+        group, HOST, port, List::of, (upstreamId, tokens) -> heard.add(tokens), host -> {});
   }
 
   private DatagramNotices speaker(int port, int peerCount) {
     InstanceRecord peer = new InstanceRecord("konya-1", "konya-1", "konya", HOST, port, false);
     return new DatagramNotices(
-        group, HOST, 0, () -> Collections.nCopies(peerCount, peer), (id, tokens) -> {});
+        group, HOST, 0, () -> Collections.nCopies(peerCount, peer), (id, tokens) -> {}, host -> {});
   }
 
   private static int freePort() throws Exception {
--- a/mothrill-wire/src/test/java/io/mothrill/wire/peer/ForeignNoticesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/peer/ForeignNoticesTest.java
@@ -21,10 +21,11 @@
   private final List<Long> heardTokens = new ArrayList<>();
   private final EmbeddedChannel channel =
       new EmbeddedChannel(
-          new DatagramNotices.NoticeHandler((incarnation, tokens) -> heardTokens.add(tokens)));
+          new DatagramNotices.NoticeHandler(
+              (incarnation, tokens) -> heardTokens.add(tokens), host -> {}));
 
   private void receive(byte[] bytes) {
-    channel.writeInbound(new DatagramPacket(Unpooled.wrappedBuffer(bytes), HERE));
+    channel.writeInbound(new DatagramPacket(Unpooled.wrappedBuffer(bytes), HERE, HERE));
   }
 
   private static byte[] notice(long tokens) {
