--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingGrant.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingGrant.java
@@ -5,9 +5,9 @@
  *
  * <p>All tokens are counted from the first start of the instance's machine. The bound opens with
  * the time since the row was sent: at once it is a little more than what was spent, then it opens
- * slowly, and after two and a half seconds fast, until it reaches the limit. Whoever reads the row of a dead
- * instance therefore knows the most that it can have spent, which is little if its successor is
- * there within seconds, and an instance that is cut off goes on spending.
+ * slowly, and after two and a half seconds fast, until it reaches the limit. Whoever reads the row
+ * of a dead instance therefore knows the most that it can have spent, which is little if its
+ * successor is there within seconds, and an instance that is cut off goes on spending.
  *
  * <pre>{@code
  * SpendingGrant grant = new SpendingGrant(1_000, 50_000, 2_000, 500, 1_500, 100);
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -152,13 +152,7 @@
             new StoryLog(metrics, timers),
             timers,
             random);
-    this.edge =
-        new ForwardEdge(
-            group,
-            parts,
-            settings.callers().host(),
-            settings.callers().port(),
-            settings.keptBytes());
+    this.edge = new ForwardEdge(group, parts, ports.callers(), settings.keptBytes());
     this.probeServer =
         HttpServer.ofService(
             group,
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardPorts.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardPorts.java
@@ -3,6 +3,7 @@
 import io.mothrill.core.forward.view.DeclaredState;
 import io.mothrill.core.platform.StoreClock;
 import io.mothrill.core.platform.TableService;
+import io.mothrill.wire.forward.CallerListener;
 import io.mothrill.wire.forward.Dialect;
 
 /**
@@ -12,6 +13,7 @@
  * @param storeClock the clock of its store
  * @param state what is declared and who is there
  * @param dialect the names on the wire
+ * @param callers the socket that callers connect to
  * @param startedMs when the process had begun, by the clock of the timers
  */
 public record ForwardPorts(
@@ -19,4 +21,5 @@
     StoreClock storeClock,
     DeclaredState state,
     Dialect dialect,
+    CallerListener callers,
     long startedMs) {}
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardEdge.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardEdge.java
@@ -20,7 +20,7 @@
  * Where callers connect whose requests are forwarded.
  *
  * <pre>{@code
- * ForwardEdge edge = new ForwardEdge(group, parts, "10.1.0.40", 8227, 32 << 20);
+ * ForwardEdge edge = new ForwardEdge(group, parts, listener, 32 << 20);
  * edge.leave();
  * }</pre>
  */
@@ -35,16 +35,15 @@
   private final Channel listener;
 
   /**
-   * Starts to listen.
+   * Begins to serve callers.
    *
    * @param group the event loops
    * @param parts what requests need
-   * @param host an IP address
-   * @param port a TCP port; 0 for any
+   * @param opened the socket that callers connect to
    * @param maxKeptBytes the most bytes of bodies that are kept at a time
    */
   public ForwardEdge(
-      EventLoopGroup group, ForwardParts parts, String host, int port, long maxKeptBytes) {
+      EventLoopGroup group, ForwardParts parts, CallerListener opened, long maxKeptBytes) {
     this.parts = parts;
     this.state = new EdgeState(maxKeptBytes);
     Timers timers = parts.timers();
@@ -52,9 +51,7 @@
     this.listener =
         new ServerBootstrap()
             .group(group)
-            .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, 1_024)
-            .option(ChannelOption.SO_REUSEADDR, true)
+            .channelFactory(() -> new NioServerSocketChannel(opened.channel()))
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
@@ -63,7 +60,7 @@
                     initCaller(channel);
                   }
                 })
-            .bind(host, port)
+            .register()
             .syncUninterruptibly()
             .channel();
   }
