--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -47,6 +47,21 @@
   /** A loan is for so many requests like the one that needs it, so that few loans are needed. */
   private static final long BORROW_REQUESTS = 3;
 
+  /**
+   * Rounds of asking for loans while the store is out of reach. Tokens open at the holders while a
+   * request waits; sent away, its caller would come back after more than a second.
+   */
+  private static final int MAX_LOAN_ROUNDS = 4;
+
+  /**
+   * A request that found too little has just asked for a renewal: if the last one is older than
+   * this, the store does not answer, and more rounds may help.
+   */
+  private static final long JUST_RENEWED_MS = 600;
+
+  /** Pause between two rounds: a holder opens a usual request's worth in about a second. */
+  private static final long LOAN_ROUND_MS = 300;
+
   /** A loan covers so many seconds of the demand here. */
   private static final long BORROW_S = 2;
 
@@ -209,18 +224,35 @@
       renewal.renewSoon().thenAccept(wait::complete);
     }
     return wait.thenCompose(
-        renewed -> tryReserveOr(team, tokens, () -> reserveAfterWait(team, tokens, waits - 1)));
+        renewed ->
+            tryReserveOr(
+                team, tokens, () -> reserveAfterWait(team, tokens, renewed ? waits - 1 : 0)));
   }
 
   private CompletableFuture<SpendingReservation> reserveFromLoan(TeamPlan team, long tokens) {
     return rows.isTakenOver() && !renewal.isLeaving()
-        ? reserveFromLoan(team, tokens, () -> reserveWhenOpen(team, tokens))
+        ? reserveFromLoan(team, tokens, MAX_LOAN_ROUNDS)
         : CompletableFuture.failedFuture(refusal(team, tokens));
   }
 
+  /** Asks the lenders, and asks again when more has opened at them. */
   private CompletableFuture<SpendingReservation> reserveFromLoan(
-      TeamPlan team, long tokens, Supplier<CompletableFuture<SpendingReservation>> otherwise) {
-    return borrow(team, tokens).thenCompose(asked -> tryReserveOr(team, tokens, otherwise));
+      TeamPlan team, long tokens, int rounds) {
+    return borrow(team, tokens)
+        .thenCompose(
+            asked -> tryReserveOr(team, tokens, () -> reserveLater(team, tokens, rounds - 1)));
+  }
+
+  private CompletableFuture<SpendingReservation> reserveLater(
+      TeamPlan team, long tokens, int rounds) {
+    loans.handBack(team.name());
+    if (rounds == 0 || sinceRenewalMs() < JUST_RENEWED_MS) {
+      return reserveWhenOpen(team, tokens);
+    }
+    CompletableFuture<Void> wait = new CompletableFuture<>();
+    timers.after(LOAN_ROUND_MS, () -> wait.complete(null));
+    return wait.thenCompose(
+        over -> tryReserveOr(team, tokens, () -> reserveFromLoan(team, tokens, rounds)));
   }
 
   private CompletableFuture<Void> borrow(TeamPlan team, long tokens) {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
@@ -33,8 +33,8 @@
   /** Peers that are asked for one request, one after the other. */
   private static final int MAX_ASKED = 3;
 
-  /** Pause after a team found no lender, so that a spent budget costs no messages. */
-  private static final long NO_LENDER_PAUSE_MS = 500;
+  /** Pause after a team found no lender, so that a spent budget costs few messages. */
+  private static final long NO_LENDER_PAUSE_MS = 200;
 
   /** A reply that comes later than the borrower waits is still taken, and handed back. */
   private static final long LATE_ANSWER_MS = 2_000;
@@ -106,10 +106,18 @@
   private long tryLend(PeerMessage.BorrowRequest request) {
     return ownSpending
         .apply(request.budget())
-        .map(spending -> spending.lend(request.needTokens(), request.wantedTokens(), LENT_DIVISOR))
+        .map(spending -> request.mayGrow() ? lendWhole(spending, request) : lend(spending, request))
         .orElse(0L);
   }
 
+  private static long lendWhole(TeamSpending spending, PeerMessage.BorrowRequest request) {
+    return spending.tryLendWhole(request.needTokens()) ? request.needTokens() : 0;
+  }
+
+  private static long lend(TeamSpending spending, PeerMessage.BorrowRequest request) {
+    return spending.lend(request.needTokens(), request.wantedTokens(), LENT_DIVISOR);
+  }
+
   private PeerMessage replyWith(PeerMessage.BorrowRequest request, long lent) {
     if (lent > request.needTokens()) {
       Logger.info("tokens lent team={} tokens={}", request.budget(), lent);
@@ -267,7 +275,19 @@
    * <p>Each rest is sent once: a second message after a lost reply would be taken twice.
    */
   void handBack() {
-    loans.forEach(
+    loans.keySet().forEach(this::handBack);
+  }
+
+  /**
+   * Hands back what is left of a team's loans.
+   *
+   * <p>Failure: several lenders gave a part of what a request needs, and together too little.
+   * Symptom: the parts lie unused at the borrower until the store is back, while other requests of
+   * the team are refused.
+   */
+  void handBack(String name) {
+    loans.computeIfPresent(
+        name,
         (team, ofTeam) -> {
           Map<InstanceRecord, Long> rests =
               ofTeam.stream()
@@ -275,6 +295,7 @@
                       Collectors.groupingBy(Loan::lender, Collectors.summingLong(Loan::takeRest)));
           rests.forEach((lender, rest) -> handBack(team, lender, rest));
           ofTeam.removeIf(Loan::isOver);
+          return ofTeam;
         });
   }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.ToLongFunction;
@@ -180,10 +181,9 @@
     countDemand();
     Map<String, Long> wanted = takeWanted();
     Map<String, TeamSpending.SentGrant> sent = new TreeMap<>();
-    int position = 0;
+    Changes changes = new Changes(moves, wanted.keySet());
     for (Map.Entry<String, TeamSpending> entry : new TreeMap<>(teams).entrySet()) {
-      boolean due = moves.inTurn() || moves.leaving() || wanted.containsKey(entry.getKey());
-      boolean mayChange = moves.any() && due && isTurnOf(position++);
+      boolean mayChange = changes.allow(entry.getKey());
       GrantShaper.Situation situation =
           situation(
               entry.getKey(),
@@ -207,9 +207,40 @@
     return wanted;
   }
 
-  private boolean isTurnOf(int position) {
-    int count = teams.size();
-    return count <= MAX_CHANGES || (position - firstChange + count) % count < MAX_CHANGES;
+  /**
+   * Says which teams' shares may change in one row.
+   *
+   * <p>Failure: there are more teams than one transaction can change, and the teams change in turn.
+   * Symptom: a request waits for several renewals, until the turn has come to its team. So what
+   * requests want goes first, and the turns share what is left.
+   */
+  private final class Changes {
+    private final Moves moves;
+    private final Set<String> wanted;
+    private final int leftForTurns;
+    private int wantedCount;
+    private int position;
+
+    private Changes(Moves moves, Set<String> wanted) {
+      this.moves = moves;
+      this.wanted = wanted;
+      this.leftForTurns = Math.max(0, MAX_CHANGES - wanted.size());
+    }
+
+    private boolean allow(String team) {
+      boolean turn = isTurnOf(position++);
+      if (!moves.any()) {
+        return false;
+      }
+      return wanted.contains(team)
+          ? wantedCount++ < MAX_CHANGES
+          : turn && (moves.inTurn() || moves.leaving());
+    }
+
+    private boolean isTurnOf(int index) {
+      int count = teams.size();
+      return (index - firstChange + count) % count < leftForTurns;
+    }
   }
 
   /**
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamSpending.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamSpending.java
@@ -133,12 +133,27 @@
   public long lend(long needTokens, long wantedTokens, long divisor) {
     long free = freeTokens();
     long lent = Math.min(free, Math.max(needTokens, Math.min(wantedTokens, free / divisor)));
-    if (lent == 0 || lent < needTokens / MAX_PIECES || !tryTake(lent)) {
-      return 0;
+    return lent >= Math.max(1, needTokens / MAX_PIECES) && tryLend(lent, needTokens) ? lent : 0;
+  }
+
+  /**
+   * Sets aside all that another instance lacks for one request, or nothing: a part of it would lie
+   * there unused.
+   *
+   * @param needTokens what the other lacks
+   * @return true when it is set aside
+   */
+  boolean tryLendWhole(long needTokens) {
+    return tryLend(needTokens, needTokens);
+  }
+
+  private boolean tryLend(long tokens, long needTokens) {
+    if (!tryTake(tokens)) {
+      return false;
     }
-    usedSinceTickTokens.addAndGet(lent);
+    usedSinceTickTokens.addAndGet(tokens);
     noteSize(needTokens);
-    return lent;
+    return true;
   }
 
   /**
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingOfHundredTeamsTest.java
@@ -0,0 +1,47 @@
+package io.mothrill.core.forward.spending;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Two instances serve a hundred teams, more than one transaction of the table can change.
+ *
+ * <p>Pattern: a request needs more than lies ready here, while shares follow in turns. The grounds
+ * for the figures: a transaction takes a hundred entries, of which each team takes two.
+ */
+class SpendingOfHundredTeamsTest {
+
+  private static final int TEAMS = 100;
+  private static final long PREPAID_TOKENS = 400_000;
+  private static final long REQUEST_TOKENS = 60_000;
+  private static final long SETTLED_MS = 10_000;
+
+  /** Two renewals, each a read and a write of some milliseconds. */
+  private static final long SOON_MS = 150;
+
+  private final List<String> teams =
+      IntStream.range(0, TEAMS).mapToObj(number -> "team-" + number).toList();
+  private final SpendingWorld world = new SpendingWorld(PREPAID_TOKENS, 11, teams);
+
+  // The holder of each team asks the table for more than it has ready. Whichever team it is, the
+  // request must not wait until a turn has come round to it.
+  @Test
+  void requestOfAnyTeamGetsTokensFromTheNextRow() {
+    SpendingWorld.Member first = world.start("konya-1");
+    world.start("kayseri-1");
+    world.timers.advanceMs(SETTLED_MS);
+
+    for (String team : teams) {
+      CompletableFuture<SpendingReservation> reserved = first.reserve(team, REQUEST_TOKENS);
+      world.timers.advanceMs(SOON_MS);
+
+      assertWithMessage(team).that(reserved.isDone()).isTrue();
+      assertWithMessage(team).that(reserved.isCompletedExceptionally()).isFalse();
+      world.timers.advanceMs(SOON_MS);
+    }
+  }
+}
