--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -226,7 +226,15 @@
     return wait.thenCompose(
         renewed ->
             tryReserveOr(
-                team, tokens, () -> reserveAfterWait(team, tokens, renewed ? waits - 1 : 0)));
+                team, tokens, () -> reserveAfterWait(team, tokens, waitsLeft(renewed, waits - 1))));
+  }
+
+  /**
+   * A renewal that is not answered soon shows that the store is silent, and lenders may help;
+   * before the first row nobody can.
+   */
+  private int waitsLeft(boolean renewed, int waits) {
+    return renewed || !rows.isTakenOver() ? waits : 0;
   }
 
   private CompletableFuture<SpendingReservation> reserveFromLoan(TeamPlan team, long tokens) {
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingControllerTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingControllerTest.java
@@ -98,6 +98,22 @@
     assertThat(left).isAtLeast(110_000);
   }
 
+  // A process has just started, and the table answers only after half a second. The request that
+  // came meanwhile is served then; refused, its caller would come back after a second.
+  @Test
+  void requestThatComesBeforeTheFirstRowWaitsForIt() {
+    world.timers.advanceMs(SETTLED_MS);
+    SpendingWorld.Member starting = world.start("kayseri-1");
+    starting.cutFromTable = true;
+    starting.tryReserve(500);
+    world.timers.advanceMs(450);
+    starting.cutFromTable = false;
+
+    world.timers.advanceMs(600);
+
+    assertThat(world.spentTokens()).isEqualTo(500);
+  }
+
   // The table is out of reach for seconds and back for less than one. The row must be renewed in
   // that time: if the instance dies in the next cut, all that opened since the first would be lost.
   @Test
