--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
@@ -106,7 +106,9 @@
   private long tryLend(PeerMessage.BorrowRequest request) {
     return ownSpending
         .apply(request.budget())
-        .map(spending -> request.mayGrow() ? lendWhole(spending, request) : lend(spending, request))
+        .map(
+            spending ->
+                request.mayGrow() ? lendWhole(spending, request) : lendPart(spending, request))
         .orElse(0L);
   }
 
@@ -114,7 +116,7 @@
     return spending.tryLendWhole(request.needTokens()) ? request.needTokens() : 0;
   }
 
-  private static long lend(TeamSpending spending, PeerMessage.BorrowRequest request) {
+  private static long lendPart(TeamSpending spending, PeerMessage.BorrowRequest request) {
     return spending.lend(request.needTokens(), request.wantedTokens(), LENT_DIVISOR);
   }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamWord.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamWord.java
@@ -6,7 +6,8 @@
  * When an upstream said something of itself: its newest word counts.
  *
  * <pre>{@code
- * new UpstreamWord(1_700_000_000_000L, 4).isOlderThan(new UpstreamWord(1_700_000_060_000L, 1)); // true
+ * UpstreamWord before = new UpstreamWord(1_700_000_000_000L, 4);
+ * before.isOlderThan(new UpstreamWord(1_700_000_060_000L, 1)); // true: another start
  * }</pre>
  *
  * @param startedMs the start of its process in Unix milliseconds; 0 when it does not say so
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -108,7 +108,6 @@
             random,
             peers,
             dispatcher);
-    DomainReach reach = new DomainReach(self, spending::others, peers, timers);
     dispatcher.on(
         PeerMessage.Heartbeat.class,
         heartbeat -> CompletableFuture.completedFuture(new PeerMessage.Done()));
@@ -117,6 +116,7 @@
     PromptMemory memory = new PromptMemory();
     upstreams.subscribe(loads::retain);
     upstreams.subscribe(memory::retain);
+    DomainReach reach = new DomainReach(self, spending::others, peers, timers);
     UpstreamPicker picker =
         new UpstreamPicker(
             upstreams,
