--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
@@ -94,7 +94,7 @@
         .thenApply(tokens -> replyWith(request, tokens));
   }
 
-  /** Answers in any case before the borrower stops to wait: a later loan would reach nobody. */
+  /** Answers before the borrower stops to wait: a later loan comes too late for its request. */
   private CompletableFuture<Long> lendOnceGrown(
       PeerMessage.BorrowRequest request, CompletableFuture<Boolean> growing) {
     CompletableFuture<Boolean> wait = new CompletableFuture<>();
