--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -257,10 +257,15 @@
     if (rounds == 0 || sinceRenewalMs() < JUST_RENEWED_MS) {
       return reserveWhenOpen(team, tokens);
     }
-    CompletableFuture<Void> wait = new CompletableFuture<>();
-    timers.after(LOAN_ROUND_MS, () -> wait.complete(null));
-    return wait.thenCompose(
-        over -> tryReserveOr(team, tokens, () -> reserveFromLoan(team, tokens, rounds)));
+    return pause(LOAN_ROUND_MS)
+        .thenCompose(
+            over -> tryReserveOr(team, tokens, () -> reserveFromLoan(team, tokens, rounds)));
+  }
+
+  private CompletableFuture<Void> pause(long pauseMs) {
+    CompletableFuture<Void> over = new CompletableFuture<>();
+    timers.after(pauseMs, () -> over.complete(null));
+    return over;
   }
 
   private CompletableFuture<Void> borrow(TeamPlan team, long tokens) {
@@ -274,15 +279,11 @@
     if (opensInMs > MAX_OPENING_WAIT_MS) {
       return CompletableFuture.failedFuture(refusal(team, tokens));
     }
-    CompletableFuture<SpendingReservation> reserved = new CompletableFuture<>();
-    timers.after(
-        opensInMs,
-        () ->
-            tryReserve(team.name(), tokens)
-                .ifPresentOrElse(
-                    reserved::complete,
-                    () -> reserved.completeExceptionally(refusal(team, tokens))));
-    return reserved;
+    return pause(opensInMs)
+        .thenCompose(
+            over ->
+                tryReserveOr(
+                    team, tokens, () -> CompletableFuture.failedFuture(refusal(team, tokens))));
   }
 
   private long opensInMs(TeamPlan team, long tokens) {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
@@ -117,8 +117,7 @@
 
   /** Lists whom to ask for a loan. */
   List<InstanceRecord> lenders(String team) {
-    TeamHolders known = holders;
-    return contents.lenders(ownKey, team, instance -> known.isHolder(team, instance), random);
+    return contents.lenders(ownKey, team, holders.idsFor(team), random);
   }
 
   /** Asks for tokens in the next row. */
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingTables.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingTables.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
@@ -98,7 +99,7 @@
      * the same one otherwise, and find it empty.
      */
     List<InstanceRecord> lenders(
-        RowKey ownKey, String team, Predicate<InstanceRecord> isHolder, RandomGenerator random) {
+        RowKey ownKey, String team, Set<String> holderIds, RandomGenerator random) {
       record Lender(InstanceRecord instance, double rank) {}
 
       return withAddress(ownKey)
@@ -109,7 +110,7 @@
                       record(entry.getKey(), entry.getValue()),
                       entry.getValue().grantOf(team).holdingTokens() * random.nextDouble(0.5, 1)))
           .sorted(
-              Comparator.comparing((Lender lender) -> isHolder.test(lender.instance()))
+              Comparator.comparing((Lender lender) -> holderIds.contains(lender.instance().id()))
                   .thenComparingDouble(Lender::rank)
                   .reversed())
           .map(Lender::instance)
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamHolders.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamHolders.java
@@ -4,6 +4,7 @@
 import io.mothrill.core.platform.InstanceRecord;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -59,11 +60,11 @@
         .toList();
   }
 
-  /** Says whether an instance holds a team's tokens for its own domain. */
-  boolean isHolder(String team, InstanceRecord instance) {
-    return Rendezvous.rank(team, byDomain.getOrDefault(instance.domain(), List.of())).stream()
-        .limit(1)
-        .anyMatch(holder -> holder.id().equals(instance.id()));
+  /** Lists the ids of a team's holders, one of each domain. */
+  Set<String> idsFor(String team) {
+    return byDomain.values().stream()
+        .map(instances -> Rendezvous.rank(team, instances).get(0).id())
+        .collect(Collectors.toSet());
   }
 
   /** Gives the number of holders of each team: one in each domain. */
