Long prompts take what all holders have ready before they wait for the table

Cause: with 95 instances and 40 teams the holder of a domain has about one usual request ready, and a long prompt costs three. Change: what a request lacks is put together from the holders of all domains, own one first; in a large fleet a holder has up to three seconds of demand near, as long as all holders together stay below 4 in 100 of what the team has left.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
@@ -9,6 +9,22 @@
   /** Requests of the usual size that fit into what is near, so that few need a renewal. */
   private static final double NEAR_REQUESTS = 1;
 
+  /**
+   * What may be near in a large fleet of a budget that has much left, in seconds of the demand:
+   * demand comes in bursts, and the next row takes half a second and more where many instances
+   * renew theirs. In a small fleet it takes some hundredths of a second.
+   */
+  private static final double AMPLE_NEAR_S = 3;
+
+  /** The same in requests of the usual size: a long prompt costs several of them. */
+  private static final double AMPLE_NEAR_REQUESTS = 3;
+
+  /**
+   * Part of what a team has left that all its holders together may have near: what a loss of power
+   * of all instances costs it at the most, beside one usual request for each holder.
+   */
+  private static final double AMPLE_SHARE_OF_LEFT = 0.04;
+
   /**
    * Usual size of a request before the first one has shown it: a middling prompt with its output.
    * Were much less near, an instance that no caller of the team has met yet could not serve the
@@ -107,6 +123,10 @@
       return typicalTokens == 0 ? FIRST_TYPICAL_TOKENS : typicalTokens;
     }
 
+    boolean isOfLargeFleet() {
+      return othersCount >= MANY_INSTANCES;
+    }
+
     boolean isOvergranted() {
       return grantedTokens > prepaidTokens;
     }
@@ -125,8 +145,7 @@
 
   private static SpendingGrant shape(Situation situation, long spentTokens, long holding) {
     long typical = situation.usualTokens();
-    double usualNear = Math.max(NEAR_S * situation.averageTokensPerS(), NEAR_REQUESTS * typical);
-    long ready = situation.holder() ? Math.round(usualNear) : 0;
+    long ready = situation.holder() ? readyTokens(situation, spentTokens) : 0;
     long wantedNear = ready + situation.wantedTokens();
     double demand = situation.demandTokensPerS();
     double usualOpen =
@@ -142,6 +161,27 @@
         situation.demandTokensPerS());
   }
 
+  /**
+   * Gives what a holder has near.
+   *
+   * <p>Failure: all instances lose power, and what is near counts as spent though it was not.
+   * Symptom: a team that has little left is refused though it has paid. Failure the other way: what
+   * is near is less than the next request. Symptom: the request waits for a row and its answer is
+   * late. So much is near while much is left, and the least that serves while little is.
+   */
+  private static long readyTokens(Situation situation, long spentTokens) {
+    long typical = situation.usualTokens();
+    double average = situation.averageTokensPerS();
+    double least = Math.max(NEAR_S * average, NEAR_REQUESTS * typical);
+    if (!situation.isOfLargeFleet()) {
+      return Math.round(least);
+    }
+    double ample = Math.max(AMPLE_NEAR_S * average, AMPLE_NEAR_REQUESTS * typical);
+    double bearable =
+        AMPLE_SHARE_OF_LEFT * situation.leftTokens(spentTokens) / situation.holderCount();
+    return Math.round(Math.max(least, Math.min(ample, bearable)));
+  }
+
   private long holding(Situation situation, long spentTokens) {
     long held = held(situation, spentTokens);
     long most = held + situation.freeTokens();
@@ -179,8 +219,7 @@
    * a long silence, for when their holder is lost as well.
    */
   private long target(Situation situation, long spentTokens) {
-    boolean largeFleet = situation.othersCount() >= MANY_INSTANCES;
-    if (largeFleet && !situation.holder()) {
+    if (situation.isOfLargeFleet() && !situation.holder()) {
       return 0;
     }
     return policy.holdingTokens(
@@ -188,7 +227,7 @@
             situation.leftTokens(spentTokens),
             situation.demandTokensPerS(),
             situation.allDemandTokensPerS(),
-            largeFleet ? situation.holderCount() : situation.othersCount() + 1,
+            situation.isOfLargeFleet() ? situation.holderCount() : situation.othersCount() + 1,
             situation.usualTokens()));
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -184,10 +184,21 @@
         .orElseGet(otherwise);
   }
 
-  /** Asks the holder of the team in this failure domain, which has tokens ready, then the table. */
+  /** Takes what the holders of the team have ready, wherever they are, then asks the table. */
   private CompletableFuture<SpendingReservation> reserveElsewhere(TeamPlan team, long tokens) {
     String name = team.name();
-    if (!rows.isTakenOver() || rows.holders().isSelf(name)) {
+    if (!rows.isTakenOver()) {
+      return reserveAfterWait(team, tokens, MAX_WAITS);
+    }
+    return loans
+        .borrowReady(name, lackingTokens(name, tokens), rows.holders().inOrderFor(name))
+        .thenCompose(asked -> tryReserveOr(team, tokens, () -> reserveGrown(team, tokens)));
+  }
+
+  /** Lets the holder of the team in this failure domain get more from the table. */
+  private CompletableFuture<SpendingReservation> reserveGrown(TeamPlan team, long tokens) {
+    String name = team.name();
+    if (rows.holders().isSelf(name)) {
       return reserveAfterWait(team, tokens, MAX_WAITS);
     }
     return loans
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
@@ -182,6 +182,22 @@
     return mine;
   }
 
+  /**
+   * Puts together what one request lacks from what the holders of its team have ready.
+   *
+   * @param team the team
+   * @param needTokens what is lacking
+   * @param holders whom to ask, in order, until nothing is lacking
+   * @return completes when enough was lent or all were asked
+   */
+  CompletableFuture<Void> borrowReady(String team, long needTokens, List<InstanceRecord> holders) {
+    return ask(team, needTokens, needTokens, answering(holders), false).thenApply(missing -> null);
+  }
+
+  private List<InstanceRecord> answering(List<InstanceRecord> holders) {
+    return holders.stream().filter(holder -> !isSilent(holder.id())).toList();
+  }
+
   /**
    * Reserves just what one request lacks from the holders of its team.
    *
@@ -192,9 +208,7 @@
    */
   CompletableFuture<Void> borrowFromHolders(
       String team, long needTokens, List<InstanceRecord> holders) {
-    List<InstanceRecord> answering =
-        holders.stream().filter(holder -> !isSilent(holder.id())).toList();
-    return ask(team, needTokens, needTokens, answering, true).thenApply(missing -> null);
+    return ask(team, needTokens, needTokens, answering(holders), true).thenApply(missing -> null);
   }
 
   private boolean isSilent(String id) {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamHolders.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamHolders.java
@@ -2,6 +2,7 @@
 
 import io.mothrill.core.peer.Rendezvous;
 import io.mothrill.core.platform.InstanceRecord;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -29,6 +30,7 @@
   private final InstanceRecord self;
   private final Map<String, List<InstanceRecord>> byDomain;
   private final Map<String, List<InstanceRecord>> ranked = new ConcurrentHashMap<>();
+  private final Map<String, List<InstanceRecord>> ofDomains = new ConcurrentHashMap<>();
 
   /**
    * Works out the holders.
@@ -62,9 +64,30 @@
 
   /** Lists the ids of a team's holders, one of each domain. */
   Set<String> idsFor(String team) {
-    return byDomain.values().stream()
-        .map(instances -> Rendezvous.rank(team, instances).get(0).id())
-        .collect(Collectors.toSet());
+    return holdersOf(team).stream().map(InstanceRecord::id).collect(Collectors.toSet());
+  }
+
+  private List<InstanceRecord> holdersOf(String team) {
+    return ofDomains.computeIfAbsent(
+        team,
+        name ->
+            byDomain.values().stream()
+                .map(instances -> Rendezvous.rank(name, instances).get(0))
+                .toList());
+  }
+
+  /**
+   * Lists the other instances that hold a team's tokens: the one of this domain first, the others
+   * in an order that each instance has for itself, so that not all begin with the same one.
+   *
+   * <p>Failure: what each holder has ready is less than a long prompt costs. Symptom: its request
+   * waits for the table, though the holders together have several times as much ready.
+   */
+  List<InstanceRecord> inOrderFor(String team) {
+    return Rendezvous.rank(self.id(), holdersOf(team)).stream()
+        .filter(holder -> !holder.id().equals(self.id()))
+        .sorted(Comparator.comparing(holder -> holder.domain().equals(self.domain()) ? 0 : 1))
+        .toList();
   }
 
   /** Gives the number of holders of each team: one in each domain. */
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingOfLongPromptsTest.java
@@ -0,0 +1,264 @@
+package io.mothrill.core.forward.spending;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Ninety-six instances in six failure domains serve forty uneven teams, mostly long prompts.
+ *
+ * <p>Pattern: 270 requests a second, a third of them with prompts of 12,000 tokens in the middle
+ * and of 60,000 for one in a hundred; the largest team sends a quarter of all, the smallest one a
+ * request in seconds; one domain has as many callers as three others. All instances lose the store
+ * for seven seconds, or their power for less than one. The grounds for the figures: a budget is
+ * what eighty seconds of this load use, and tokens are there in time if they take less than half of
+ * the time that callers hope for, as the prompt has still to be read after that.
+ */
+class SpendingOfLongPromptsTest {
+
+  private static final int TEAMS = 40;
+  private static final int DOMAINS = 6;
+  private static final int INSTANCES_PER_DOMAIN = 16;
+  private static final int REQUESTS_PER_S = 270;
+  private static final long MS_PER_S = 1_000;
+  private static final long BUDGET_S = 80;
+  private static final long WRITE_MS = 5;
+  private static final long START_SPREAD_MS = 300;
+  private static final long BEFORE_TRAFFIC_MS = 18_000;
+  private static final long SETTLED_S = 6;
+  private static final long CUT_S = 7;
+  private static final long CALM_S = 8;
+  private static final long RETURN_S = 3;
+  private static final long DARK_MS = 800;
+
+  /** After it nothing is under way any more. */
+  private static final long LONGEST_STREAM_MS = 4_000;
+
+  /** 1.3 in a hundred are lost with one usual request near at each holder, 2.6 with more. */
+  private static final double MOST_LOST_SHARE = 0.03;
+
+  /** Callers of the busy domain for each caller of another one. */
+  private static final int BUSY = 4;
+
+  /** One kind of request, with the logarithm of sizes spread normally. */
+  private record Kind(
+      int perS, double medianTokens, double spread, long inTimeMs, long tookMs, double usedShare) {
+
+    int draw(Random random) {
+      return (int) (medianTokens * Math.exp(spread * random.nextGaussian()));
+    }
+
+    double meanTokens() {
+      return medianTokens * Math.exp(spread * spread / 2);
+    }
+  }
+
+  private static final List<Kind> KINDS =
+      List.of(
+          new Kind(83, 12_000, 0.65, 400, 2_000, 0.95),
+          new Kind(146, 2_000, 0.7, 250, 160, 0.97),
+          new Kind(41, 1_600, 0.4, 200, 1_250, 0.63));
+
+  private static final double[] TEAM_SHARES = shares();
+
+  private final List<String> teams =
+      IntStream.range(0, TEAMS).mapToObj(number -> "team-" + number).toList();
+  private final SpendingWorld world = new SpendingWorld(teams, budgets(), 11);
+  private final List<SpendingWorld.Member> members = new ArrayList<>();
+  private long spentTokens;
+  private int asked;
+  private int inTime;
+  private int refused;
+  private int askedLong;
+  private int inTimeLong;
+
+  private static double[] shares() {
+    double sum = IntStream.rangeClosed(1, TEAMS).mapToDouble(rank -> 1.0 / rank).sum();
+    return IntStream.rangeClosed(1, TEAMS).mapToDouble(rank -> 1.0 / rank / sum).toArray();
+  }
+
+  private static List<Long> budgets() {
+    double tokensPerS = KINDS.stream().mapToDouble(kind -> kind.perS() * kind.meanTokens()).sum();
+    return Arrays.stream(TEAM_SHARES)
+        .mapToObj(share -> Math.round(BUDGET_S * tokensPerS * share))
+        .toList();
+  }
+
+  private void startAll() {
+    world.writeOneByOne(WRITE_MS);
+    members.clear();
+    int all = DOMAINS * INSTANCES_PER_DOMAIN;
+    for (int number = 0; number < all; number++) {
+      world.timers.advanceMs(START_SPREAD_MS * (number + 1) / all - START_SPREAD_MS * number / all);
+      members.add(world.start("domain" + number % DOMAINS + "-" + number / DOMAINS));
+    }
+  }
+
+  private int drawTeam() {
+    double drawn = world.random.nextDouble();
+    for (int team = 0; team < TEAMS - 1; team++) {
+      drawn -= TEAM_SHARES[team];
+      if (drawn < 0) {
+        return team;
+      }
+    }
+    return TEAMS - 1;
+  }
+
+  /** Instances of the first domain are drawn more often. */
+  private SpendingWorld.Member drawMember() {
+    int drawn = world.random.nextInt(BUSY + DOMAINS - 1);
+    int domain = Math.max(0, drawn - BUSY + 1);
+    return members.get(domain + DOMAINS * world.random.nextInt(INSTANCES_PER_DOMAIN));
+  }
+
+  private Kind drawKind() {
+    int drawn = world.random.nextInt(REQUESTS_PER_S);
+    for (Kind kind : KINDS) {
+      drawn -= kind.perS();
+      if (drawn < 0) {
+        return kind;
+      }
+    }
+    return KINDS.get(0);
+  }
+
+  private void ask() {
+    Kind kind = drawKind();
+    long tokens = kind.draw(world.random);
+    boolean isLong = kind == KINDS.get(0);
+    long askedMs = world.timers.nowMs();
+    asked++;
+    askedLong += isLong ? 1 : 0;
+    SpendingWorld.Member member = drawMember();
+    var unused =
+        member
+            .reserve(teams.get(drawTeam()), tokens)
+            .whenComplete(
+                (reservation, error) -> {
+                  if (error != null) {
+                    refused++;
+                    return;
+                  }
+                  boolean soon = world.timers.nowMs() - askedMs <= kind.inTimeMs();
+                  inTime += soon ? 1 : 0;
+                  inTimeLong += soon && isLong ? 1 : 0;
+                  long used = Math.round(tokens * kind.usedShare());
+                  spentTokens += member.dead ? 0 : used;
+                  member.after(kind.tookMs(), () -> reservation.settle(used));
+                });
+  }
+
+  private void serve(double seconds) {
+    double due = 0;
+    for (long ms = 0; ms < seconds * MS_PER_S; ms++) {
+      world.timers.advanceMs(1);
+      for (due += (double) REQUESTS_PER_S / MS_PER_S; due >= 1; due--) {
+        ask();
+      }
+    }
+  }
+
+  private void countAnew() {
+    asked = 0;
+    inTime = 0;
+    refused = 0;
+    askedLong = 0;
+    inTimeLong = 0;
+  }
+
+  private void settle() {
+    startAll();
+    world.timers.advanceMs(BEFORE_TRAFFIC_MS);
+    serve(SETTLED_S);
+    countAnew();
+  }
+
+  /** Says what part of the requests, in a hundred, had their tokens in time. */
+  private int inTimePercent() {
+    return 100 * inTime / asked;
+  }
+
+  private int longInTimePercent() {
+    return 100 * inTimeLong / askedLong;
+  }
+
+  // Most prompts cost more than the holder of their domain has ready. What the holders have
+  // together is enough, so callers wait for one or two messages and not for the table.
+  @Test
+  void longPromptsDoNotWaitForTheTable() {
+    settle();
+
+    serve(CALM_S);
+
+    assertThat(longInTimePercent()).isAtLeast(95);
+    assertThat(inTimePercent()).isAtLeast(97);
+    assertThat(refused).isAtMost(asked / 100);
+  }
+
+  // All instances lose the store at the same moment. For the first seconds there is only what the
+  // holders have ready.
+  @Test
+  void mostCallersAreServedInTimeThroughCutOfAllInstances() {
+    settle();
+    members.forEach(member -> member.cutFromTable = true);
+
+    serve(CUT_S);
+
+    assertThat(inTimePercent()).isAtLeast(95);
+    assertThat(longInTimePercent()).isAtLeast(92);
+    assertThat(refused).isAtMost(asked * 2 / 100);
+  }
+
+  // The store is back for all instances at the same moment, and all their rows are due. Requests
+  // of that second are served as those before it.
+  @Test
+  void returnOfTheStoreDelaysNobody() {
+    settle();
+    members.forEach(member -> member.cutFromTable = true);
+    serve(CUT_S);
+    members.forEach(member -> member.cutFromTable = false);
+    countAnew();
+
+    serve(RETURN_S);
+
+    assertThat(longInTimePercent()).isAtLeast(95);
+    assertThat(refused).isAtMost(asked / 100);
+  }
+
+  // All instances lose power, and their successors begin within a second. What was ready counts as
+  // spent though nobody has spent it.
+  @Test
+  void powerLossOfAllInstancesCostsFewTokens() {
+    settle();
+    serve(CALM_S);
+    world.timers.advanceMs(LONGEST_STREAM_MS);
+    members.forEach(SpendingWorld.Member::kill);
+    world.timers.advanceMs(DARK_MS);
+    startAll();
+    world.timers.advanceMs(MS_PER_S);
+
+    long lostTokens = countedTokens() - spentTokens;
+    assertThat(lostTokens).isAtLeast(0);
+    assertThat(lostTokens).isAtMost(Math.round(MOST_LOST_SHARE * prepaidTokens()));
+  }
+
+  private static long prepaidTokens() {
+    return budgets().stream().mapToLong(Long::longValue).sum();
+  }
+
+  private long countedTokens() {
+    SpendingTables.Contents contents = contents();
+    return teams.stream().mapToLong(contents::spentTokens).sum();
+  }
+
+  private SpendingTables.Contents contents() {
+    var rows = world.table.scan(SpendingTables.TABLE, "", "", SpendingTables.MAX_ROWS).join();
+    return SpendingTables.Contents.of(rows, 0);
+  }
+}
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingWorld.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingWorld.java
@@ -27,6 +27,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
+import java.util.stream.IntStream;
 
 /** Instances that spend one team's budget over a table and peers that fail as a test asks. */
 final class SpendingWorld {
@@ -41,6 +42,7 @@
   final Random random;
   private final Map<String, Member> members = new HashMap<>();
   private final List<String> teams;
+  private final Map<String, Long> firstTokens = new HashMap<>();
   private long writeTakesMs;
   private long tableFreeMs;
   private long prepaidTokens;
@@ -55,9 +57,17 @@
 
   /** Each of the teams has the same budget. */
   SpendingWorld(long prepaidTokens, long seed, List<String> teams) {
+    this(teams, teams.stream().map(team -> 0L).toList(), seed);
+    topUp(prepaidTokens);
+  }
+
+  /** Each team has a budget of its own, in the order of the teams. */
+  SpendingWorld(List<String> teams, List<Long> budgets, long seed) {
     this.random = new Random(seed);
     this.teams = teams;
-    topUp(prepaidTokens);
+    IntStream.range(0, teams.size())
+        .forEach(place -> firstTokens.put(teams.get(place), budgets.get(place)));
+    topUp(0);
   }
 
   /** From now on the table writes one transaction after the other, each in this time. */
@@ -85,7 +95,10 @@
 
   private TeamPlan team(String name) {
     return new TeamPlan(
-        name, List.of("key of " + name), OptionalInt.empty(), OptionalLong.of(prepaidTokens));
+        name,
+        List.of("key of " + name),
+        OptionalInt.empty(),
+        OptionalLong.of(prepaidTokens + firstTokens.get(name)));
   }
 
   long prepaidTokens() {
