An account of work; domains are asked for their reach only in use, lists that say the same are dropped

Cause: an instance of a large fleet serves four requests a second, and its processor time goes to what it does without them. The account (WorkAccount, WorkMeter, a log line, metrics) of 18 instances shows: 2,320 turns for peers in 42 s, nearly all of them DomainReach asking ever new instances. Change: events of upstreams show reach as well, questions go to the same two instances and stop a second after the last request; unchanged lists of upstreams are not decoded or worked through again.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/DomainReach.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/DomainReach.java
@@ -3,6 +3,7 @@
 import io.mothrill.core.error.Failures;
 import io.mothrill.core.peer.PeerLinks;
 import io.mothrill.core.peer.PeerMessage;
+import io.mothrill.core.peer.Rendezvous;
 import io.mothrill.core.peer.error.PeerException;
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.time.Timers;
@@ -12,6 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.tinylog.Logger;
 
 /**
@@ -23,8 +25,11 @@
  * silence of half a second that is confirmed by a question shows the cut. Upstreams there are then
  * taken only when there are no others.
  *
- * <p>Notices of prompts come from every domain many times a second, so that questions are asked
- * only while little goes on. A refused connection is an answer: the way there is open.
+ * <p>Whatever comes from a domain shows that the way there is open: notices of its instances, and
+ * events of streams and answers of its upstreams. Questions are asked only of domains from which
+ * nothing has come, and only while requests are to be placed: an instance of a large fleet serves
+ * few, and asked every domain all the time it would spend a fifth of its processor time on that. A
+ * refused connection is an answer too.
  */
 public final class DomainReach {
 
@@ -40,11 +45,16 @@
   /** Asked at the same time, as a single instance may just be restarted. */
   private static final int ASKED = 2;
 
+  /** Questions go on for so long after a request was placed; the next one mostly comes in it. */
+  private static final long IN_USE_MS = 1_000;
+
   private final InstanceRecord self;
   private final Supplier<List<InstanceRecord>> others;
   private final PeerLinks links;
   private final Timers timers;
   private final Map<String, Domain> domains = new ConcurrentHashMap<>();
+  private volatile Neighbours neighbours = new Neighbours(List.of(), Map.of(), Map.of());
+  private volatile long usedMs = Long.MIN_VALUE / 2;
 
   /**
    * Creates the watch and begins.
@@ -68,22 +78,74 @@
     private volatile long heardMs;
     private volatile boolean asking;
     private volatile boolean cutOff;
+    private volatile int silentRounds;
 
     private Domain(long nowMs) {
       this.heardMs = nowMs;
     }
   }
 
+  /**
+   * The other instances, worked out once for as long as they stay the same.
+   *
+   * @param instances all of them
+   * @param askedByDomain those of each other domain in the order in which this instance asks them,
+   *     an order of its own: few connections serve all its questions, and all instances together
+   *     ask everyone about as often
+   * @param domainByHost the domain of each by its IP address
+   */
+  private record Neighbours(
+      List<InstanceRecord> instances,
+      Map<String, List<InstanceRecord>> askedByDomain,
+      Map<String, String> domainByHost) {
+
+    static Neighbours of(InstanceRecord self, List<InstanceRecord> others) {
+      Map<String, List<InstanceRecord>> byDomain =
+          others.stream()
+              .filter(other -> !other.domain().equals(self.domain()))
+              .collect(Collectors.groupingBy(InstanceRecord::domain));
+      byDomain.replaceAll((domain, instances) -> Rendezvous.rank(self.id(), instances));
+      return new Neighbours(
+          others,
+          byDomain,
+          others.stream()
+              .collect(
+                  Collectors.toMap(
+                      InstanceRecord::host, InstanceRecord::domain, (one, other) -> one)));
+    }
+  }
+
+  private Neighbours neighbours() {
+    Neighbours known = neighbours;
+    List<InstanceRecord> current = others.get();
+    if (!known.instances().equals(current)) {
+      known = Neighbours.of(self, current);
+      neighbours = known;
+    }
+    return known;
+  }
+
   /**
    * Notes that something came from an instance.
    *
    * @param host its IP address
    */
   public void onHeard(String host) {
-    others.get().stream()
-        .filter(other -> other.host().equals(host))
-        .findFirst()
-        .ifPresent(other -> heard(other.domain()));
+    String domain = neighbours.domainByHost().get(host);
+    if (domain != null) {
+      heard(domain);
+    }
+  }
+
+  /**
+   * Notes that something came from a domain, be it from an upstream there.
+   *
+   * @param domain the domain
+   */
+  public void onHeardFrom(String domain) {
+    if (!domain.equals(self.domain())) {
+      heard(domain);
+    }
   }
 
   /**
@@ -93,17 +155,18 @@
    * @return false once silence was confirmed; true where nobody is there to ask
    */
   public boolean isOpen(String domain) {
+    usedMs = timers.nowMs();
     Domain known = domains.get(domain);
     return known == null || !known.cutOff;
   }
 
   private void check() {
-    Map<String, List<InstanceRecord>> byDomain =
-        others.get().stream()
-            .filter(other -> !other.domain().equals(self.domain()))
-            .collect(Collectors.groupingBy(InstanceRecord::domain));
-    domains.keySet().retainAll(byDomain.keySet());
-    byDomain.forEach(this::check);
+    if (timers.nowMs() - usedMs > IN_USE_MS) {
+      return;
+    }
+    Map<String, List<InstanceRecord>> askedByDomain = neighbours().askedByDomain();
+    domains.keySet().retainAll(askedByDomain.keySet());
+    askedByDomain.forEach(this::check);
   }
 
   private void check(String name, List<InstanceRecord> instances) {
@@ -113,12 +176,10 @@
     }
     domain.asking = true;
     long askedMs = timers.nowMs();
-    int first = (int) (askedMs / CHECK_MS % instances.size());
+    int first = domain.silentRounds * ASKED;
     CompletableFuture<?>[] answers =
-        instances.stream()
-            .skip(Math.min(first, Math.max(0, instances.size() - ASKED)))
-            .limit(ASKED)
-            .map(instance -> ask(instance, name))
+        IntStream.range(first, first + Math.min(ASKED, instances.size()))
+            .mapToObj(place -> ask(instances.get(place % instances.size()), name))
             .toArray(CompletableFuture[]::new);
     CompletableFuture.allOf(answers).thenRun(() -> conclude(name, domain, askedMs));
   }
@@ -150,7 +211,11 @@
 
   private void conclude(String name, Domain domain, long askedMs) {
     domain.asking = false;
-    if (domain.heardMs < askedMs && !domain.cutOff) {
+    if (domain.heardMs >= askedMs) {
+      return;
+    }
+    domain.silentRounds++;
+    if (!domain.cutOff) {
       domain.cutOff = true;
       Logger.warn(
           "domain out of reach domain={} silentMs={}", name, timers.nowMs() - domain.heardMs);
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamList.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamList.java
@@ -49,6 +49,16 @@
     return this != EMPTY;
   }
 
+  /**
+   * Compares with another list.
+   *
+   * @param other the other list
+   * @return true when both were read and say the same of the same upstreams
+   */
+  public boolean saysTheSameAs(UpstreamList other) {
+    return isKnown() && other.isKnown() && byId.equals(other.byId);
+  }
+
   /**
    * Lists the upstreams of a service that take new requests.
    *
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/StateFollower.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/StateFollower.java
@@ -102,6 +102,9 @@
    * <p>Failure: registrations lapse while the store is away, though the upstreams live. Symptom:
    * after an outage a whole service seems gone. Upstreams register again within about two seconds,
    * so missing ones are kept for that long after contact is regained, and are gone after that.
+   *
+   * <p>Most reads find what the last one found; nobody is told of those, as working through a list
+   * of dozens of upstreams each time takes a small instance more than its requests do.
    */
   private synchronized void takeUpstreams(long startedMs, UpstreamList read) {
     if (startedMs < upstreamsStartedMs) {
@@ -111,8 +114,9 @@
     boolean returning = wasAway() || timers.nowMs() - regainedMs < settings.returnMs();
     upstreams.update(
         before -> {
-          UpstreamList current = words.correct(read, before);
-          return returning ? current.keeping(before) : current;
+          UpstreamList corrected = words.correct(read, before);
+          UpstreamList current = returning ? corrected.keeping(before) : corrected;
+          return current.saysTheSameAs(before) ? before : current;
         });
     upstreamsReadMs = timers.nowMs();
   }
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/work/AccountedTimers.java
@@ -0,0 +1,57 @@
+package io.mothrill.core.work;
+
+import io.mothrill.core.time.Subscription;
+import io.mothrill.core.time.Timers;
+import java.util.function.LongSupplier;
+
+/** A timer service whose tasks are counted. */
+public final class AccountedTimers implements Timers {
+
+  private final Timers timers;
+  private final WorkAccount work;
+  private final LongSupplier nanos;
+
+  /**
+   * Creates the service.
+   *
+   * @param timers runs the tasks
+   * @param work gets the time that they take
+   * @param nanos a steady clock in nanoseconds
+   */
+  public AccountedTimers(Timers timers, WorkAccount work, LongSupplier nanos) {
+    this.timers = timers;
+    this.work = work;
+    this.nanos = nanos;
+  }
+
+  @Override
+  public long nowMs() {
+    return timers.nowMs();
+  }
+
+  @Override
+  public long wallMs() {
+    return timers.wallMs();
+  }
+
+  @Override
+  public Subscription after(long delayMs, Runnable task) {
+    return timers.after(delayMs, counted(task));
+  }
+
+  @Override
+  public Subscription every(long periodMs, Runnable task) {
+    return timers.every(periodMs, counted(task));
+  }
+
+  private Runnable counted(Runnable task) {
+    return () -> {
+      long beganNanos = nanos.getAsLong();
+      try {
+        task.run();
+      } finally {
+        work.onTurn(WorkKind.TIMER, nanos.getAsLong() - beganNanos);
+      }
+    };
+  }
+}
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/view/StateFollowerTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/view/StateFollowerTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
 class StateFollowerTest {
@@ -161,4 +162,28 @@
 
     assertThat(upstreams.read().contains("i-1")).isFalse();
   }
+
+  // Nearly all reads find what the last one found. Whoever keeps books by the list would go through
+  // dozens of upstreams for each, several times a second.
+  @Test
+  void tellsNobodyOfListThatSaysTheSame() {
+    follow();
+    AtomicInteger toldCount = new AtomicInteger();
+    upstreams.subscribe(list -> toldCount.incrementAndGet());
+    store.registered = new UpstreamList(List.of(LIVING));
+
+    timers.advanceMs(4 * SETTINGS.upstreamPollMs());
+
+    assertThat(toldCount.get()).isEqualTo(0);
+    assertThat(upstreams.read().all()).containsExactly(LIVING);
+  }
+
+  @Test
+  void tellsOfFirstListAlsoWhenItIsEmpty() {
+    store.registered = new UpstreamList(List.of());
+
+    follow();
+
+    assertThat(upstreams.read().isKnown()).isTrue();
+  }
 }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/EntryInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/EntryInstance.java
@@ -7,6 +7,7 @@
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.platform.TableService;
 import io.mothrill.core.time.Timers;
+import io.mothrill.core.work.WorkAccount;
 import io.mothrill.daemon.settings.InstanceSettings;
 import io.mothrill.wire.caller.CallerEdge;
 import io.mothrill.wire.http.HttpClient;
@@ -102,7 +103,8 @@
         new PeerDecoder(codec),
         dispatcher,
         settings.host(),
-        settings.ports().peer());
+        settings.ports().peer(),
+        new WorkAccount());
   }
 
   private InstanceRecord recordOf(InstanceSettings settings, NodePorts ports) {
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -7,12 +7,17 @@
 import io.mothrill.core.forward.spending.SpendingController;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.view.StateFollower;
+import io.mothrill.core.work.WorkAccount;
+import io.mothrill.core.work.WorkKind;
 import io.mothrill.daemon.log.JsonLinesWriter;
 import io.mothrill.wire.forward.ForwardEdge;
+import java.util.Arrays;
 
 /** Shows the state of an instance among its metrics: what it believes, and how old that is. */
 final class ForwardGauges {
 
+  private static final long NANOS_PER_MS = 1_000_000;
+
   private final MetricRegistry metrics;
 
   ForwardGauges(MetricRegistry metrics) {
@@ -48,6 +53,20 @@
     metrics.gauge("spending.heldTokens." + team, () -> () -> spending.heldTokens(team));
   }
 
+  /** Shows what the event loops were busy with, and the processor time of the threads. */
+  void showWork(WorkAccount work) {
+    Arrays.stream(WorkKind.values()).forEach(kind -> showWork("work." + kind, kind, work));
+    metrics.gauge("work.threadCpuMs", () -> ThreadTimes::totalCpuMs);
+  }
+
+  private void showWork(String name, WorkKind kind, WorkAccount work) {
+    metrics.gauge(name + ".turnCount", () -> () -> work.of(kind).turnCount());
+    metrics.gauge(name + ".busyMs", () -> () -> work.of(kind).busyNanos() / NANOS_PER_MS);
+    metrics.gauge(name + ".openedCount", () -> () -> work.of(kind).openedCount());
+    metrics.gauge(name + ".receivedBytes", () -> () -> work.of(kind).receivedBytes());
+    metrics.gauge(name + ".sentBytes", () -> () -> work.of(kind).sentBytes());
+  }
+
   void showLog() {
     metrics.gauge("log.droppedCount", () -> JsonLinesWriter::droppedCount);
   }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -20,6 +20,7 @@
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.time.Subscription;
 import io.mothrill.core.time.Timers;
+import io.mothrill.core.work.WorkAccount;
 import io.mothrill.wire.forward.ForwardEdge;
 import io.mothrill.wire.forward.ForwardParts;
 import io.mothrill.wire.http.HttpServer;
@@ -54,6 +55,9 @@
 
   private static final long LEAVE_CHECK_MS = 100;
 
+  /** A few hundred bytes now and then: enough to see in a log what an instance was busy with. */
+  private static final long WORK_LINE_MS = 10_000;
+
   /** Time for the last row, after the last request. */
   private static final long HAND_BACK_MS = 300;
 
@@ -87,7 +91,7 @@
     this.startedMs = timers.nowMs();
     RandomGenerator random = ThreadLocalRandom.current()::nextLong;
     PeerDispatcher dispatcher = new PeerDispatcher();
-    this.peers = newPeers(settings, dispatcher, group);
+    this.peers = newPeers(settings, dispatcher, group, ports.work());
     InstanceRecord self =
         new InstanceRecord(
             settings.id(),
@@ -136,7 +140,8 @@
                 loads.of(incarnation).onNotice(tokens, speed.tokensPerMs(), timers.nowMs());
               }
             },
-            reach::onHeard);
+            reach::onHeard,
+            ports.work());
     ForwardParts parts =
         new ForwardParts(
             ports.dialect(),
@@ -150,7 +155,9 @@
             spending,
             new SharedRetryBudget(settings.retries(), spending::instanceCount, timers),
             new StoryLog(metrics, timers),
+            reach::onHeardFrom,
             timers,
+            ports.work(),
             random);
     this.edge = new ForwardEdge(group, parts, ports.callers(), settings.keptBytes());
     this.probeServer =
@@ -169,13 +176,15 @@
     gauges.showEdge(edge);
     gauges.showSpending(plan, spending);
     gauges.showLog();
+    gauges.showWork(ports.work());
+    timers.every(WORK_LINE_MS, () -> WorkLine.write(ports.work()));
     StateFollower follower =
         new StateFollower(ports.state(), plan, upstreams, timers, settings.view());
     gauges.showView(plan, upstreams, follower);
   }
 
   private static NettyPeers newPeers(
-      ForwardSettings settings, PeerDispatcher dispatcher, EventLoopGroup group) {
+      ForwardSettings settings, PeerDispatcher dispatcher, EventLoopGroup group, WorkAccount work) {
     JsonResources codec = new JsonResources();
     return new NettyPeers(
         group,
@@ -183,7 +192,8 @@
         new PeerDecoder(codec),
         dispatcher,
         settings.peers().host(),
-        settings.peers().port());
+        settings.peers().port(),
+        work);
   }
 
   /** Completes with the first plan and list of upstreams, whichever comes last. */
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardPorts.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardPorts.java
@@ -3,6 +3,7 @@
 import io.mothrill.core.forward.view.DeclaredState;
 import io.mothrill.core.platform.StoreClock;
 import io.mothrill.core.platform.TableService;
+import io.mothrill.core.work.WorkAccount;
 import io.mothrill.wire.forward.CallerListener;
 import io.mothrill.wire.forward.Dialect;
 
@@ -14,6 +15,7 @@
  * @param state what is declared and who is there
  * @param dialect the names on the wire
  * @param callers the socket that callers connect to
+ * @param work counts what the event loops do
  * @param startedMs when the process had begun, by the clock of the timers
  */
 public record ForwardPorts(
@@ -22,4 +24,5 @@
     DeclaredState state,
     Dialect dialect,
     CallerListener callers,
+    WorkAccount work,
     long startedMs) {}
--- /dev/null
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/WorkLine.java
@@ -0,0 +1,32 @@
+package io.mothrill.daemon.forward;
+
+import io.mothrill.core.work.WorkAccount;
+import io.mothrill.core.work.WorkKind;
+import io.mothrill.daemon.log.LogFields;
+import java.util.Locale;
+import org.tinylog.Logger;
+
+/** The log line that says what the event loops were busy with since the start. */
+final class WorkLine {
+
+  private static final long NANOS_PER_MS = 1_000_000;
+
+  private WorkLine() {}
+
+  static void write(WorkAccount work) {
+    LogFields line = LogFields.event("work");
+    work.all().forEach((kind, entry) -> add(line, kind, entry));
+    Logger.info(line.toString());
+  }
+
+  private static void add(LogFields line, WorkKind kind, WorkAccount.Entry entry) {
+    String name = kind.name().toLowerCase(Locale.ROOT);
+    line.with(name + "Turns", entry.turnCount())
+        .with(name + "BusyMs", entry.busyNanos() / NANOS_PER_MS);
+    if (kind != WorkKind.TIMER) {
+      line.with(name + "Opened", entry.openedCount())
+          .with(name + "ReceivedBytes", entry.receivedBytes())
+          .with(name + "SentBytes", entry.sentBytes());
+    }
+  }
+}
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -244,9 +244,14 @@
     }
   }
 
+  private void noteHeard() {
+    heardMs = parts.timers().nowMs();
+    parts.heardDomains().accept(upstream.domain());
+  }
+
   @Override
   public void onHead(HttpResponse newAnswer, ReplyMarks marks) {
-    heardMs = parts.timers().nowMs();
+    noteHeard();
     if (marks.running().isPresent()) {
       load.onReport(marks.running().getAsInt(), marks.waiting().orElse(0), heardMs);
     }
@@ -279,7 +284,7 @@
 
   @Override
   public void onContent(ByteBuf content) {
-    heardMs = parts.timers().nowMs();
+    noteHeard();
     if (whole != null) {
       whole.writeBytes(content);
       return;
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardEdge.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardEdge.java
@@ -1,6 +1,8 @@
 package io.mothrill.wire.forward;
 
 import io.mothrill.core.time.Timers;
+import io.mothrill.core.work.WorkKind;
+import io.mothrill.wire.work.WorkMeter;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -68,11 +70,13 @@
   private void initCaller(SocketChannel channel) {
     UpstreamPool pool =
         pools.computeIfAbsent(
-            channel.eventLoop(), loop -> new UpstreamPool(loop, parts.dialect(), parts.timers()));
+            channel.eventLoop(),
+            loop -> new UpstreamPool(loop, parts.dialect(), parts.timers(), parts.work()));
     CallerConnection connection = new CallerConnection(parts, pool, state);
     int headerBytes = parts.plan().read().bounds().headerBytes();
     channel
         .pipeline()
+        .addLast(new WorkMeter(parts.work(), WorkKind.CALLER))
         .addLast(new ByteWatch(connection))
         .addLast(new StrictRequestDecoder(MAX_LINE_BYTES, headerBytes))
         .addLast(new HttpResponseEncoder())
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardParts.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardParts.java
@@ -10,7 +10,9 @@
 import io.mothrill.core.forward.upstream.UpstreamLoads;
 import io.mothrill.core.forward.upstream.UpstreamPicker;
 import io.mothrill.core.time.Timers;
+import io.mothrill.core.work.WorkAccount;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 /**
@@ -27,7 +29,9 @@
  * @param spending sets prepaid tokens aside
  * @param retries bounds sends beyond the first
  * @param log gets a line for each request
+ * @param heardDomains gets the failure domain of each upstream that says something
  * @param timers the time
+ * @param work counts what connections cost
  * @param random chooses between the services of a split route
  */
 public record ForwardParts(
@@ -42,5 +46,7 @@
     SpendingController spending,
     SharedRetryBudget retries,
     ForwardLog log,
+    Consumer<String> heardDomains,
     Timers timers,
+    WorkAccount work,
     RandomGenerator random) {}
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamPool.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamPool.java
@@ -2,6 +2,9 @@
 
 import io.mothrill.core.forward.upstream.ServingUpstream;
 import io.mothrill.core.time.Timers;
+import io.mothrill.core.work.WorkAccount;
+import io.mothrill.core.work.WorkKind;
+import io.mothrill.wire.work.WorkMeter;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -35,12 +38,14 @@
   private final EventLoop loop;
   private final Dialect dialect;
   private final Timers timers;
+  private final WorkAccount work;
   private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
 
-  UpstreamPool(EventLoop loop, Dialect dialect, Timers timers) {
+  UpstreamPool(EventLoop loop, Dialect dialect, Timers timers, WorkAccount work) {
     this.loop = loop;
     this.dialect = dialect;
     this.timers = timers;
+    this.work = work;
   }
 
   long nowMs() {
@@ -90,6 +95,7 @@
               protected void initChannel(SocketChannel channel) {
                 channel
                     .pipeline()
+                    .addLast(new WorkMeter(work, WorkKind.UPSTREAM))
                     .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                     .addLast(connection);
               }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/http/HttpClient.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/http/HttpClient.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -15,9 +16,11 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 
 /**
  * Sends HTTP calls over pooled connections and streams their answers.
@@ -43,6 +46,16 @@
    * @param group the event loops of its connections
    */
   public HttpClient(EventLoopGroup group) {
+    this(group, List::of);
+  }
+
+  /**
+   * Creates the client.
+   *
+   * @param group the event loops of its connections
+   * @param first makes the handlers that stand before all others on a connection
+   */
+  public HttpClient(EventLoopGroup group, Supplier<List<ChannelHandler>> first) {
     this.bootstrap =
         new Bootstrap()
             .group(group)
@@ -53,6 +66,7 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel channel) {
+                    first.get().forEach(channel.pipeline()::addLast);
                     channel
                         .pipeline()
                         .addLast(
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
@@ -3,12 +3,16 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.mothrill.core.forward.upstream.PromptNotices;
 import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.work.WorkAccount;
+import io.mothrill.core.work.WorkKind;
 import io.mothrill.wire.peer.generated.PromptNotice;
+import io.mothrill.wire.work.WorkMeter;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
@@ -56,6 +60,7 @@
    * @param others the instances that are told
    * @param heard gets the notices of others
    * @param heardHosts gets the IP address of each instance that sent one
+   * @param work counts what the notices cost
    */
   public DatagramNotices(
       EventLoopGroup group,
@@ -63,13 +68,23 @@
       int port,
       Supplier<List<InstanceRecord>> others,
       PromptNotices heard,
-      Consumer<String> heardHosts) {
+      Consumer<String> heardHosts,
+      WorkAccount work) {
     this.others = others;
     this.channel =
         new Bootstrap()
             .group(group)
             .channel(NioDatagramChannel.class)
-            .handler(new NoticeHandler(heard, heardHosts))
+            .handler(
+                new ChannelInitializer<>() {
+                  @Override
+                  protected void initChannel(Channel opened) {
+                    opened
+                        .pipeline()
+                        .addLast(new WorkMeter(work, WorkKind.NOTICE))
+                        .addLast(new NoticeHandler(heard, heardHosts));
+                  }
+                })
             .bind(host, port)
             .syncUninterruptibly()
             .channel();
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/NettyPeers.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/NettyPeers.java
@@ -6,8 +6,11 @@
 import io.mothrill.core.peer.PeerMessage;
 import io.mothrill.core.peer.error.PeerException;
 import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.work.WorkAccount;
+import io.mothrill.core.work.WorkKind;
 import io.mothrill.wire.http.Address;
 import io.mothrill.wire.peer.generated.Envelope;
+import io.mothrill.wire.work.WorkMeter;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -50,6 +53,7 @@
   private final PeerEncoder encoder;
   private final PeerDecoder decoder;
   private final PeerDispatcher dispatcher;
+  private final WorkAccount work;
   private final Bootstrap bootstrap;
   private final Channel listener;
   private final ChannelGroup accepted = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
@@ -66,6 +70,7 @@
    * @param dispatcher serves requests from peers
    * @param host an IP address
    * @param port a TCP port; 0 for any
+   * @param work counts what the links cost
    */
   public NettyPeers(
       EventLoopGroup group,
@@ -73,11 +78,13 @@
       PeerDecoder decoder,
       PeerDispatcher dispatcher,
       String host,
-      int port) {
+      int port,
+      WorkAccount work) {
     this.group = group;
     this.encoder = encoder;
     this.decoder = decoder;
     this.dispatcher = dispatcher;
+    this.work = work;
     this.bootstrap =
         new Bootstrap()
             .group(group)
@@ -104,6 +111,7 @@
         accepted.add(channel);
         channel
             .pipeline()
+            .addLast(new WorkMeter(work, WorkKind.PEER))
             .addLast(new ProtobufVarint32FrameDecoder())
             .addLast(new ProtobufDecoder(Envelope.getDefaultInstance()))
             .addLast(new ProtobufVarint32LengthFieldPrepender())
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/work/WorkMeter.java
@@ -0,0 +1,61 @@
+package io.mothrill.wire.work;
+
+import io.mothrill.core.work.WorkAccount;
+import io.mothrill.core.work.WorkKind;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufHolder;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+
+/**
+ * Counts what comes and goes on one connection; the first handler of its pipeline, so that the time
+ * of all others is in its figures.
+ */
+public final class WorkMeter extends ChannelDuplexHandler {
+
+  private final WorkAccount work;
+  private final WorkKind kind;
+
+  /**
+   * Creates a meter.
+   *
+   * @param work gets the figures
+   * @param kind what the connection is for
+   */
+  public WorkMeter(WorkAccount work, WorkKind kind) {
+    this.work = work;
+    this.kind = kind;
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext ctx) {
+    work.onOpened(kind);
+    timed(ctx::fireChannelActive);
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) {
+    work.onReceived(kind, bytesOf(message));
+    timed(() -> ctx.fireChannelRead(message));
+  }
+
+  @Override
+  public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+    work.onSent(kind, bytesOf(message));
+    ctx.write(message, promise);
+  }
+
+  private void timed(Runnable turn) {
+    long beganNanos = System.nanoTime();
+    turn.run();
+    work.onTurn(kind, System.nanoTime() - beganNanos);
+  }
+
+  private static long bytesOf(Object message) {
+    if (message instanceof ByteBuf bytes) {
+      return bytes.readableBytes();
+    }
+    return message instanceof ByteBufHolder holder ? holder.content().readableBytes() : 0;
+  }
+}
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/work/package-info.java
@@ -0,0 +1,2 @@
+/** Counts the work of connections. */
+package io.mothrill.wire.work;
