A shortage at a lender has more ready with its next row; one wait for the table, not three

Cause: tokens of a team whose demand moves to one domain lie closed at the holders of the others; each had one request's worth ready, second after second. The second and third wait of a request for the table brought nothing that the first did not.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -26,8 +26,14 @@
  */
 public final class SpendingController {
 
-  /** Waits of one request, for a renewal or for the bound to open, before it is refused. */
-  private static final int MAX_WAITS = 3;
+  /**
+   * Waits of one request, for a renewal or for the bound to open, before others are asked for a
+   * loan. What the first renewal did not bring, the table has not got, or not for long.
+   */
+  private static final int WAITS = 1;
+
+  /** The same before the first row of a process, when there is nobody else to ask. */
+  private static final int WAITS_FOR_FIRST_ROW = 3;
 
   /**
    * Longest of these waits. A renewal takes about 20 ms; coming back after a refusal takes the
@@ -113,7 +119,8 @@
     this.reader =
         new SpendingReader(table, storeClock, timers, SpendingTables.instanceKey(self.id()));
     this.rows = new SpendingRows(self, storeClock, timers, startedMs, random, policy);
-    this.loans = new SpendingLoans(links, dispatcher, timers, self, this::findLendable, this::grow);
+    this.loans =
+        new SpendingLoans(links, dispatcher, timers, self, this::findLendable, new Growth());
     this.renewal = new SpendingRenewal(table, reader, rows, plan, timers, random, loans::handBack);
   }
 
@@ -188,7 +195,7 @@
   private CompletableFuture<SpendingReservation> reserveElsewhere(TeamPlan team, long tokens) {
     String name = team.name();
     if (!rows.isTakenOver()) {
-      return reserveAfterWait(team, tokens, MAX_WAITS);
+      return reserveAfterWait(team, tokens, WAITS_FOR_FIRST_ROW);
     }
     return loans
         .borrowReady(name, lackingTokens(name, tokens), rows.holders().inOrderFor(name))
@@ -199,12 +206,12 @@
   private CompletableFuture<SpendingReservation> reserveGrown(TeamPlan team, long tokens) {
     String name = team.name();
     if (rows.holders().isSelf(name)) {
-      return reserveAfterWait(team, tokens, MAX_WAITS);
+      return reserveAfterWait(team, tokens, WAITS);
     }
     return loans
         .borrowFromHolders(name, lackingTokens(name, tokens), rows.holders().othersFor(name))
         .thenCompose(
-            asked -> tryReserveOr(team, tokens, () -> reserveAfterWait(team, tokens, MAX_WAITS)));
+            asked -> tryReserveOr(team, tokens, () -> reserveAfterWait(team, tokens, WAITS)));
   }
 
   private long lackingTokens(String team, long tokens) {
@@ -212,13 +219,24 @@
     return Math.max(1, tokens - here);
   }
 
-  /** Renews for a loan, unless the store is out of reach. */
-  private Optional<CompletableFuture<Boolean>> grow(String team, long needTokens) {
-    if (!isInTouch() || renewal.isLeaving()) {
-      return Optional.empty();
+  /** Gets more for loans, unless the store is out of reach. */
+  private final class Growth implements SpendingLoans.Growth {
+
+    @Override
+    public void want(String team, long lackingTokens) {
+      if (isInTouch() && !renewal.isLeaving()) {
+        rows.want(team, lackingTokens);
+      }
+    }
+
+    @Override
+    public Optional<CompletableFuture<Boolean>> grow(String team, long needTokens) {
+      if (!isInTouch() || renewal.isLeaving()) {
+        return Optional.empty();
+      }
+      rows.want(team, needTokens);
+      return Optional.of(renewal.renewSoon());
     }
-    rows.want(team, needTokens);
-    return Optional.of(renewal.renewSoon());
   }
 
   private CompletableFuture<SpendingReservation> reserveAfterWait(
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
@@ -78,12 +78,25 @@
   /** Gets tokens from the table for a loan that is larger than what is ready here. */
   interface Growth {
 
+    /** Has so much more ready with the next row, if the store is in reach. */
+    void want(String team, long lackingTokens);
+
     /** Asks for tokens; completes when they may be there. Gives nothing out of touch. */
     Optional<CompletableFuture<Boolean>> grow(String team, long needTokens);
   }
 
+  /**
+   * Lends what is ready, and has more ready with the next row if it was too little.
+   *
+   * <p>Failure: a team's demand moves to a domain whose holder has used what it held, while those
+   * of the other domains hold much and have little of it ready. Symptom: second after second its
+   * requests find each of them empty. What was lacking shows how much more has to be ready.
+   */
   private CompletableFuture<PeerMessage> lend(PeerMessage.BorrowRequest request) {
     long lent = tryLend(request);
+    if (lent < request.needTokens()) {
+      growth.want(request.budget(), request.needTokens() - lent);
+    }
     Optional<CompletableFuture<Boolean>> grown =
         lent == 0 && request.mayGrow()
             ? growth.grow(request.budget(), request.needTokens())
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/cli/CommandLine.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/cli/CommandLine.java
@@ -48,6 +48,9 @@
       return Command.REFUSED;
     }
     Command command = found.get();
+    if (!command.hasOptions()) {
+      return runAlone(command, args);
+    }
     CmdLineParser parser = new CmdLineParser(command);
     try {
       parser.parseArgument(Arrays.copyOfRange(args, 1, args.length));
@@ -59,6 +62,14 @@
     return run(args[0], command);
   }
 
+  private int runAlone(Command command, String... args) {
+    if (args.length > 1) {
+      err.println(program + " " + args[0] + ": takes no arguments, but got " + args[1]);
+      return Command.REFUSED;
+    }
+    return run(args[0], command);
+  }
+
   private int run(String name, Command command) {
     try {
       return command.run();
