--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -26,14 +26,8 @@
  */
 public final class SpendingController {
 
-  /**
-   * Waits of one request, for a renewal or for the bound to open, before others are asked for a
-   * loan. What the first renewal did not bring, the table has not got, or not for long.
-   */
-  private static final int WAITS = 1;
-
-  /** The same before the first row of a process, when there is nobody else to ask. */
-  private static final int WAITS_FOR_FIRST_ROW = 3;
+  /** Waits of one request, for a renewal or for the bound to open, before it is refused. */
+  private static final int MAX_WAITS = 3;
 
   /**
    * Longest of these waits. A renewal takes about 20 ms; coming back after a refusal takes the
@@ -195,7 +189,7 @@
   private CompletableFuture<SpendingReservation> reserveElsewhere(TeamPlan team, long tokens) {
     String name = team.name();
     if (!rows.isTakenOver()) {
-      return reserveAfterWait(team, tokens, WAITS_FOR_FIRST_ROW);
+      return reserveAfterWait(team, tokens, MAX_WAITS);
     }
     return loans
         .borrowReady(name, lackingTokens(name, tokens), rows.holders().inOrderFor(name))
@@ -206,12 +200,12 @@
   private CompletableFuture<SpendingReservation> reserveGrown(TeamPlan team, long tokens) {
     String name = team.name();
     if (rows.holders().isSelf(name)) {
-      return reserveAfterWait(team, tokens, WAITS);
+      return reserveAfterWait(team, tokens, MAX_WAITS);
     }
     return loans
         .borrowFromHolders(name, lackingTokens(name, tokens), rows.holders().othersFor(name))
         .thenCompose(
-            asked -> tryReserveOr(team, tokens, () -> reserveAfterWait(team, tokens, WAITS)));
+            asked -> tryReserveOr(team, tokens, () -> reserveAfterWait(team, tokens, MAX_WAITS)));
   }
 
   private long lackingTokens(String team, long tokens) {
