Others are ranked once for each read of all rows; notices begin at another place for each speaker

Cause: each renewal ranked a hundred instances for forty teams anew, a second apart, though only a read of all rows (every 16 s at 95 instances) can change them. With more than eighty others notices went to the first eighty names; the last ones never heard of a prompt. Domains are looked at five times a second instead of ten: half a second of silence still shows within 0.85 s.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
@@ -55,6 +55,7 @@
   private volatile SpendingTables.Contents contents = SpendingTables.Contents.EMPTY;
   private volatile boolean takenOver;
   private volatile List<InstanceRecord> others = List.of();
+  private long othersReadAtStoreMs = Long.MIN_VALUE;
   private volatile TeamHolders holders;
   private volatile int instanceCount;
   private long demandCountedMs;
@@ -170,8 +171,7 @@
       takeOver(read);
     }
     final long sentAtStoreMs = storeClock.nowMs();
-    others = read.reachable(ownKey, row -> isInTouch(read, row));
-    holders = new TeamHolders(self, others);
+    noteOthers(read);
     final OthersSpending othersSpending = addUp(read);
     instanceCount = 1 + othersSpending.inTouchCount();
     inForce.teams().stream()
@@ -200,6 +200,22 @@
     return new Proposal(sent, wanted, transaction(read, sent, sentAtStoreMs));
   }
 
+  /**
+   * Notes who else is there, which only a read of all rows can change. Ranking a hundred instances
+   * for dozens of teams with every renewal would take a small instance as long as its requests do.
+   */
+  private void noteOthers(SpendingTables.Contents read) {
+    if (read.wholeAtStoreMs() == othersReadAtStoreMs) {
+      return;
+    }
+    othersReadAtStoreMs = read.wholeAtStoreMs();
+    List<InstanceRecord> reachable = read.reachable(ownKey, row -> isInTouch(read, row));
+    if (!reachable.equals(others)) {
+      others = reachable;
+      holders = new TeamHolders(self, reachable);
+    }
+  }
+
   private Map<String, Long> takeWanted() {
     Map<String, Long> wanted = new HashMap<>();
     wantedTokens.keySet().forEach(team -> wanted.put(team, wantedTokens.remove(team)));
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/DomainReach.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/DomainReach.java
@@ -33,8 +33,8 @@
  */
 public final class DomainReach {
 
-  /** How often silence is looked for: a small part of the half second that it takes to matter. */
-  private static final long CHECK_MS = 100;
+  /** How often silence is looked for: a part of the half second that it takes to matter. */
+  private static final long CHECK_MS = 200;
 
   /** Silence after which a domain is asked: some times the pause between notices under load. */
   private static final long QUIET_MS = 400;
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.IntStream;
 import org.tinylog.Logger;
 
 /** Notices between instances, each in a datagram of its own; nothing is repeated or confirmed. */
@@ -41,7 +42,7 @@
 
   /**
    * Most instances that get a notice. With more, each would spend more on notices than a long
-   * prompt costs; those told are a few after this one in the order of their names.
+   * prompt costs.
    */
   private static final int MAX_TOLD = 80;
 
@@ -49,6 +50,7 @@
   private static final long MAX_TOKENS = 10_000_000;
 
   private final Supplier<List<InstanceRecord>> others;
+  private final String host;
   private final Channel channel;
 
   /**
@@ -71,6 +73,7 @@
       Consumer<String> heardHosts,
       WorkAccount work) {
     this.others = others;
+    this.host = host;
     this.channel =
         new Bootstrap()
             .group(group)
@@ -92,7 +95,7 @@
 
   @Override
   public void announce(String incarnation, long unreadTokens) {
-    List<InstanceRecord> told = others.get().stream().limit(MAX_TOLD).toList();
+    List<InstanceRecord> told = told(others.get(), host);
     if (unreadTokens < Math.max(MIN_TOKENS, TOKENS_PER_TOLD * told.size())) {
       return;
     }
@@ -108,6 +111,19 @@
     channel.flush();
   }
 
+  /**
+   * Chooses whom to tell: a run of the instances that begins at another place for each speaker.
+   *
+   * <p>Failure: all begin with the first one. Symptom: in a fleet with more instances than are
+   * told, the last ones never hear of a prompt and send theirs to engines that are busy.
+   */
+  static List<InstanceRecord> told(List<InstanceRecord> others, String host) {
+    int first = others.isEmpty() ? 0 : Math.floorMod(host.hashCode(), others.size());
+    return IntStream.range(first, first + Math.min(MAX_TOLD, others.size()))
+        .mapToObj(place -> others.get(place % others.size()))
+        .toList();
+  }
+
   /** Stops listening. */
   public void close() {
     channel.close();
--- a/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
@@ -11,9 +11,12 @@
 import java.net.InetAddress;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -85,4 +88,25 @@
   void tellsManyPeersOnlyOfLongPrompts() throws Exception {
     assertThat(firstHeard(70, 2_000, 7_000)).isEqualTo(7_000);
   }
+
+  // A fleet has more instances than one prompt is announced to. Each instance is among those told
+  // by most of the others, so that none works with nothing but its own prompts.
+  @Test
+  void passesNoInstanceOverInLargeFleet() {
+    List<InstanceRecord> fleet =
+        IntStream.range(0, 300)
+            .mapToObj(number -> instance("10.1." + number / 250 + "." + number % 250))
+            .toList();
+
+    Map<InstanceRecord, Long> heardFrom =
+        fleet.stream()
+            .flatMap(speaker -> DatagramNotices.told(fleet, speaker.host()).stream())
+            .collect(Collectors.groupingBy(heard -> heard, Collectors.counting()));
+
+    assertThat(heardFrom.keySet()).containsExactlyElementsIn(fleet);
+  }
+
+  private static InstanceRecord instance(String host) {
+    return new InstanceRecord(host, host, "konya", host, 7340, false);
+  }
 }
