A start reads its options again; shortages are wanted once; busy upstreams are forgotten in time

A lender that grows for a request no longer wants its shortage twice. As unchanged lists are not published any more, loads of upstreams that were busy when they left are looked through every ten seconds.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
@@ -94,13 +94,12 @@
    */
   private CompletableFuture<PeerMessage> lend(PeerMessage.BorrowRequest request) {
     long lent = tryLend(request);
-    if (lent < request.needTokens()) {
-      growth.want(request.budget(), request.needTokens() - lent);
+    long lacking = request.needTokens() - lent;
+    if (lacking > 0 && !request.mayGrow()) {
+      growth.want(request.budget(), lacking);
     }
     Optional<CompletableFuture<Boolean>> grown =
-        lent == 0 && request.mayGrow()
-            ? growth.grow(request.budget(), request.needTokens())
-            : Optional.empty();
+        lent == 0 && request.mayGrow() ? growth.grow(request.budget(), lacking) : Optional.empty();
     return grown
         .map(growing -> lendOnceGrown(request, growing))
         .orElseGet(() -> CompletableFuture.completedFuture(lent))
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/DomainReach.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/DomainReach.java
@@ -28,8 +28,8 @@
  * <p>Whatever comes from a domain shows that the way there is open: notices of its instances, and
  * events of streams and answers of its upstreams. Questions are asked only of domains from which
  * nothing has come, and only while requests are to be placed: an instance of a large fleet serves
- * few, and asked every domain all the time it would spend a fifth of its processor time on that. A
- * refused connection is an answer too.
+ * few, and asked every domain all the time it would spend a quarter of its event loop's time on
+ * that. A refused connection is an answer too.
  */
 public final class DomainReach {
 
@@ -176,7 +176,7 @@
     }
     domain.asking = true;
     long askedMs = timers.nowMs();
-    int first = domain.silentRounds * ASKED;
+    int first = Math.floorMod(domain.silentRounds * ASKED, instances.size());
     CompletableFuture<?>[] answers =
         IntStream.range(first, first + Math.min(ASKED, instances.size()))
             .mapToObj(place -> ask(instances.get(place % instances.size()), name))
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/cli/Command.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/cli/Command.java
@@ -12,16 +12,6 @@
   /** The input or the arguments were refused. */
   int REFUSED = 2;
 
-  /**
-   * Says whether the command has options or arguments. One without is run as it is: reading the
-   * annotations of options takes a tenth of the start of a process, in which callers wait.
-   *
-   * @return false when its name alone says all
-   */
-  default boolean hasOptions() {
-    return true;
-  }
-
   /**
    * Runs the command.
    *
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/cli/CommandLine.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/cli/CommandLine.java
@@ -48,9 +48,6 @@
       return Command.REFUSED;
     }
     Command command = found.get();
-    if (!command.hasOptions()) {
-      return runAlone(command, args);
-    }
     CmdLineParser parser = new CmdLineParser(command);
     try {
       parser.parseArgument(Arrays.copyOfRange(args, 1, args.length));
@@ -62,14 +59,6 @@
     return run(args[0], command);
   }
 
-  private int runAlone(Command command, String... args) {
-    if (args.length > 1) {
-      err.println(program + " " + args[0] + ": takes no arguments, but got " + args[1]);
-      return Command.REFUSED;
-    }
-    return run(args[0], command);
-  }
-
   private int run(String name, Command command) {
     try {
       return command.run();
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -55,6 +55,12 @@
 
   private static final long LEAVE_CHECK_MS = 100;
 
+  /**
+   * Upstreams that had requests under way when they left the list are forgotten after those; a
+   * request lasts seconds, and each of them takes some hundred bytes meanwhile.
+   */
+  private static final long FORGET_MS = 10_000;
+
   /** A few hundred bytes now and then: enough to see in a log what an instance was busy with. */
   private static final long WORK_LINE_MS = 10_000;
 
@@ -120,6 +126,7 @@
     PromptMemory memory = new PromptMemory();
     upstreams.subscribe(loads::retain);
     upstreams.subscribe(memory::retain);
+    timers.every(FORGET_MS, () -> loads.retain(upstreams.read()));
     DomainReach reach = new DomainReach(self, spending::others, peers, timers);
     UpstreamPicker picker =
         new UpstreamPicker(
