--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -65,23 +65,11 @@
   /** A loan covers so many seconds of the demand here. */
   private static final long BORROW_S = 2;
 
-  /**
-   * Age up to which the rows of the other instances show that a team has too little left: what they
-   * have spent since would only leave less.
-   */
-  private static final long EVIDENCE_MS = 3_000;
-
-  /** When to come back if other instances have to hand tokens back first. */
-  private static final long REBALANCED_MS = 1_200;
-
-  /** Longest wait that is told to a caller. */
-  private static final long MAX_RETRY_AFTER_MS = 3_000;
-
   private final Timers timers;
-  private final SpendingReader reader;
   private final SpendingRows rows;
   private final SpendingLoans loans;
   private final SpendingRenewal renewal;
+  private final SpendingRefusals refusals;
 
   /**
    * Creates the controller and starts to renew.
@@ -110,12 +98,13 @@
       PeerLinks links,
       PeerDispatcher dispatcher) {
     this.timers = timers;
-    this.reader =
+    SpendingReader reader =
         new SpendingReader(table, storeClock, timers, SpendingTables.instanceKey(self.id()));
     this.rows = new SpendingRows(self, storeClock, timers, startedMs, random, policy);
     this.loans =
         new SpendingLoans(links, dispatcher, timers, self, this::findLendable, new Growth());
     this.renewal = new SpendingRenewal(table, reader, rows, plan, timers, random, loans::handBack);
+    this.refusals = new SpendingRefusals(rows, reader, renewal);
   }
 
   /**
@@ -263,7 +252,7 @@
   private CompletableFuture<SpendingReservation> reserveFromLoan(TeamPlan team, long tokens) {
     return rows.isTakenOver() && !renewal.isLeaving()
         ? reserveFromLoan(team, tokens, MAX_LOAN_ROUNDS)
-        : CompletableFuture.failedFuture(refusal(team, tokens));
+        : CompletableFuture.failedFuture(refusals.of(team, tokens));
   }
 
   /** Asks the lenders, and asks again when more has opened at them. */
@@ -300,13 +289,13 @@
   private CompletableFuture<SpendingReservation> reserveWhenOpen(TeamPlan team, long tokens) {
     long opensInMs = opensInMs(team, tokens);
     if (opensInMs > MAX_OPENING_WAIT_MS) {
-      return CompletableFuture.failedFuture(refusal(team, tokens));
+      return CompletableFuture.failedFuture(refusals.of(team, tokens));
     }
     return pause(opensInMs)
         .thenCompose(
             over ->
                 tryReserveOr(
-                    team, tokens, () -> CompletableFuture.failedFuture(refusal(team, tokens))));
+                    team, tokens, () -> CompletableFuture.failedFuture(refusals.of(team, tokens))));
   }
 
   private long opensInMs(TeamPlan team, long tokens) {
@@ -362,44 +351,6 @@
     };
   }
 
-  /**
-   * Explains why tokens cannot be set aside.
-   *
-   * <p>Only a renewal and a read of the whole table within the last seconds show that the team
-   * itself has too little; without them the caller is told to come back.
-   */
-  private SpendingException refusal(TeamPlan team, long tokens) {
-    return rows.find(team.name())
-        .map(spending -> refusal(team, spending, tokens))
-        .orElseGet(
-            () ->
-                SpendingException.notHere(
-                    team.name(), tokens, "no row yet", SpendingRenewal.PERIOD_MS));
-  }
-
-  private SpendingException refusal(TeamPlan team, TeamSpending spending, long tokens) {
-    long sinceRenewalMs = sinceRenewalMs();
-    if (sinceRenewalMs < SpendingRenewal.LONGEST_PAUSE_MS + SpendingRenewal.LEAST_PAUSE_MS) {
-      long left = rows.leftTokens(team, spending);
-      return left < tokens && reader.sinceWholeReadMs() < EVIDENCE_MS
-          ? SpendingException.spent(team.name(), left, tokens)
-          : SpendingException.notHere(
-              team.name(), tokens, stateOf(spending, sinceRenewalMs), REBALANCED_MS);
-    }
-    long waitMs = Math.min(MAX_RETRY_AFTER_MS, spending.waitMs(tokens));
-    return SpendingException.notHere(
-        team.name(),
-        tokens,
-        stateOf(spending, sinceRenewalMs),
-        Math.max(SpendingRenewal.LEAST_PAUSE_MS, waitMs));
-  }
-
-  private static String stateOf(TeamSpending spending, long sinceRenewalMs) {
-    return "spent %d of %d, limit %d, renewed %d ms ago"
-        .formatted(
-            spending.spentTokens(), spending.boundTokens(), spending.limitTokens(), sinceRenewalMs);
-  }
-
   /**
    * Hands back all tokens that are not spent; to be called when no request is under way any more.
    *
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRenewal.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRenewal.java
@@ -205,7 +205,7 @@
       SpendingTables.Contents read, boolean inTurn, boolean mayMoveTokens) {
     SpendingRows.Proposal proposal =
         rows.propose(
-            read, plan.read(), new SpendingRows.Moves(mayMoveTokens, inTurn, leaving.get()));
+            read, plan.read(), new ShareChanges.Moves(mayMoveTokens, inTurn, leaving.get()));
     return table
         .write(proposal.transaction())
         .handle((written, error) -> finish(proposal, written, error));
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
@@ -13,7 +13,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.ToLongFunction;
@@ -30,12 +29,6 @@
   /** Shorter spans say little about demand. */
   private static final long MIN_COUNTED_MS = 500;
 
-  /**
-   * Teams whose share may change in one transaction. Each takes two entries of the hundred that a
-   * transaction may have; the others keep their limits until their turn.
-   */
-  private static final int MAX_CHANGES = 40;
-
   /**
    * Instances that may follow small changes of their shares in one second, on average. Each changes
    * the rows of most teams, which takes 15 to 25 ms from reading to writing, so few of them meet.
@@ -134,15 +127,6 @@
     return team.prepaidTokens().orElse(0) - elsewhere - spending.spentTokens();
   }
 
-  /**
-   * Which tokens may move between this instance and the teams' rows with the next row.
-   *
-   * @param any false when the teams' rows were not read, so that none may
-   * @param inTurn true when holdings may follow small changes of their shares
-   * @param leaving true when all are handed back
-   */
-  record Moves(boolean any, boolean inTurn, boolean leaving) {}
-
   /**
    * Draws whether it is this instance's turn to follow small changes of its shares.
    *
@@ -165,7 +149,7 @@
   }
 
   /** Works out the next row from what was just read; spending stays below it from now on. */
-  Proposal propose(SpendingTables.Contents read, ForwardingPlan inForce, Moves moves) {
+  Proposal propose(SpendingTables.Contents read, ForwardingPlan inForce, ShareChanges.Moves moves) {
     contents = read;
     if (!takenOver) {
       takeOver(read);
@@ -180,7 +164,7 @@
     countDemand();
     Map<String, Long> wanted = takeWanted();
     Map<String, TeamSpending.SentGrant> sent = new TreeMap<>();
-    Changes changes = new Changes(moves, wanted.keySet());
+    ShareChanges changes = new ShareChanges(moves, wanted.keySet(), teams.size(), firstChange);
     for (Map.Entry<String, TeamSpending> entry : new TreeMap<>(teams).entrySet()) {
       boolean mayChange = changes.allow(entry.getKey());
       GrantShaper.Situation situation =
@@ -196,7 +180,7 @@
           entry.getKey(),
           entry.getValue().propose(spent -> shaper.shape(situation, spent, mayChange)));
     }
-    firstChange = teams.isEmpty() ? 0 : (firstChange + MAX_CHANGES) % teams.size();
+    firstChange = teams.isEmpty() ? 0 : (firstChange + ShareChanges.MAX_CHANGES) % teams.size();
     return new Proposal(sent, wanted, transaction(read, sent, sentAtStoreMs));
   }
 
@@ -222,42 +206,6 @@
     return wanted;
   }
 
-  /**
-   * Says which teams' shares may change in one row.
-   *
-   * <p>Failure: there are more teams than one transaction can change, and the teams change in turn.
-   * Symptom: a request waits for several renewals, until the turn has come to its team. So what
-   * requests want goes first, and the turns share what is left.
-   */
-  private final class Changes {
-    private final Moves moves;
-    private final Set<String> wanted;
-    private final int leftForTurns;
-    private int wantedCount;
-    private int position;
-
-    private Changes(Moves moves, Set<String> wanted) {
-      this.moves = moves;
-      this.wanted = wanted;
-      this.leftForTurns = Math.max(0, MAX_CHANGES - wanted.size());
-    }
-
-    private boolean allow(String team) {
-      boolean turn = isTurnOf(position++);
-      if (!moves.any()) {
-        return false;
-      }
-      return wanted.contains(team)
-          ? wantedCount++ < MAX_CHANGES
-          : turn && (moves.inTurn() || moves.leaving());
-    }
-
-    private boolean isTurnOf(int index) {
-      int count = teams.size();
-      return (index - firstChange + count) % count < leftForTurns;
-    }
-  }
-
   /**
    * Continues with what an earlier process on this machine can have spent at the most.
    *
@@ -318,7 +266,7 @@
       SpendingTables.Contents read,
       OthersSpending othersSpending,
       long wanted,
-      Moves moves) {
+      ShareChanges.Moves moves) {
     OptionalLong prepaid =
         inForce.findTeam(team).map(TeamPlan::prepaidTokens).orElse(OptionalLong.empty());
     OthersSpending.Sums sums = othersSpending.of(team);
