--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -205,13 +205,18 @@
   /** Gets more for loans, unless the store is out of reach. */
   private final class Growth implements SpendingLoans.Growth {
 
+    /** The holders of all domains are asked and open a part each, together what was lacking. */
     @Override
     public void want(String team, long lackingTokens) {
       if (isInTouch() && !renewal.isLeaving()) {
-        rows.want(team, lackingTokens);
+        rows.want(team, partOf(lackingTokens, rows.holders().countOfEach()));
       }
     }
 
+    private static long partOf(long tokens, int parts) {
+      return (tokens + parts - 1) / parts;
+    }
+
     @Override
     public Optional<CompletableFuture<Boolean>> grow(String team, long needTokens) {
       if (!isInTouch() || renewal.isLeaving()) {
