A spent team's caller is told at once

Change: the same evidence as before, a renewal and a read of all rows of the last seconds, is looked at before anybody is asked.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -180,6 +180,9 @@
     if (!rows.isTakenOver()) {
       return reserveAfterWait(team, tokens, MAX_WAITS);
     }
+    if (refusals.isSurelySpent(team, tokens)) {
+      return CompletableFuture.failedFuture(refusals.of(team, tokens));
+    }
     return loans
         .borrowReady(name, lackingTokens(name, tokens), rows.holders().inOrderFor(name))
         .thenCompose(asked -> tryReserveOr(team, tokens, () -> reserveGrown(team, tokens)));
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRefusals.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRefusals.java
@@ -27,6 +27,25 @@
     this.renewal = renewal;
   }
 
+  /**
+   * Says whether the last rows already show that a team cannot pay, so that its caller is told at
+   * once. Asking holders and table first would take most of a second and could find no more.
+   */
+  boolean isSurelySpent(TeamPlan team, long tokens) {
+    return rows.find(team.name()).filter(spending -> isSpent(team, spending, tokens)).isPresent();
+  }
+
+  private boolean isSpent(TeamPlan team, TeamSpending spending, long tokens) {
+    return isRenewed()
+        && reader.sinceWholeReadMs() < EVIDENCE_MS
+        && rows.leftTokens(team, spending) < tokens;
+  }
+
+  private boolean isRenewed() {
+    return renewal.sinceRenewalMs()
+        < SpendingRenewal.LONGEST_PAUSE_MS + SpendingRenewal.LEAST_PAUSE_MS;
+  }
+
   /**
    * Explains a refusal.
    *
@@ -43,13 +62,13 @@
   }
 
   private SpendingException of(TeamPlan team, TeamSpending spending, long tokens) {
+    if (isSpent(team, spending, tokens)) {
+      return SpendingException.spent(team.name(), rows.leftTokens(team, spending), tokens);
+    }
     long sinceRenewalMs = renewal.sinceRenewalMs();
-    if (sinceRenewalMs < SpendingRenewal.LONGEST_PAUSE_MS + SpendingRenewal.LEAST_PAUSE_MS) {
-      long left = rows.leftTokens(team, spending);
-      return left < tokens && reader.sinceWholeReadMs() < EVIDENCE_MS
-          ? SpendingException.spent(team.name(), left, tokens)
-          : SpendingException.notHere(
-              team.name(), tokens, stateOf(spending, sinceRenewalMs), REBALANCED_MS);
+    if (isRenewed()) {
+      return SpendingException.notHere(
+          team.name(), tokens, stateOf(spending, sinceRenewalMs), REBALANCED_MS);
     }
     long waitMs = Math.min(MAX_RETRY_AFTER_MS, spending.waitMs(tokens));
     return SpendingException.notHere(
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingControllerTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingControllerTest.java
@@ -184,6 +184,24 @@
     assertThat(first.lastRefusal).contains("at hand");
   }
 
+  // The team has used its budget, as the rows of the last second show. Its callers hear so at once,
+  // and not after everyone was asked for tokens that nobody has.
+  @Test
+  void refusesAtOnceWhatTheLastRowsShowToBeSpent() {
+    world.timers.advanceMs(SETTLED_MS);
+    for (int round = 0; round < 200; round++) {
+      first.tryReserve(7_000);
+      second.tryReserve(7_000);
+      world.timers.advanceMs(100);
+    }
+    world.timers.advanceMs(SETTLED_MS);
+    first.lastRefusal = "";
+
+    first.tryReserve(50_000);
+
+    assertThat(first.lastRefusal).contains("tokens left");
+  }
+
   // Nearly all is spent, and what is left lies in two places, each with less than a request needs.
   // A caller whose request fits into both together must not hear that it should come back for ever.
   @Test
