--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -126,7 +126,6 @@
     PromptMemory memory = new PromptMemory();
     upstreams.subscribe(loads::retain);
     upstreams.subscribe(memory::retain);
-    timers.every(FORGET_MS, () -> loads.retain(upstreams.read()));
     DomainReach reach = new DomainReach(self, spending::others, peers, timers);
     UpstreamPicker picker =
         new UpstreamPicker(
@@ -184,6 +183,7 @@
     gauges.showSpending(plan, spending);
     gauges.showLog();
     gauges.showWork(ports.work());
+    timers.every(FORGET_MS, () -> loads.retain(upstreams.read()));
     timers.every(WORK_LINE_MS, () -> WorkLine.write(ports.work()));
     StateFollower follower =
         new StateFollower(ports.state(), plan, upstreams, timers, settings.view());
