Log lines show whether failed requests are the same one

Cause: a repeat has another id, and the lines of failed requests name only route and team, so the logs cannot tell one request that ends every upstream from upstreams that end for reasons of their own.

--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/StoryLog.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/StoryLog.java
@@ -1,6 +1,7 @@
 package io.mothrill.daemon.forward;
 
 import com.codahale.metrics.MetricRegistry;
+import io.mothrill.core.forward.request.Fingerprint;
 import io.mothrill.core.time.Timers;
 import io.mothrill.daemon.log.LineLimit;
 import io.mothrill.daemon.log.LogFields;
@@ -70,6 +71,7 @@
             .with("aimMs", story.aimMs())
             .with("tookMs", story.tookMs())
             .with("plan", story.planVersion())
+            .with("fingerprint", story.fingerprint().map(Fingerprint::toString).orElse(""))
             .toString());
   }
 
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -399,6 +399,7 @@
     if (over || owner.hasEnded()) {
       return;
     }
+    progress.brokeOff = true;
     load.onFailure(parts.timers().nowMs());
     fail(detail);
     abandon();
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
@@ -5,6 +5,7 @@
 import io.mothrill.core.forward.plan.Route;
 import io.mothrill.core.forward.plan.ServicePlan;
 import io.mothrill.core.forward.plan.TeamPlan;
+import io.mothrill.core.forward.request.Fingerprint;
 import io.mothrill.core.forward.request.ForwardRefusal;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
 import io.mothrill.core.forward.request.Prompt;
@@ -249,6 +250,8 @@
     timeUp.cancel();
     long owedTokens = owedTokens();
     reservation.settle(owedTokens);
+    Optional<Fingerprint> fingerprint =
+        progress.brokeOff ? Optional.of(work.fingerprint()) : Optional.empty();
     arrival.body().release();
     parts
         .log()
@@ -267,7 +270,8 @@
                 progress.firstMs,
                 parts.timers().nowMs() - arrival.startMs(),
                 work == null ? 0 : work.route().aimMs(),
-                plan.version()));
+                plan.version(),
+                fingerprint));
   }
 
   /** What the team owes: the prompt once if it may have been read, and what was delivered. */
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardLog.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardLog.java
@@ -1,6 +1,8 @@
 package io.mothrill.wire.forward;
 
+import io.mothrill.core.forward.request.Fingerprint;
 import java.util.List;
+import java.util.Optional;
 
 /** Gets the story of each forwarded request when it ends. */
 public interface ForwardLog {
@@ -28,6 +30,7 @@
    * @param tookMs from its head to its end
    * @param aimMs the time to the first byte that callers hope for; 0 when no route was found
    * @param planVersion the plan that was in force
+   * @param fingerprint what the request looks like to upstreams, where one broke off under it
    */
   record Story(
       String requestId,
@@ -42,7 +45,8 @@
       long firstMs,
       long tookMs,
       long aimMs,
-      long planVersion) {
+      long planVersion,
+      Optional<Fingerprint> fingerprint) {
 
     /** Says whether the first byte came later than hoped for. */
     public boolean isLate() {
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardProgress.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardProgress.java
@@ -14,6 +14,10 @@
   int ranCount;
 
   boolean mayHaveRun;
+
+  /** True once a connection to an upstream has broken under it. */
+  boolean brokeOff;
+
   boolean streamStarted;
 
   /** The last event that the caller has got. */
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardWork.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardWork.java
@@ -2,6 +2,7 @@
 
 import io.mothrill.core.forward.plan.Route;
 import io.mothrill.core.forward.plan.TeamPlan;
+import io.mothrill.core.forward.request.Fingerprint;
 import io.mothrill.core.forward.request.ForwardCall;
 import java.util.Optional;
 
@@ -21,6 +22,16 @@
     return arrival.call();
   }
 
+  /** Names the request by what upstreams see of it; reads the whole body. */
+  Fingerprint fingerprint() {
+    return Fingerprint.of(
+        team.map(TeamPlan::name).orElse(""),
+        call().method(),
+        call().host(),
+        arrival.head().uri(),
+        arrival.body().nioBuffer());
+  }
+
   CallerReply reply() {
     return arrival.reply();
   }
