A request under which three upstreams ended is sent to none

Callers saw their answers lost, again and again, in a calm fleet: one request ended each upstream that began to run it and came again under another id, at any instance, and the next upstream ended.

Cause: nothing of what a request did to an upstream outlived that request. A failure was kept for the upstream only, for seconds, so each repeat was new to this instance and to every other; on routes that may run again the instance also sent it on by itself.

Change: a request has a fingerprint (team, method, host, target, body). When a connection breaks under it, the instance connects to the upstream again; only one that refuses has ended, so resets, cuts and spoilt answers do not count, nor an upstream that leaves. From the third on the request is refused as not run, with the time to come back; a repeat that comes while the third is being found out waits for that. An instance sends a request on by itself at once after the first crash and not after the second. A run that ends well clears the request everywhere.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardRefusal.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardRefusal.java
@@ -40,6 +40,8 @@
     OUT_OF_MEMORY(503),
     /** This instance is about to end; the request has not run. */
     LEAVING(503),
+    /** Upstreams ended under requests that are the same as this one; it has not run. */
+    CRASHES_UPSTREAMS(503),
     /** The upstream failed; the request may have run. */
     UPSTREAM_FAILED(502),
     /** No answer came in time; the request may have run. */
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/crash/CrashGuardTest.java
@@ -0,0 +1,118 @@
+package io.mothrill.core.forward.crash;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.mothrill.core.forward.request.Fingerprint;
+import io.mothrill.core.forward.upstream.ServingUpstream;
+import io.mothrill.core.forward.upstream.UpstreamList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+class CrashGuardTest {
+
+  private final CrashWorld world = new CrashWorld(1, 0, 1);
+  private final CrashGuard guard = world.guard(0);
+
+  private void breakUnder(ServingUpstream... upstreams) {
+    List.of(upstreams).forEach(upstream -> guard.onBroken(CrashWorld.REQUEST, upstream));
+  }
+
+  // Connections are reset while their upstreams go on: by a link, a full upstream, or one that
+  // fails part of its requests. None of that speaks against the request.
+  @Test
+  void brokenConnectionsOfUpstreamsThatGoOnDoNotCount() {
+    world.upstreamsGoOn();
+
+    breakUnder(CrashWorld.upstream(1), CrashWorld.upstream(2), CrashWorld.upstream(3));
+
+    assertThat(guard.countOf(CrashWorld.REQUEST)).isEqualTo(0);
+    assertThat(guard.isIdle()).isTrue();
+  }
+
+  // An upstream that leaves cuts off what it cannot finish, and ends: that is no crash.
+  @Test
+  void upstreamThatLeavesDoesNotCount() {
+    ServingUpstream one = CrashWorld.upstream(1);
+    ServingUpstream leaving =
+        new ServingUpstream(
+            one.id(),
+            one.service(),
+            one.host(),
+            one.port(),
+            one.domain(),
+            one.slots(),
+            true,
+            one.word());
+    world.publish(new UpstreamList(List.of(leaving)));
+
+    breakUnder(one, CrashWorld.upstream(2));
+
+    assertThat(guard.countOf(CrashWorld.REQUEST)).isEqualTo(0);
+  }
+
+  // A repeat comes while it is still being found out whether the third upstream has ended. It waits
+  // for that; a request with nothing against it does not.
+  @Test
+  void repeatWaitsOnlyForWhatDecides() {
+    CompletableFuture<Boolean> ended = new CompletableFuture<>();
+    CrashGuard slow =
+        new CrashGuard(
+            CrashWorld.instance(0),
+            List::of,
+            (message, to) -> {},
+            world.table,
+            world.storeClock,
+            upstream -> ended,
+            listOfAll(),
+            world.timers,
+            new java.util.SplittableRandom(1));
+    slow.onBroken(CrashWorld.REQUEST, CrashWorld.upstream(1));
+    assertThat(slow.settled(CrashWorld.REQUEST, 3).isDone()).isTrue();
+    slow.onBroken(CrashWorld.REQUEST, CrashWorld.upstream(2));
+    slow.onBroken(CrashWorld.REQUEST, CrashWorld.upstream(3));
+
+    CompletableFuture<Void> settled = slow.settled(CrashWorld.REQUEST, 3);
+
+    assertThat(settled.isDone()).isFalse();
+    assertThat(slow.settled(new Fingerprint(1, 1), 3).isDone()).isTrue();
+    ended.complete(true);
+    assertThat(settled.isDone()).isTrue();
+    assertThat(slow.countOf(CrashWorld.REQUEST)).isEqualTo(3);
+  }
+
+  private static io.mothrill.core.board.Section<UpstreamList> listOfAll() {
+    return new io.mothrill.core.board.Section<>(
+        new UpstreamList(IntStream.range(0, 9).mapToObj(CrashWorld::upstream).toList()));
+  }
+
+  // A bystander that ran well somewhere is served as before, at all instances.
+  @Test
+  void goodRunIsToldToTheOthers() {
+    CrashWorld fleet = new CrashWorld(8, 0, 1);
+    fleet.timers.advanceMs(2_000);
+    IntStream.range(0, 3).forEach(upstream -> fleet.crash(0, upstream));
+    fleet.timers.advanceMs(1_000);
+    assertThat(fleet.refusingCount()).isEqualTo(8);
+
+    fleet.guard(3).onServed(CrashWorld.REQUEST);
+    fleet.timers.advanceMs(1_000);
+
+    assertThat(fleet.refusingCount()).isEqualTo(0);
+  }
+
+  // A caller sends ten thousand different requests that each end an upstream. What is kept stays
+  // bounded, and what is known of another request that ended three stays.
+  @Test
+  void manyRequestsOfOneCallerDoNotPushOutWhatCounts() {
+    breakUnder(CrashWorld.upstream(1), CrashWorld.upstream(2), CrashWorld.upstream(3));
+
+    IntStream.range(0, 10_000)
+        .forEach(number -> guard.onBroken(new Fingerprint(3, number), CrashWorld.upstream(4)));
+
+    assertThat(guard.countOf(CrashWorld.REQUEST)).isEqualTo(3);
+    assertThat(guard.counts().suspects()).isAtMost(4_000);
+    assertThat(guard.counts().dropped()).isAtLeast(6_000);
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/crash/CrashWorld.java
@@ -0,0 +1,144 @@
+package io.mothrill.core.forward.crash;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.fake.FakeTable;
+import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.forward.request.Fingerprint;
+import io.mothrill.core.forward.upstream.ServingUpstream;
+import io.mothrill.core.forward.upstream.UpstreamList;
+import io.mothrill.core.forward.upstream.UpstreamWord;
+import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.platform.StoreClock;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+
+/** Instances of several failure domains that tell each other of crashes over a lossy network. */
+final class CrashWorld {
+
+  static final Fingerprint REQUEST = new Fingerprint(7, 7);
+
+  private static final int DOMAINS = 6;
+
+  /** One way between failure domains, with a little jitter. */
+  private static final int MIN_DELAY_MS = 1;
+
+  private static final int MAX_DELAY_MS = 4;
+
+  final ManualTimers timers = new ManualTimers();
+  final Map<String, CrashGuard> guards = new HashMap<>();
+  private final List<InstanceRecord> instances = new ArrayList<>();
+  final FakeTable table = new FakeTable(timers);
+  final StoreClock storeClock = new SteadyStoreClock(timers);
+  private final Map<String, Object> processes = new HashMap<>();
+  private final Set<String> cutOff = new HashSet<>();
+  private final Section<UpstreamList> upstreams = new Section<>(UpstreamList.empty());
+  private final SplittableRandom random;
+  private final double lossShare;
+  private boolean upstreamsEnd = true;
+  long datagramCount;
+
+  CrashWorld(int instanceCount, double lossShare, long seed) {
+    this.random = new SplittableRandom(seed);
+    this.lossShare = lossShare;
+    upstreams.publish(
+        new UpstreamList(IntStream.range(0, 40).mapToObj(CrashWorld::upstream).toList()));
+    IntStream.range(0, instanceCount).mapToObj(CrashWorld::instance).forEach(instances::add);
+    instances.forEach(this::start);
+  }
+
+  static ServingUpstream upstream(int number) {
+    return new ServingUpstream(
+        "i-" + number,
+        "svc",
+        "10.0.0." + number,
+        1,
+        domain(number),
+        8,
+        false,
+        new UpstreamWord(1, 1));
+  }
+
+  private static String domain(int number) {
+    return "domain-" + number % DOMAINS;
+  }
+
+  static InstanceRecord instance(int number) {
+    String id = "edge-" + number;
+    return new InstanceRecord(id, id, domain(number), id, 1, false);
+  }
+
+  /** Starts an instance, or another process in its place, which knows nothing. */
+  void start(InstanceRecord self) {
+    Object process = new Object();
+    processes.put(self.id(), process);
+    guards.put(
+        self.id(),
+        new CrashGuard(
+            self,
+            () -> instances.stream().filter(other -> !other.equals(self)).toList(),
+            (message, to) -> {
+              if (processes.get(self.id()) == process) {
+                to.forEach(peer -> deliver(self, peer, message));
+              }
+            },
+            table,
+            storeClock,
+            upstream -> CompletableFuture.completedFuture(upstreamsEnd),
+            upstreams,
+            timers,
+            random));
+  }
+
+  void upstreamsGoOn() {
+    upstreamsEnd = false;
+  }
+
+  void publish(UpstreamList list) {
+    upstreams.publish(list);
+  }
+
+  CrashGuard guard(int number) {
+    return guards.get("edge-" + number);
+  }
+
+  void cutOff(int number) {
+    cutOff.add("edge-" + number);
+  }
+
+  void heal() {
+    cutOff.clear();
+  }
+
+  private void deliver(InstanceRecord from, InstanceRecord to, CrashMessage message) {
+    datagramCount++;
+    boolean lost = random.nextDouble() < lossShare;
+    if (lost || cutOff.contains(from.id()) || cutOff.contains(to.id())) {
+      return;
+    }
+    long delayMs = random.nextInt(MIN_DELAY_MS, MAX_DELAY_MS + 1);
+    CrashGuard receiver = guards.get(to.id());
+    timers.after(delayMs, () -> receiver.onMessage(message, from));
+  }
+
+  /** Lets an upstream end under the request at an instance. */
+  void crash(int instance, int upstream) {
+    guard(instance).onBroken(REQUEST, upstream(upstream));
+  }
+
+  boolean refuses(int instance) {
+    return guard(instance).countOf(REQUEST) >= CrashRecord.MAX_CRASHES;
+  }
+
+  long refusingCount() {
+    return guards.values().stream()
+        .filter(guard -> guard.countOf(REQUEST) >= CrashRecord.MAX_CRASHES)
+        .count();
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/crash/QuarantineTableTest.java
@@ -0,0 +1,93 @@
+package io.mothrill.core.forward.crash;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.mothrill.core.fake.Fault;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+// All instances lose power at once, and with it their memory. The callers of the next day's first
+// seconds would lose upstreams again to a request that was refused everywhere; the table tells the
+// new processes.
+class QuarantineTableTest {
+
+  private static final int INSTANCES = 8;
+
+  /** After this time no message about the crashes is on its way. */
+  private static final long TOLD_MS = 3_000;
+
+  private final CrashWorld world = new CrashWorld(INSTANCES, 0, 1);
+
+  private void crashThree() {
+    world.timers.advanceMs(2_000);
+    IntStream.range(0, 3).forEach(upstream -> world.crash(upstream, upstream));
+    world.timers.advanceMs(TOLD_MS);
+  }
+
+  private void replaceAll() {
+    IntStream.range(0, INSTANCES).mapToObj(CrashWorld::instance).forEach(world::start);
+  }
+
+  @Test
+  void newProcessesKnowWhatWasRefused() {
+    crashThree();
+    replaceAll();
+
+    world.timers.advanceMs(100);
+
+    assertThat(world.refusingCount()).isEqualTo(INSTANCES);
+  }
+
+  // The store is away while the third upstream ends, and back before the power is lost.
+  @Test
+  void writesOnceTheStoreIsBack() {
+    world.timers.advanceMs(2_000);
+    world.table.faults().fail(Fault.DOWN);
+    crashThree();
+    world.table.faults().fail(Fault.NONE);
+    world.timers.advanceMs(1_000);
+    replaceAll();
+
+    world.timers.advanceMs(100);
+
+    assertThat(world.refusingCount()).isEqualTo(INSTANCES);
+  }
+
+  // The store is away when the processes start: they read once it is back.
+  @Test
+  void readsOnceTheStoreIsBack() {
+    crashThree();
+    world.table.faults().fail(Fault.DOWN);
+    replaceAll();
+    world.timers.advanceMs(2_000);
+    assertThat(world.refusingCount()).isEqualTo(0);
+
+    world.table.faults().fail(Fault.NONE);
+    world.timers.advanceMs(1_000);
+
+    assertThat(world.refusingCount()).isEqualTo(INSTANCES);
+  }
+
+  @Test
+  void goodRunTakesTheRowAway() {
+    crashThree();
+    world.guard(4).onServed(CrashWorld.REQUEST);
+    world.timers.advanceMs(1_000);
+    replaceAll();
+
+    world.timers.advanceMs(1_000);
+
+    assertThat(world.refusingCount()).isEqualTo(0);
+  }
+
+  @Test
+  void oldRowIsTakenAwayByTheNextProcess() {
+    crashThree();
+    world.timers.advanceMs(3 * CrashRecord.QUARANTINE_MS);
+    replaceAll();
+    world.timers.advanceMs(1_000);
+
+    assertThat(world.refusingCount()).isEqualTo(0);
+    assertThat(world.table.scan(QuarantineTable.TABLE, "", "", 10).join()).isEmpty();
+  }
+}
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/explain/Cause.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/explain/Cause.java
@@ -21,6 +21,10 @@
                   + " at other instances, or open only as its contact with the store stays away"),
           Map.entry("no_upstream", "no upstream of the service was left to offer it to"),
           Map.entry("all_full", "every upstream that it was offered to was full; it did not run"),
+          Map.entry(
+              "crashes_upstreams",
+              "upstreams ended under requests with the same team, method, host, path and body; this"
+                  + " one did not run, and none like it is sent to any upstream for now"),
           Map.entry(
               "upstream_failed",
               "an upstream had it and failed; it may have run, so it was not sent again"),
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.mothrill.core.board.Section;
+import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.plan.TeamPlan;
 import io.mothrill.core.forward.spending.SpendingController;
@@ -53,6 +54,15 @@
     metrics.gauge("spending.heldTokens." + team, () -> () -> spending.heldTokens(team));
   }
 
+  /** Shows how many requests are under suspicion, and what is told of them. */
+  void showCrashes(CrashGuard crashes) {
+    metrics.gauge("crashes.suspectCount", () -> () -> crashes.counts().suspects());
+    metrics.gauge("crashes.quarantinedCount", () -> () -> crashes.counts().quarantined());
+    metrics.gauge("crashes.sentCount", () -> () -> crashes.counts().sent());
+    metrics.gauge("crashes.receivedCount", () -> () -> crashes.counts().received());
+    metrics.gauge("crashes.droppedCount", () -> () -> crashes.counts().dropped());
+  }
+
   /** Shows what the event loops were busy with, and the processor time of the threads. */
   void showWork(WorkAccount work) {
     Arrays.stream(WorkKind.values()).forEach(kind -> showWork("work." + kind, kind, work));
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -2,6 +2,8 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.mothrill.core.board.Section;
+import io.mothrill.core.forward.crash.CrashGuard;
+import io.mothrill.core.forward.crash.CrashMessage;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.retry.SharedRetryBudget;
 import io.mothrill.core.forward.spending.DemandShares;
@@ -23,6 +25,7 @@
 import io.mothrill.core.work.WorkAccount;
 import io.mothrill.wire.forward.ForwardEdge;
 import io.mothrill.wire.forward.ForwardParts;
+import io.mothrill.wire.forward.UpstreamProbe;
 import io.mothrill.wire.http.HttpServer;
 import io.mothrill.wire.json.JsonResources;
 import io.mothrill.wire.operator.ProbeService;
@@ -31,6 +34,7 @@
 import io.mothrill.wire.peer.PeerDecoder;
 import io.mothrill.wire.peer.PeerEncoder;
 import io.netty.channel.EventLoopGroup;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.random.RandomGenerator;
@@ -135,6 +139,17 @@
             new PromptCost(settings.domain(), loads, memory, speed),
             reach::isOpen,
             timers);
+    CrashGuard crashes =
+        new CrashGuard(
+            self,
+            spending::others,
+            this::sendReport,
+            ports.table(),
+            ports.storeClock(),
+            new UpstreamProbe(group, timers),
+            upstreams,
+            timers,
+            random);
     this.notices =
         new DatagramNotices(
             group,
@@ -146,6 +161,7 @@
                 loads.of(incarnation).onNotice(tokens, speed.tokensPerMs(), timers.nowMs());
               }
             },
+            crashes::onMessage,
             reach::onHeard,
             ports.work());
     ForwardParts parts =
@@ -161,6 +177,7 @@
             spending,
             new SharedRetryBudget(settings.retries(), spending::instanceCount, timers),
             new StoryLog(metrics, timers),
+            crashes,
             reach::onHeardFrom,
             timers,
             ports.work(),
@@ -181,6 +198,7 @@
     ForwardGauges gauges = new ForwardGauges(metrics);
     gauges.showEdge(edge);
     gauges.showSpending(plan, spending);
+    gauges.showCrashes(crashes);
     gauges.showLog();
     gauges.showWork(ports.work());
     timers.every(FORGET_MS, () -> loads.retain(upstreams.read()));
@@ -190,6 +208,10 @@
     gauges.showView(plan, upstreams, follower);
   }
 
+  private void sendReport(CrashMessage message, List<InstanceRecord> to) {
+    notices.send(message, to);
+  }
+
   private static NettyPeers newPeers(
       ForwardSettings settings, PeerDispatcher dispatcher, EventLoopGroup group, WorkAccount work) {
     JsonResources codec = new JsonResources();
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -51,6 +51,9 @@
     void refuse(ForwardRefusal refusal);
 
     void end(String outcome, int status);
+
+    /** What is known of upstreams that ended under the request. */
+    Suspicion suspicion();
   }
 
   private final ForwardWork work;
@@ -147,6 +150,12 @@
       connected.close();
       return;
     }
+    if (owner.suspicion().isQuarantined()) {
+      over = true;
+      connected.close();
+      owner.sendElsewhere();
+      return;
+    }
     connection = connected;
     sent = true;
     progress.mayHaveRun = true;
@@ -162,7 +171,10 @@
         UpstreamRequest.of(work, upstream.id(), progress.lastEventId), work.call().id(), this);
     replacement =
         load.onReplaced(
-            () -> work.arrival().loop().execute(() -> onBroken("upstream has started again")));
+            () ->
+                work.arrival()
+                    .loop()
+                    .execute(() -> onBroken(BreakCause.REPLACED, "upstream has started again")));
     watchSilence(silenceMs());
   }
 
@@ -307,7 +319,7 @@
         return;
       }
       if (event.id().getAsLong() > expected) {
-        onBroken("event " + event.id().getAsLong() + " instead of " + expected);
+        onBroken(BreakCause.GARBLED, "event " + event.id().getAsLong() + " instead of " + expected);
         return;
       }
     }
@@ -344,10 +356,11 @@
 
   private void onStreamEnd() {
     if (splitter.hasPartial()) {
-      onBroken("stream ended inside an event");
+      onBroken(BreakCause.GARBLED, "stream ended inside an event");
       return;
     }
     load.onSuccess();
+    owner.suspicion().onServed();
     finish();
     if (!progress.streamStarted) {
       work.reply().startStream(answer.status(), parts.dialect().toCaller(answer.headers()));
@@ -371,6 +384,9 @@
     } else {
       load.onSuccess();
     }
+    if (status < FIRST_ERROR) {
+      owner.suspicion().onServed();
+    }
     if (progress.streamStarted) {
       bytes.release();
       owner.end("broken", 0);
@@ -395,11 +411,12 @@
   }
 
   @Override
-  public void onBroken(String detail) {
+  public void onBroken(BreakCause cause, String detail) {
     if (over || owner.hasEnded()) {
       return;
     }
     progress.brokeOff = true;
+    owner.suspicion().onBroken(cause, upstream);
     load.onFailure(parts.timers().nowMs());
     fail(detail);
     abandon();
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
@@ -1,6 +1,7 @@
 package io.mothrill.wire.forward;
 
 import io.mothrill.core.error.Failures;
+import io.mothrill.core.forward.crash.CrashRecord;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.plan.Route;
 import io.mothrill.core.forward.plan.ServicePlan;
@@ -59,6 +60,7 @@
   private String reason = "";
   private long paidMs;
   private ForwardWork work;
+  private Suspicion suspicion;
   private Subscription timeUp = () -> {};
   private SpendingReservation reservation = SpendingReservation.UNLIMITED;
   private ForwardAttempt attempt;
@@ -96,8 +98,37 @@
       refuse(refusal.get());
       return;
     }
+    suspicion = new Suspicion(work, progress);
     parts.retries().onRequest(work.service());
     timeUp = parts.timers().after(work.leftMs(), () -> onLoop(this::onTimeUp));
+    unlessItCrashesUpstreams(this::pay);
+  }
+
+  /** Goes on unless upstreams have ended under the request, once that is known. */
+  private void unlessItCrashesUpstreams(Runnable next) {
+    CompletableFuture<Void> known = suspicion.settled();
+    if (known.isDone()) {
+      goOnOrRefuse(next);
+    } else {
+      known.thenRun(() -> onLoop(() -> goOnOrRefuse(next)));
+    }
+  }
+
+  private void goOnOrRefuse(Runnable next) {
+    if (ended) {
+      return;
+    }
+    Optional<CrashRecord> record = suspicion.evidence();
+    if (record.isEmpty()) {
+      next.run();
+      return;
+    }
+    long nowMs = parts.timers().nowMs();
+    reason = record.get().describe(nowMs);
+    giveUp(Cause.CRASHES_UPSTREAMS, record.get().retryAfterMs(nowMs));
+  }
+
+  private void pay() {
     if (arrival.call().prompt().isPresent() && work.team().isPresent()) {
       reserve();
     } else {
@@ -172,6 +203,10 @@
       onTimeUp();
       return;
     }
+    unlessItCrashesUpstreams(this::choose);
+  }
+
+  private void choose() {
     UpstreamQuery query =
         new UpstreamQuery(work.service(), work.route().aimMs(), arrival.call().prompt(), tried);
     Optional<ServingUpstream> upstream = parts.picker().pick(query);
@@ -250,8 +285,7 @@
     timeUp.cancel();
     long owedTokens = owedTokens();
     reservation.settle(owedTokens);
-    Optional<Fingerprint> fingerprint =
-        progress.brokeOff ? Optional.of(work.fingerprint()) : Optional.empty();
+    Optional<Fingerprint> fingerprint = suspicion == null ? Optional.empty() : suspicion.taken();
     arrival.body().release();
     parts
         .log()
@@ -308,6 +342,11 @@
     return work.route().kind().isRepeatable() && mayOfferAgain();
   }
 
+  @Override
+  public Suspicion suspicion() {
+    return suspicion;
+  }
+
   private void onLoop(Runnable task) {
     if (arrival.loop().inEventLoop()) {
       task.run();
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardParts.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardParts.java
@@ -1,6 +1,7 @@
 package io.mothrill.wire.forward;
 
 import io.mothrill.core.board.Section;
+import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.retry.SharedRetryBudget;
 import io.mothrill.core.forward.spending.SpendingController;
@@ -29,6 +30,7 @@
  * @param spending sets prepaid tokens aside
  * @param retries bounds sends beyond the first
  * @param log gets a line for each request
+ * @param crashes keeps requests that end upstreams away from them
  * @param heardDomains gets the failure domain of each upstream that says something
  * @param timers the time
  * @param work counts what connections cost
@@ -46,6 +48,7 @@
     SpendingController spending,
     SharedRetryBudget retries,
     ForwardLog log,
+    CrashGuard crashes,
     Consumer<String> heardDomains,
     Timers timers,
     WorkAccount work,
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.io.IOException;
 import java.util.Optional;
 
 /**
@@ -89,7 +90,7 @@
       return;
     }
     if (message.decoderResult().isFailure()) {
-      fail("answer is not HTTP");
+      fail(BreakCause.GARBLED, "answer is not HTTP");
       return;
     }
     if (message instanceof HttpResponse head) {
@@ -109,7 +110,7 @@
       return;
     }
     if (answered.isEmpty() && head.status().code() < FIRST_ERROR_STATUS) {
-      fail("answer does not say what it answers");
+      fail(BreakCause.GARBLED, "answer does not say what it answers");
       return;
     }
     reusable = reusable && HttpUtil.isKeepAlive(head) && hasEnd(head);
@@ -150,12 +151,12 @@
     ended.onEnd();
   }
 
-  private void fail(String detail) {
+  private void fail(BreakCause cause, String detail) {
     UpstreamSink failed = sink;
     sink = null;
     context.close();
     if (failed != null) {
-      failed.onBroken(detail);
+      failed.onBroken(cause, detail);
     }
   }
 
@@ -170,11 +171,13 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     pool.forget(this);
-    fail("connection closed before the answer was whole");
+    fail(BreakCause.CLOSED, "connection closed before the answer was whole");
   }
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    fail(String.valueOf(cause.getMessage()));
+    fail(
+        cause instanceof IOException ? BreakCause.CLOSED : BreakCause.GARBLED,
+        String.valueOf(cause.getMessage()));
   }
 }
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamProbe.java
@@ -0,0 +1,101 @@
+package io.mothrill.wire.forward;
+
+import io.mothrill.core.forward.crash.UpstreamEnds;
+import io.mothrill.core.forward.upstream.ServingUpstream;
+import io.mothrill.core.time.Timers;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.ConnectException;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Tells an upstream that has ended from one that closed or reset a connection, by connecting again.
+ *
+ * <p>The machine of a process that has ended refuses connections to its port. One that goes on
+ * takes them, also while it resets some, fails requests or answers wrongly. One behind a cut does
+ * neither: it is asked again for some seconds, as a cut may hide an end, and then nothing is said
+ * against the request.
+ */
+public final class UpstreamProbe implements UpstreamEnds {
+
+  /**
+   * A process that ends closes its connections and its port within milliseconds of each other. One
+   * that still takes a connection is looked at once more after this time.
+   */
+  private static final long SETTLE_MS = 25;
+
+  /** Tens of round trips between failure domains. */
+  private static final int CONNECT_TIMEOUT_MS = 500;
+
+  /**
+   * Looks at an upstream that gives no sign, a second apart with the timeout. An upstream that
+   * ended is back after some seconds, and then nothing is to be found out any more.
+   */
+  private static final int MAX_LOOKS = 4;
+
+  private static final int LOOKS_IF_TAKEN = 2;
+
+  private static final long PAUSE_MS = 500;
+
+  private final EventLoopGroup group;
+  private final Timers timers;
+  private final Map<String, CompletableFuture<Boolean>> open = new ConcurrentHashMap<>();
+
+  /**
+   * Creates the probe.
+   *
+   * @param group the event loops
+   * @param timers the time
+   */
+  public UpstreamProbe(EventLoopGroup group, Timers timers) {
+    this.group = group;
+    this.timers = timers;
+  }
+
+  /** Looks once for all requests that an upstream breaks off at the same time. */
+  @Override
+  public CompletableFuture<Boolean> hasEnded(ServingUpstream upstream) {
+    CompletableFuture<Boolean> first = new CompletableFuture<>();
+    CompletableFuture<Boolean> running = open.putIfAbsent(upstream.incarnation(), first);
+    if (running != null) {
+      return running;
+    }
+    first.whenComplete((ended, error) -> open.remove(upstream.incarnation(), first));
+    look(upstream, first, 1);
+    return first;
+  }
+
+  private void look(ServingUpstream upstream, CompletableFuture<Boolean> ended, int number) {
+    new Bootstrap()
+        .group(group)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+        .handler(new ChannelInboundHandlerAdapter())
+        .connect(upstream.host(), upstream.port())
+        .addListener(
+            (ChannelFuture connected) -> {
+              boolean taken = connected.isSuccess();
+              if (taken) {
+                connected.channel().close();
+              }
+              if (!taken && isRefusal(connected.cause())) {
+                ended.complete(true);
+              } else if (number >= (taken ? LOOKS_IF_TAKEN : MAX_LOOKS)) {
+                ended.complete(false);
+              } else {
+                timers.after(taken ? SETTLE_MS : PAUSE_MS, () -> look(upstream, ended, number + 1));
+              }
+            });
+  }
+
+  private static boolean isRefusal(Throwable cause) {
+    return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+  }
+}
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamSink.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamSink.java
@@ -30,7 +30,8 @@
   /**
    * There will be no whole answer.
    *
+   * @param cause what ended it
    * @param detail what happened
    */
-  void onBroken(String detail);
+  void onBroken(BreakCause cause, String detail);
 }
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/CrashNoticeCodec.java
@@ -0,0 +1,88 @@
+package io.mothrill.wire.peer;
+
+import io.mothrill.core.forward.crash.CrashMessage;
+import io.mothrill.core.forward.crash.CrashMessage.CrashAge;
+import io.mothrill.core.forward.crash.CrashMessage.Entry;
+import io.mothrill.core.forward.request.Fingerprint;
+import io.mothrill.wire.peer.generated.CrashNotice;
+import io.mothrill.wire.peer.generated.CrashReport;
+import io.mothrill.wire.peer.generated.CrashedRequest;
+import java.util.Optional;
+
+/** Writes messages about requests under which upstreams crash, and reads those of others. */
+final class CrashNoticeCodec {
+
+  /** Longer than any record is kept. */
+  private static final long MAX_AGE_MS = 86_400_000;
+
+  /** More crashes than any instance keeps of one request. */
+  private static final int MAX_CRASHES = 16;
+
+  /** The longest key that a row of the platform's table may have. */
+  private static final int MAX_NAME_CHARS = 200;
+
+  private CrashNoticeCodec() {}
+
+  static CrashNotice write(CrashMessage message) {
+    CrashNotice.Builder notice = CrashNotice.newBuilder().setAsks(message.asks());
+    message.entries().stream().map(CrashNoticeCodec::write).forEach(notice::addRequests);
+    return notice.build();
+  }
+
+  private static CrashedRequest write(Entry entry) {
+    CrashedRequest.Builder request =
+        CrashedRequest.newBuilder()
+            .setFingerprintHigh(entry.fingerprint().high())
+            .setFingerprintLow(entry.fingerprint().low());
+    entry.clearedAgeMs().ifPresent(request::setClearedAgeMs);
+    entry.crashes().stream().map(CrashNoticeCodec::write).forEach(request::addCrashes);
+    return request.build();
+  }
+
+  private static CrashReport write(CrashAge crash) {
+    return CrashReport.newBuilder()
+        .setIncarnation(crash.incarnation())
+        .setReporter(crash.reporter())
+        .setAgeMs(crash.ageMs())
+        .build();
+  }
+
+  /** Reads a message; empty when no instance can have written it. */
+  static Optional<CrashMessage> read(CrashNotice notice) {
+    boolean possible =
+        notice.getRequestsCount() <= CrashMessage.MAX_ENTRIES
+            && notice.getRequestsList().stream().allMatch(CrashNoticeCodec::isPossible);
+    return possible
+        ? Optional.of(
+            new CrashMessage(
+                notice.getRequestsList().stream().map(CrashNoticeCodec::read).toList(),
+                notice.getAsks()))
+        : Optional.empty();
+  }
+
+  private static Entry read(CrashedRequest request) {
+    return new Entry(
+        new Fingerprint(request.getFingerprintHigh(), request.getFingerprintLow()),
+        request.getCrashesList().stream()
+            .map(
+                crash ->
+                    new CrashAge(crash.getIncarnation(), crash.getReporter(), crash.getAgeMs()))
+            .toList(),
+        request.hasClearedAgeMs() ? Optional.of(request.getClearedAgeMs()) : Optional.empty());
+  }
+
+  private static boolean isPossible(CrashedRequest request) {
+    return request.getCrashesCount() <= MAX_CRASHES
+        && isPossibleAge(request.getClearedAgeMs())
+        && request.getCrashesList().stream()
+            .allMatch(
+                crash ->
+                    isPossibleAge(crash.getAgeMs())
+                        && crash.getIncarnation().length() <= MAX_NAME_CHARS
+                        && crash.getReporter().length() <= MAX_NAME_CHARS);
+  }
+
+  private static boolean isPossibleAge(long ageMs) {
+    return ageMs >= 0 && ageMs <= MAX_AGE_MS;
+  }
+}
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
@@ -1,10 +1,13 @@
 package io.mothrill.wire.peer;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import io.mothrill.core.forward.crash.CrashMessage;
+import io.mothrill.core.forward.crash.CrashReports;
 import io.mothrill.core.forward.upstream.PromptNotices;
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.work.WorkAccount;
 import io.mothrill.core.work.WorkKind;
+import io.mothrill.wire.peer.generated.Notice;
 import io.mothrill.wire.peer.generated.PromptNotice;
 import io.mothrill.wire.work.WorkMeter;
 import io.netty.bootstrap.Bootstrap;
@@ -19,13 +22,14 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
 import org.tinylog.Logger;
 
 /** Notices between instances, each in a datagram of its own; nothing is repeated or confirmed. */
-public final class DatagramNotices implements PromptNotices {
+public final class DatagramNotices implements PromptNotices, CrashReports {
 
   /** Shorter prompts are read before the notice could change a choice. */
   private static final long MIN_TOKENS = 1_500;
@@ -60,7 +64,9 @@
    * @param host an IP address
    * @param port a UDP port; 0 for any
    * @param others the instances that are told
-   * @param heard gets the notices of others
+   * @param heard gets the notices of others about prompts
+   * @param heardCrashes gets their messages about requests under which upstreams crash, and where
+   *     an answer goes
    * @param heardHosts gets the IP address of each instance that sent one
    * @param work counts what the notices cost
    */
@@ -70,6 +76,7 @@
       int port,
       Supplier<List<InstanceRecord>> others,
       PromptNotices heard,
+      BiConsumer<CrashMessage, InstanceRecord> heardCrashes,
       Consumer<String> heardHosts,
       WorkAccount work) {
     this.others = others;
@@ -85,7 +92,7 @@
                     opened
                         .pipeline()
                         .addLast(new WorkMeter(work, WorkKind.NOTICE))
-                        .addLast(new NoticeHandler(heard, heardHosts));
+                        .addLast(new NoticeHandler(heard, heardCrashes, heardHosts));
                   }
                 })
             .bind(host, port)
@@ -99,15 +106,21 @@
     if (unreadTokens < Math.max(MIN_TOKENS, TOKENS_PER_TOLD * told.size())) {
       return;
     }
-    byte[] notice =
-        PromptNotice.newBuilder()
-            .setUpstreamId(incarnation)
-            .setUnreadTokens(unreadTokens)
-            .build()
-            .toByteArray();
-    told.stream()
+    PromptNotice prompt =
+        PromptNotice.newBuilder().setUpstreamId(incarnation).setUnreadTokens(unreadTokens).build();
+    send(Notice.newBuilder().setPrompt(prompt).build(), told);
+  }
+
+  @Override
+  public void send(CrashMessage message, List<InstanceRecord> to) {
+    send(Notice.newBuilder().setCrashes(CrashNoticeCodec.write(message)).build(), to);
+  }
+
+  private void send(Notice notice, List<InstanceRecord> peers) {
+    byte[] bytes = notice.toByteArray();
+    peers.stream()
         .map(peer -> new InetSocketAddress(peer.host(), peer.peerPort()))
-        .forEach(to -> channel.write(new DatagramPacket(Unpooled.wrappedBuffer(notice), to)));
+        .forEach(to -> channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to)));
     channel.flush();
   }
 
@@ -132,26 +145,46 @@
   /** Reads notices; bytes of other programs are passed over. */
   static final class NoticeHandler extends SimpleChannelInboundHandler<DatagramPacket> {
     private final PromptNotices heard;
+    private final BiConsumer<CrashMessage, InstanceRecord> heardCrashes;
     private final Consumer<String> heardHosts;
 
-    NoticeHandler(PromptNotices heard, Consumer<String> heardHosts) {
+    NoticeHandler(
+        PromptNotices heard,
+        BiConsumer<CrashMessage, InstanceRecord> heardCrashes,
+        Consumer<String> heardHosts) {
       this.heard = heard;
+      this.heardCrashes = heardCrashes;
       this.heardHosts = heardHosts;
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
       try {
-        PromptNotice notice = PromptNotice.parseFrom(ByteBufUtil.getBytes(packet.content()));
+        Notice notice = Notice.parseFrom(ByteBufUtil.getBytes(packet.content()));
         heardHosts.accept(packet.sender().getAddress().getHostAddress());
-        if (notice.getUnreadTokens() >= 0 && notice.getUnreadTokens() <= MAX_TOKENS) {
-          heard.announce(notice.getUpstreamId(), notice.getUnreadTokens());
+        if (notice.hasPrompt()) {
+          take(notice.getPrompt());
+        } else if (notice.hasCrashes()) {
+          CrashNoticeCodec.read(notice.getCrashes())
+              .ifPresent(message -> heardCrashes.accept(message, senderOf(packet)));
         }
       } catch (InvalidProtocolBufferException ex) {
         Logger.debug("notice not understood: {}", ex.getMessage());
       }
     }
 
+    private void take(PromptNotice prompt) {
+      if (prompt.getUnreadTokens() >= 0 && prompt.getUnreadTokens() <= MAX_TOKENS) {
+        heard.announce(prompt.getUpstreamId(), prompt.getUnreadTokens());
+      }
+    }
+
+    /** Names the sender by its address: it may have started after the others were last listed. */
+    private static InstanceRecord senderOf(DatagramPacket packet) {
+      String host = packet.sender().getAddress().getHostAddress();
+      return new InstanceRecord(host, host, "", host, packet.sender().getPort(), false);
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
       // An unreachable peer shows here; the socket goes on.
--- a/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
@@ -41,6 +41,7 @@
         port,
         List::of,
         (upstreamId, tokens) -> heard.add(tokens),
+        (message, sender) -> {},
         host -> {},
         new WorkAccount());
   }
@@ -53,6 +54,7 @@
         0,
         () -> Collections.nCopies(peerCount, peer),
         (id, tokens) -> {},
+        (message, sender) -> {},
         host -> {},
         new WorkAccount());
   }
--- a/mothrill-wire/src/test/java/io/mothrill/wire/peer/ForeignNoticesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/peer/ForeignNoticesTest.java
@@ -2,6 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.mothrill.core.forward.crash.CrashMessage;
+import io.mothrill.wire.peer.generated.CrashNotice;
+import io.mothrill.wire.peer.generated.CrashReport;
+import io.mothrill.wire.peer.generated.CrashedRequest;
+import io.mothrill.wire.peer.generated.Notice;
 import io.mothrill.wire.peer.generated.PromptNotice;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -19,21 +24,22 @@
   private static final InetSocketAddress HERE = new InetSocketAddress("127.0.0.1", 9);
 
   private final List<Long> heardTokens = new ArrayList<>();
+  private final List<CrashMessage> heardCrashes = new ArrayList<>();
   private final EmbeddedChannel channel =
       new EmbeddedChannel(
           new DatagramNotices.NoticeHandler(
-              (incarnation, tokens) -> heardTokens.add(tokens), host -> {}));
+              (incarnation, tokens) -> heardTokens.add(tokens),
+              (message, sender) -> heardCrashes.add(message),
+              host -> {}));
 
   private void receive(byte[] bytes) {
     channel.writeInbound(new DatagramPacket(Unpooled.wrappedBuffer(bytes), HERE, HERE));
   }
 
   private static byte[] notice(long tokens) {
-    return PromptNotice.newBuilder()
-        .setUpstreamId("i-1@0")
-        .setUnreadTokens(tokens)
-        .build()
-        .toByteArray();
+    PromptNotice prompt =
+        PromptNotice.newBuilder().setUpstreamId("i-1@0").setUnreadTokens(tokens).build();
+    return Notice.newBuilder().setPrompt(prompt).build().toByteArray();
   }
 
   @Test
@@ -53,6 +59,31 @@
     assertThat(heardTokens).isEmpty();
   }
 
+  private static byte[] crashNotice(long ageMs) {
+    CrashReport crash = CrashReport.newBuilder().setIncarnation("i-1@0").setAgeMs(ageMs).build();
+    CrashedRequest request = CrashedRequest.newBuilder().addCrashes(crash).build();
+    return Notice.newBuilder()
+        .setCrashes(CrashNotice.newBuilder().addRequests(request))
+        .build()
+        .toByteArray();
+  }
+
+  @Test
+  void passesOnCrashesThatAnotherInstanceSaw() {
+    receive(crashNotice(200));
+
+    assertThat(heardCrashes).hasSize(1);
+  }
+
+  // A crash that lies in the future, or days back, was seen by no instance.
+  @Test
+  void passesOverImpossibleCrashes() {
+    receive(crashNotice(-1));
+    receive(crashNotice(Long.MAX_VALUE));
+
+    assertThat(heardCrashes).isEmpty();
+  }
+
   @Property(tries = 400, seed = "30005")
   void bytesThatMeanNothingDoNoHarm(@ForAll byte[] bytes) {
     receive(bytes);
