Crashes under a request are told in the log and by explain; waits for them are bounded

Cause: the line of a refused request names the crashes, but nothing showed when each was found, and explain did not join the logs of several instances by fingerprint; a repeat could wait for seconds for upstreams behind a cut, which show nothing. Change: a line for each upstream that ended under a request; explain tells all lines with the same fingerprint; a request waits at most 100 ms for what is being found out; in fleets beyond 300 each round tells other instances.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/crash/CrashGuard.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/crash/CrashGuard.java
@@ -38,6 +38,13 @@
  */
 public final class CrashGuard {
 
+  /**
+   * Longest wait of a request for what is being found out. An upstream in reach shows its end
+   * within a round trip; one that is cut off shows nothing for seconds, and a request that waited
+   * for that would miss its own time.
+   */
+  private static final long MAX_WAIT_MS = 100;
+
   private final InstanceRecord self;
   private final UpstreamEnds ends;
   private final Section<UpstreamList> upstreams;
@@ -115,14 +122,19 @@
    *
    * @param fingerprint the request
    * @param limit the count that decides
-   * @return completes when the count is below the limit for certain, or is final for now
+   * @return completes when the count is below the limit for certain, or once it may be used
    */
   public CompletableFuture<Void> settled(Fingerprint fingerprint, int limit) {
     List<CompletableFuture<Void>> open = looking.getOrDefault(fingerprint, List.of());
     boolean decided = open.isEmpty() || countOf(fingerprint) + open.size() < limit;
-    return decided
-        ? CompletableFuture.completedFuture(null)
-        : CompletableFuture.allOf(open.toArray(CompletableFuture[]::new));
+    if (decided) {
+      return CompletableFuture.completedFuture(null);
+    }
+    CompletableFuture<Void> settled = new CompletableFuture<>();
+    CompletableFuture.allOf(open.toArray(CompletableFuture[]::new))
+        .thenRun(() -> settled.complete(null));
+    timers.after(MAX_WAIT_MS, () -> settled.complete(null));
+    return settled;
   }
 
   /**
@@ -181,6 +193,12 @@
   public void onCrash(Fingerprint fingerprint, ServingUpstream upstream, long atMs) {
     Crash crash = new Crash(upstream.incarnation(), self.id(), atMs);
     add(CrashRecord.of(fingerprint).with(crash));
+    Logger.info(
+        "upstream ended under request fingerprint={} upstream={} count={} agoMs={}",
+        fingerprint,
+        upstream.incarnation(),
+        countOf(fingerprint),
+        timers.nowMs() - atMs);
     news.onCrash(fingerprint);
   }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/crash/CrashNews.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/crash/CrashNews.java
@@ -44,7 +44,7 @@
    */
   private static final int MAX_DATAGRAMS = 600;
 
-  /** Most instances that are told at once; in a larger fleet the others hear by repetition. */
+  /** Most instances that are told at once; in a larger fleet each round tells the next ones. */
   private static final int MAX_TOLD = 300;
 
   /** Whoever saw a crash tells all again after these times, as a datagram may get lost. */
@@ -79,6 +79,7 @@
   private final AtomicBoolean gathering = new AtomicBoolean();
   private final AtomicLong sentCount = new AtomicLong();
   private final AtomicLong receivedCount = new AtomicLong();
+  private final AtomicInteger roundCount = new AtomicInteger();
   private final AtomicInteger repeatCount = new AtomicInteger();
   private final AtomicInteger askCount = new AtomicInteger();
   private final Subscription asking;
@@ -132,7 +133,8 @@
   }
 
   private void sendRound() {
-    List<InstanceRecord> told = othersFrom(startOfRing, MAX_TOLD);
+    int first = startOfRing + roundCount.getAndIncrement() * MAX_TOLD;
+    List<InstanceRecord> told = othersFrom(first, MAX_TOLD);
     int messages = Math.max(1, MAX_DATAGRAMS / Math.max(1, told.size()));
     long nowMs = timers.nowMs();
     List<CrashRecord> most =
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/crash/CrashGuardTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/crash/CrashGuardTest.java
@@ -2,10 +2,12 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.mothrill.core.board.Section;
 import io.mothrill.core.forward.request.Fingerprint;
 import io.mothrill.core.forward.upstream.ServingUpstream;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -67,7 +69,7 @@
             upstream -> ended,
             listOfAll(),
             world.timers,
-            new java.util.SplittableRandom(1));
+            new SplittableRandom(1));
     slow.onBroken(CrashWorld.REQUEST, CrashWorld.upstream(1));
     assertThat(slow.settled(CrashWorld.REQUEST, 3).isDone()).isTrue();
     slow.onBroken(CrashWorld.REQUEST, CrashWorld.upstream(2));
@@ -82,8 +84,33 @@
     assertThat(slow.countOf(CrashWorld.REQUEST)).isEqualTo(3);
   }
 
-  private static io.mothrill.core.board.Section<UpstreamList> listOfAll() {
-    return new io.mothrill.core.board.Section<>(
+  // The upstreams are behind a cut and show nothing. A request does not wait for them until its own
+  // time is over; what is not known does not speak against it.
+  @Test
+  void repeatDoesNotWaitForUpstreamsThatShowNothing() {
+    CrashGuard blind =
+        new CrashGuard(
+            CrashWorld.instance(0),
+            List::of,
+            (message, to) -> {},
+            world.table,
+            world.storeClock,
+            upstream -> new CompletableFuture<>(),
+            listOfAll(),
+            world.timers,
+            new SplittableRandom(1));
+    IntStream.range(0, 3)
+        .forEach(number -> blind.onBroken(CrashWorld.REQUEST, CrashWorld.upstream(number)));
+
+    CompletableFuture<Void> settled = blind.settled(CrashWorld.REQUEST, 3);
+    world.timers.advanceMs(200);
+
+    assertThat(settled.isDone()).isTrue();
+    assertThat(blind.countOf(CrashWorld.REQUEST)).isEqualTo(0);
+  }
+
+  private static Section<UpstreamList> listOfAll() {
+    return new Section<>(
         new UpstreamList(IntStream.range(0, 9).mapToObj(CrashWorld::upstream).toList()));
   }
 
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/crash/CrashNewsSpreadTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/crash/CrashNewsSpreadTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import io.mothrill.core.forward.request.Fingerprint;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -104,9 +105,7 @@
     for (int request = 0; request < 500; request++) {
       world
           .guard(request % 95)
-          .onBroken(
-              new io.mothrill.core.forward.request.Fingerprint(1, request),
-              CrashWorld.upstream(request % 12));
+          .onBroken(new Fingerprint(1, request), CrashWorld.upstream(request % 12));
     }
 
     world.timers.advanceMs(10_000);
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/explain/Explanation.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/explain/Explanation.java
@@ -51,6 +51,7 @@
     if (!line.text("reason").isEmpty()) {
       told.add("  reason given: " + line.text("reason"));
     }
+    crashes(line).forEach(told::add);
     surroundings(line).forEach(told::add);
     return told.stream();
   }
@@ -60,6 +61,21 @@
     return offers.isEmpty() ? Stream.empty() : Stream.of(offers.split("; "));
   }
 
+  /** What any instance has noted of upstreams that ended under the same request. */
+  private Stream<String> crashes(LogLine line) {
+    String fingerprint = line.text("fingerprint");
+    if (fingerprint.isEmpty()) {
+      return Stream.empty();
+    }
+    return Stream.concat(
+        Stream.of("  fingerprint " + fingerprint + ", the same for each repeat"),
+        book.lines().stream()
+            .filter(other -> other.isAboutCrashes(fingerprint))
+            .map(
+                other ->
+                    "  %s at %s: %s".formatted(other.at(), other.source(), other.text("message"))));
+  }
+
   /** What its instance was going through meanwhile. */
   private Stream<String> surroundings(LogLine line) {
     Instant arrived = line.at().minusMillis(line.number("tookMs"));
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/explain/LogLine.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/explain/LogLine.java
@@ -34,6 +34,15 @@
     return isEvent("request") && text("id").equals(id);
   }
 
+  /** Says whether the line is about upstreams that ended under a request with this fingerprint. */
+  boolean isAboutCrashes(String fingerprint) {
+    boolean crash =
+        says("upstream ended under request")
+            || says("request refused from now on")
+            || says("request served again");
+    return crash && text("message").contains("fingerprint=" + fingerprint);
+  }
+
   boolean says(String beginning) {
     return text("message").startsWith(beginning);
   }
--- a/mothrill-daemon/src/test/java/io/mothrill/daemon/explain/ExplanationTest.java
+++ b/mothrill-daemon/src/test/java/io/mothrill/daemon/explain/ExplanationTest.java
@@ -53,6 +53,27 @@
     assertThat(story).doesNotContain("out of reach");
   }
 
+  // The caller heard 503 at once: others like its request had ended three upstreams, through other
+  // instances. The story names them, with their ages and who saw them.
+  @Test
+  void tellsWhichUpstreamsEndedUnderTheSameRequest() throws IOException {
+    String ended =
+        "{\"time\":\"2026-05-01T10:00:01Z\",\"level\":\"INFO\",\"message\":\"upstream ended under"
+            + " request fingerprint=ab12 upstream=i-1@0 count=3 agoMs=2\"}";
+    String refused =
+        "{\"time\":\"2026-05-01T10:00:05Z\",\"level\":\"INFO\",\"event\":\"request\",\"id\":\"a4\","
+            + "\"outcome\":\"crashes_upstreams\",\"status\":503,\"fingerprint\":\"ab12\","
+            + "\"reason\":\"i-1@0 ended 4002 ms ago, seen by edge-2\"}";
+    String other = ended.replace("ab12", "cd34");
+
+    String story = String.join("\n", explain("a4", ended, other, refused));
+
+    assertThat(story).contains("upstreams ended under requests with the same team");
+    assertThat(story).contains("reason given: i-1@0 ended 4002 ms ago, seen by edge-2");
+    assertThat(story).contains("fingerprint=ab12 upstream=i-1@0 count=3");
+    assertThat(story).doesNotContain("cd34");
+  }
+
   @Test
   void hasNoStoryOfRequestThatNoLineIsAbout() throws IOException {
     assertThat(explain("a3", LOST, REFUSED)).isEmpty();
