--- a/mothrill-lab/src/main/java/io/mothrill/lab/fleet/MemoryUpstream.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/fleet/MemoryUpstream.java
@@ -11,18 +11,23 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /** An upstream in memory: answers a call in steps, and counts how often each body was run. */
 public final class MemoryUpstream {
 
   private static final int STEPS = 4;
 
+  /** An upstream that ended is started again in this time. */
+  private static final long BACK_MS = 3_000;
+
   private final Map<String, Integer> runsByBody = new HashMap<>();
   private final List<Run> running = new ArrayList<>();
   private long workMs = 200;
   private boolean down;
   private boolean silent;
   private boolean leaving;
+  private Optional<String> deadlyBody = Optional.empty();
 
   /**
    * Chooses how long a call takes.
@@ -39,6 +44,16 @@
     List.copyOf(running).forEach(run -> run.fail(Kind.BROKEN, "connection reset"));
   }
 
+  /**
+   * Chooses a body under which the upstream ends whenever it begins to run it; it is back after
+   * some seconds.
+   *
+   * @param body the body
+   */
+  public void endUnder(String body) {
+    deadlyBody = Optional.of(body);
+  }
+
   /** Starts again. */
   public void restart() {
     down = false;
@@ -120,6 +135,11 @@
     }
 
     void begin(String body) {
+      if (deadlyBody.filter(body::equals).isPresent()) {
+        clock.after(workMs / STEPS, MemoryUpstream.this::kill);
+        clock.after(BACK_MS, MemoryUpstream.this::restart);
+        return;
+      }
       later(() -> fail(Kind.BROKEN, "silent"), workMs + call.stallMs());
       if (silent) {
         return;
--- /dev/null
+++ b/mothrill-lab/src/test/java/io/mothrill/lab/fleet/CrashingCallTest.java
@@ -0,0 +1,90 @@
+package io.mothrill.lab.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.mothrill.core.node.NodeSettings;
+import io.mothrill.core.request.CallRequest;
+import io.mothrill.core.resource.BudgetSpec;
+import io.mothrill.core.resource.Priority;
+import io.mothrill.core.resource.ServiceSpec;
+import io.mothrill.core.resource.ServiceType;
+import io.mothrill.core.resource.TeamKey;
+import io.mothrill.core.resource.TeamSpec;
+import io.mothrill.core.resource.TopUp;
+import io.mothrill.core.resource.UpstreamSpec;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+// A call on mothrill's own interface ends each upstream that runs it, which is back after some
+// seconds. Its caller hears that the outcome is unknown and sends it again without a key, at
+// another
+// instance. Nothing of what it did to an upstream outlives one call, so the next upstream ends.
+class CrashingCallTest {
+
+  private static final String DEADLY = "deadly";
+  private static final String SECRET = "secret";
+  private static final int UPSTREAMS = 6;
+  private static final int REPEATS = 10;
+  private static final int CRASHES = 3;
+
+  /** An upstream that ended is back after this time, as is the caller. */
+  private static final long PAUSE_MS = 5_000;
+
+  private final Fleet fleet = new Fleet(NodeSettings.standard(), 1);
+
+  private void startFleet() {
+    fleet.start("konya-1", "konya");
+    fleet.start("konya-2", "konya");
+    fleet.declare("team", new TeamSpec(List.of(TeamKey.hash("salt", SECRET)), 1));
+    fleet.declare(
+        "budget", new BudgetSpec("team", List.of(), List.of(new TopUp("paid", 1_000_000))));
+    fleet.declare(
+        "asistan", new ServiceSpec(ServiceType.PLAIN, Priority.URGENT, true, 100, 1, 30_000));
+    IntStream.range(0, UPSTREAMS)
+        .mapToObj(number -> "upstream-" + number)
+        .forEach(
+            name -> {
+              fleet.declare(name, new UpstreamSpec("asistan", name, 1, "konya", 32, false));
+              fleet.upstream(name).endUnder(DEADLY);
+            });
+    fleet.advanceMs(60_000);
+  }
+
+  private static CallRequest request() {
+    return new CallRequest(
+        "team." + SECRET,
+        ServiceType.PLAIN,
+        "asistan",
+        Optional.empty(),
+        Optional.empty(),
+        false,
+        Optional.of("budget"),
+        10,
+        OptionalLong.of(90),
+        false,
+        "",
+        DEADLY,
+        "POST",
+        "/",
+        "text/plain",
+        cap -> DEADLY.getBytes(StandardCharsets.UTF_8),
+        new byte[0]);
+  }
+
+  @Test
+  void isSentToNoUpstreamOnceThreeHaveEndedUnderIt() {
+    startFleet();
+
+    for (int repeat = 0; repeat < REPEATS; repeat++) {
+      fleet.call(repeat % 2 == 0 ? "konya-1" : "konya-2", request());
+      fleet.advanceMs(PAUSE_MS);
+    }
+
+    int runs = fleet.upstreams().stream().mapToInt(upstream -> upstream.runsOf(DEADLY)).sum();
+    assertThat(runs).isEqualTo(CRASHES);
+  }
+}
