Rows of other programs in the table of refused requests are passed over; smaller messages; two jobs get classes of their own

Cause: a row that another program wrote would have ended the reading of the rows behind it, and those requests would have been sent on after a loss of power; nine requests of three crashes each were more than a datagram takes unsplit. ForwardInstance and ForwardExchange held one more job each. Change: rows are checked field by field, one that is none is named in the log; seven requests a message; Readiness and ForwardBill split off, decisions unchanged.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/crash/CrashMessage.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/crash/CrashMessage.java
@@ -14,10 +14,10 @@
 public record CrashMessage(List<Entry> entries, boolean asks) {
 
   /**
-   * Most requests in a message: with three crashes each about 130 bytes, so that it fits into a
+   * Most requests in a message: with three crashes each about 175 bytes, so that it fits into a
    * datagram that no link splits.
    */
-  public static final int MAX_ENTRIES = 9;
+  public static final int MAX_ENTRIES = 7;
 
   /** Takes a copy of the entries. */
   public CrashMessage {
@@ -42,7 +42,10 @@
     static Entry of(CrashRecord record, long nowMs) {
       return new Entry(
           record.fingerprint(),
-          record.crashes().stream().map(crash -> CrashAge.of(crash, nowMs)).toList(),
+          record.crashes().stream()
+              .limit(CrashRecord.MAX_CRASHES)
+              .map(crash -> CrashAge.of(crash, nowMs))
+              .toList(),
           record.wasCleared() ? Optional.of(nowMs - record.clearedMs()) : Optional.empty());
     }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/crash/QuarantineTable.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/crash/QuarantineTable.java
@@ -89,6 +89,10 @@
   }
 
   private void take(Row row) {
+    if (!isUnderstood(row.cells())) {
+      Logger.warn("row not understood table={} key={}", TABLE, row.key().key());
+      return;
+    }
     long nowMs = timers.nowMs();
     CrashRecord record = read(row);
     if (record.countAt(nowMs) > 0) {
@@ -98,6 +102,35 @@
     }
   }
 
+  /**
+   * Looks whether a row is one of these.
+   *
+   * <p>Failure: another program has written into the table. Symptom: what cannot be read ends the
+   * reading, and the requests in the rows behind it are not refused.
+   */
+  private static boolean isUnderstood(Cells cells) {
+    return isNumber(cells, HIGH)
+        && isNumber(cells, LOW)
+        && crashNumbers(cells)
+            .allMatch(
+                number ->
+                    cells.find(INCARNATION + number).filter(String.class::isInstance).isPresent()
+                        && cells
+                            .find(REPORTER + number)
+                            .filter(String.class::isInstance)
+                            .isPresent()
+                        && isNumber(cells, AT + number));
+  }
+
+  private static boolean isNumber(Cells cells, String name) {
+    return cells.find(name).filter(Long.class::isInstance).isPresent();
+  }
+
+  private static IntStream crashNumbers(Cells cells) {
+    return IntStream.range(0, CrashRecord.MAX_CRASHES)
+        .filter(number -> cells.find(INCARNATION + number).isPresent());
+  }
+
   /** Writes down whether a request is refused now, once the store can be reached. */
   synchronized void save(Fingerprint fingerprint) {
     if (waiting.size() < MAX_WAITING) {
@@ -160,14 +193,13 @@
     Cells cells = row.cells();
     long toSteadyMs = timers.nowMs() - storeClock.nowMs();
     CrashRecord empty = CrashRecord.of(new Fingerprint(cells.number(HIGH), cells.number(LOW)));
-    return IntStream.range(0, CrashRecord.MAX_CRASHES)
-        .filter(number -> cells.find(INCARNATION + number).isPresent())
+    return crashNumbers(cells)
         .mapToObj(
             number ->
                 new Crash(
                     cells.text(INCARNATION + number),
                     cells.text(REPORTER + number),
-                    cells.number(AT + number) + toSteadyMs))
+                    Math.min(timers.nowMs(), cells.number(AT + number) + toSteadyMs)))
         .reduce(empty, CrashRecord::with, CrashRecord::merge);
   }
 }
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/crash/QuarantineTableTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/crash/QuarantineTableTest.java
@@ -3,6 +3,11 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.mothrill.core.fake.Fault;
+import io.mothrill.core.platform.Cells;
+import io.mothrill.core.platform.Row;
+import io.mothrill.core.platform.RowKey;
+import io.mothrill.core.platform.Transaction;
+import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
@@ -68,6 +73,22 @@
     assertThat(world.refusingCount()).isEqualTo(INSTANCES);
   }
 
+  // Another program has written rows of its own before and behind the one that counts.
+  @Test
+  void rowsOfOtherProgramsArePassedOver() {
+    crashThree();
+    for (String key : List.of("0", "zz")) {
+      Row absent = Row.absent(new RowKey(QuarantineTable.TABLE, key));
+      Cells foreign = Cells.empty().with("high", "no number").with("incarnation-0", 7);
+      assertThat(world.table.write(Transaction.on(absent, foreign)).join()).isTrue();
+    }
+    replaceAll();
+
+    world.timers.advanceMs(100);
+
+    assertThat(world.refusingCount()).isEqualTo(INSTANCES);
+  }
+
   @Test
   void goodRunTakesTheRowAway() {
     crashThree();
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -54,9 +54,6 @@
   /** Callers are sent elsewhere after two questions without a yes, which come every second. */
   private static final long LEAVE_LEAST_MS = 2_600;
 
-  /** Longest wait for the first tokens; many requests need none, so a longer one helps nobody. */
-  private static final long FIRST_ROW_MS = 2_000;
-
   private static final long LEAVE_CHECK_MS = 100;
 
   /**
@@ -79,11 +76,11 @@
   private final NettyPeers peers;
   private final DatagramNotices notices;
   private final SpendingController spending;
+  private final Readiness readiness;
   private final ForwardEdge edge;
   private final HttpServer probeServer;
   private final HttpServer metricsServer;
   private final CompletableFuture<Void> left = new CompletableFuture<>();
-  private final long startedMs;
   private volatile boolean leaving;
 
   /**
@@ -98,7 +95,6 @@
       ForwardSettings settings, ForwardPorts ports, EventLoopGroup group, Timers timers) {
     this.settings = settings;
     this.timers = timers;
-    this.startedMs = timers.nowMs();
     RandomGenerator random = ThreadLocalRandom.current()::nextLong;
     PeerDispatcher dispatcher = new PeerDispatcher();
     this.peers = newPeers(settings, dispatcher, group, ports.work());
@@ -122,6 +118,7 @@
             random,
             peers,
             dispatcher);
+    this.readiness = new Readiness(plan, upstreams, spending, timers);
     dispatcher.on(
         PeerMessage.Heartbeat.class,
         heartbeat -> CompletableFuture.completedFuture(new PeerMessage.Done()));
@@ -167,7 +164,7 @@
     ForwardParts parts =
         new ForwardParts(
             ports.dialect(),
-            knownOnceRead(),
+            readiness.known(),
             plan,
             picker,
             loads,
@@ -225,27 +222,8 @@
         work);
   }
 
-  /** Completes with the first plan and list of upstreams, whichever comes last. */
-  private CompletableFuture<Void> knownOnceRead() {
-    CompletableFuture<Void> planKnown = new CompletableFuture<>();
-    CompletableFuture<Void> upstreamsKnown = new CompletableFuture<>();
-    plan.subscribe(first -> planKnown.complete(null));
-    upstreams.subscribe(first -> upstreamsKnown.complete(null));
-    return CompletableFuture.allOf(planKnown, upstreamsKnown);
-  }
-
   private String unreadyReason() {
-    if (leaving) {
-      return "leaving";
-    }
-    if (!plan.read().isKnown()) {
-      return "no plan yet";
-    }
-    if (!upstreams.read().isKnown()) {
-      return "no upstreams yet";
-    }
-    boolean mayWait = timers.nowMs() - startedMs < FIRST_ROW_MS;
-    return mayWait && !spending.hasRow() ? "no tokens yet" : "";
+    return leaving ? "leaving" : readiness.missing();
   }
 
   /**
--- /dev/null
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/Readiness.java
@@ -0,0 +1,54 @@
+package io.mothrill.daemon.forward;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.forward.plan.ForwardingPlan;
+import io.mothrill.core.forward.spending.SpendingController;
+import io.mothrill.core.forward.upstream.UpstreamList;
+import io.mothrill.core.time.Timers;
+import java.util.concurrent.CompletableFuture;
+
+/** What a process that has just started has to know before it can decide about requests. */
+final class Readiness {
+
+  /** Longest wait for the first tokens; many requests need none, so a longer one helps nobody. */
+  private static final long FIRST_ROW_MS = 2_000;
+
+  private final Section<ForwardingPlan> plan;
+  private final Section<UpstreamList> upstreams;
+  private final SpendingController spending;
+  private final Timers timers;
+  private final long startedMs;
+
+  Readiness(
+      Section<ForwardingPlan> plan,
+      Section<UpstreamList> upstreams,
+      SpendingController spending,
+      Timers timers) {
+    this.plan = plan;
+    this.upstreams = upstreams;
+    this.spending = spending;
+    this.timers = timers;
+    this.startedMs = timers.nowMs();
+  }
+
+  /** Completes with the first plan and list of upstreams, whichever comes last. */
+  CompletableFuture<Void> known() {
+    CompletableFuture<Void> planKnown = new CompletableFuture<>();
+    CompletableFuture<Void> upstreamsKnown = new CompletableFuture<>();
+    plan.subscribe(first -> planKnown.complete(null));
+    upstreams.subscribe(first -> upstreamsKnown.complete(null));
+    return CompletableFuture.allOf(planKnown, upstreamsKnown);
+  }
+
+  /** Says what is missing; empty once callers may come. */
+  String missing() {
+    if (!plan.read().isKnown()) {
+      return "no plan yet";
+    }
+    if (!upstreams.read().isKnown()) {
+      return "no upstreams yet";
+    }
+    boolean mayWait = timers.nowMs() - startedMs < FIRST_ROW_MS;
+    return mayWait && !spending.hasRow() ? "no tokens yet" : "";
+  }
+}
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
@@ -4,12 +4,10 @@
 import io.mothrill.core.forward.crash.CrashRecord;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.plan.Route;
-import io.mothrill.core.forward.plan.ServicePlan;
 import io.mothrill.core.forward.plan.TeamPlan;
 import io.mothrill.core.forward.request.Fingerprint;
 import io.mothrill.core.forward.request.ForwardRefusal;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
-import io.mothrill.core.forward.request.Prompt;
 import io.mothrill.core.forward.spending.SpendingException;
 import io.mothrill.core.forward.spending.SpendingReservation;
 import io.mothrill.core.forward.upstream.ServingUpstream;
@@ -283,7 +281,8 @@
   public void end(String outcome, int status) {
     ended = true;
     timeUp.cancel();
-    long owedTokens = owedTokens();
+    ForwardBill bill = new ForwardBill(arrival.call().prompt(), progress);
+    long owedTokens = work == null ? 0 : bill.owedTokens(plan, work.service());
     reservation.settle(owedTokens);
     Optional<Fingerprint> fingerprint = suspicion == null ? Optional.empty() : suspicion.taken();
     arrival.body().release();
@@ -298,8 +297,7 @@
                 status,
                 reason,
                 attempt == null ? progress.offers : attempt.withOffer(outcome),
-                new ForwardLog.Tokens(
-                    arrival.call().prompt().map(Prompt::maxTokens).orElse(0L), owedTokens),
+                new ForwardLog.Tokens(bill.mostTokens(), owedTokens),
                 paidMs,
                 progress.firstMs,
                 parts.timers().nowMs() - arrival.startMs(),
@@ -308,21 +306,6 @@
                 fingerprint));
   }
 
-  /** What the team owes: the prompt once if it may have been read, and what was delivered. */
-  private long owedTokens() {
-    if (!progress.mayHaveRun || arrival.call().prompt().isEmpty()) {
-      return 0;
-    }
-    int perEvent =
-        plan.findService(work.service())
-            .flatMap(ServicePlan::engine)
-            .map(ServicePlan.EnginePlan::tokensPerEvent)
-            .orElse(1);
-    long output =
-        Math.min(arrival.call().prompt().get().maxOutputTokens(), progress.eventCount * perEvent);
-    return arrival.call().prompt().get().inputTokens() + output;
-  }
-
   @Override
   public boolean hasEnded() {
     return ended;
