An answer that does not say where it ends clears no request

Callers would have lost upstreams to a request that was taken for a bystander. Cause: an answer without a length ends with its connection, as it does when its upstream ends, and counted as a run that ended well. Change: only an answer with a length or chunks is a good run for the guard.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -360,7 +360,7 @@
       return;
     }
     load.onSuccess();
-    owner.suspicion().onServed();
+    noteGoodRun();
     finish();
     if (!progress.streamStarted) {
       work.reply().startStream(answer.status(), parts.dialect().toCaller(answer.headers()));
@@ -369,6 +369,16 @@
     work.reply().endStream();
   }
 
+  /**
+   * Tells that the upstream has borne the request. An answer that ends with its connection does not
+   * show it: the end of the upstream would look the same.
+   */
+  private void noteGoodRun() {
+    if (UpstreamConnection.hasEnd(answer)) {
+      owner.suspicion().onServed();
+    }
+  }
+
   private void onWholeEnd() {
     int status = answer.status().code();
     ByteBuf bytes = whole;
@@ -385,7 +395,7 @@
       load.onSuccess();
     }
     if (status < FIRST_ERROR) {
-      owner.suspicion().onServed();
+      noteGoodRun();
     }
     if (progress.streamStarted) {
       bytes.release();
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
@@ -118,7 +118,8 @@
     sink.onHead(head, marks);
   }
 
-  private static boolean hasEnd(HttpResponse head) {
+  /** Says whether an answer tells where it ends; another one ends with its connection. */
+  static boolean hasEnd(HttpResponse head) {
     return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
   }
 
