Calls on mothrill's own interface go through the same guard against requests that end upstreams

Cause: `core/request` kept nothing of what a call did to an upstream beyond that call, as the forwarding path once did. Each repeat was new, and each took three upstreams with it.

Change: no second remedy. `Suspicion` moves from `wire` to `core/forward/crash`, decides for both paths (`decide`), and `Exchange` asks it before tokens are reserved, before each choice and before each send. Fingerprint: team, method, service, path, body. News travel in the datagrams that exist (`DatagramNotices` on the peers' port), the look at an upstream is `UpstreamProbe`. The rows of refused requests take the wall clock where the store tells no time (`WallStoreClock`).

Before: 30 upstreams ended for 10 repeats. After: 3, then 503 "crashes_upstreams" at once, not run, with when to come back; a bystander on the same upstreams is served.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/crash/CrashGuard.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/crash/CrashGuard.java
@@ -1,9 +1,7 @@
 package io.mothrill.core.forward.crash;
 
-import io.mothrill.core.board.Section;
 import io.mothrill.core.forward.request.Fingerprint;
 import io.mothrill.core.forward.upstream.ServingUpstream;
-import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.platform.StoreClock;
 import io.mothrill.core.platform.TableService;
@@ -13,6 +11,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
@@ -47,7 +46,7 @@
 
   private final InstanceRecord self;
   private final UpstreamEnds ends;
-  private final Section<UpstreamList> upstreams;
+  private final Predicate<ServingUpstream> serving;
   private final CrashRecords records = new CrashRecords();
   private final CrashNews news;
   private final QuarantineTable table;
@@ -63,7 +62,7 @@
    * @param rows keeps what is refused for processes that start
    * @param storeClock the clock of its store
    * @param ends finds out whether an upstream has ended
-   * @param upstreams the registered upstreams
+   * @param serving says of an upstream whether it is registered and not leaving
    * @param timers the time
    * @param random lets instances tell each other in different orders
    */
@@ -74,12 +73,12 @@
       TableService rows,
       StoreClock storeClock,
       UpstreamEnds ends,
-      Section<UpstreamList> upstreams,
+      Predicate<ServingUpstream> serving,
       Timers timers,
       RandomGenerator random) {
     this.self = self;
     this.ends = ends;
-    this.upstreams = upstreams;
+    this.serving = serving;
     this.timers = timers;
     this.news = new CrashNews(others, reports, records, this::add, timers, random);
     this.table = new QuarantineTable(rows, storeClock, records, this::add, timers);
@@ -147,7 +146,7 @@
    * @param upstream the upstream that had it
    */
   public void onBroken(Fingerprint fingerprint, ServingUpstream upstream) {
-    if (!isServing(upstream)) {
+    if (!serving.test(upstream)) {
       return;
     }
     long brokenMs = timers.nowMs();
@@ -168,15 +167,6 @@
             });
   }
 
-  private boolean isServing(ServingUpstream upstream) {
-    return upstreams
-        .read()
-        .find(upstream.id())
-        .filter(known -> known.incarnation().equals(upstream.incarnation()))
-        .filter(known -> !known.leaving())
-        .isPresent();
-  }
-
   private static List<CompletableFuture<Void>> without(
       List<CompletableFuture<Void>> open, CompletableFuture<Void> look) {
     List<CompletableFuture<Void>> left = open.stream().filter(other -> other != look).toList();
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamList.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamList.java
@@ -110,6 +110,19 @@
         .isPresent();
   }
 
+  /**
+   * Says whether an upstream is still there and takes requests.
+   *
+   * @param upstream the upstream as it was known when it was chosen
+   * @return true when the list has the same start of it and it does not leave
+   */
+  public boolean isServing(ServingUpstream upstream) {
+    return find(upstream.id())
+        .filter(known -> known.incarnation().equals(upstream.incarnation()))
+        .filter(known -> !known.leaving())
+        .isPresent();
+  }
+
   /**
    * Says whether a process has been followed by another one with the same id.
    *
--- a/mothrill-core/src/main/java/io/mothrill/core/node/Node.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/node/Node.java
@@ -11,10 +11,12 @@
 import io.mothrill.core.config.ConfigStore;
 import io.mothrill.core.drain.DrainController;
 import io.mothrill.core.drain.DrainStage;
+import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.peer.FleetPacing;
 import io.mothrill.core.peer.Membership;
 import io.mothrill.core.peer.MembershipController;
 import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.platform.WallStoreClock;
 import io.mothrill.core.range.RangeAuthority;
 import io.mothrill.core.range.RangeWindows;
 import io.mothrill.core.request.CallPlanner;
@@ -71,6 +73,7 @@
   private final RecentDecisions decisions = new RecentDecisions();
   private final UpstreamTable upstreams;
   private final Router router;
+  private final CrashGuard crashes;
   private final RequestService requests;
   private final DrainController drain;
 
@@ -102,6 +105,7 @@
     this.records = newRecords();
     this.upstreams = new UpstreamTable(config);
     this.router = newRouter(self.domain());
+    this.crashes = newCrashGuard(self);
     this.requests = newRequests(self.incarnation());
     this.drain =
         new DrainController(
@@ -192,6 +196,19 @@
     return new Router(upstreams, chooser, window, ports.timers(), decisions, settings.queues());
   }
 
+  private CrashGuard newCrashGuard(InstanceRecord self) {
+    return new CrashGuard(
+        self,
+        () -> members.read().others(),
+        ports.crashReports(),
+        ports.table(),
+        new WallStoreClock(ports.timers()),
+        ports.upstreamEnds(),
+        upstreams::isServing,
+        ports.timers(),
+        ports.random());
+  }
+
   private RequestService newRequests(String incarnation) {
     ExchangeParts parts =
         new ExchangeParts(
@@ -202,6 +219,7 @@
             budgets,
             router,
             ports.upstreams(),
+            crashes,
             new RetryBudget(settings.requests().retryShare()),
             ports.timers(),
             metrics,
@@ -336,6 +354,15 @@
     return router;
   }
 
+  /**
+   * Gives the part that keeps requests that end upstreams away from them.
+   *
+   * @return the guard
+   */
+  public CrashGuard crashes() {
+    return crashes;
+  }
+
   /**
    * Gives the part that runs requests.
    *
--- a/mothrill-core/src/main/java/io/mothrill/core/node/NodePorts.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/node/NodePorts.java
@@ -1,5 +1,7 @@
 package io.mothrill.core.node;
 
+import io.mothrill.core.forward.crash.CrashReports;
+import io.mothrill.core.forward.crash.UpstreamEnds;
 import io.mothrill.core.peer.PeerDispatcher;
 import io.mothrill.core.peer.PeerLinks;
 import io.mothrill.core.platform.InstanceList;
@@ -17,6 +19,8 @@
  * @param links the way to peers
  * @param dispatcher where requests from peers arrive
  * @param upstreams sends calls
+ * @param upstreamEnds finds out whether an upstream has ended
+ * @param crashReports tells other instances of requests under which upstreams ended
  * @param codec writes resources
  * @param timers the time
  * @param random choices and ids
@@ -27,6 +31,8 @@
     PeerLinks links,
     PeerDispatcher dispatcher,
     UpstreamClient upstreams,
+    UpstreamEnds upstreamEnds,
+    CrashReports crashReports,
     ResourceCodec codec,
     Timers timers,
     Random random) {}
--- a/mothrill-core/src/main/java/io/mothrill/core/request/CallPlan.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/CallPlan.java
@@ -1,8 +1,10 @@
 package io.mothrill.core.request;
 
+import io.mothrill.core.forward.request.Fingerprint;
 import io.mothrill.core.resource.Priority;
 import io.mothrill.core.resource.ServiceSpec;
 import io.mothrill.core.resource.ServiceType;
+import java.nio.ByteBuffer;
 
 /**
  * A request together with what the configuration says about it.
@@ -32,6 +34,21 @@
     long reserveTokens,
     long deadlineMs) {
 
+  /**
+   * Names the request by what upstreams see of it, so that its repeats are known wherever they
+   * come.
+   *
+   * @return the fingerprint
+   */
+  public Fingerprint fingerprint() {
+    return Fingerprint.of(
+        key.team(),
+        request.method(),
+        request.service(),
+        request.path(),
+        ByteBuffer.wrap(request.body().forUpstream(maxOutputTokens)));
+  }
+
   /**
    * Says what a whole answer costs.
    *
--- a/mothrill-core/src/main/java/io/mothrill/core/request/Exchange.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/Exchange.java
@@ -3,6 +3,8 @@
 import com.codahale.metrics.MetricRegistry;
 import io.mothrill.core.budget.BillPart;
 import io.mothrill.core.budget.Reservation;
+import io.mothrill.core.forward.crash.CrashRecord;
+import io.mothrill.core.forward.crash.Suspicion;
 import io.mothrill.core.request.UnrepeatableClaims.Outcome;
 import io.mothrill.core.request.error.RefusedException;
 import io.mothrill.core.routing.Assignment;
@@ -28,6 +30,8 @@
  */
 public final class Exchange {
 
+  private static final int FIRST_ERROR = 400;
+
   private final ExchangeParts parts;
   private final CallRequest request;
   private final CallerStream caller;
@@ -35,6 +39,7 @@
   private final AnswerDelivery answer;
   private final Set<String> failedUpstreams = new HashSet<>();
   private CallPlan plan;
+  private Suspicion suspicion;
   private Reservation reservation;
   private Assignment assignment;
   private UpstreamExchange upstream;
@@ -63,6 +68,7 @@
       return;
     }
     caller.identify(plan.requestId(), plan.key().key());
+    suspicion = new Suspicion(parts.crashes(), plan::fingerprint, parts.timers());
     long timeoutMs = plan.deadlineMs() - parts.timers().nowMs();
     deadline = parts.timers().after(timeoutMs, () -> caller.execute(this::onDeadline));
     if (plan.keyed()) {
@@ -70,10 +76,28 @@
     } else {
       parts.records().begin(plan);
       claimed = true;
-      reserve();
+      unlessItCrashesUpstreams(this::reserve);
     }
   }
 
+  /** Goes on unless upstreams have ended under the request, once that is known. */
+  private void unlessItCrashesUpstreams(Runnable next) {
+    suspicion.decide(
+        caller, () -> ifGoingOn(next), record -> ifGoingOn(() -> failAsCrashing(record)));
+  }
+
+  private void ifGoingOn(Runnable step) {
+    if (!over) {
+      step.run();
+    }
+  }
+
+  private void failAsCrashing(CrashRecord record) {
+    long nowMs = parts.timers().nowMs();
+    Logger.info("not sent request={} crashes={}", plan.requestId(), record.describe(nowMs));
+    fail(Refusal.crashesUpstreams(record.retryAfterMs(nowMs)));
+  }
+
   /** Continues with a result on the caller's executor, unless the exchange is over by then. */
   private <T> void then(CompletableFuture<T> future, Consumer<T> next) {
     var unused =
@@ -114,7 +138,7 @@
 
   void onMayRun() {
     claimed = true;
-    reserve();
+    unlessItCrashesUpstreams(this::reserve);
   }
 
   private void reserve() {
@@ -141,7 +165,7 @@
         parts.router().route(ticket),
         assigned -> {
           assignment = assigned;
-          claimBeforeSending();
+          unlessItCrashesUpstreams(this::claimBeforeSending);
         });
   }
 
@@ -214,6 +238,9 @@
 
   void end() {
     Optional<StoredAnswer> whole = answer.whole();
+    if (answer.status() < FIRST_ERROR) {
+      suspicion.onServed();
+    }
     long owedTokens = plan.cost(answer.status(), usage.totalTokens());
     finish(owedTokens, whole, answer::end);
   }
@@ -246,6 +273,9 @@
       assignment.upstream().avoidUntil(parts.timers().nowMs() + parts.settings().avoidMs());
     }
     mayHaveRun |= !failure.isNotRun();
+    if (failure.kind() == Kind.BROKEN) {
+      suspicion.onClosed(assignment.upstream().asServing());
+    }
     failedUpstreams.add(assignment.upstream().name());
     Logger.info(
         "attempt failed request={} upstream={} kind={} detail={}",
@@ -256,7 +286,7 @@
     releaseSlot();
     if (mayTryAgain(failure)) {
       usage = Usage.NONE;
-      route();
+      unlessItCrashesUpstreams(this::route);
     } else {
       fail(Refusal.of(failure, plan.repeatable()));
     }
--- a/mothrill-core/src/main/java/io/mothrill/core/request/ExchangeParts.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/ExchangeParts.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.mothrill.core.budget.BudgetController;
+import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.routing.Router;
 import io.mothrill.core.time.Timers;
 import io.mothrill.core.upstream.UpstreamClient;
@@ -16,6 +17,7 @@
  * @param budgets reserves tokens
  * @param router gives slots at upstreams
  * @param client sends calls
+ * @param crashes keeps requests that end upstreams away from them
  * @param retryBudget limits retries
  * @param timers the time
  * @param metrics counts what happens
@@ -29,6 +31,7 @@
     BudgetController budgets,
     Router router,
     UpstreamClient client,
+    CrashGuard crashes,
     RetryBudget retryBudget,
     Timers timers,
     MetricRegistry metrics,
--- a/mothrill-core/src/main/java/io/mothrill/core/request/Refusal.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/Refusal.java
@@ -197,6 +197,20 @@
     return notRun(UNAVAILABLE, "upstream_unavailable", detail, SOON_MS);
   }
 
+  /**
+   * Upstreams have ended under requests that are the same.
+   *
+   * @param retryAfterMs when it may be tried again
+   * @return the refusal
+   */
+  public static Refusal crashesUpstreams(long retryAfterMs) {
+    return notRun(
+        UNAVAILABLE,
+        "crashes_upstreams",
+        "upstreams ended under this request; it is sent to none for now",
+        retryAfterMs);
+  }
+
   /**
    * The request took longer than it may.
    *
--- a/mothrill-core/src/main/java/io/mothrill/core/routing/UpstreamState.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/routing/UpstreamState.java
@@ -1,5 +1,7 @@
 package io.mothrill.core.routing;
 
+import io.mothrill.core.forward.upstream.ServingUpstream;
+import io.mothrill.core.forward.upstream.UpstreamWord;
 import io.mothrill.core.resource.Priority;
 import io.mothrill.core.resource.UpstreamSpec;
 import java.util.Optional;
@@ -42,6 +44,24 @@
     return spec.get();
   }
 
+  /**
+   * Describes it as one start of an upstream. Declared upstreams do not tell when they started.
+   *
+   * @return the upstream as it is declared now
+   */
+  public ServingUpstream asServing() {
+    UpstreamSpec declared = spec();
+    return new ServingUpstream(
+        name,
+        declared.service(),
+        declared.host(),
+        declared.port(),
+        declared.domain(),
+        declared.slots(),
+        isLeaving(),
+        UpstreamWord.UNTOLD);
+  }
+
   void declare(UpstreamSpec next) {
     spec.set(next);
   }
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/crash/CrashGuardTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/crash/CrashGuardTest.java
@@ -67,7 +67,7 @@
             world.table,
             world.storeClock,
             upstream -> ended,
-            listOfAll(),
+            upstream -> listOfAll().read().isServing(upstream),
             world.timers,
             new SplittableRandom(1));
     slow.onBroken(CrashWorld.REQUEST, CrashWorld.upstream(1));
@@ -96,7 +96,7 @@
             world.table,
             world.storeClock,
             upstream -> new CompletableFuture<>(),
-            listOfAll(),
+            upstream -> listOfAll().read().isServing(upstream),
             world.timers,
             new SplittableRandom(1));
     IntStream.range(0, 3)
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/crash/CrashWorld.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/crash/CrashWorld.java
@@ -91,7 +91,7 @@
             table,
             storeClock,
             upstream -> CompletableFuture.completedFuture(upstreamsEnd),
-            upstreams,
+            upstream -> upstreams.read().isServing(upstream),
             timers,
             random));
   }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/EntryInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/EntryInstance.java
@@ -1,6 +1,7 @@
 package io.mothrill.daemon;
 
 import com.codahale.metrics.MetricRegistry;
+import io.mothrill.core.forward.crash.CrashMessage;
 import io.mothrill.core.node.Node;
 import io.mothrill.core.node.NodePorts;
 import io.mothrill.core.peer.PeerDispatcher;
@@ -10,12 +11,14 @@
 import io.mothrill.core.work.WorkAccount;
 import io.mothrill.daemon.settings.InstanceSettings;
 import io.mothrill.wire.caller.CallerEdge;
+import io.mothrill.wire.forward.UpstreamProbe;
 import io.mothrill.wire.http.HttpClient;
 import io.mothrill.wire.http.HttpServer;
 import io.mothrill.wire.json.JsonResources;
 import io.mothrill.wire.operator.OperatorService;
 import io.mothrill.wire.operator.ProbeService;
 import io.mothrill.wire.operator.ResourceStatus;
+import io.mothrill.wire.peer.DatagramNotices;
 import io.mothrill.wire.peer.NettyPeers;
 import io.mothrill.wire.peer.PeerDecoder;
 import io.mothrill.wire.peer.PeerEncoder;
@@ -28,6 +31,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.security.SecureRandom;
+import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import org.tinylog.Logger;
@@ -48,6 +52,7 @@
   private final EventLoopGroup group;
   private final MetricRegistry metrics = new MetricRegistry();
   private final NettyPeers peers;
+  private volatile DatagramNotices notices;
   private final Node node;
   private final CallerEdge callerEdge;
   private final HttpServer operatorServer;
@@ -72,10 +77,22 @@
             peers,
             dispatcher,
             new HttpUpstreamClient(http, timers),
+            new UpstreamProbe(group, timers),
+            this::sendReport,
             new JsonResources(),
             timers,
             random);
     this.node = new Node(recordOf(settings, ports), ports, settings.node(), metrics);
+    this.notices =
+        new DatagramNotices(
+            group,
+            settings.host(),
+            peers.port(),
+            () -> node.members().read().others(),
+            (incarnation, tokens) -> {},
+            node.crashes()::onMessage,
+            host -> {},
+            new WorkAccount());
     this.callerEdge =
         new CallerEdge(
             group,
@@ -95,6 +112,13 @@
             new ProbeService(node::unreadyReason, metrics));
   }
 
+  /** What is to be told before the socket is open is told again by the next round. */
+  private void sendReport(CrashMessage message, List<InstanceRecord> to) {
+    if (notices != null) {
+      notices.send(message, to);
+    }
+  }
+
   private NettyPeers newPeers(InstanceSettings settings, PeerDispatcher dispatcher) {
     JsonResources codec = new JsonResources();
     return new NettyPeers(
@@ -205,6 +229,7 @@
     operatorServer.close();
     opsServer.close();
     peers.close();
+    notices.close();
     group.shutdownGracefully();
   }
 }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -144,7 +144,7 @@
             ports.table(),
             ports.storeClock(),
             new UpstreamProbe(group, timers),
-            upstreams,
+            upstream -> upstreams.read().isServing(upstream),
             timers,
             random);
     this.notices =
--- a/mothrill-lab/src/main/java/io/mothrill/lab/fleet/Fleet.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/fleet/Fleet.java
@@ -10,6 +10,8 @@
 import io.mothrill.core.fake.Fault;
 import io.mothrill.core.fake.FaultyCalls;
 import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.forward.crash.CrashMessage;
+import io.mothrill.core.forward.upstream.ServingUpstream;
 import io.mothrill.core.node.Node;
 import io.mothrill.core.node.NodePorts;
 import io.mothrill.core.node.NodeSettings;
@@ -44,6 +46,7 @@
 public final class Fleet {
 
   private static final long LIST_LAG_MS = 10_000;
+  private static final long REPORT_MS = 1;
 
   private final NodeSettings settings;
   private final Random random;
@@ -92,6 +95,8 @@
             links.of(place, clock),
             dispatcher,
             upstreamsOf(place, clock),
+            upstream -> endOf(place, upstream),
+            (message, to) -> to.forEach(peer -> report(record, message, peer)),
             new JsonResources(),
             clock,
             own);
@@ -111,6 +116,24 @@
     };
   }
 
+  /** An upstream behind a cut shows no end. */
+  private CompletableFuture<Boolean> endOf(Network.Place from, ServingUpstream upstream) {
+    Network.Place at = Network.Place.of(upstream.host(), upstream.domain());
+    return CompletableFuture.completedFuture(
+        network.reaches(from, at) && upstream(upstream.host()).isDown());
+  }
+
+  /** Carries a message that is neither confirmed nor repeated. */
+  private void report(InstanceRecord from, CrashMessage message, InstanceRecord to) {
+    FleetNode target = nodes.get(to.id());
+    Network.Place place = Network.Place.of(from.id(), from.domain());
+    if (target != null && network.reaches(place, target.place())) {
+      timers.after(
+          REPORT_MS,
+          () -> target.clock().run(() -> target.node().crashes().onMessage(message, from)));
+    }
+  }
+
   /**
    * Gives an upstream; it comes to be when it is first named.
    *
--- a/mothrill-lab/src/main/java/io/mothrill/lab/fleet/MemoryUpstream.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/fleet/MemoryUpstream.java
@@ -54,6 +54,15 @@
     deadlyBody = Optional.of(body);
   }
 
+  /**
+   * Says whether it refuses connections.
+   *
+   * @return true between its end and its next start
+   */
+  boolean isDown() {
+    return down;
+  }
+
   /** Starts again. */
   public void restart() {
     down = false;
--- a/mothrill-lab/src/test/java/io/mothrill/lab/fleet/CrashingCallTest.java
+++ b/mothrill-lab/src/test/java/io/mothrill/lab/fleet/CrashingCallTest.java
@@ -4,6 +4,8 @@
 
 import io.mothrill.core.node.NodeSettings;
 import io.mothrill.core.request.CallRequest;
+import io.mothrill.core.request.NotRun;
+import io.mothrill.core.request.Refusal;
 import io.mothrill.core.resource.BudgetSpec;
 import io.mothrill.core.resource.Priority;
 import io.mothrill.core.resource.ServiceSpec;
@@ -20,9 +22,10 @@
 import org.junit.jupiter.api.Test;
 
 // A call on mothrill's own interface ends each upstream that runs it, which is back after some
-// seconds. Its caller hears that the outcome is unknown and sends it again without a key, at
-// another
-// instance. Nothing of what it did to an upstream outlives one call, so the next upstream ends.
+// seconds. Its caller hears that the outcome is unknown and sends it again without a key, to
+// another instance. Each repeat is a call of its own, so as long as crashes were forgotten with the
+// call that saw them, 10 repeats ended 30 upstreams. They are kept under the call's fingerprint now
+// and told to the other instance.
 class CrashingCallTest {
 
   private static final String DEADLY = "deadly";
@@ -55,6 +58,10 @@
   }
 
   private static CallRequest request() {
+    return requestOf(DEADLY);
+  }
+
+  private static CallRequest requestOf(String body) {
     return new CallRequest(
         "team." + SECRET,
         ServiceType.PLAIN,
@@ -67,11 +74,11 @@
         OptionalLong.of(90),
         false,
         "",
-        DEADLY,
+        body,
         "POST",
         "/",
         "text/plain",
-        cap -> DEADLY.getBytes(StandardCharsets.UTF_8),
+        cap -> body.getBytes(StandardCharsets.UTF_8),
         new byte[0]);
   }
 
@@ -87,4 +94,40 @@
     int runs = fleet.upstreams().stream().mapToInt(upstream -> upstream.runsOf(DEADLY)).sum();
     assertThat(runs).isEqualTo(CRASHES);
   }
+
+  // The third upstream has ended. The call comes to the instance that only heard of that; its
+  // caller is told at once that it has not run, and when it may come again.
+  @Test
+  void tellsItsCallerThatItHasNotRunAndWhenToComeBack() {
+    startFleet();
+    for (int repeat = 0; repeat < CRASHES; repeat++) {
+      fleet.call("konya-1", request());
+      fleet.advanceMs(PAUSE_MS);
+    }
+
+    MemoryCaller caller = fleet.call("konya-2", request());
+    fleet.advanceMs(1);
+
+    Refusal refusal = caller.refusal().orElseThrow();
+    assertThat(refusal.code()).isEqualTo("crashes_upstreams");
+    assertThat(refusal.notRun()).isEqualTo(NotRun.TRUE);
+    assertThat(refusal.retryAfterMs()).isGreaterThan(0L);
+  }
+
+  // Another call shares upstreams with the deadly one and loses them with it. It is none of its
+  // doing, so it is served as soon as an upstream bears it.
+  @Test
+  void bystandersAreServed() {
+    startFleet();
+    fleet.call("konya-1", request());
+    MemoryCaller bystander = fleet.call("konya-1", requestOf("innocent"));
+    fleet.advanceMs(PAUSE_MS);
+
+    MemoryCaller again = fleet.call("konya-2", requestOf("innocent"));
+    fleet.advanceMs(PAUSE_MS);
+
+    assertThat(again.refusal()).isEqualTo(Optional.empty());
+    assertThat(bystander.refusal().map(Refusal::code))
+        .isNotEqualTo(Optional.of("crashes_upstreams"));
+  }
 }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -1,5 +1,6 @@
 package io.mothrill.wire.forward;
 
+import io.mothrill.core.forward.crash.Suspicion;
 import io.mothrill.core.forward.request.ForwardRefusal;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
 import io.mothrill.core.forward.upstream.ServingUpstream;
@@ -420,13 +421,20 @@
     return status == 408 || status == 429 || status == 503;
   }
 
+  private void suspect(BreakCause cause) {
+    switch (cause) {
+      case CLOSED -> owner.suspicion().onClosed(upstream);
+      case REPLACED -> owner.suspicion().onReplaced(upstream);
+      default -> owner.suspicion().onGarbled();
+    }
+  }
+
   @Override
   public void onBroken(BreakCause cause, String detail) {
     if (over || owner.hasEnded()) {
       return;
     }
-    progress.brokeOff = true;
-    owner.suspicion().onBroken(cause, upstream);
+    suspect(cause);
     load.onFailure(parts.timers().nowMs());
     fail(detail);
     abandon();
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
@@ -2,6 +2,7 @@
 
 import io.mothrill.core.error.Failures;
 import io.mothrill.core.forward.crash.CrashRecord;
+import io.mothrill.core.forward.crash.Suspicion;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.plan.Route;
 import io.mothrill.core.forward.plan.TeamPlan;
@@ -96,7 +97,7 @@
       refuse(refusal.get());
       return;
     }
-    suspicion = new Suspicion(work, progress);
+    suspicion = new Suspicion(parts.crashes(), work::fingerprint, parts.timers());
     parts.retries().onRequest(work.service());
     timeUp = parts.timers().after(work.leftMs(), () -> onLoop(this::onTimeUp));
     unlessItCrashesUpstreams(this::pay);
@@ -104,26 +105,20 @@
 
   /** Goes on unless upstreams have ended under the request, once that is known. */
   private void unlessItCrashesUpstreams(Runnable next) {
-    CompletableFuture<Void> known = suspicion.settled();
-    if (known.isDone()) {
-      goOnOrRefuse(next);
-    } else {
-      known.thenRun(() -> onLoop(() -> goOnOrRefuse(next)));
-    }
+    suspicion.decide(
+        this::onLoop, () -> ifGoingOn(next), record -> ifGoingOn(() -> giveUpAsCrashing(record)));
   }
 
-  private void goOnOrRefuse(Runnable next) {
-    if (ended) {
-      return;
-    }
-    Optional<CrashRecord> record = suspicion.evidence();
-    if (record.isEmpty()) {
-      next.run();
-      return;
+  private void ifGoingOn(Runnable step) {
+    if (!ended) {
+      step.run();
     }
+  }
+
+  private void giveUpAsCrashing(CrashRecord record) {
     long nowMs = parts.timers().nowMs();
-    reason = record.get().describe(nowMs);
-    giveUp(Cause.CRASHES_UPSTREAMS, record.get().retryAfterMs(nowMs));
+    reason = record.describe(nowMs);
+    giveUp(Cause.CRASHES_UPSTREAMS, record.retryAfterMs(nowMs));
   }
 
   private void pay() {
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardProgress.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardProgress.java
@@ -15,9 +15,6 @@
 
   boolean mayHaveRun;
 
-  /** True once a connection to an upstream has broken under it. */
-  boolean brokeOff;
-
   boolean streamStarted;
 
   /** The last event that the caller has got. */
--- a/mothrill-wire/src/test/java/io/mothrill/wire/caller/CallerEdgeTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/caller/CallerEdgeTest.java
@@ -57,6 +57,8 @@
             (peer, request, timeoutMs) -> new CompletableFuture<>(),
             new PeerDispatcher(),
             (call, listener) -> null,
+            upstream -> CompletableFuture.completedFuture(false),
+            (message, to) -> {},
             new JsonResources(),
             timers,
             new Random(1));
