--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/check/EvacuationCheck.java
@@ -0,0 +1,34 @@
+package io.mothrill.core.forward.check;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.forward.request.ForwardRefusal.Cause;
+import io.mothrill.core.forward.upstream.ServingUpstream;
+import io.mothrill.core.forward.upstream.UpstreamQuery;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Upstreams of a failure domain that operators are emptying get nothing new.
+ *
+ * <p>Failure: the domain's work begins while requests still go there. Symptom: they are lost with
+ * its upstreams. What is under way ends by itself; this is asked once more right before a request
+ * is written, so one that waited for a connection meanwhile does not slip through.
+ */
+final class EvacuationCheck implements SendCheck {
+
+  /** Nobody knows when a domain is taken back; a caller that asks once a second does no harm. */
+  private static final long RETRY_MS = 1_000;
+
+  private final Section<Set<String>> evacuatedDomains;
+
+  EvacuationCheck(Section<Set<String>> evacuatedDomains) {
+    this.evacuatedDomains = evacuatedDomains;
+  }
+
+  @Override
+  public Optional<Objection> objection(ServingUpstream upstream, UpstreamQuery query, long nowMs) {
+    return evacuatedDomains.read().contains(upstream.domain())
+        ? Optional.of(new Objection(Cause.EVACUATED, RETRY_MS))
+        : Optional.empty();
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/check/SendChecks.java
@@ -0,0 +1,121 @@
+package io.mothrill.core.forward.check;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.forward.request.ForwardRefusal.Cause;
+import io.mothrill.core.forward.upstream.ServingUpstream;
+import io.mothrill.core.forward.upstream.UpstreamFilter;
+import io.mothrill.core.forward.upstream.UpstreamList;
+import io.mothrill.core.forward.upstream.UpstreamQuery;
+import io.mothrill.core.forward.warmup.WarmUpPermits;
+import io.mothrill.core.time.Timers;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+/**
+ * Everything that a request meets before it is sent, in one order, whether it is sent for the first
+ * time, again, or goes on elsewhere.
+ *
+ * <pre>{@code
+ * UpstreamPicker picker = new UpstreamPicker(list, loads, costs, checks, ...);
+ * boolean mayBeWritten = checks.admit(upstream, query);
+ * }</pre>
+ *
+ * <p>What concerns the request itself comes first, as it is the same for every upstream. Then comes
+ * what operators say, then what upstreams say, and at last what is used up by asking for it.
+ */
+public final class SendChecks implements UpstreamFilter {
+
+  /** Least time that is worth an upstream's work: less than its fastest answers take. */
+  public static final long MIN_LEFT_MS = 20;
+
+  /** When to come back if nobody is there: upstreams register within seconds. */
+  private static final Objection NOBODY = new Objection(Cause.NO_UPSTREAM, 700);
+
+  private final Section<UpstreamList> list;
+  private final WarmUpPermits permits;
+  private final Timers timers;
+  private final List<SendCheck> checks;
+
+  /**
+   * Creates the checks.
+   *
+   * @param list the registered upstreams
+   * @param regionByDomain the region of each failure domain
+   * @param evacuatedDomains the failure domains that operators are emptying
+   * @param permits shares out what upstreams bear while they warm up
+   * @param timers the time
+   */
+  public SendChecks(
+      Section<UpstreamList> list,
+      Map<String, String> regionByDomain,
+      Section<Set<String>> evacuatedDomains,
+      WarmUpPermits permits,
+      Timers timers) {
+    this.list = list;
+    this.permits = permits;
+    this.timers = timers;
+    this.checks =
+        List.of(
+            new TimeLeftCheck(),
+            new PaidCheck(),
+            new CrashCheck(),
+            new HomeCheck(regionByDomain),
+            new EvacuationCheck(evacuatedDomains),
+            new LeavingCheck(list),
+            new WarmUpCheck(permits));
+  }
+
+  @Override
+  public boolean permits(ServingUpstream upstream, UpstreamQuery query, long nowMs) {
+    return checks.stream().allMatch(check -> check.objection(upstream, query, nowMs).isEmpty());
+  }
+
+  /**
+   * Decides right before a request is written, and counts it where an upstream warms up.
+   *
+   * <p>Failure: between the choice and an open connection an upstream begins to leave, its domain
+   * is evacuated, or the request has ended a third upstream elsewhere. Symptom: it is sent though
+   * this instance knows better by then.
+   *
+   * @param upstream the upstream that was chosen
+   * @param query the request
+   * @return true when it may be written now
+   */
+  public boolean admit(ServingUpstream upstream, UpstreamQuery query) {
+    return permits(upstream, query, timers.nowMs()) && permits.tryTake(upstream);
+  }
+
+  /**
+   * Says why no upstream may get a request: what stands in the way of the one that comes nearest.
+   *
+   * @param query the request
+   * @return the objection
+   */
+  public Objection whyNone(UpstreamQuery query) {
+    record Placed(int place, Objection objection) {}
+
+    long nowMs = timers.nowMs();
+    return list.read().takingOf(query.service()).stream()
+        .flatMap(
+            upstream ->
+                IntStream.range(0, checks.size())
+                    .mapToObj(
+                        place ->
+                            checks
+                                .get(place)
+                                .objection(upstream, query, nowMs)
+                                .map(objection -> new Placed(place, objection)))
+                    .flatMap(Optional::stream)
+                    .limit(1))
+        .max(
+            Comparator.comparingInt(Placed::place)
+                .thenComparing(
+                    placed -> placed.objection().retryAfterMs(), Comparator.reverseOrder()))
+        .map(Placed::objection)
+        .orElse(NOBODY);
+  }
+}
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/plan/Route.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/plan/Route.java
@@ -14,6 +14,7 @@
  * @param aimMs the time to the answer, or to a stream's first event, that callers hope for
  * @param priority its rank; 0 is the most urgent
  * @param maxAttempts how many upstreams one request may run at
+ * @param homes the regions in which its requests may be worked on
  * @param isPublic true when callers need no key
  */
 public record Route(
@@ -26,6 +27,7 @@
     long aimMs,
     int priority,
     int maxAttempts,
+    HomeRegions homes,
     boolean isPublic) {
 
   /** Takes a copy of the targets. */
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/plan/ServicePlan.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/plan/ServicePlan.java
@@ -8,8 +8,10 @@
  * @param name its name
  * @param maxConnections how many connections one upstream accepts from all callers together
  * @param engine what is known of its upstreams when they are model engines
+ * @param warmUp what its upstreams bear after a start; empty when nothing bounds it
  */
-public record ServicePlan(String name, int maxConnections, Optional<EnginePlan> engine) {
+public record ServicePlan(
+    String name, int maxConnections, Optional<EnginePlan> engine, Optional<WarmUpPlan> warmUp) {
 
   /**
    * What is declared of model engines.
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardRefusal.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardRefusal.java
@@ -24,6 +24,12 @@
     TOKENS_ELSEWHERE(503),
     /** No upstream can take the request now; the request has not run. */
     NO_UPSTREAM(503),
+    /** Upstreams are left only in failure domains that are being emptied; it has not run. */
+    EVACUATED(503),
+    /** No upstream is left in the regions that the request may go to; it has not run. */
+    OUTSIDE_HOME(503),
+    /** All upstreams that are left have just started and bear no more; it has not run. */
+    WARMING_UP(503),
     /** All upstreams are full; the request has not run. */
     ALL_FULL(503),
     /** The time ran out before the request was sent; it has not run. */
@@ -53,6 +59,15 @@
       this.status = status;
     }
 
+    /**
+     * Gives what the caller is told instead when an upstream may have worked on the request.
+     *
+     * @return a cause that promises nothing
+     */
+    public Cause ifItMayHaveRun() {
+      return this == NOT_SENT_IN_TIME ? TIMED_OUT : UPSTREAM_FAILED;
+    }
+
     /**
      * Gives the HTTP status that tells the caller.
      *
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -66,6 +66,8 @@
   private static final long BORROW_S = 2;
 
   private final Timers timers;
+  private final long startedMs;
+  private final SpendingReader reader;
   private final SpendingRows rows;
   private final SpendingLoans loans;
   private final SpendingRenewal renewal;
@@ -98,7 +100,8 @@
       PeerLinks links,
       PeerDispatcher dispatcher) {
     this.timers = timers;
-    SpendingReader reader =
+    this.startedMs = startedMs;
+    this.reader =
         new SpendingReader(table, storeClock, timers, SpendingTables.instanceKey(self.id()));
     this.rows = new SpendingRows(self, storeClock, timers, startedMs, random, policy);
     this.loans =
@@ -153,6 +156,16 @@
     return rows.others();
   }
 
+  /**
+   * Says whether {@link #others()} holds for this moment: it was read when it was due, and this
+   * process has been there for as long as others need to read of it.
+   *
+   * @return false after the start, and while the store is out of reach
+   */
+  public boolean knowsFleet() {
+    return reader.isWholeViewCurrent(startedMs);
+  }
+
   /**
    * Sets tokens aside.
    *
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingReader.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingReader.java
@@ -28,6 +28,9 @@
 
   private static final long MS_PER_S = 1_000;
 
+  /** A read goes with a renewal, and one of those may fail. */
+  private static final long LATE_READ_MS = 2_500;
+
   private final TableService table;
   private final StoreClock storeClock;
   private final Timers timers;
@@ -68,6 +71,16 @@
     return timers.nowMs() - wholeReadMs;
   }
 
+  /**
+   * Says whether the rows of the other instances were read about when they were due.
+   *
+   * @param sinceMs since when that has been so, or would have been
+   */
+  boolean isWholeViewCurrent(long sinceMs) {
+    long dueMs = wholeReadPauseMs() + LATE_READ_MS;
+    return sinceWholeReadMs() <= dueMs && timers.nowMs() - sinceMs >= dueMs;
+  }
+
   /** Slightly less than due, as renewals come at whole seconds of their own. */
   private long wholeReadPauseMs() {
     long pauseMs = latest.instances().size() * MS_PER_S / INSTANCE_ROWS_PER_S;
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/ServingUpstream.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/ServingUpstream.java
@@ -1,5 +1,7 @@
 package io.mothrill.core.forward.upstream;
 
+import java.util.OptionalLong;
+
 /**
  * One upstream, as it has registered itself.
  *
@@ -11,6 +13,8 @@
  * @param domain its failure domain
  * @param slots how many requests it works on at once
  * @param leaving true once it must get nothing new
+ * @param warmUpLeftMs how much longer it warms up, from when this was said; empty when it does not
+ *     say so
  * @param word when this was said
  */
 public record ServingUpstream(
@@ -21,6 +25,7 @@
     String domain,
     int slots,
     boolean leaving,
+    OptionalLong warmUpLeftMs,
     UpstreamWord word) {
 
   private static final char SEPARATOR = '@';
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamPicker.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamPicker.java
@@ -22,6 +22,8 @@
   private final UpstreamLoads loads;
   private final UpstreamCost plainCost;
   private final UpstreamCost promptCost;
+  private final UpstreamFilter filter;
+  private final Predicate<ServingUpstream> warming;
   private final Predicate<String> reachedDomains;
   private final Timers timers;
 
@@ -32,6 +34,8 @@
    * @param loads their loads
    * @param plainCost the cost of plain requests
    * @param promptCost the cost of requests with a prompt
+   * @param filter says which upstreams a request may be sent to
+   * @param warming says of an upstream whether it warms up
    * @param reachedDomains says of a failure domain whether the way there is open
    * @param timers the time
    */
@@ -40,12 +44,16 @@
       UpstreamLoads loads,
       UpstreamCost plainCost,
       UpstreamCost promptCost,
+      UpstreamFilter filter,
+      Predicate<ServingUpstream> warming,
       Predicate<String> reachedDomains,
       Timers timers) {
     this.list = list;
     this.loads = loads;
     this.plainCost = plainCost;
     this.promptCost = promptCost;
+    this.filter = filter;
+    this.warming = warming;
     this.reachedDomains = reachedDomains;
     this.timers = timers;
   }
@@ -53,8 +61,8 @@
   /**
    * Picks an upstream.
    *
-   * <p>Upstreams that failed lately, or in domains that are cut off, are taken only when there is
-   * no other.
+   * <p>Upstreams that warm up, that failed lately, or in domains that are cut off, are taken only
+   * when there is no other, in this order.
    *
    * @param query the request
    * @return the upstream, or empty when none is left
@@ -68,9 +76,16 @@
         taking.stream()
             .filter(upstream -> !query.tried().contains(upstream.incarnation()))
             .toList();
-    return cheapest(left.stream().filter(upstream -> isTrusted(upstream, nowMs)), costOf)
-        .or(() -> cheapest(left.stream().filter(this::isReached), costOf))
-        .or(() -> cheapest(left.stream(), costOf));
+    return Stream.<Predicate<ServingUpstream>>of(
+            upstream -> isTrusted(upstream, nowMs) && !warming.test(upstream),
+            upstream -> isTrusted(upstream, nowMs),
+            this::isReached,
+            upstream -> true)
+        .map(preferred -> left.stream().filter(preferred))
+        .map(some -> some.filter(upstream -> filter.permits(upstream, query, nowMs)))
+        .map(some -> cheapest(some, costOf))
+        .flatMap(Optional::stream)
+        .findFirst();
   }
 
   private boolean isTrusted(ServingUpstream upstream, long nowMs) {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/DeclaredState.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/DeclaredState.java
@@ -1,8 +1,6 @@
 package io.mothrill.core.forward.view;
 
-import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.upstream.UpstreamList;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -13,11 +11,11 @@
 public interface DeclaredState {
 
   /**
-   * Reads the newest plan.
+   * Reads what operators have declared.
    *
-   * @return the plan, or empty when none was declared yet
+   * @return the plan and what goes with it, as of one moment
    */
-  CompletableFuture<Optional<ForwardingPlan>> readPlan();
+  CompletableFuture<Declaration> readDeclaration();
 
   /**
    * Reads the registered upstreams.
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/StateFollower.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/StateFollower.java
@@ -7,6 +7,7 @@
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.time.Timers;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.tinylog.Logger;
 
 /**
@@ -27,6 +28,7 @@
 
   private final DeclaredState state;
   private final Section<ForwardingPlan> plan;
+  private final Section<Set<String>> evacuatedDomains;
   private final Section<UpstreamList> upstreams;
   private final Timers timers;
   private final ViewSettings settings;
@@ -34,6 +36,7 @@
   private OptionalLong lostMs = OptionalLong.empty();
   private long regainedMs = Long.MIN_VALUE / 2;
   private long upstreamsStartedMs = Long.MIN_VALUE;
+  private long evacuationsStartedMs = Long.MIN_VALUE;
   private long answeredStartedMs = Long.MIN_VALUE;
   private volatile long planReadMs;
   private volatile long upstreamsReadMs;
@@ -43,6 +46,7 @@
    *
    * @param state where to read
    * @param plan the plan in force, which only gets newer
+   * @param evacuatedDomains the failure domains that operators are emptying
    * @param upstreams the upstreams that are there
    * @param timers the time
    * @param settings how often to read
@@ -50,30 +54,33 @@
   public StateFollower(
       DeclaredState state,
       Section<ForwardingPlan> plan,
+      Section<Set<String>> evacuatedDomains,
       Section<UpstreamList> upstreams,
       Timers timers,
       ViewSettings settings) {
     this.state = state;
     this.plan = plan;
+    this.evacuatedDomains = evacuatedDomains;
     this.upstreams = upstreams;
     this.timers = timers;
     this.settings = settings;
     this.planReadMs = timers.nowMs();
     this.upstreamsReadMs = planReadMs;
-    readPlan();
+    readDeclaration();
     readUpstreams();
-    timers.every(settings.planPollMs(), this::readPlan);
+    timers.every(settings.planPollMs(), this::readDeclaration);
     timers.every(settings.upstreamPollMs(), this::readUpstreams);
   }
 
-  private void readPlan() {
+  private void readDeclaration() {
     long startedMs = timers.nowMs();
     var unused =
         state
-            .readPlan()
+            .readDeclaration()
             .thenAccept(
                 read -> {
-                  read.ifPresent(this::takePlan);
+                  read.plan().ifPresent(this::takePlan);
+                  takeEvacuations(startedMs, read.evacuatedDomains());
                   planReadMs = timers.nowMs();
                 })
             .whenComplete((nothing, error) -> noteContact(startedMs, error));
@@ -87,6 +94,22 @@
     plan.update(before -> read.version() > before.version() ? read : before);
   }
 
+  /**
+   * Publishes which domains are being emptied. They carry no version, so an answer counts only if
+   * none to a later read has come.
+   */
+  private synchronized void takeEvacuations(long startedMs, Set<String> read) {
+    if (startedMs < evacuationsStartedMs) {
+      return;
+    }
+    evacuationsStartedMs = startedMs;
+    Set<String> before = evacuatedDomains.read();
+    if (!before.equals(read)) {
+      Logger.info("evacuated domains now={} before={}", read, before);
+      evacuatedDomains.publish(read);
+    }
+  }
+
   private void readUpstreams() {
     long startedMs = timers.nowMs();
     var unused =
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/warmup/WarmingUpstreams.java
@@ -0,0 +1,123 @@
+package io.mothrill.core.forward.warmup;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.forward.plan.WarmUpPlan;
+import io.mothrill.core.forward.upstream.ServingUpstream;
+import io.mothrill.core.forward.upstream.UpstreamList;
+import io.mothrill.core.time.Timers;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+import org.tinylog.Logger;
+
+/**
+ * Knows which upstreams warm up, from what they say and from their ends.
+ *
+ * <p>What an upstream says counts from when it was read, so its warm-up is taken to last longer by
+ * the age of its word, never shorter. One that is seen for the first time and says nothing is taken
+ * to have just started.
+ *
+ * <p>Failure: an upstream ends and starts again under its name. Symptom: until the list shows that,
+ * it is taken to be as fast as before and gets its part of the requests at once. An upstream that
+ * refuses connections is therefore taken to be warming up until the list must have shown the truth.
+ */
+public final class WarmingUpstreams {
+
+  /**
+   * After an end the list shows a new start within a heartbeat and a read, or loses the upstream
+   * after three silent heartbeats; this is longer than both.
+   */
+  private static final long RESTART_SHOWN_MS = 5_000;
+
+  private final Function<String, Optional<WarmUpPlan>> plans;
+  private final Timers timers;
+  private volatile Map<String, Known> known = Map.of();
+  private final Map<String, Long> endedMs = new ConcurrentHashMap<>();
+
+  /** An upstream as it was read last, and until when it warms up. */
+  private record Known(ServingUpstream upstream, long untilMs) {}
+
+  /**
+   * Begins to follow a list.
+   *
+   * @param list the registered upstreams
+   * @param plans what the upstreams of a service bear while they warm up; empty when nothing bounds
+   *     it
+   * @param timers the time
+   */
+  public WarmingUpstreams(
+      Section<UpstreamList> list, Function<String, Optional<WarmUpPlan>> plans, Timers timers) {
+    this.plans = plans;
+    this.timers = timers;
+    list.subscribe(this::follow);
+  }
+
+  private synchronized void follow(UpstreamList list) {
+    boolean first = known.isEmpty();
+    Map<String, Known> next = new HashMap<>();
+    list.all().forEach(upstream -> next.put(upstream.incarnation(), follow(upstream, first)));
+    known = next;
+    endedMs.keySet().retainAll(next.keySet());
+  }
+
+  private Known follow(ServingUpstream upstream, boolean first) {
+    Known before = known.get(upstream.incarnation());
+    if (before != null && before.upstream().equals(upstream)) {
+      return before;
+    }
+    endedMs.remove(upstream.incarnation());
+    OptionalLong saidMs = upstream.warmUpLeftMs();
+    long leftMs =
+        saidMs.orElseGet(() -> before != null || first ? 0 : durationMs(upstream.service()));
+    boolean begins = leftMs > 0 && (before == null || before.untilMs() <= timers.nowMs());
+    if (begins) {
+      Logger.info("upstream warms up upstream={} leftMs={}", upstream.incarnation(), leftMs);
+    }
+    return new Known(upstream, timers.nowMs() + leftMs);
+  }
+
+  private long durationMs(String service) {
+    return plans.apply(service).map(WarmUpPlan::durationMs).orElse(0L);
+  }
+
+  /**
+   * Notes that the process of an upstream has ended: its port refuses connections.
+   *
+   * @param upstream the upstream
+   */
+  public void onEnded(ServingUpstream upstream) {
+    if (known.containsKey(upstream.incarnation())) {
+      endedMs.put(upstream.incarnation(), timers.nowMs());
+    }
+  }
+
+  /**
+   * Says whether an upstream warms up.
+   *
+   * @param upstream the upstream
+   * @return true when it does, or may do after an end
+   */
+  public boolean isWarming(ServingUpstream upstream) {
+    return leftMs(upstream) > 0;
+  }
+
+  /**
+   * Says how much longer an upstream warms up.
+   *
+   * @param upstream the upstream
+   * @return milliseconds; 0 when it is warm
+   */
+  public long leftMs(ServingUpstream upstream) {
+    Known found = known.get(upstream.incarnation());
+    long saidMs = found == null ? durationMs(upstream.service()) : left(found.untilMs());
+    Long ended = endedMs.get(upstream.incarnation());
+    return ended == null ? saidMs : Math.max(saidMs, left(ended + RESTART_SHOWN_MS));
+  }
+
+  private long left(long untilMs) {
+    return Math.max(0, untilMs - timers.nowMs());
+  }
+}
--- a/mothrill-core/src/main/java/io/mothrill/core/routing/UpstreamState.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/routing/UpstreamState.java
@@ -5,6 +5,7 @@
 import io.mothrill.core.resource.Priority;
 import io.mothrill.core.resource.UpstreamSpec;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -59,6 +60,7 @@
         declared.domain(),
         declared.slots(),
         isLeaving(),
+        OptionalLong.empty(),
         UpstreamWord.UNTOLD);
   }
 
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/check/SendChecksTest.java
@@ -0,0 +1,189 @@
+package io.mothrill.core.forward.check;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.forward.plan.HomeRegions;
+import io.mothrill.core.forward.plan.WarmUpPlan;
+import io.mothrill.core.forward.request.ForwardRefusal.Cause;
+import io.mothrill.core.forward.upstream.ServingUpstream;
+import io.mothrill.core.forward.upstream.UpstreamList;
+import io.mothrill.core.forward.upstream.UpstreamQuery;
+import io.mothrill.core.forward.upstream.UpstreamQuery.Standing;
+import io.mothrill.core.forward.upstream.UpstreamWord;
+import io.mothrill.core.forward.warmup.FleetView;
+import io.mothrill.core.forward.warmup.WarmUpBounds;
+import io.mothrill.core.forward.warmup.WarmUpPermits;
+import io.mothrill.core.forward.warmup.WarmingUpstreams;
+import io.mothrill.core.platform.InstanceRecord;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+// Whatever forbids to send a request is asked in one place: at the choice, and once more right
+// before the request is written, as facts change while a connection is opened.
+class SendChecksTest {
+
+  private static final String SERVICE = "asistan";
+  private static final Optional<WarmUpPlan> PLAN = Optional.of(new WarmUpPlan(3_000, 2));
+
+  private final ManualTimers timers = new ManualTimers();
+  private final Section<UpstreamList> list = new Section<>(UpstreamList.empty());
+  private final Section<Set<String>> evacuated = new Section<>(Set.of());
+  private final InstanceRecord self = new InstanceRecord("e-1", "e-1.a", "konya", "::1", 1, false);
+  private final WarmingUpstreams warming = new WarmingUpstreams(list, service -> PLAN, timers);
+  private final SendChecks checks =
+      new SendChecks(
+          list,
+          Map.of("konya", "anadolu", "izmir", "ege"),
+          evacuated,
+          new WarmUpPermits(self, alone(), warming, service -> PLAN, WarmUpBounds.exact(), timers),
+          timers);
+
+  private static FleetView alone() {
+    return new FleetView() {
+      @Override
+      public List<InstanceRecord> others() {
+        return List.of();
+      }
+
+      @Override
+      public boolean isCurrent() {
+        return true;
+      }
+    };
+  }
+
+  private static ServingUpstream upstream(String domain, boolean leaving, long warmUpLeftMs) {
+    return new ServingUpstream(
+        "i-" + domain,
+        SERVICE,
+        "10.0.0.1",
+        80,
+        domain,
+        8,
+        leaving,
+        OptionalLong.of(warmUpLeftMs),
+        UpstreamWord.UNTOLD);
+  }
+
+  private ServingUpstream register(String domain) {
+    ServingUpstream upstream = upstream(domain, false, 0);
+    list.publish(new UpstreamList(List.of(upstream)));
+    return upstream;
+  }
+
+  private static UpstreamQuery query(HomeRegions homes, Standing standing) {
+    return new UpstreamQuery(SERVICE, 800, Optional.empty(), homes, Set.of(), standing);
+  }
+
+  private static UpstreamQuery sound() {
+    return query(HomeRegions.anywhere(), Standing.sound());
+  }
+
+  private void assertRefused(ServingUpstream upstream, UpstreamQuery query, Cause cause) {
+    assertThat(checks.admit(upstream, query)).isFalse();
+    assertThat(checks.whyNone(query).cause()).isEqualTo(cause);
+    assertThat(checks.whyNone(query).retryAfterMs()).isGreaterThan(0L);
+  }
+
+  @Test
+  void soundRequestMayBeWritten() {
+    assertThat(checks.admit(register("konya"), sound())).isTrue();
+  }
+
+  @Test
+  void requestOutsideItsHomesIsNotSent() {
+    UpstreamQuery bound = query(HomeRegions.of(List.of("ege")), Standing.sound());
+
+    assertRefused(register("konya"), bound, Cause.OUTSIDE_HOME);
+    assertThat(checks.admit(register("izmir"), bound)).isTrue();
+  }
+
+  @Test
+  void domainOfUnknownRegionIsNoHome() {
+    assertRefused(
+        register("atlantis"),
+        query(HomeRegions.of(List.of("ege")), Standing.sound()),
+        Cause.OUTSIDE_HOME);
+  }
+
+  @Test
+  void routeAndTeamWithoutSharedRegionLeaveNone() {
+    HomeRegions none = HomeRegions.of(List.of("ege")).and(HomeRegions.of(List.of("anadolu")));
+
+    assertRefused(register("izmir"), query(none, Standing.sound()), Cause.OUTSIDE_HOME);
+  }
+
+  // The domain is evacuated between the choice of an upstream there and its open connection.
+  @Test
+  void evacuatedDomainGetsNotEvenWhatWasChosenBefore() {
+    ServingUpstream chosen = register("konya");
+    assertThat(checks.permits(chosen, sound(), timers.nowMs())).isTrue();
+
+    evacuated.publish(Set.of("konya"));
+
+    assertRefused(chosen, sound(), Cause.EVACUATED);
+  }
+
+  @Test
+  void upstreamThatBeganToLeaveGetsNothing() {
+    ServingUpstream chosen = register("konya");
+
+    list.publish(new UpstreamList(List.of(upstream("konya", true, 0))));
+
+    assertRefused(chosen, sound(), Cause.NO_UPSTREAM);
+  }
+
+  @Test
+  void upstreamThatWarmsUpGetsItsShareAndNoMore() {
+    ServingUpstream cold = upstream("konya", false, 3_000);
+    list.publish(new UpstreamList(List.of(cold)));
+
+    assertThat(checks.admit(cold, sound())).isTrue();
+    assertRefused(cold, sound(), Cause.WARMING_UP);
+  }
+
+  @Test
+  void unpaidRequestIsNotSent() {
+    Standing unpaid = new Standing(Long.MAX_VALUE, false, () -> false);
+
+    assertRefused(register("konya"), query(HomeRegions.anywhere(), unpaid), Cause.TOKENS_ELSEWHERE);
+  }
+
+  @Test
+  void requestThatCrashesUpstreamsIsNotSent() {
+    Standing deadly = new Standing(Long.MAX_VALUE, true, () -> true);
+
+    assertRefused(
+        register("konya"), query(HomeRegions.anywhere(), deadly), Cause.CRASHES_UPSTREAMS);
+  }
+
+  @Test
+  void requestWhoseTimeIsOverIsNotSent() {
+    Standing late = new Standing(timers.nowMs() + 19, true, () -> false);
+
+    assertRefused(register("konya"), query(HomeRegions.anywhere(), late), Cause.NOT_SENT_IN_TIME);
+  }
+
+  // One domain is evacuated, the upstream of the other warms up: the caller hears of that one, as
+  // it is there first.
+  @Test
+  void tellsWhatStandsInTheWayOfTheUpstreamThatComesNearest() {
+    ServingUpstream cold = upstream("izmir", false, 3_000);
+    list.publish(new UpstreamList(List.of(upstream("konya", false, 0), cold)));
+    evacuated.publish(Set.of("konya"));
+    assertThat(checks.admit(cold, sound())).isTrue();
+
+    assertThat(checks.whyNone(sound()).cause()).isEqualTo(Cause.WARMING_UP);
+  }
+
+  @Test
+  void withoutAnyUpstreamThereIsNobody() {
+    assertThat(checks.whyNone(sound()).cause()).isEqualTo(Cause.NO_UPSTREAM);
+  }
+}
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/crash/CrashGuardTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/crash/CrashGuardTest.java
@@ -7,6 +7,7 @@
 import io.mothrill.core.forward.upstream.ServingUpstream;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.IntStream;
@@ -46,6 +47,7 @@
             one.domain(),
             one.slots(),
             true,
+            OptionalLong.empty(),
             one.word());
     world.publish(new UpstreamList(List.of(leaving)));
 
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/crash/CrashWorld.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/crash/CrashWorld.java
@@ -14,6 +14,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -62,6 +63,7 @@
         domain(number),
         8,
         false,
+        OptionalLong.empty(),
         new UpstreamWord(1, 1));
   }
 
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/plan/ForwardingPlanRoutesTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/plan/ForwardingPlanRoutesTest.java
@@ -20,6 +20,7 @@
         300,
         1,
         2,
+        HomeRegions.anywhere(),
         false);
   }
 
@@ -32,7 +33,12 @@
           List.of(route("all", "/", MOST), route("desk", "/desk/", MOST, FEW)),
           List.of(),
           List.of(
-              new TeamPlan("branch", List.of("a", "b"), OptionalInt.empty(), OptionalLong.empty())),
+              new TeamPlan(
+                  "branch",
+                  List.of("a", "b"),
+                  OptionalInt.empty(),
+                  OptionalLong.empty(),
+                  HomeRegions.anywhere())),
           CallerBounds.standard());
 
   private String nameFor(String path) {
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingWorld.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingWorld.java
@@ -5,6 +5,7 @@
 import io.mothrill.core.fake.ManualTimers;
 import io.mothrill.core.forward.plan.CallerBounds;
 import io.mothrill.core.forward.plan.ForwardingPlan;
+import io.mothrill.core.forward.plan.HomeRegions;
 import io.mothrill.core.forward.plan.TeamPlan;
 import io.mothrill.core.peer.PeerDispatcher;
 import io.mothrill.core.peer.PeerMessage;
@@ -98,7 +99,8 @@
         name,
         List.of("key of " + name),
         OptionalInt.empty(),
-        OptionalLong.of(prepaidTokens + firstTokens.get(name)));
+        OptionalLong.of(prepaidTokens + firstTokens.get(name)),
+        HomeRegions.anywhere());
   }
 
   long prepaidTokens() {
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/UpstreamListTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/UpstreamListTest.java
@@ -3,12 +3,14 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 
 class UpstreamListTest {
 
   private static ServingUpstream upstream(String id, String host) {
-    return new ServingUpstream(id, "sira", host, 80, "konya", 6, false, UpstreamWord.UNTOLD);
+    return new ServingUpstream(
+        id, "sira", host, 80, "konya", 6, false, OptionalLong.empty(), UpstreamWord.UNTOLD);
   }
 
   private final UpstreamList earlier =
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/UpstreamPickerTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/UpstreamPickerTest.java
@@ -4,10 +4,12 @@
 
 import io.mothrill.core.board.Section;
 import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.forward.plan.HomeRegions;
 import io.mothrill.core.forward.request.Prompt;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
@@ -20,6 +22,8 @@
   private static final long AIM_MS = 800;
 
   private final Set<String> cutOff = new HashSet<>();
+  private final Set<String> forbidden = new HashSet<>();
+  private final Set<String> warming = new HashSet<>();
   private final ManualTimers timers = new ManualTimers();
   private final UpstreamLoads loads = new UpstreamLoads();
   private final PromptMemory memory = new PromptMemory();
@@ -31,6 +35,8 @@
           loads,
           new PlainCost("konya", loads, new Random(1)),
           new PromptCost("konya", loads, memory, speed),
+          (upstream, query, nowMs) -> !forbidden.contains(upstream.id()),
+          upstream -> warming.contains(upstream.id()),
           domain -> !cutOff.contains(domain),
           timers);
 
@@ -42,7 +48,15 @@
 
   private static ServingUpstream upstream(int number, boolean leaving) {
     return new ServingUpstream(
-        "i-" + number, SERVICE, "10.0.0." + number, 80, "konya", 8, leaving, UpstreamWord.UNTOLD);
+        "i-" + number,
+        SERVICE,
+        "10.0.0." + number,
+        80,
+        "konya",
+        8,
+        leaving,
+        OptionalLong.empty(),
+        UpstreamWord.UNTOLD);
   }
 
   private static Prompt prompt(String subject, long ownTokens) {
@@ -53,15 +67,17 @@
         List.of(new Prompt.Part(subject, 5_000), new Prompt.Part("own", ownTokens)));
   }
 
+  private static UpstreamQuery query(Optional<Prompt> prompt, Set<String> tried) {
+    return new UpstreamQuery(
+        SERVICE, AIM_MS, prompt, HomeRegions.anywhere(), tried, UpstreamQuery.Standing.sound());
+  }
+
   private String pick(Prompt prompt) {
-    return picker
-        .pick(new UpstreamQuery(SERVICE, AIM_MS, Optional.of(prompt), Set.of()))
-        .orElseThrow()
-        .id();
+    return picker.pick(query(Optional.of(prompt), Set.of())).orElseThrow().id();
   }
 
   private Optional<ServingUpstream> pickPlain(Set<String> tried) {
-    return picker.pick(new UpstreamQuery(SERVICE, AIM_MS, Optional.empty(), tried));
+    return picker.pick(query(Optional.empty(), tried));
   }
 
   @Test
@@ -144,7 +160,15 @@
     ServingUpstream here = upstream(1, false);
     ServingUpstream there =
         new ServingUpstream(
-            "i-2", SERVICE, "10.1.0.2", 80, "kayseri", 8, false, UpstreamWord.UNTOLD);
+            "i-2",
+            SERVICE,
+            "10.1.0.2",
+            80,
+            "kayseri",
+            8,
+            false,
+            OptionalLong.empty(),
+            UpstreamWord.UNTOLD);
     list.publish(new UpstreamList(List.of(here, there)));
     cutOff.add("kayseri");
     loads.of(here.incarnation()).onFailure(timers.nowMs());
@@ -168,4 +192,27 @@
 
     assertThat(pickPlain(Set.of()).orElseThrow().id()).isEqualTo("i-2");
   }
+
+  @Test
+  void upstreamsThatWarmUpAreSparedWhileOthersAreThere() {
+    warming.addAll(Set.of("i-0", "i-1", "i-2", "i-3", "i-4"));
+
+    assertThat(pick(prompt("saver-7", 100))).isEqualTo("i-5");
+  }
+
+  @Test
+  void upstreamThatWarmsUpIsBetterThanOneThatFailedLately() {
+    warming.add("i-0");
+    IntStream.range(1, 6)
+        .forEach(i -> loads.of(upstream(i, false).incarnation()).onFailure(timers.nowMs()));
+
+    assertThat(pick(prompt("saver-7", 100))).isEqualTo("i-0");
+  }
+
+  @Test
+  void forbiddenUpstreamsAreNeverTaken() {
+    IntStream.range(0, 6).forEach(i -> forbidden.add("i-" + i));
+
+    assertThat(pickPlain(Set.of())).isEqualTo(Optional.empty());
+  }
 }
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/UpstreamStartTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/UpstreamStartTest.java
@@ -4,6 +4,7 @@
 
 import io.mothrill.core.forward.request.Prompt;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
@@ -20,7 +21,15 @@
 
   private static ServingUpstream said(long startedMs, long number, boolean leaving) {
     return new ServingUpstream(
-        "i-1", "sira", "10.0.0.1", 80, "konya", 6, leaving, new UpstreamWord(startedMs, number));
+        "i-1",
+        "sira",
+        "10.0.0.1",
+        80,
+        "konya",
+        6,
+        leaving,
+        OptionalLong.empty(),
+        new UpstreamWord(startedMs, number));
   }
 
   private static UpstreamList list(ServingUpstream... upstreams) {
@@ -104,7 +113,16 @@
   @Test
   void processThatTellsNoStartIsTakenAsItIs() {
     ServingUpstream untold =
-        new ServingUpstream("i-1", "sira", "10.0.0.1", 80, "konya", 6, false, UpstreamWord.UNTOLD);
+        new ServingUpstream(
+            "i-1",
+            "sira",
+            "10.0.0.1",
+            80,
+            "konya",
+            6,
+            false,
+            OptionalLong.empty(),
+            UpstreamWord.UNTOLD);
     UpstreamList before = words.correct(list(untold), UpstreamList.empty());
 
     assertThat(words.correct(list(untold), before).takingOf("sira")).hasSize(1);
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/view/StateFollowerTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/view/StateFollowerTest.java
@@ -12,6 +12,8 @@
 import io.mothrill.core.platform.error.PlatformException;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
@@ -20,11 +22,21 @@
 
   private static final ViewSettings SETTINGS = new ViewSettings(500, 500, 2_500);
   private static final ServingUpstream LIVING =
-      new ServingUpstream("i-1", "sira", "10.0.0.1", 80, "konya", 6, false, UpstreamWord.UNTOLD);
+      new ServingUpstream(
+          "i-1",
+          "sira",
+          "10.0.0.1",
+          80,
+          "konya",
+          6,
+          false,
+          OptionalLong.empty(),
+          UpstreamWord.UNTOLD);
 
   private final ManualTimers timers = new ManualTimers();
   private final Section<ForwardingPlan> plan = new Section<>(ForwardingPlan.unknown());
   private final Section<UpstreamList> upstreams = new Section<>(UpstreamList.empty());
+  private final Section<Set<String>> evacuatedDomains = new Section<>(Set.of());
   private final Store store = new Store();
 
   private static ForwardingPlan version(long number) {
@@ -33,13 +45,20 @@
 
   private static final class Store implements DeclaredState {
     private ForwardingPlan newest = version(1);
+    private Set<String> evacuated = Set.of();
     private UpstreamList registered = new UpstreamList(List.of(LIVING));
+    private Optional<CompletableFuture<Declaration>> delayed = Optional.empty();
     private boolean away;
     private boolean hangs;
 
     @Override
-    public CompletableFuture<Optional<ForwardingPlan>> readPlan() {
-      return away ? failed() : CompletableFuture.completedFuture(Optional.of(newest));
+    public CompletableFuture<Declaration> readDeclaration() {
+      if (delayed.isPresent()) {
+        return delayed.get();
+      }
+      return away
+          ? failed()
+          : CompletableFuture.completedFuture(new Declaration(Optional.of(newest), evacuated));
     }
 
     @Override
@@ -60,7 +79,7 @@
   }
 
   private void follow(ViewSettings settings) {
-    var unused = new StateFollower(store, plan, upstreams, timers, settings);
+    var unused = new StateFollower(store, plan, evacuatedDomains, upstreams, timers, settings);
   }
 
   @Test
@@ -186,4 +205,48 @@
 
     assertThat(upstreams.read().isKnown()).isTrue();
   }
+
+  @Test
+  void followsWhichDomainsAreEvacuatedAndTakenBack() {
+    follow();
+    store.evacuated = Set.of("konya");
+    timers.advanceMs(500);
+    assertThat(evacuatedDomains.read()).containsExactly("konya");
+
+    store.evacuated = Set.of();
+    timers.advanceMs(500);
+
+    assertThat(evacuatedDomains.read()).isEmpty();
+  }
+
+  // The store cannot be read for a while. What was known of evacuations before holds on: requests
+  // to a domain that is being emptied would be lost.
+  @Test
+  void evacuationHoldsWhileTheStoreIsAway() {
+    store.evacuated = Set.of("konya");
+    follow();
+    store.away = true;
+    store.evacuated = Set.of();
+
+    timers.advanceMs(5_000);
+
+    assertThat(evacuatedDomains.read()).containsExactly("konya");
+  }
+
+  // An answer from before the evacuation is late and arrives behind the answer to a later read. If
+  // it counted, the domain would get requests again until the next read.
+  @Test
+  void lateAnswerDoesNotTakeAnEvacuationBack() {
+    follow();
+    CompletableFuture<Declaration> late = new CompletableFuture<>();
+    store.delayed = Optional.of(late);
+    timers.advanceMs(500);
+    store.delayed = Optional.empty();
+    store.evacuated = Set.of("konya");
+    timers.advanceMs(500);
+
+    late.complete(new Declaration(Optional.empty(), Set.of()));
+
+    assertThat(evacuatedDomains.read()).containsExactly("konya");
+  }
 }
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/warmup/WarmUpBoundPropertyTest.java
@@ -0,0 +1,97 @@
+package io.mothrill.core.forward.warmup;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.forward.upstream.ServingUpstream;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+
+// Pattern: for a minute instances are cut off, reconnected, killed, started again and added, each
+// reading of the others in turns of its own, while upstreams turn cold again and again. Every
+// instance sends all that it may. Whatever each believes of the others, all together stay within
+// what an upstream bears in any second.
+class WarmUpBoundPropertyTest {
+
+  private static final long STEP_MS = 250;
+  private static final int STEPS = 240;
+  private static final long SECOND_MS = 1_000;
+
+  @Property(tries = 300, seed = "40001")
+  void staysWithinWhatIsBorneByEight(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    play(seed, 8);
+  }
+
+  @Property(tries = 300, seed = "40002")
+  void staysWithinWhatIsBorneBySixty(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    play(seed, 62);
+  }
+
+  @Property(tries = 30, seed = "40003")
+  void staysWithinWhatIsBorneByHundreds(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    play(seed, 300);
+  }
+
+  private static void play(long seed, int count) {
+    Random random = new Random(seed);
+    ManualTimers timers = new ManualTimers();
+    WarmUpWorld world = new WarmUpWorld(timers, count);
+    Deque<Long> sentMs = new ArrayDeque<>();
+    ServingUpstream cold = world.turnCold(1, 3_000);
+    for (int step = 0; step < STEPS; step++) {
+      disturb(world, random, count);
+      if (random.nextInt(4) == 0) {
+        cold = world.turnCold(1, 500 + random.nextInt(3_000));
+      }
+      world.instances().stream()
+          .filter(instance -> random.nextInt(1 + count / 6) == 0)
+          .forEach(WarmUpWorld.Instance::read);
+      sendAll(world, cold, timers.nowMs(), sentMs);
+      timers.advanceMs(STEP_MS);
+    }
+  }
+
+  private static void disturb(WarmUpWorld world, Random random, int count) {
+    List<WarmUpWorld.Instance> instances = world.instances();
+    WarmUpWorld.Instance one = instances.get(random.nextInt(instances.size()));
+    switch (random.nextInt(6)) {
+      case 0 -> one.cutOff();
+      case 1, 2 -> one.reconnect();
+      case 3 -> world.start(one.record().id(), domainOf(one));
+      case 4 -> {
+        if (instances.size() > count / 2) {
+          world.stop(one.record().id());
+        }
+      }
+      default -> world.start("edge-" + random.nextInt(2 * count), random.nextInt(4));
+    }
+  }
+
+  private static int domainOf(WarmUpWorld.Instance instance) {
+    String domain = instance.record().domain();
+    return Integer.parseInt(domain.substring(domain.indexOf('-') + 1));
+  }
+
+  private static void sendAll(
+      WarmUpWorld world, ServingUpstream cold, long nowMs, Deque<Long> sentMs) {
+    while (!sentMs.isEmpty() && nowMs - sentMs.peekFirst() >= SECOND_MS) {
+      sentMs.pollFirst();
+    }
+    world
+        .instances()
+        .forEach(
+            instance -> {
+              while (instance.isWarming(cold) && instance.permits().tryTake(cold)) {
+                sentMs.addLast(nowMs);
+              }
+            });
+    assertWithMessage("sent in a second by %s", nowMs)
+        .that(sentMs.size())
+        .isAtMost(WarmUpWorld.MOST_IN_A_SECOND);
+  }
+}
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -9,14 +9,9 @@
 import io.mothrill.core.forward.spending.DemandShares;
 import io.mothrill.core.forward.spending.SpendingController;
 import io.mothrill.core.forward.upstream.DomainReach;
-import io.mothrill.core.forward.upstream.PlainCost;
-import io.mothrill.core.forward.upstream.PromptCost;
-import io.mothrill.core.forward.upstream.PromptMemory;
-import io.mothrill.core.forward.upstream.ReadingSpeed;
 import io.mothrill.core.forward.upstream.UpstreamList;
-import io.mothrill.core.forward.upstream.UpstreamLoads;
-import io.mothrill.core.forward.upstream.UpstreamPicker;
 import io.mothrill.core.forward.view.StateFollower;
+import io.mothrill.core.forward.warmup.FleetView;
 import io.mothrill.core.peer.PeerDispatcher;
 import io.mothrill.core.peer.PeerMessage;
 import io.mothrill.core.platform.InstanceRecord;
@@ -35,6 +30,7 @@
 import io.mothrill.wire.peer.PeerEncoder;
 import io.netty.channel.EventLoopGroup;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.random.RandomGenerator;
@@ -71,6 +67,7 @@
   private final ForwardSettings settings;
   private final Timers timers;
   private final Section<ForwardingPlan> plan = new Section<>(ForwardingPlan.unknown());
+  private final Section<Set<String>> evacuatedDomains = new Section<>(Set.of());
   private final Section<UpstreamList> upstreams = new Section<>(UpstreamList.empty());
   private final MetricRegistry metrics = new MetricRegistry();
   private final NettyPeers peers;
@@ -122,20 +119,16 @@
     dispatcher.on(
         PeerMessage.Heartbeat.class,
         heartbeat -> CompletableFuture.completedFuture(new PeerMessage.Done()));
-    UpstreamLoads loads = new UpstreamLoads();
-    ReadingSpeed speed = new ReadingSpeed();
-    PromptMemory memory = new PromptMemory();
-    upstreams.subscribe(loads::retain);
-    upstreams.subscribe(memory::retain);
     DomainReach reach = new DomainReach(self, spending::others, peers, timers);
-    UpstreamPicker picker =
-        new UpstreamPicker(
-            upstreams,
-            loads,
-            new PlainCost(settings.domain(), loads, random),
-            new PromptCost(settings.domain(), loads, memory, speed),
+    UpstreamChoice choice =
+        new UpstreamChoice(
+            self,
+            settings,
+            new UpstreamChoice.View(plan, evacuatedDomains, upstreams),
+            fleet(),
             reach::isOpen,
-            timers);
+            timers,
+            random);
     CrashGuard crashes =
         new CrashGuard(
             self,
@@ -143,7 +136,7 @@
             this::sendReport,
             ports.table(),
             ports.storeClock(),
-            new UpstreamProbe(group, timers),
+            choice.noting(new UpstreamProbe(group, timers)),
             upstream -> upstreams.read().isServing(upstream),
             timers,
             random);
@@ -155,7 +148,7 @@
             spending::others,
             (incarnation, tokens) -> {
               if (upstreams.read().containsIncarnation(incarnation)) {
-                loads.of(incarnation).onNotice(tokens, speed.tokensPerMs(), timers.nowMs());
+                choice.onNotice(incarnation, tokens);
               }
             },
             crashes::onMessage,
@@ -166,15 +159,17 @@
             ports.dialect(),
             readiness.known(),
             plan,
-            picker,
-            loads,
-            memory,
-            speed,
+            choice.checks(),
+            choice.picker(),
+            choice.loads(),
+            choice.memory(),
+            choice.speed(),
             notices,
             spending,
             new SharedRetryBudget(settings.retries(), spending::instanceCount, timers),
             new StoryLog(metrics, timers),
             crashes,
+            choice.warming()::onEnded,
             reach::onHeardFrom,
             timers,
             ports.work(),
@@ -198,13 +193,28 @@
     gauges.showCrashes(crashes);
     gauges.showLog();
     gauges.showWork(ports.work());
-    timers.every(FORGET_MS, () -> loads.retain(upstreams.read()));
+    timers.every(FORGET_MS, () -> choice.loads().retain(upstreams.read()));
     timers.every(WORK_LINE_MS, () -> WorkLine.write(ports.work()));
     StateFollower follower =
-        new StateFollower(ports.state(), plan, upstreams, timers, settings.view());
+        new StateFollower(
+            ports.state(), plan, evacuatedDomains, upstreams, timers, settings.view());
     gauges.showView(plan, upstreams, follower);
   }
 
+  private FleetView fleet() {
+    return new FleetView() {
+      @Override
+      public List<InstanceRecord> others() {
+        return spending.others();
+      }
+
+      @Override
+      public boolean isCurrent() {
+        return spending.knowsFleet();
+      }
+    };
+  }
+
   private void sendReport(CrashMessage message, List<InstanceRecord> to) {
     notices.send(message, to);
   }
--- /dev/null
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamChoice.java
@@ -0,0 +1,125 @@
+package io.mothrill.daemon.forward;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.forward.check.SendChecks;
+import io.mothrill.core.forward.crash.UpstreamEnds;
+import io.mothrill.core.forward.plan.ForwardingPlan;
+import io.mothrill.core.forward.plan.ServicePlan;
+import io.mothrill.core.forward.plan.WarmUpPlan;
+import io.mothrill.core.forward.upstream.PlainCost;
+import io.mothrill.core.forward.upstream.PromptCost;
+import io.mothrill.core.forward.upstream.PromptMemory;
+import io.mothrill.core.forward.upstream.ReadingSpeed;
+import io.mothrill.core.forward.upstream.UpstreamList;
+import io.mothrill.core.forward.upstream.UpstreamLoads;
+import io.mothrill.core.forward.upstream.UpstreamPicker;
+import io.mothrill.core.forward.warmup.FleetView;
+import io.mothrill.core.forward.warmup.WarmUpPermits;
+import io.mothrill.core.forward.warmup.WarmingUpstreams;
+import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.time.Timers;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+
+/** Puts together what decides which upstream a request goes to. */
+final class UpstreamChoice {
+
+  private final Timers timers;
+  private final UpstreamLoads loads = new UpstreamLoads();
+  private final ReadingSpeed speed = new ReadingSpeed();
+  private final PromptMemory memory = new PromptMemory();
+  private final WarmingUpstreams warming;
+  private final SendChecks checks;
+  private final UpstreamPicker picker;
+
+  /**
+   * What is known of declarations and upstreams.
+   *
+   * @param plan the plan in force
+   * @param evacuatedDomains the failure domains that operators are emptying
+   * @param upstreams the registered upstreams
+   */
+  record View(
+      Section<ForwardingPlan> plan,
+      Section<Set<String>> evacuatedDomains,
+      Section<UpstreamList> upstreams) {
+
+    Optional<WarmUpPlan> warmUpOf(String service) {
+      return plan.read().findService(service).flatMap(ServicePlan::warmUp);
+    }
+  }
+
+  UpstreamChoice(
+      InstanceRecord self,
+      ForwardSettings settings,
+      View view,
+      FleetView fleet,
+      Predicate<String> reachedDomains,
+      Timers timers,
+      RandomGenerator random) {
+    this.timers = timers;
+    view.upstreams().subscribe(loads::retain);
+    view.upstreams().subscribe(memory::retain);
+    this.warming = new WarmingUpstreams(view.upstreams(), view::warmUpOf, timers);
+    WarmUpPermits permits =
+        new WarmUpPermits(self, fleet, warming, view::warmUpOf, settings.warmUp(), timers);
+    view.upstreams().subscribe(permits::retain);
+    this.checks =
+        new SendChecks(
+            view.upstreams(), settings.regionByDomain(), view.evacuatedDomains(), permits, timers);
+    this.picker =
+        new UpstreamPicker(
+            view.upstreams(),
+            loads,
+            new PlainCost(settings.domain(), loads, random),
+            new PromptCost(settings.domain(), loads, memory, speed),
+            checks,
+            warming::isWarming,
+            reachedDomains,
+            timers);
+  }
+
+  /** Takes notice of a prompt that another instance has sent to an upstream. */
+  void onNotice(String incarnation, long promptTokens) {
+    loads.of(incarnation).onNotice(promptTokens, speed.tokensPerMs(), timers.nowMs());
+  }
+
+  /** Lets the choice know of upstreams that are found to have ended. */
+  UpstreamEnds noting(UpstreamEnds ends) {
+    return upstream ->
+        ends.hasEnded(upstream)
+            .thenApply(
+                ended -> {
+                  if (ended) {
+                    warming.onEnded(upstream);
+                  }
+                  return ended;
+                });
+  }
+
+  UpstreamLoads loads() {
+    return loads;
+  }
+
+  ReadingSpeed speed() {
+    return speed;
+  }
+
+  PromptMemory memory() {
+    return memory;
+  }
+
+  WarmingUpstreams warming() {
+    return warming;
+  }
+
+  SendChecks checks() {
+    return checks;
+  }
+
+  UpstreamPicker picker() {
+    return picker;
+  }
+}
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -53,6 +53,9 @@
 
     void end(String outcome, int status);
 
+    /** Says whether the request may be written to an upstream at this moment. */
+    boolean admits(ServingUpstream upstream);
+
     /** What is known of upstreams that ended under the request. */
     Suspicion suspicion();
   }
@@ -133,16 +136,19 @@
             upstream,
             !work.route().kind().isRepeatable(),
             this::onConnected,
-            detail -> onConnectFailed(detail));
+            this::onConnectFailed);
   }
 
-  private void onConnectFailed(String detail) {
+  private void onConnectFailed(Throwable cause) {
+    if (ConnectRefusals.isRefusal(cause)) {
+      parts.endedUpstreams().accept(upstream);
+    }
     if (over || owner.hasEnded()) {
       return;
     }
     over = true;
     load.onFailure(parts.timers().nowMs());
-    fail(detail);
+    fail(String.valueOf(cause.getMessage()));
     owner.sendElsewhere();
   }
 
@@ -151,7 +157,7 @@
       connected.close();
       return;
     }
-    if (owner.suspicion().isQuarantined()) {
+    if (!owner.admits(upstream)) {
       over = true;
       connected.close();
       owner.sendElsewhere();
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
@@ -1,6 +1,8 @@
 package io.mothrill.wire.forward;
 
 import io.mothrill.core.error.Failures;
+import io.mothrill.core.forward.check.Objection;
+import io.mothrill.core.forward.check.SendChecks;
 import io.mothrill.core.forward.crash.CrashRecord;
 import io.mothrill.core.forward.crash.Suspicion;
 import io.mothrill.core.forward.plan.ForwardingPlan;
@@ -13,6 +15,7 @@
 import io.mothrill.core.forward.spending.SpendingReservation;
 import io.mothrill.core.forward.upstream.ServingUpstream;
 import io.mothrill.core.forward.upstream.UpstreamQuery;
+import io.mothrill.core.forward.upstream.UpstreamQuery.Standing;
 import io.mothrill.core.time.Subscription;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -33,9 +36,6 @@
   /** Most upstreams that one request is offered to, counting those that did not run it. */
   private static final int MAX_OFFERS = 3;
 
-  /** Least time that is worth an upstream's work. */
-  private static final long MIN_LEFT_MS = 20;
-
   /** When to come back if no upstream can take the request: they register within seconds. */
   static final long NO_UPSTREAM_RETRY_MS = 700;
 
@@ -62,6 +62,7 @@
   private Suspicion suspicion;
   private Subscription timeUp = () -> {};
   private SpendingReservation reservation = SpendingReservation.UNLIMITED;
+  private boolean paid;
   private ForwardAttempt attempt;
   private boolean ended;
 
@@ -122,7 +123,7 @@
   }
 
   private void pay() {
-    if (arrival.call().prompt().isPresent() && work.team().isPresent()) {
+    if (needsTokens()) {
       reserve();
     } else {
       sendElsewhere();
@@ -171,6 +172,7 @@
     paidMs = parts.timers().nowMs() - arrival.startMs();
     if (granted != null) {
       reservation = granted;
+      paid = true;
       sendElsewhere();
       return;
     }
@@ -192,19 +194,15 @@
     if (ended) {
       return;
     }
-    if (work.leftMs() < MIN_LEFT_MS) {
-      onTimeUp();
-      return;
-    }
     unlessItCrashesUpstreams(this::choose);
   }
 
   private void choose() {
-    UpstreamQuery query =
-        new UpstreamQuery(work.service(), work.route().aimMs(), arrival.call().prompt(), tried);
+    UpstreamQuery query = query();
     Optional<ServingUpstream> upstream = parts.picker().pick(query);
     if (upstream.isEmpty()) {
-      giveUp(Cause.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS);
+      Objection objection = parts.checks().whyNone(query);
+      giveUp(objection.cause(), objection.retryAfterMs());
       return;
     }
     tried.add(upstream.get().incarnation());
@@ -212,6 +210,25 @@
     attempt.connect();
   }
 
+  private UpstreamQuery query() {
+    return new UpstreamQuery(
+        work.service(),
+        work.route().aimMs(),
+        arrival.call().prompt(),
+        work.homes(),
+        tried,
+        new Standing(work.endMs(), !needsTokens() || paid, suspicion::isQuarantined));
+  }
+
+  private boolean needsTokens() {
+    return arrival.call().prompt().isPresent() && work.team().isPresent();
+  }
+
+  @Override
+  public boolean admits(ServingUpstream upstream) {
+    return parts.checks().admit(upstream, query());
+  }
+
   /** Ends the request without an answer of an upstream. */
   @Override
   public void giveUp(Cause ifNotRun, long retryAfterMs) {
@@ -219,7 +236,7 @@
       end("broken", 0);
       arrival.reply().breakOff();
     } else if (progress.mayHaveRun) {
-      refuse(ForwardRefusal.of(Cause.UPSTREAM_FAILED));
+      refuse(ForwardRefusal.of(ifNotRun.ifItMayHaveRun()));
     } else {
       refuse(ForwardRefusal.comeBackIn(ifNotRun, retryAfterMs));
     }
@@ -311,7 +328,7 @@
     Route route = work.route();
     return tried.size() < Math.max(MAX_OFFERS, route.maxAttempts())
         && progress.ranCount < route.maxAttempts()
-        && work.leftMs() > MIN_LEFT_MS
+        && work.leftMs() > SendChecks.MIN_LEFT_MS
         && parts.retries().tryTake(work.service());
   }
 
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardParts.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardParts.java
@@ -1,6 +1,7 @@
 package io.mothrill.wire.forward;
 
 import io.mothrill.core.board.Section;
+import io.mothrill.core.forward.check.SendChecks;
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.retry.SharedRetryBudget;
@@ -8,6 +9,7 @@
 import io.mothrill.core.forward.upstream.PromptMemory;
 import io.mothrill.core.forward.upstream.PromptNotices;
 import io.mothrill.core.forward.upstream.ReadingSpeed;
+import io.mothrill.core.forward.upstream.ServingUpstream;
 import io.mothrill.core.forward.upstream.UpstreamLoads;
 import io.mothrill.core.forward.upstream.UpstreamPicker;
 import io.mothrill.core.time.Timers;
@@ -22,6 +24,7 @@
  * @param dialect the names on the wire
  * @param known completes once the first plan and the first list of upstreams were read
  * @param plan the plan in force
+ * @param checks what forbids to send a request
  * @param picker chooses upstreams
  * @param loads what is known of the upstreams' loads
  * @param memory which prompts were sent where
@@ -31,6 +34,7 @@
  * @param retries bounds sends beyond the first
  * @param log gets a line for each request
  * @param crashes keeps requests that end upstreams away from them
+ * @param endedUpstreams gets each upstream that refuses connections
  * @param heardDomains gets the failure domain of each upstream that says something
  * @param timers the time
  * @param work counts what connections cost
@@ -40,6 +44,7 @@
     Dialect dialect,
     CompletableFuture<Void> known,
     Section<ForwardingPlan> plan,
+    SendChecks checks,
     UpstreamPicker picker,
     UpstreamLoads loads,
     PromptMemory memory,
@@ -49,6 +54,7 @@
     SharedRetryBudget retries,
     ForwardLog log,
     CrashGuard crashes,
+    Consumer<ServingUpstream> endedUpstreams,
     Consumer<String> heardDomains,
     Timers timers,
     WorkAccount work,
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardWork.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardWork.java
@@ -1,5 +1,6 @@
 package io.mothrill.wire.forward;
 
+import io.mothrill.core.forward.plan.HomeRegions;
 import io.mothrill.core.forward.plan.Route;
 import io.mothrill.core.forward.plan.TeamPlan;
 import io.mothrill.core.forward.request.Fingerprint;
@@ -22,6 +23,11 @@
     return arrival.call();
   }
 
+  /** Gives the regions that both its route and its team allow. */
+  HomeRegions homes() {
+    return team.map(TeamPlan::homes).orElse(HomeRegions.anywhere()).and(route.homes());
+  }
+
   /** Names the request by what upstreams see of it; reads the whole body. */
   Fingerprint fingerprint() {
     return Fingerprint.of(
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamPool.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamPool.java
@@ -64,7 +64,7 @@
       ServingUpstream upstream,
       boolean onlyOnce,
       Consumer<UpstreamConnection> onConnected,
-      Consumer<String> onFailed) {
+      Consumer<Throwable> onFailed) {
     double share = onlyOnce ? USABLE_SHARE_ONCE : USABLE_SHARE;
     Deque<UpstreamConnection> connections =
         idle.getOrDefault(upstream.incarnation(), new ArrayDeque<>());
@@ -82,7 +82,7 @@
   private void connect(
       ServingUpstream upstream,
       Consumer<UpstreamConnection> onConnected,
-      Consumer<String> onFailed) {
+      Consumer<Throwable> onFailed) {
     UpstreamConnection connection = new UpstreamConnection(dialect, this, upstream.incarnation());
     new Bootstrap()
         .group(loop)
@@ -106,7 +106,7 @@
               if (connected.isSuccess()) {
                 onConnected.accept(connection);
               } else {
-                onFailed.accept(String.valueOf(connected.cause().getMessage()));
+                onFailed.accept(connected.cause());
               }
             });
   }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamProbe.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamProbe.java
@@ -7,10 +7,8 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import java.net.ConnectException;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -85,7 +83,7 @@
               if (taken) {
                 connected.channel().close();
               }
-              if (!taken && isRefusal(connected.cause())) {
+              if (!taken && ConnectRefusals.isRefusal(connected.cause())) {
                 ended.complete(true);
               } else if (number >= (taken ? LOOKS_IF_TAKEN : MAX_LOOKS)) {
                 ended.complete(false);
@@ -94,8 +92,4 @@
               }
             });
   }
-
-  private static boolean isRefusal(Throwable cause) {
-    return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
-  }
 }
