Operators of mothrill's own interface empty a failure domain and take it back

Operators could declare that an upstream leaves, one by one, but not that a domain's upstreams get nothing new for a while. `mothrill evacuate DOMAIN` declares an Evacuation named after the domain, `--undo` takes it back, `mothrill get evacuations` shows how many calls are still under way there at the instance that is asked, and `get upstreams` says "evacuated". The queue of a service passes over those upstreams; a caller for whom none is left hears at once that nothing ran and when to come back.

--- a/mothrill-core/src/main/java/io/mothrill/core/config/ConfigSnapshot.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/config/ConfigSnapshot.java
@@ -154,6 +154,16 @@
         .toList();
   }
 
+  /**
+   * Says whether operators are emptying a failure domain.
+   *
+   * @param domain the failure domain
+   * @return true when its upstreams are to get nothing new
+   */
+  public boolean isEvacuated(String domain) {
+    return find(ResourceKind.EVACUATION, domain).isPresent();
+  }
+
   /**
    * Lists what refers to a resource.
    *
--- a/mothrill-core/src/main/java/io/mothrill/core/resource/ResourceKind.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/resource/ResourceKind.java
@@ -13,7 +13,9 @@
   /** A model or a plain service that callers may name. */
   SERVICE("Service"),
   /** A back end that serves one service. */
-  UPSTREAM("Upstream");
+  UPSTREAM("Upstream"),
+  /** A failure domain whose upstreams get nothing new. */
+  EVACUATION("Evacuation");
 
   private final String title;
 
--- a/mothrill-core/src/main/java/io/mothrill/core/routing/ServiceQueue.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/routing/ServiceQueue.java
@@ -126,7 +126,9 @@
   /** When every upstream has failed the call once, all of them are tried again. */
   private List<UpstreamState> staying(Ticket ticket) {
     List<UpstreamState> all =
-        upstreams.of(service).stream().filter(upstream -> !upstream.isLeaving()).toList();
+        upstreams.of(service).stream()
+            .filter(upstream -> !upstream.isLeaving() && !upstream.isEvacuated())
+            .toList();
     List<UpstreamState> untried =
         all.stream().filter(upstream -> !ticket.excluded().contains(upstream.name())).toList();
     return untried.isEmpty() ? all : untried;
--- a/mothrill-core/src/main/java/io/mothrill/core/routing/UpstreamState.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/routing/UpstreamState.java
@@ -21,6 +21,7 @@
   private final AtomicInteger ownAtReport = new AtomicInteger();
   private volatile long avoidUntilMs;
   private volatile boolean leaving;
+  private volatile boolean evacuated;
 
   UpstreamState(String name, UpstreamSpec spec) {
     this.name = name;
@@ -64,6 +65,19 @@
         UpstreamWord.UNTOLD);
   }
 
+  void markEvacuated(boolean now) {
+    evacuated = now;
+  }
+
+  /**
+   * Says whether operators are emptying the upstream's failure domain.
+   *
+   * @return true when it must get nothing new for now
+   */
+  public boolean isEvacuated() {
+    return evacuated;
+  }
+
   void declare(UpstreamSpec next) {
     spec.set(next);
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/routing/UpstreamTable.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/routing/UpstreamTable.java
@@ -34,6 +34,9 @@
     List<Resource> upstreams = snapshot.list(ResourceKind.UPSTREAM);
     states.keySet().retainAll(upstreams.stream().map(Resource::name).toList());
     upstreams.forEach(this::declare);
+    states
+        .values()
+        .forEach(state -> state.markEvacuated(snapshot.isEvacuated(state.spec().domain())));
     byService.set(
         states.values().stream()
             .sorted((one, two) -> one.name().compareTo(two.name()))
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/Mothrill.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/Mothrill.java
@@ -6,6 +6,7 @@
 import io.mothrill.daemon.cli.Command;
 import io.mothrill.daemon.cli.CommandLine;
 import io.mothrill.daemon.cli.DeleteCommand;
+import io.mothrill.daemon.cli.EvacuateCommand;
 import io.mothrill.daemon.cli.GetCommand;
 import io.mothrill.daemon.cli.ServeCommand;
 import io.mothrill.daemon.cli.TeamKeyCommand;
@@ -35,6 +36,8 @@
           WatchCommand::new,
           "delete",
           DeleteCommand::new,
+          "evacuate",
+          EvacuateCommand::new,
           "audit",
           AuditCommand::new);
 
--- a/mothrill-wire/src/main/java/io/mothrill/wire/json/JsonResources.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/json/JsonResources.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.mothrill.core.resource.BudgetSpec;
+import io.mothrill.core.resource.EvacuationSpec;
 import io.mothrill.core.resource.Priority;
 import io.mothrill.core.resource.Resource;
 import io.mothrill.core.resource.ResourceCodec;
@@ -29,7 +30,8 @@
   private static final long MAX_TOKENS = 1_000_000_000_000_000L;
   private static final int MAX_PORT = 65_535;
   private static final long HOUR_MS = 3_600_000;
-  private static final List<String> KINDS = List.of("Team", "Budget", "Service", "Upstream");
+  private static final List<String> KINDS =
+      List.of("Team", "Budget", "Service", "Upstream", "Evacuation");
 
   /**
    * A resource as an operator declares it.
@@ -77,6 +79,7 @@
       case BUDGET -> fields.object("spec", JsonResources::readBudget);
       case SERVICE -> fields.object("spec", JsonResources::readService);
       case UPSTREAM -> fields.object("spec", JsonResources::readUpstream);
+      case EVACUATION -> fields.object("spec", spec -> new EvacuationSpec());
     };
   }
 
@@ -142,6 +145,8 @@
       return writeBudget(budget);
     } else if (spec instanceof ServiceSpec service) {
       return writeService(service);
+    } else if (spec instanceof EvacuationSpec) {
+      return Json.object();
     }
     return writeUpstream((UpstreamSpec) spec);
   }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/operator/ResourceStatus.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/operator/ResourceStatus.java
@@ -50,6 +50,7 @@
       case BUDGET -> ofBudget(resource.name());
       case UPSTREAM -> CompletableFuture.completedFuture(ofUpstream(resource.name()));
       case SERVICE -> CompletableFuture.completedFuture(ofService(resource.name()));
+      case EVACUATION -> CompletableFuture.completedFuture(ofEvacuation(resource.name()));
       case TEAM -> CompletableFuture.completedFuture(Json.object());
     };
   }
@@ -85,8 +86,19 @@
     return node;
   }
 
+  /** Tells what is still under way there, so that an operator sees when the domain is empty. */
+  private ObjectNode ofEvacuation(String domain) {
+    List<UpstreamState> there =
+        upstreams.all().stream()
+            .filter(upstream -> upstream.spec().domain().equals(domain))
+            .toList();
+    return Json.object()
+        .put("upstreams", there.size())
+        .put("inFlightHere", there.stream().mapToInt(UpstreamState::inFlight).sum());
+  }
+
   private static void describeUpstream(ObjectNode node, UpstreamState state) {
-    node.put("state", state.isLeaving() ? "leaving" : "serving");
+    node.put("state", stateOf(state));
     node.put("inFlightHere", state.inFlight());
     state
         .lastReport()
@@ -96,6 +108,13 @@
                     .put("reportedQueued", report.queued()));
   }
 
+  private static String stateOf(UpstreamState state) {
+    if (state.isLeaving()) {
+      return "leaving";
+    }
+    return state.isEvacuated() ? "evacuated" : "serving";
+  }
+
   private ObjectNode ofService(String name) {
     return Json.object()
         .put("upstreams", upstreams.of(name).size())
--- a/mothrill-wire/src/test/java/io/mothrill/wire/json/JsonResourcesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/json/JsonResourcesTest.java
@@ -5,6 +5,7 @@
 
 import io.mothrill.core.error.InvalidInputException;
 import io.mothrill.core.resource.BudgetSpec;
+import io.mothrill.core.resource.EvacuationSpec;
 import io.mothrill.core.resource.Resource;
 import io.mothrill.core.resource.TopUp;
 import java.util.List;
@@ -23,6 +24,14 @@
     assertThat(codec.decode(codec.encode(resource))).isEqualTo(resource);
   }
 
+  @Test
+  void readsBackAnEvacuation() {
+    // GIVEN
+    Resource resource = new Resource("ankara-a", 7, new EvacuationSpec());
+    // THEN
+    assertThat(codec.decode(codec.encode(resource))).isEqualTo(resource);
+  }
+
   @Test
   void namesEveryWrongFieldWithItsPath() {
     // GIVEN
