Instances tell each other which upstreams they have found ended, replaced or out of reach

Change: `UpstreamNews`. Who finds an upstream replaced (421), ended (refused connection, or found by the guard's look) or unreachable tells the others by a datagram, unreachable ones only in its own domain; they avoid it. Twenty reports a second from each instance at the most, none that was told or heard just now. What is heard only steers the choice; it forbids nothing.

--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamNews.java
@@ -0,0 +1,178 @@
+package io.mothrill.core.forward.upstream;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.time.Timers;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.tinylog.Logger;
+
+/**
+ * Lets instances know of upstreams that others have found ended, replaced or out of reach.
+ *
+ * <p>Failure: upstreams end while instances cannot read the list, or before it shows that. Symptom:
+ * each of sixty instances finds each of forty of them by a request of its own, that is late or,
+ * once no further send is allowed, refused. An instance that finds one tells the others, which
+ * spare it from then on: a report costs a datagram for each, and most upstreams are found by one or
+ * two.
+ *
+ * <p>What is heard only steers the choice. An upstream that was reported wrongly is avoided for a
+ * time and tried again, and is still taken where there is no other.
+ */
+public final class UpstreamNews {
+
+  /**
+   * A replaced upstream never comes back under its name, but stays in the list for as long as the
+   * list cannot be read, which may be a long outage of the store.
+   */
+  private static final long REPLACED_AVOID_MS = 60_000;
+
+  /** The same is not told again for this time, by which an upstream may have started again. */
+  private static final long TOLD_MS = 2_000;
+
+  /**
+   * Reports that one instance sends in a second. More upstreams than that are found at a time only
+   * when a whole domain ends, and then each instance finds some of them.
+   */
+  private static final int MAX_REPORTS_PER_S = 20;
+
+  private static final long SECOND_MS = 1_000;
+
+  private final InstanceRecord self;
+  private final Supplier<List<InstanceRecord>> others;
+  private final FateReports reports;
+  private final Section<UpstreamList> list;
+  private final UpstreamLoads loads;
+  private final Consumer<ServingUpstream> ended;
+  private final Timers timers;
+  private final Map<FateReport, Long> knownMs = new ConcurrentHashMap<>();
+  private final AtomicLong sentCount = new AtomicLong();
+  private final AtomicLong heardCount = new AtomicLong();
+  private long secondBeganMs;
+  private int sentInSecond;
+
+  /**
+   * Creates the news.
+   *
+   * @param self this instance
+   * @param others the instances that are told
+   * @param reports sends what they are told
+   * @param list the registered upstreams
+   * @param loads the loads by which upstreams are avoided
+   * @param ended gets each upstream whose process has ended
+   * @param timers the time
+   */
+  public UpstreamNews(
+      InstanceRecord self,
+      Supplier<List<InstanceRecord>> others,
+      FateReports reports,
+      Section<UpstreamList> list,
+      UpstreamLoads loads,
+      Consumer<ServingUpstream> ended,
+      Timers timers) {
+    this.self = self;
+    this.others = others;
+    this.reports = reports;
+    this.list = list;
+    this.loads = loads;
+    this.ended = ended;
+    this.timers = timers;
+    timers.every(TOLD_MS, this::forgetOld);
+  }
+
+  /**
+   * Notes what this instance has found out itself, and tells the others.
+   *
+   * @param upstream the upstream
+   * @param fate what was found out
+   */
+  public void onFound(ServingUpstream upstream, UpstreamFate fate) {
+    take(upstream, fate);
+    FateReport report = FateReport.of(upstream, fate);
+    if (noteKnown(report) && mayTell()) {
+      sentCount.incrementAndGet();
+      reports.send(report, told(fate));
+    }
+  }
+
+  /**
+   * Takes what another instance has found out.
+   *
+   * @param report its report
+   */
+  public void onHeard(FateReport report) {
+    heardCount.incrementAndGet();
+    Optional<ServingUpstream> upstream =
+        list.read().find(ServingUpstream.idOf(report.incarnation())).filter(report::isAbout);
+    if (upstream.isEmpty() || !noteKnown(report)) {
+      return;
+    }
+    Logger.info("upstream reported upstream={} fate={}", report.incarnation(), report.fate());
+    boolean avoided = loads.of(report.incarnation()).isAvoided(timers.nowMs());
+    if (!avoided || report.fate() == UpstreamFate.REPLACED) {
+      take(upstream.get(), report.fate());
+    }
+  }
+
+  private void take(ServingUpstream upstream, UpstreamFate fate) {
+    UpstreamLoad load = loads.of(upstream.incarnation());
+    if (fate == UpstreamFate.REPLACED) {
+      load.onFull(timers.nowMs(), REPLACED_AVOID_MS);
+      return;
+    }
+    load.onFailure(timers.nowMs());
+    if (fate == UpstreamFate.ENDED) {
+      ended.accept(upstream);
+    }
+  }
+
+  /** Whoever is in another domain may reach an upstream that is out of reach from here. */
+  private List<InstanceRecord> told(UpstreamFate fate) {
+    return fate == UpstreamFate.UNREACHABLE
+        ? others.get().stream().filter(other -> other.domain().equals(self.domain())).toList()
+        : others.get();
+  }
+
+  /** Says whether this is news, and not what was told or heard just now. */
+  private boolean noteKnown(FateReport report) {
+    Long before = knownMs.put(report, timers.nowMs());
+    return before == null || timers.nowMs() - before >= TOLD_MS;
+  }
+
+  private synchronized boolean mayTell() {
+    long nowMs = timers.nowMs();
+    if (nowMs - secondBeganMs >= SECOND_MS) {
+      secondBeganMs = nowMs;
+      sentInSecond = 0;
+    }
+    return sentInSecond++ < MAX_REPORTS_PER_S;
+  }
+
+  private void forgetOld() {
+    long nowMs = timers.nowMs();
+    knownMs.values().removeIf(atMs -> nowMs - atMs >= TOLD_MS);
+  }
+
+  /**
+   * Counts what was told.
+   *
+   * @return reports since the start, each to all others
+   */
+  public long sentCount() {
+    return sentCount.get();
+  }
+
+  /**
+   * Counts what was heard.
+   *
+   * @return reports since the start
+   */
+  public long heardCount() {
+    return heardCount.get();
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/UpstreamNewsTest.java
@@ -0,0 +1,208 @@
+package io.mothrill.core.forward.upstream;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.forward.plan.HomeRegions;
+import io.mothrill.core.platform.InstanceRecord;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+// Pattern: 40 of 100 upstreams crash and come back under other names while no instance can read the
+// list. Of 60 instances each would find each of the 40 by a request of its own: thousands of sends
+// that do not run, more than may be sent again, so their callers are refused.
+class UpstreamNewsTest {
+
+  private static final String SERVICE = "asistan";
+  private static final int INSTANCES = 60;
+  private static final int UPSTREAMS = 100;
+  private static final int REPLACED = 40;
+  private static final int SECONDS = 9;
+
+  /** Requests of one instance in a second: 370 of all. */
+  private static final int REQUESTS_PER_S = 6;
+
+  /** Each upstream is found by a few instances that send to it at the same moment. */
+  private static final int MOST_FINDS = 4 * REPLACED;
+
+  private final ManualTimers timers = new ManualTimers();
+  private final Random random = new Random(7);
+  private final List<Instance> instances = new ArrayList<>();
+  private final Section<UpstreamList> list =
+      new Section<>(
+          new UpstreamList(
+              IntStream.range(0, UPSTREAMS).mapToObj(UpstreamNewsTest::upstream).toList()));
+
+  private static ServingUpstream upstream(int number) {
+    return new ServingUpstream(
+        "i-" + number,
+        SERVICE,
+        "10.1.0." + number,
+        80,
+        domain(number),
+        16,
+        false,
+        OptionalLong.of(0),
+        UpstreamWord.UNTOLD);
+  }
+
+  private static String domain(int number) {
+    return "domain-" + number % 4;
+  }
+
+  private final class Instance {
+    private final InstanceRecord record;
+    private final UpstreamLoads loads = new UpstreamLoads();
+    private final Set<String> ended = new HashSet<>();
+    private final UpstreamNews news;
+    private final UpstreamPicker picker;
+
+    Instance(int number, FateReports reports) {
+      this.record =
+          new InstanceRecord("e-" + number, "e-" + number, domain(number), "::1", 1, false);
+      this.news =
+          new UpstreamNews(
+              record,
+              this::others,
+              reports,
+              list,
+              loads,
+              upstream -> ended.add(upstream.id()),
+              timers);
+      PlainCost cost = new PlainCost(record.domain(), loads, random);
+      this.picker =
+          new UpstreamPicker(
+              list,
+              loads,
+              cost,
+              cost,
+              (upstream, query, nowMs) -> true,
+              upstream -> false,
+              domain -> true,
+              timers);
+    }
+
+    private List<InstanceRecord> others() {
+      return instances.stream().filter(other -> other != this).map(other -> other.record).toList();
+    }
+
+    private ServingUpstream pick() {
+      return picker
+          .pick(
+              new UpstreamQuery(
+                  SERVICE,
+                  800,
+                  Optional.empty(),
+                  HomeRegions.anywhere(),
+                  Set.of(),
+                  UpstreamQuery.Standing.sound()))
+          .orElseThrow();
+    }
+  }
+
+  private void startFleet(FateReports reports) {
+    IntStream.range(0, INSTANCES).forEach(number -> instances.add(new Instance(number, reports)));
+  }
+
+  private void deliver(FateReport report, List<InstanceRecord> to) {
+    timers.after(
+        1,
+        () ->
+            instances.stream()
+                .filter(instance -> to.contains(instance.record))
+                .forEach(instance -> instance.news.onHeard(report)));
+  }
+
+  /** Plays the cut, and counts the requests that met a replaced upstream. */
+  private int countFinds() {
+    int finds = 0;
+    for (int second = 0; second < SECONDS; second++) {
+      for (int turn = 0; turn < REQUESTS_PER_S; turn++) {
+        for (Instance instance : instances) {
+          ServingUpstream chosen = instance.pick();
+          if (Integer.parseInt(chosen.id().substring(2)) < REPLACED) {
+            finds++;
+            instance.news.onFound(chosen, UpstreamFate.REPLACED);
+          }
+        }
+        timers.advanceMs(1_000 / REQUESTS_PER_S);
+      }
+    }
+    return finds;
+  }
+
+  @Test
+  void eachReplacedUpstreamIsFoundByFewInstances() {
+    startFleet(this::deliver);
+
+    assertThat(countFinds()).isAtMost(MOST_FINDS);
+  }
+
+  @Test
+  void withoutReportsEachInstanceFindsThemAll() {
+    startFleet((report, to) -> {});
+
+    assertThat(countFinds()).isAtLeast(3 * MOST_FINDS);
+  }
+
+  @Test
+  void processThatEndedIsAvoidedAndTakenToWarmUpEverywhere() {
+    startFleet(this::deliver);
+
+    instances.get(0).news.onFound(upstream(3), UpstreamFate.ENDED);
+    timers.advanceMs(1);
+
+    for (Instance instance : instances) {
+      assertThat(instance.loads.of(upstream(3).incarnation()).isAvoided(timers.nowMs())).isTrue();
+      assertThat(instance.ended).containsExactly("i-3");
+    }
+  }
+
+  // What one domain cannot reach, others may reach.
+  @Test
+  void unreachableUpstreamIsToldInTheOwnDomainOnly() {
+    startFleet(this::deliver);
+
+    instances.get(0).news.onFound(upstream(3), UpstreamFate.UNREACHABLE);
+    timers.advanceMs(1);
+
+    for (Instance instance : instances) {
+      assertThat(instance.loads.of(upstream(3).incarnation()).isAvoided(timers.nowMs()))
+          .isEqualTo(instance.record.domain().equals(domain(0)));
+    }
+  }
+
+  // The upstream has started again at another address by the time the report arrives.
+  @Test
+  void reportAboutAnotherAddressIsPassedOver() {
+    startFleet(this::deliver);
+    Instance one = instances.get(0);
+
+    one.news.onHeard(new FateReport("i-3@0", "10.9.9.9", 80, UpstreamFate.REPLACED));
+
+    assertThat(one.loads.of("i-3@0").isAvoided(timers.nowMs())).isFalse();
+  }
+
+  // A whole domain ends. Each instance reports a bounded number of upstreams in a second.
+  @Test
+  void reportsAreBounded() {
+    startFleet((report, to) -> {});
+    Instance one = instances.get(0);
+
+    IntStream.range(0, UPSTREAMS)
+        .forEach(number -> one.news.onFound(upstream(number), UpstreamFate.ENDED));
+
+    assertThat(one.news.sentCount()).isEqualTo(20);
+    timers.advanceMs(2_000);
+    one.news.onFound(upstream(1), UpstreamFate.ENDED);
+    assertThat(one.news.sentCount()).isEqualTo(21);
+  }
+}
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/EntryInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/EntryInstance.java
@@ -91,6 +91,7 @@
             () -> node.members().read().others(),
             (incarnation, tokens) -> {},
             node.crashes()::onMessage,
+            report -> {},
             host -> {},
             new WorkAccount());
     this.callerEdge =
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -126,6 +126,7 @@
             settings,
             new UpstreamChoice.View(plan, evacuatedDomains, upstreams),
             fleet(),
+            (report, to) -> this.notices.send(report, to),
             reach::isOpen,
             timers,
             random);
@@ -152,6 +153,7 @@
               }
             },
             crashes::onMessage,
+            choice.news()::onHeard,
             reach::onHeard,
             ports.work());
     ForwardParts parts =
@@ -169,7 +171,7 @@
             new SharedRetryBudget(settings.retries(), spending::instanceCount, timers),
             new StoryLog(metrics, timers),
             crashes,
-            choice.warming()::onEnded,
+            choice.news(),
             reach::onHeardFrom,
             timers,
             ports.work(),
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamChoice.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamChoice.java
@@ -6,12 +6,15 @@
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.plan.ServicePlan;
 import io.mothrill.core.forward.plan.WarmUpPlan;
+import io.mothrill.core.forward.upstream.FateReports;
 import io.mothrill.core.forward.upstream.PlainCost;
 import io.mothrill.core.forward.upstream.PromptCost;
 import io.mothrill.core.forward.upstream.PromptMemory;
 import io.mothrill.core.forward.upstream.ReadingSpeed;
+import io.mothrill.core.forward.upstream.UpstreamFate;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.upstream.UpstreamLoads;
+import io.mothrill.core.forward.upstream.UpstreamNews;
 import io.mothrill.core.forward.upstream.UpstreamPicker;
 import io.mothrill.core.forward.warmup.FleetView;
 import io.mothrill.core.forward.warmup.WarmUpPermits;
@@ -30,7 +33,7 @@
   private final UpstreamLoads loads = new UpstreamLoads();
   private final ReadingSpeed speed = new ReadingSpeed();
   private final PromptMemory memory = new PromptMemory();
-  private final WarmingUpstreams warming;
+  private final UpstreamNews news;
   private final SendChecks checks;
   private final UpstreamPicker picker;
 
@@ -56,16 +59,20 @@
       ForwardSettings settings,
       View view,
       FleetView fleet,
+      FateReports reports,
       Predicate<String> reachedDomains,
       Timers timers,
       RandomGenerator random) {
     this.timers = timers;
     view.upstreams().subscribe(loads::retain);
     view.upstreams().subscribe(memory::retain);
-    this.warming = new WarmingUpstreams(view.upstreams(), view::warmUpOf, timers);
+    WarmingUpstreams warming = new WarmingUpstreams(view.upstreams(), view::warmUpOf, timers);
     WarmUpPermits permits =
         new WarmUpPermits(self, fleet, warming, view::warmUpOf, settings.warmUp(), timers);
     view.upstreams().subscribe(permits::retain);
+    this.news =
+        new UpstreamNews(
+            self, fleet::others, reports, view.upstreams(), loads, warming::onEnded, timers);
     this.checks =
         new SendChecks(
             view.upstreams(), settings.regionByDomain(), view.evacuatedDomains(), permits, timers);
@@ -86,14 +93,14 @@
     loads.of(incarnation).onNotice(promptTokens, speed.tokensPerMs(), timers.nowMs());
   }
 
-  /** Lets the choice know of upstreams that are found to have ended. */
+  /** Lets all instances know of upstreams that are found to have ended. */
   UpstreamEnds noting(UpstreamEnds ends) {
     return upstream ->
         ends.hasEnded(upstream)
             .thenApply(
                 ended -> {
                   if (ended) {
-                    warming.onEnded(upstream);
+                    news.onFound(upstream, UpstreamFate.ENDED);
                   }
                   return ended;
                 });
@@ -111,8 +118,8 @@
     return memory;
   }
 
-  WarmingUpstreams warming() {
-    return warming;
+  UpstreamNews news() {
+    return news;
   }
 
   SendChecks checks() {
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -4,6 +4,7 @@
 import io.mothrill.core.forward.request.ForwardRefusal;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
 import io.mothrill.core.forward.upstream.ServingUpstream;
+import io.mothrill.core.forward.upstream.UpstreamFate;
 import io.mothrill.core.forward.upstream.UpstreamLoad;
 import io.mothrill.core.time.Subscription;
 import io.netty.buffer.ByteBuf;
@@ -17,12 +18,6 @@
   /** A full upstream has a free place again about when its next requests end. */
   private static final long FULL_AVOID_MS = 250;
 
-  /**
-   * An upstream whose address another one has taken never comes back under its id; it stays in the
-   * list for as long as the list is not read, which may be a long outage of the store.
-   */
-  private static final long STRANGER_AVOID_MS = 60_000;
-
   private static final int MISDIRECTED = 421;
   private static final int FIRST_SERVER_ERROR = 500;
   private static final int FIRST_ERROR = 400;
@@ -140,14 +135,15 @@
   }
 
   private void onConnectFailed(Throwable cause) {
-    if (ConnectRefusals.isRefusal(cause)) {
-      parts.endedUpstreams().accept(upstream);
-    }
+    parts
+        .news()
+        .onFound(
+            upstream,
+            ConnectRefusals.isRefusal(cause) ? UpstreamFate.ENDED : UpstreamFate.UNREACHABLE);
     if (over || owner.hasEnded()) {
       return;
     }
     over = true;
-    load.onFailure(parts.timers().nowMs());
     fail(String.valueOf(cause.getMessage()));
     owner.sendElsewhere();
   }
@@ -289,7 +285,11 @@
   }
 
   private void onNotRun(int status) {
-    load.onFull(parts.timers().nowMs(), status == MISDIRECTED ? STRANGER_AVOID_MS : FULL_AVOID_MS);
+    if (status == MISDIRECTED) {
+      parts.news().onFound(upstream, UpstreamFate.REPLACED);
+    } else {
+      load.onFull(parts.timers().nowMs(), FULL_AVOID_MS);
+    }
     fail("not run, status " + status);
     progress.ranCount--;
     progress.mayHaveRun = progress.ranCount > 0;
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardParts.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardParts.java
@@ -9,8 +9,8 @@
 import io.mothrill.core.forward.upstream.PromptMemory;
 import io.mothrill.core.forward.upstream.PromptNotices;
 import io.mothrill.core.forward.upstream.ReadingSpeed;
-import io.mothrill.core.forward.upstream.ServingUpstream;
 import io.mothrill.core.forward.upstream.UpstreamLoads;
+import io.mothrill.core.forward.upstream.UpstreamNews;
 import io.mothrill.core.forward.upstream.UpstreamPicker;
 import io.mothrill.core.time.Timers;
 import io.mothrill.core.work.WorkAccount;
@@ -34,7 +34,7 @@
  * @param retries bounds sends beyond the first
  * @param log gets a line for each request
  * @param crashes keeps requests that end upstreams away from them
- * @param endedUpstreams gets each upstream that refuses connections
+ * @param news gets what is found out about upstreams
  * @param heardDomains gets the failure domain of each upstream that says something
  * @param timers the time
  * @param work counts what connections cost
@@ -54,7 +54,7 @@
     SharedRetryBudget retries,
     ForwardLog log,
     CrashGuard crashes,
-    Consumer<ServingUpstream> endedUpstreams,
+    UpstreamNews news,
     Consumer<String> heardDomains,
     Timers timers,
     WorkAccount work,
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
@@ -3,6 +3,8 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.mothrill.core.forward.crash.CrashMessage;
 import io.mothrill.core.forward.crash.CrashReports;
+import io.mothrill.core.forward.upstream.FateReport;
+import io.mothrill.core.forward.upstream.FateReports;
 import io.mothrill.core.forward.upstream.PromptNotices;
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.work.WorkAccount;
@@ -29,7 +31,7 @@
 import org.tinylog.Logger;
 
 /** Notices between instances, each in a datagram of its own; nothing is repeated or confirmed. */
-public final class DatagramNotices implements PromptNotices, CrashReports {
+public final class DatagramNotices implements PromptNotices, CrashReports, FateReports {
 
   /** Shorter prompts are read before the notice could change a choice. */
   private static final long MIN_TOKENS = 1_500;
@@ -67,6 +69,7 @@
    * @param heard gets the notices of others about prompts
    * @param heardCrashes gets their messages about requests under which upstreams crash, and where
    *     an answer goes
+   * @param heardFates gets their reports about upstreams
    * @param heardHosts gets the IP address of each instance that sent one
    * @param work counts what the notices cost
    */
@@ -77,6 +80,7 @@
       Supplier<List<InstanceRecord>> others,
       PromptNotices heard,
       BiConsumer<CrashMessage, InstanceRecord> heardCrashes,
+      Consumer<FateReport> heardFates,
       Consumer<String> heardHosts,
       WorkAccount work) {
     this.others = others;
@@ -92,7 +96,7 @@
                     opened
                         .pipeline()
                         .addLast(new WorkMeter(work, WorkKind.NOTICE))
-                        .addLast(new NoticeHandler(heard, heardCrashes, heardHosts));
+                        .addLast(new NoticeHandler(heard, heardCrashes, heardFates, heardHosts));
                   }
                 })
             .bind(host, port)
@@ -116,6 +120,11 @@
     send(Notice.newBuilder().setCrashes(CrashNoticeCodec.write(message)).build(), to);
   }
 
+  @Override
+  public void send(FateReport report, List<InstanceRecord> to) {
+    send(Notice.newBuilder().setUpstream(FateNoticeCodec.write(report)).build(), to);
+  }
+
   private void send(Notice notice, List<InstanceRecord> peers) {
     byte[] bytes = notice.toByteArray();
     peers.stream()
@@ -146,14 +155,17 @@
   static final class NoticeHandler extends SimpleChannelInboundHandler<DatagramPacket> {
     private final PromptNotices heard;
     private final BiConsumer<CrashMessage, InstanceRecord> heardCrashes;
+    private final Consumer<FateReport> heardFates;
     private final Consumer<String> heardHosts;
 
     NoticeHandler(
         PromptNotices heard,
         BiConsumer<CrashMessage, InstanceRecord> heardCrashes,
+        Consumer<FateReport> heardFates,
         Consumer<String> heardHosts) {
       this.heard = heard;
       this.heardCrashes = heardCrashes;
+      this.heardFates = heardFates;
       this.heardHosts = heardHosts;
     }
 
@@ -167,6 +179,8 @@
         } else if (notice.hasCrashes()) {
           CrashNoticeCodec.read(notice.getCrashes())
               .ifPresent(message -> heardCrashes.accept(message, senderOf(packet)));
+        } else if (notice.hasUpstream()) {
+          FateNoticeCodec.read(notice.getUpstream()).ifPresent(heardFates);
         }
       } catch (InvalidProtocolBufferException ex) {
         Logger.debug("notice not understood: {}", ex.getMessage());
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/FateNoticeCodec.java
@@ -0,0 +1,58 @@
+package io.mothrill.wire.peer;
+
+import io.mothrill.core.forward.upstream.FateReport;
+import io.mothrill.core.forward.upstream.UpstreamFate;
+import io.mothrill.wire.peer.generated.UpstreamNotice;
+import io.mothrill.wire.peer.generated.UpstreamNotice.Fate;
+import java.util.Optional;
+
+/** Writes reports about upstreams, and reads those of others. */
+final class FateNoticeCodec {
+
+  /** The longest key that a row of the platform's table may have, with a start behind it. */
+  private static final int MAX_NAME_CHARS = 230;
+
+  private static final int MAX_HOST_CHARS = 45;
+  private static final int MAX_PORT = 65_535;
+
+  private FateNoticeCodec() {}
+
+  static UpstreamNotice write(FateReport report) {
+    return UpstreamNotice.newBuilder()
+        .setIncarnation(report.incarnation())
+        .setHost(report.host())
+        .setPort(report.port())
+        .setFate(
+            switch (report.fate()) {
+              case REPLACED -> Fate.FATE_REPLACED;
+              case ENDED -> Fate.FATE_ENDED;
+              case UNREACHABLE -> Fate.FATE_UNREACHABLE;
+            })
+        .build();
+  }
+
+  /** Reads a report; empty when no instance of this release can have written it. */
+  static Optional<FateReport> read(UpstreamNotice notice) {
+    boolean possible =
+        notice.getIncarnation().length() <= MAX_NAME_CHARS
+            && notice.getHost().length() <= MAX_HOST_CHARS
+            && notice.getPort() > 0
+            && notice.getPort() <= MAX_PORT;
+    return possible
+        ? fateOf(notice.getFate())
+            .map(
+                fate ->
+                    new FateReport(
+                        notice.getIncarnation(), notice.getHost(), notice.getPort(), fate))
+        : Optional.empty();
+  }
+
+  private static Optional<UpstreamFate> fateOf(Fate fate) {
+    return switch (fate) {
+      case FATE_REPLACED -> Optional.of(UpstreamFate.REPLACED);
+      case FATE_ENDED -> Optional.of(UpstreamFate.ENDED);
+      case FATE_UNREACHABLE -> Optional.of(UpstreamFate.UNREACHABLE);
+      default -> Optional.empty();
+    };
+  }
+}
--- a/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.mothrill.core.forward.upstream.FateReport;
+import io.mothrill.core.forward.upstream.UpstreamFate;
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.work.WorkAccount;
 import io.netty.channel.EventLoopGroup;
@@ -28,6 +30,7 @@
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final BlockingQueue<Long> heard = new LinkedBlockingQueue<>();
+  private final BlockingQueue<FateReport> heardFates = new LinkedBlockingQueue<>();
 
   @AfterEach
   void stop() {
@@ -42,6 +45,7 @@
         List::of,
         (upstreamId, tokens) -> heard.add(tokens),
         (message, sender) -> {},
+        heardFates::add,
         host -> {},
         new WorkAccount());
   }
@@ -55,6 +59,7 @@
         () -> Collections.nCopies(peerCount, peer),
         (id, tokens) -> {},
         (message, sender) -> {},
+        report -> {},
         host -> {},
         new WorkAccount());
   }
@@ -111,4 +116,19 @@
   private static InstanceRecord instance(String host) {
     return new InstanceRecord(host, host, "konya", host, 7340, false);
   }
+
+  @Test
+  void carriesWhatWasFoundOutAboutAnUpstream() throws Exception {
+    int port = freePort();
+    FateReport report = new FateReport("i-1@0", "10.0.0.1", 80, UpstreamFate.REPLACED);
+    InstanceRecord peer = new InstanceRecord("konya-1", "konya-1", "konya", HOST, port, false);
+    DatagramNotices listener = listener(port);
+    DatagramNotices speaker = speaker(port, 1);
+
+    speaker.send(report, List.of(peer));
+
+    assertThat(heardFates.poll(WAIT_S, TimeUnit.SECONDS)).isEqualTo(report);
+    speaker.close();
+    listener.close();
+  }
 }
--- a/mothrill-wire/src/test/java/io/mothrill/wire/peer/ForeignNoticesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/peer/ForeignNoticesTest.java
@@ -3,11 +3,14 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.mothrill.core.forward.crash.CrashMessage;
+import io.mothrill.core.forward.upstream.FateReport;
+import io.mothrill.core.forward.upstream.UpstreamFate;
 import io.mothrill.wire.peer.generated.CrashNotice;
 import io.mothrill.wire.peer.generated.CrashReport;
 import io.mothrill.wire.peer.generated.CrashedRequest;
 import io.mothrill.wire.peer.generated.Notice;
 import io.mothrill.wire.peer.generated.PromptNotice;
+import io.mothrill.wire.peer.generated.UpstreamNotice;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.DatagramPacket;
@@ -25,11 +28,13 @@
 
   private final List<Long> heardTokens = new ArrayList<>();
   private final List<CrashMessage> heardCrashes = new ArrayList<>();
+  private final List<FateReport> heardFates = new ArrayList<>();
   private final EmbeddedChannel channel =
       new EmbeddedChannel(
           new DatagramNotices.NoticeHandler(
               (incarnation, tokens) -> heardTokens.add(tokens),
               (message, sender) -> heardCrashes.add(message),
+              heardFates::add,
               host -> {}));
 
   private void receive(byte[] bytes) {
@@ -93,4 +98,30 @@
     receive(notice(4_000));
     assertThat(heardTokens).containsExactly(4_000L);
   }
+
+  @Test
+  void reportsThatNoInstanceWritesAreDropped() {
+    UpstreamNotice sound =
+        UpstreamNotice.newBuilder()
+            .setIncarnation("i-1@0")
+            .setHost("10.0.0.1")
+            .setPort(80)
+            .setFate(UpstreamNotice.Fate.FATE_ENDED)
+            .build();
+    receive(sound.toBuilder().setPort(0));
+    receive(sound.toBuilder().setPort(70_000));
+    receive(sound.toBuilder().setIncarnation("i".repeat(500)));
+    receive(sound.toBuilder().setFateValue(9));
+    receive(sound.toBuilder().clearFate());
+    assertThat(heardFates).isEmpty();
+
+    receive(sound.toBuilder());
+
+    assertThat(heardFates)
+        .containsExactly(new FateReport("i-1@0", "10.0.0.1", 80, UpstreamFate.ENDED));
+  }
+
+  private void receive(UpstreamNotice.Builder report) {
+    receive(Notice.newBuilder().setUpstream(report).build().toByteArray());
+  }
 }
