Reports about upstreams are sent through a method, so that the build stands

The tests of the platform's module that it touches (forwarding, warming up, evacuation, crashes) are green now.

--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -9,6 +9,7 @@
 import io.mothrill.core.forward.spending.DemandShares;
 import io.mothrill.core.forward.spending.SpendingController;
 import io.mothrill.core.forward.upstream.DomainReach;
+import io.mothrill.core.forward.upstream.FateReport;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.view.StateFollower;
 import io.mothrill.core.forward.warmup.FleetView;
@@ -126,7 +127,7 @@
             settings,
             new UpstreamChoice.View(plan, evacuatedDomains, upstreams),
             fleet(),
-            (report, to) -> this.notices.send(report, to),
+            this::sendFate,
             reach::isOpen,
             timers,
             random);
@@ -217,6 +218,10 @@
     };
   }
 
+  private void sendFate(FateReport report, List<InstanceRecord> to) {
+    notices.send(report, to);
+  }
+
   private void sendReport(CrashMessage message, List<InstanceRecord> to) {
     notices.send(message, to);
   }
