--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
@@ -12,9 +12,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.DoubleSupplier;
 import java.util.function.ToLongFunction;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -24,6 +26,8 @@
 final class SpendingRows {
 
   /** A row that was not renewed for this long belongs to an instance that is gone or cut off. */
+  private static final double PERCENT = 100;
+
   private static final long SILENT_MS = 12_000;
 
   /** Shorter spans say little about demand. */
@@ -50,7 +54,9 @@
   private volatile List<InstanceRecord> others = List.of();
   private long othersReadAtStoreMs = Long.MIN_VALUE;
   private volatile TeamHolders holders;
+  private final DoubleSupplier linkUsed;
   private volatile int instanceCount;
+  private volatile OptionalDouble neighboursLinkUsed = OptionalDouble.empty();
   private long demandCountedMs;
   private int firstChange;
 
@@ -60,7 +66,9 @@
       Timers timers,
       long startedMs,
       RandomGenerator random,
-      SharePolicy policy) {
+      SharePolicy policy,
+      DoubleSupplier linkUsed) {
+    this.linkUsed = linkUsed;
     this.self = self;
     this.ownKey = SpendingTables.instanceKey(self.id());
     this.storeClock = storeClock;
@@ -100,6 +108,11 @@
     return instanceCount;
   }
 
+  /** Gives how much of their links the others of this domain use, on average. */
+  OptionalDouble neighboursLinkUsed() {
+    return neighboursLinkUsed;
+  }
+
   /** Says who has tokens of each team ready. */
   TeamHolders holders() {
     return holders;
@@ -193,6 +206,11 @@
       return;
     }
     othersReadAtStoreMs = read.wholeAtStoreMs();
+    neighboursLinkUsed =
+        read.others(ownKey)
+            .filter(row -> row.domain().equals(self.domain()) && isInTouch(read, row))
+            .mapToDouble(row -> row.linkUsedPercent() / PERCENT)
+            .average();
     List<InstanceRecord> reachable = read.reachable(ownKey, row -> isInTouch(read, row));
     if (!reachable.equals(others)) {
       others = reachable;
@@ -255,7 +273,13 @@
       }
     }
     InstanceSpending next =
-        new InstanceSpending(sentAtStoreMs, self.host(), self.peerPort(), self.domain(), grants);
+        new InstanceSpending(
+            sentAtStoreMs,
+            self.host(),
+            self.peerPort(),
+            self.domain(),
+            (int) Math.round(PERCENT * linkUsed.getAsDouble()),
+            grants);
     return transaction.and(read.row(ownKey), next.toCells());
   }
 
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingWorld.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingWorld.java
@@ -181,7 +181,8 @@
               timers.nowMs(),
               random,
               this::ask,
-              dispatcher);
+              dispatcher,
+              () -> 0);
     }
 
     /** Tries to set tokens aside; what is granted counts as spent at once. */
