--- a/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardRefusal.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardRefusal.java
@@ -24,8 +24,6 @@
     TOKENS_ELSEWHERE(503),
     /** No upstream can take the request now; the request has not run. */
     NO_UPSTREAM(503),
-    /** Other instances serve it sooner than this one, whose link is full; it has not run. */
-    BUSY_HERE(503),
     /** Upstreams are left only in failure domains that are being emptied; it has not run. */
     EVACUATED(503),
     /** No upstream is left in the regions that the request may go to; it has not run. */
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/InstanceSpending.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/InstanceSpending.java
@@ -16,7 +16,6 @@
  * @param host where other instances reach it; empty when it takes no calls of theirs
  * @param peerPort the TCP port for other instances
  * @param domain its failure domain; empty when it does not say so
- * @param linkUsedPercent how much of its link it used when that was sent
  * @param grants the grants by team
  */
 public record InstanceSpending(
@@ -24,16 +23,14 @@
     String host,
     int peerPort,
     String domain,
-    int linkUsedPercent,
     Map<String, SpendingGrant> grants) {
 
   /** A row that does not exist. */
-  public static final InstanceSpending NONE = new InstanceSpending(0, "", 0, "", 0, Map.of());
+  public static final InstanceSpending NONE = new InstanceSpending(0, "", 0, "", Map.of());
 
   private static final String HOST = "host";
   private static final String PEER_PORT = "peerPort";
   private static final String DOMAIN = "domain";
-  private static final String LINK_USED = "linkUsedPercent";
 
   private static final String SENT_AT = "sentAtMs";
   private static final String TEAM_PREFIX = "team.";
@@ -67,7 +64,7 @@
     long silentMs = Math.max(0, nowStoreMs - sentAtStoreMs);
     Map<String, SpendingGrant> closed = new TreeMap<>();
     grants.forEach((team, grant) -> closed.put(team, grant.closedAfterMs(silentMs)));
-    return new InstanceSpending(nowStoreMs, host, peerPort, domain, linkUsedPercent, closed);
+    return new InstanceSpending(nowStoreMs, host, peerPort, domain, closed);
   }
 
   /**
@@ -81,7 +78,6 @@
     cells.add(HOST, host);
     cells.add(PEER_PORT, peerPort);
     cells.add(DOMAIN, domain);
-    cells.add(LINK_USED, linkUsedPercent);
     grants.forEach((team, grant) -> cells.add(TEAM_PREFIX + team, write(grant)));
     return cells.build();
   }
@@ -107,7 +103,6 @@
         cells.text(HOST),
         (int) cells.number(PEER_PORT),
         cells.text(DOMAIN),
-        (int) cells.number(LINK_USED),
         grants);
   }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -11,10 +11,8 @@
 import io.mothrill.core.time.Timers;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -89,7 +87,6 @@
    * @param random spreads attempts after conflicts
    * @param links reaches other instances
    * @param dispatcher gets their requests
-   * @param linkUsed how much of its link this instance uses, which its row tells the others
    */
   public SpendingController(
       InstanceRecord self,
@@ -101,13 +98,12 @@
       long startedMs,
       RandomGenerator random,
       PeerLinks links,
-      PeerDispatcher dispatcher,
-      DoubleSupplier linkUsed) {
+      PeerDispatcher dispatcher) {
     this.timers = timers;
     this.startedMs = startedMs;
     this.reader =
         new SpendingReader(table, storeClock, timers, SpendingTables.instanceKey(self.id()));
-    this.rows = new SpendingRows(self, storeClock, timers, startedMs, random, policy, linkUsed);
+    this.rows = new SpendingRows(self, storeClock, timers, startedMs, random, policy);
     this.loans =
         new SpendingLoans(links, dispatcher, timers, self, this::findLendable, new Growth());
     this.renewal = new SpendingRenewal(table, reader, rows, plan, timers, random, loans::handBack);
@@ -160,15 +156,6 @@
     return rows.others();
   }
 
-  /**
-   * Gives how much of their links the other instances of this domain use.
-   *
-   * @return the mean, as last read; empty when there are none in touch
-   */
-  public OptionalDouble neighboursLinkUsed() {
-    return rows.neighboursLinkUsed();
-  }
-
   /**
    * Says whether {@link #others()} holds for this moment: it was read when it was due, and this
    * process has been there for as long as others need to read of it.
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
@@ -12,11 +12,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.DoubleSupplier;
 import java.util.function.ToLongFunction;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -26,8 +24,6 @@
 final class SpendingRows {
 
   /** A row that was not renewed for this long belongs to an instance that is gone or cut off. */
-  private static final double PERCENT = 100;
-
   private static final long SILENT_MS = 12_000;
 
   /** Shorter spans say little about demand. */
@@ -54,9 +50,7 @@
   private volatile List<InstanceRecord> others = List.of();
   private long othersReadAtStoreMs = Long.MIN_VALUE;
   private volatile TeamHolders holders;
-  private final DoubleSupplier linkUsed;
   private volatile int instanceCount;
-  private volatile OptionalDouble neighboursLinkUsed = OptionalDouble.empty();
   private long demandCountedMs;
   private int firstChange;
 
@@ -66,9 +60,7 @@
       Timers timers,
       long startedMs,
       RandomGenerator random,
-      SharePolicy policy,
-      DoubleSupplier linkUsed) {
-    this.linkUsed = linkUsed;
+      SharePolicy policy) {
     this.self = self;
     this.ownKey = SpendingTables.instanceKey(self.id());
     this.storeClock = storeClock;
@@ -108,11 +100,6 @@
     return instanceCount;
   }
 
-  /** Gives how much of their links the others of this domain use, on average. */
-  OptionalDouble neighboursLinkUsed() {
-    return neighboursLinkUsed;
-  }
-
   /** Says who has tokens of each team ready. */
   TeamHolders holders() {
     return holders;
@@ -206,11 +193,6 @@
       return;
     }
     othersReadAtStoreMs = read.wholeAtStoreMs();
-    neighboursLinkUsed =
-        read.others(ownKey)
-            .filter(row -> row.domain().equals(self.domain()) && isInTouch(read, row))
-            .mapToDouble(row -> row.linkUsedPercent() / PERCENT)
-            .average();
     List<InstanceRecord> reachable = read.reachable(ownKey, row -> isInTouch(read, row));
     if (!reachable.equals(others)) {
       others = reachable;
@@ -273,13 +255,7 @@
       }
     }
     InstanceSpending next =
-        new InstanceSpending(
-            sentAtStoreMs,
-            self.host(),
-            self.peerPort(),
-            self.domain(),
-            (int) Math.round(PERCENT * linkUsed.getAsDouble()),
-            grants);
+        new InstanceSpending(sentAtStoreMs, self.host(), self.peerPort(), self.domain(), grants);
     return transaction.and(read.row(ownKey), next.toCells());
   }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/work/WorkAccount.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/work/WorkAccount.java
@@ -87,24 +87,6 @@
     counters.get(kind).sentBytes.add(bytes);
   }
 
-  /**
-   * Gives the bytes of all kinds that came.
-   *
-   * @return the sum since the start
-   */
-  public long receivedBytes() {
-    return counters.values().stream().mapToLong(of -> of.receivedBytes.sum()).sum();
-  }
-
-  /**
-   * Gives the bytes of all kinds that were sent.
-   *
-   * @return the sum since the start
-   */
-  public long sentBytes() {
-    return counters.values().stream().mapToLong(of -> of.sentBytes.sum()).sum();
-  }
-
   /**
    * Gives the work of one kind.
    *
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/OthersSpendingTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/OthersSpendingTest.java
@@ -17,7 +17,6 @@
         "10.0.0.1",
         1,
         "konya",
-        0,
         Map.of(team, new SpendingGrant(spent, limit, 0, 0, 0, DEMAND_TOKENS_PER_S)));
   }
 
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingWorld.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingWorld.java
@@ -181,8 +181,7 @@
               timers.nowMs(),
               random,
               this::ask,
-              dispatcher,
-              () -> 0);
+              dispatcher);
     }
 
     /** Tries to set tokens aside; what is granted counts as spent at once. */
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -4,8 +4,6 @@
 import io.mothrill.core.board.Section;
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.crash.CrashMessage;
-import io.mothrill.core.forward.overload.LinkLoad;
-import io.mothrill.core.forward.overload.LoadShedding;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.retry.SharedRetryBudget;
 import io.mothrill.core.forward.spending.DemandShares;
@@ -106,7 +104,6 @@
             settings.peers().host(),
             peers.port(),
             false);
-    LinkLoad link = new LinkLoad(settings.linkBytesPerS(), ports.work(), timers);
     this.spending =
         new SpendingController(
             self,
@@ -118,8 +115,7 @@
             ports.startedMs(),
             random,
             peers,
-            dispatcher,
-            link::used);
+            dispatcher);
     this.readiness = new Readiness(plan, upstreams, spending, timers);
     dispatcher.on(
         PeerMessage.Heartbeat.class,
@@ -166,7 +162,6 @@
             ports.dialect(),
             readiness.known(),
             plan,
-            new LoadShedding(link, spending::neighboursLinkUsed, random),
             choice.checks(),
             choice.picker(),
             choice.loads(),
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardSettings.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardSettings.java
@@ -18,7 +18,6 @@
  * @param readyPath the path of that question
  * @param metricsPort where its metrics are, on the address of the probes
  * @param threadCount event loops
- * @param linkBytesPerS what the machine's link carries each way; 0 when that is not known
  * @param keptBytes the most bytes of bodies that are kept at a time
  * @param view how plan and upstreams are followed
  * @param retries how often requests may be sent again
@@ -35,7 +34,6 @@
     String readyPath,
     int metricsPort,
     int threadCount,
-    double linkBytesPerS,
     long keptBytes,
     ViewSettings view,
     RetryBounds retries,
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
@@ -44,9 +44,6 @@
 
   private static final long NO_PLAN_RETRY_MS = 500;
 
-  /** Another instance takes the request at once. */
-  private static final long ELSEWHERE_RETRY_MS = 10;
-
   /**
    * Longest wait of a process that has just started for its first plan and upstreams. They take a
    * few answers of the store; a caller that is sent away comes back half a second later at the
@@ -101,10 +98,6 @@
       refuse(refusal.get());
       return;
     }
-    if (parts.shedding().sheds()) {
-      refuse(ForwardRefusal.comeBackIn(Cause.BUSY_HERE, ELSEWHERE_RETRY_MS));
-      return;
-    }
     suspicion = new Suspicion(parts.crashes(), work::fingerprint, parts.timers());
     parts.retries().onRequest(work.service());
     timeUp = parts.timers().after(work.leftMs(), () -> onLoop(this::onTimeUp));
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardParts.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardParts.java
@@ -3,7 +3,6 @@
 import io.mothrill.core.board.Section;
 import io.mothrill.core.forward.check.SendChecks;
 import io.mothrill.core.forward.crash.CrashGuard;
-import io.mothrill.core.forward.overload.LoadShedding;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.retry.SharedRetryBudget;
 import io.mothrill.core.forward.spending.SpendingController;
@@ -25,7 +24,6 @@
  * @param dialect the names on the wire
  * @param known completes once the first plan and the first list of upstreams were read
  * @param plan the plan in force
- * @param shedding which requests are left to other instances
  * @param checks what forbids to send a request
  * @param picker chooses upstreams
  * @param loads what is known of the upstreams' loads
@@ -46,7 +44,6 @@
     Dialect dialect,
     CompletableFuture<Void> known,
     Section<ForwardingPlan> plan,
-    LoadShedding shedding,
     SendChecks checks,
     UpstreamPicker picker,
     UpstreamLoads loads,
