Two parts of an attempt get classes of their own; what an upstream says of its warm-up itself counts

Replies may carry how much longer their upstream warms up: decoded in the adapter, newer than the list (`WarmUpSigns`).

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamNews.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamNews.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.tinylog.Logger;
 
@@ -48,7 +47,7 @@
   private final FateReports reports;
   private final Section<UpstreamList> list;
   private final UpstreamLoads loads;
-  private final Consumer<ServingUpstream> ended;
+  private final WarmUpSigns warmUps;
   private final Timers timers;
   private final Map<FateReport, Long> knownMs = new ConcurrentHashMap<>();
   private final AtomicLong sentCount = new AtomicLong();
@@ -64,7 +63,7 @@
    * @param reports sends what they are told
    * @param list the registered upstreams
    * @param loads the loads by which upstreams are avoided
-   * @param ended gets each upstream whose process has ended
+   * @param warmUps gets what shows that an upstream warms up
    * @param timers the time
    */
   public UpstreamNews(
@@ -73,14 +72,14 @@
       FateReports reports,
       Section<UpstreamList> list,
       UpstreamLoads loads,
-      Consumer<ServingUpstream> ended,
+      WarmUpSigns warmUps,
       Timers timers) {
     this.self = self;
     this.others = others;
     this.reports = reports;
     this.list = list;
     this.loads = loads;
-    this.ended = ended;
+    this.warmUps = warmUps;
     this.timers = timers;
     timers.every(TOLD_MS, this::forgetOld);
   }
@@ -100,6 +99,16 @@
     }
   }
 
+  /**
+   * Notes what an upstream has said of itself beside an answer.
+   *
+   * @param upstream the upstream
+   * @param leftMs how much longer it warms up
+   */
+  public void onWarmUpSaid(ServingUpstream upstream, long leftMs) {
+    warmUps.onSaid(upstream, leftMs);
+  }
+
   /**
    * Takes what another instance has found out.
    *
@@ -127,7 +136,7 @@
     }
     load.onFailure(timers.nowMs());
     if (fate == UpstreamFate.ENDED) {
-      ended.accept(upstream);
+      warmUps.onEnded(upstream);
     }
   }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/warmup/WarmingUpstreams.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/warmup/WarmingUpstreams.java
@@ -4,6 +4,7 @@
 import io.mothrill.core.forward.plan.WarmUpPlan;
 import io.mothrill.core.forward.upstream.ServingUpstream;
 import io.mothrill.core.forward.upstream.UpstreamList;
+import io.mothrill.core.forward.upstream.WarmUpSigns;
 import io.mothrill.core.time.Timers;
 import java.util.HashMap;
 import java.util.Map;
@@ -24,7 +25,7 @@
  * it is taken to be as fast as before and gets its part of the requests at once. An upstream that
  * refuses connections is therefore taken to be warming up until the list must have shown the truth.
  */
-public final class WarmingUpstreams {
+public final class WarmingUpstreams implements WarmUpSigns {
 
   /**
    * After an end the list shows a new start within a heartbeat and a read, or loses the upstream
@@ -83,11 +84,19 @@
     return plans.apply(service).map(WarmUpPlan::durationMs).orElse(0L);
   }
 
-  /**
-   * Notes that the process of an upstream has ended: its port refuses connections.
-   *
-   * @param upstream the upstream
-   */
+  @Override
+  public synchronized void onSaid(ServingUpstream upstream, long leftMs) {
+    Known before = known.get(upstream.incarnation());
+    if (before == null) {
+      return;
+    }
+    Map<String, Known> next = new HashMap<>(known);
+    next.put(upstream.incarnation(), new Known(before.upstream(), timers.nowMs() + leftMs));
+    known = next;
+    endedMs.remove(upstream.incarnation());
+  }
+
+  @Override
   public void onEnded(ServingUpstream upstream) {
     if (known.containsKey(upstream.incarnation())) {
       endedMs.put(upstream.incarnation(), timers.nowMs());
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/UpstreamNewsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/UpstreamNewsTest.java
@@ -75,7 +75,15 @@
               reports,
               list,
               loads,
-              upstream -> ended.add(upstream.id()),
+              new WarmUpSigns() {
+                @Override
+                public void onEnded(ServingUpstream upstream) {
+                  ended.add(upstream.id());
+                }
+
+                @Override
+                public void onSaid(ServingUpstream upstream, long leftMs) {}
+              },
               timers);
       PlainCost cost = new PlainCost(record.domain(), loads, random);
       this.picker =
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/warmup/WarmingUpstreamsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/warmup/WarmingUpstreamsTest.java
@@ -102,4 +102,16 @@
 
     assertThat(warming.isWarming(before)).isFalse();
   }
+
+  // The list is up to a heartbeat old, an answer of the upstream itself is not.
+  @Test
+  void whatAnUpstreamSaysItselfIsNewer() {
+    ServingUpstream upstream = read(saying("i-1", OptionalLong.of(0), 1));
+
+    warming.onSaid(upstream, 2_500);
+    assertThat(warming.leftMs(upstream)).isEqualTo(2_500);
+
+    warming.onSaid(upstream, 0);
+    assertThat(warming.isWarming(upstream)).isFalse();
+  }
 }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamChoice.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamChoice.java
@@ -71,8 +71,7 @@
         new WarmUpPermits(self, fleet, warming, view::warmUpOf, settings.warmUp(), timers);
     view.upstreams().subscribe(permits::retain);
     this.news =
-        new UpstreamNews(
-            self, fleet::others, reports, view.upstreams(), loads, warming::onEnded, timers);
+        new UpstreamNews(self, fleet::others, reports, view.upstreams(), loads, warming, timers);
     this.checks =
         new SendChecks(
             view.upstreams(), settings.regionByDomain(), view.evacuatedDomains(), permits, timers);
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -62,18 +62,13 @@
   private final ServingUpstream upstream;
   private final UpstreamLoad load;
   private final long promptTokens;
-  private final long chosenMs;
-  private final int underWayBefore;
-  private final long unreadBefore;
-  private final long estimatedBefore;
-  private boolean told;
+  private final OfferNote note;
+  private final SilenceWatch silence;
   private UpstreamConnection connection;
-  private Subscription silence = () -> {};
   private Subscription replacement = () -> {};
   private boolean over;
   private boolean sent;
   private boolean promptRead;
-  private long heardMs;
   private long sentMs;
   private HttpResponse answer;
   private ByteBuf whole;
@@ -85,13 +80,12 @@
     this.parts = work.arrival().parts();
     this.progress = progress;
     this.owner = owner;
-    long nowMs = parts.timers().nowMs();
     this.upstream = upstream;
     this.load = parts.loads().of(upstream.incarnation());
-    this.chosenMs = nowMs - work.arrival().startMs();
-    this.underWayBefore = load.underWayCount();
-    this.unreadBefore = Math.round(load.unreadPromptTokens(parts.speed().tokensPerMs(), nowMs));
-    this.estimatedBefore = Math.round(load.estimatedCount(nowMs));
+    this.note = new OfferNote(work, upstream, load);
+    this.silence =
+        new SilenceWatch(parts.timers(), work.arrival().loop(), silenceMs(work), this::onSilent);
+    long nowMs = parts.timers().nowMs();
     this.promptTokens =
         work.call()
             .prompt()
@@ -108,19 +102,11 @@
 
   /** Notes that this upstream did not answer the request. */
   private void fail(String result) {
-    told = true;
-    progress.offers.add(offer(result));
-  }
-
-  private ForwardLog.Offer offer(String result) {
-    return new ForwardLog.Offer(
-        upstream.id(), chosenMs, underWayBefore, unreadBefore, estimatedBefore, result);
+    note.tell(progress, result);
   }
 
   List<ForwardLog.Offer> withOffer(String result) {
-    if (!told) {
-      fail(result);
-    }
+    note.tell(progress, result);
     return progress.offers;
   }
 
@@ -164,7 +150,6 @@
     progress.mayHaveRun = true;
     progress.ranCount++;
     sentMs = parts.timers().nowMs();
-    heardMs = sentMs;
     load.onSent(promptTokens);
     work.call()
         .prompt()
@@ -178,52 +163,27 @@
                 work.arrival()
                     .loop()
                     .execute(() -> onBroken(BreakCause.REPLACED, "upstream has started again")));
-    watchSilence(silenceMs());
+    silence.start();
   }
 
-  private long silenceMs() {
+  private static long silenceMs(ForwardWork work) {
     return Math.max(SILENT_MIN_MS, SILENT_AIMS * work.route().aimMs());
   }
 
   /**
-   * Acts on an upstream that says nothing.
-   *
-   * <p>Failure: an upstream is dead or cut off without a reset. Symptom: its callers wait until
-   * their deadline. Others are sent elsewhere meanwhile; this request follows them only if it may
-   * run more than once, since silence does not show that it has not run.
+   * Acts on an upstream that says nothing. Others are sent elsewhere meanwhile; this request
+   * follows them only if it may run more than once, since silence does not show that it has not
+   * run.
    */
-  private void watchSilence(long delayMs) {
-    silence.cancel();
-    silence =
-        parts
-            .timers()
-            .after(
-                delayMs,
-                () ->
-                    work.arrival()
-                        .loop()
-                        .execute(
-                            () -> {
-                              if (over || owner.hasEnded()) {
-                                return;
-                              }
-                              long silentMs = parts.timers().nowMs() - heardMs;
-                              if (silentMs < silenceMs()) {
-                                watchSilence(silenceMs() - silentMs);
-                              } else {
-                                onSilent(silentMs);
-                              }
-                            }));
-  }
-
   private void onSilent(long silentMs) {
+    if (over || owner.hasEnded()) {
+      return;
+    }
     load.onFailure(parts.timers().nowMs());
     if (owner.mayRunAgain()) {
       fail("silent for " + silentMs + " ms");
       abandon();
       owner.sendElsewhere();
-    } else {
-      watchSilence(silenceMs());
     }
   }
 
@@ -240,7 +200,7 @@
 
   private void finish() {
     over = true;
-    silence.cancel();
+    silence.stop();
     replacement.cancel();
     if (sent) {
       notePromptRead();
@@ -260,7 +220,7 @@
   }
 
   private void noteHeard() {
-    heardMs = parts.timers().nowMs();
+    silence.onHeard();
     parts.heardDomains().accept(upstream.domain());
   }
 
@@ -268,8 +228,9 @@
   public void onHead(HttpResponse newAnswer, ReplyMarks marks) {
     noteHeard();
     if (marks.running().isPresent()) {
-      load.onReport(marks.running().getAsInt(), marks.waiting().orElse(0), heardMs);
+      load.onReport(marks.running().getAsInt(), marks.waiting().orElse(0), silence.heardMs());
     }
+    marks.warmUpLeftMs().ifPresent(leftMs -> parts.news().onWarmUpSaid(upstream, leftMs));
     answer = newAnswer;
     int status = answer.status().code();
     if (marks.notRun() || status == MISDIRECTED) {
@@ -317,7 +278,7 @@
 
   private void pass(EventSplitter.Event event) {
     if (!promptRead) {
-      parts.speed().onRead(promptTokens, heardMs - sentMs);
+      parts.speed().onRead(promptTokens, silence.heardMs() - sentMs);
     }
     notePromptRead();
     if (event.id().isPresent() && progress.lastEventId.isPresent()) {
