--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -13,6 +13,7 @@
 import io.mothrill.daemon.log.JsonLinesWriter;
 import io.mothrill.wire.forward.ForwardEdge;
 import java.util.Arrays;
+import java.util.Set;
 
 /** Shows the state of an instance among its metrics: what it believes, and how old that is. */
 final class ForwardGauges {
@@ -54,6 +55,14 @@
     metrics.gauge("spending.heldTokens." + team, () -> () -> spending.heldTokens(team));
   }
 
+  /** Shows which upstreams get little or nothing, and what instances tell each other of them. */
+  void showUpstreams(Section<Set<String>> evacuatedDomains, UpstreamChoice choice) {
+    metrics.gauge("upstreams.evacuatedDomainCount", () -> () -> evacuatedDomains.read().size());
+    metrics.gauge("upstreams.warmingCount", () -> choice.warming()::warmingCount);
+    metrics.gauge("upstreams.reportsSentCount", () -> choice.news()::sentCount);
+    metrics.gauge("upstreams.reportsHeardCount", () -> choice.news()::heardCount);
+  }
+
   /** Shows how many requests are under suspicion, and what is told of them. */
   void showCrashes(CrashGuard crashes) {
     metrics.gauge("crashes.suspectCount", () -> () -> crashes.counts().suspects());
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -194,6 +194,7 @@
     gauges.showEdge(edge);
     gauges.showSpending(plan, spending);
     gauges.showCrashes(crashes);
+    gauges.showUpstreams(evacuatedDomains, choice);
     gauges.showLog();
     gauges.showWork(ports.work());
     timers.every(FORGET_MS, () -> choice.loads().retain(upstreams.read()));
