--- a/mothrill-core/src/main/java/io/mothrill/core/forward/warmup/WarmingUpstreams.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/warmup/WarmingUpstreams.java
@@ -113,6 +113,15 @@
     return leftMs(upstream) > 0;
   }
 
+  /**
+   * Counts the upstreams that warm up.
+   *
+   * @return a count
+   */
+  public long warmingCount() {
+    return known.values().stream().map(Known::upstream).filter(this::isWarming).count();
+  }
+
   /**
    * Says how much longer an upstream warms up.
    *
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamChoice.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamChoice.java
@@ -33,6 +33,7 @@
   private final UpstreamLoads loads = new UpstreamLoads();
   private final ReadingSpeed speed = new ReadingSpeed();
   private final PromptMemory memory = new PromptMemory();
+  private final WarmingUpstreams warming;
   private final UpstreamNews news;
   private final SendChecks checks;
   private final UpstreamPicker picker;
@@ -66,7 +67,7 @@
     this.timers = timers;
     view.upstreams().subscribe(loads::retain);
     view.upstreams().subscribe(memory::retain);
-    WarmingUpstreams warming = new WarmingUpstreams(view.upstreams(), view::warmUpOf, timers);
+    this.warming = new WarmingUpstreams(view.upstreams(), view::warmUpOf, timers);
     WarmUpPermits permits =
         new WarmUpPermits(self, fleet, warming, view::warmUpOf, settings.warmUp(), timers);
     view.upstreams().subscribe(permits::retain);
@@ -117,6 +118,10 @@
     return memory;
   }
 
+  WarmingUpstreams warming() {
+    return warming;
+  }
+
   UpstreamNews news() {
     return news;
   }
