Upstreams of a domain that is taken back are taken to warm up until they say otherwise

Found by reading: after an evacuation the domain's upstreams are idle and may have turned cold, which their entries show up to a heartbeat and a read later. Until then every instance would choose them first, each with its full part. They count as warming up from the moment at which the domain is taken back, for as long as their service says; their next word, in the list or beside an answer, decides.

WarmingUpstreamsTest: two tests, of which the first fails without the change.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/warmup/WarmingUpstreams.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/warmup/WarmingUpstreams.java
@@ -7,9 +7,11 @@
 import io.mothrill.core.forward.upstream.WarmUpSigns;
 import io.mothrill.core.time.Timers;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 import org.tinylog.Logger;
@@ -24,6 +26,10 @@
  * <p>Failure: an upstream ends and starts again under its name. Symptom: until the list shows that,
  * it is taken to be as fast as before and gets its part of the requests at once. An upstream that
  * refuses connections is therefore taken to be warming up until the list must have shown the truth.
+ *
+ * <p>Failure: operators take back a domain that was emptied. Symptom: its upstreams are idle, so
+ * all instances choose them at once, and they may have turned cold meanwhile, which the list shows
+ * only a heartbeat later. They are taken to warm up from then on until they say otherwise.
  */
 public final class WarmingUpstreams implements WarmUpSigns {
 
@@ -36,24 +42,54 @@
   private final Function<String, Optional<WarmUpPlan>> plans;
   private final Timers timers;
   private volatile Map<String, Known> known = Map.of();
+  private Set<String> evacuated;
   private final Map<String, Long> endedMs = new ConcurrentHashMap<>();
 
   /** An upstream as it was read last, and until when it warms up. */
-  private record Known(ServingUpstream upstream, long untilMs) {}
+  private record Known(ServingUpstream upstream, long untilMs) {
+
+    Known warmingUntil(long laterMs) {
+      return new Known(upstream, laterMs);
+    }
+  }
 
   /**
    * Begins to follow a list.
    *
    * @param list the registered upstreams
+   * @param evacuatedDomains the failure domains that operators are emptying
    * @param plans what the upstreams of a service bear while they warm up; empty when nothing bounds
    *     it
    * @param timers the time
    */
   public WarmingUpstreams(
-      Section<UpstreamList> list, Function<String, Optional<WarmUpPlan>> plans, Timers timers) {
+      Section<UpstreamList> list,
+      Section<Set<String>> evacuatedDomains,
+      Function<String, Optional<WarmUpPlan>> plans,
+      Timers timers) {
     this.plans = plans;
     this.timers = timers;
+    this.evacuated = evacuatedDomains.read();
     list.subscribe(this::follow);
+    evacuatedDomains.subscribe(this::onEvacuations);
+  }
+
+  private synchronized void onEvacuations(Set<String> now) {
+    Set<String> takenBack = new HashSet<>(evacuated);
+    takenBack.removeAll(now);
+    evacuated = now;
+    Map<String, Known> next = new HashMap<>(known);
+    next.replaceAll(
+        (incarnation, found) ->
+            takenBack.contains(found.upstream().domain())
+                ? found.warmingUntil(idleUntil(found))
+                : found);
+    known = next;
+  }
+
+  private long idleUntil(Known found) {
+    long durationMs = durationMs(found.upstream().service());
+    return Math.max(found.untilMs(), timers.nowMs() + durationMs);
   }
 
   private synchronized void follow(UpstreamList list) {
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/check/SendChecksTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/check/SendChecksTest.java
@@ -35,7 +35,8 @@
   private final Section<UpstreamList> list = new Section<>(UpstreamList.empty());
   private final Section<Set<String>> evacuated = new Section<>(Set.of());
   private final InstanceRecord self = new InstanceRecord("e-1", "e-1.a", "konya", "::1", 1, false);
-  private final WarmingUpstreams warming = new WarmingUpstreams(list, service -> PLAN, timers);
+  private final WarmingUpstreams warming =
+      new WarmingUpstreams(list, evacuated, service -> PLAN, timers);
   private final SendChecks checks =
       new SendChecks(
           list,
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/warmup/WarmUpWorld.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/warmup/WarmUpWorld.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeMap;
 
 /** Instances with views of each other, and upstreams that turn cold under all of them. */
@@ -99,7 +100,8 @@
       this.startedMs = timers.nowMs();
       this.readMs = startedMs;
       Timers time = timers;
-      this.warming = new WarmingUpstreams(list, service -> Optional.of(PLAN), time);
+      this.warming =
+          new WarmingUpstreams(list, new Section<>(Set.of()), service -> Optional.of(PLAN), time);
       this.permits =
           new WarmUpPermits(record, this, warming, service -> Optional.of(PLAN), BOUNDS, time);
     }
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/warmup/WarmingUpstreamsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/warmup/WarmingUpstreamsTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class WarmingUpstreamsTest {
@@ -19,8 +20,9 @@
 
   private final ManualTimers timers = new ManualTimers();
   private final Section<UpstreamList> list = new Section<>(UpstreamList.empty());
+  private final Section<Set<String>> evacuated = new Section<>(Set.of());
   private final WarmingUpstreams warming =
-      new WarmingUpstreams(list, service -> Optional.of(PLAN), timers);
+      new WarmingUpstreams(list, evacuated, service -> Optional.of(PLAN), timers);
 
   private static ServingUpstream saying(String id, OptionalLong leftMs, long number) {
     return new ServingUpstream(
@@ -114,4 +116,29 @@
     warming.onSaid(upstream, 0);
     assertThat(warming.isWarming(upstream)).isFalse();
   }
+
+  // A domain was empty for a while. Its upstreams are idle, and cold as their next words will show;
+  // until then all instances would choose them first.
+  @Test
+  void upstreamsOfDomainThatIsTakenBackAreTakenToWarmUp() {
+    ServingUpstream there = read(saying("i-1", OptionalLong.of(0), 1));
+    evacuated.publish(Set.of("konya"));
+    assertThat(warming.isWarming(there)).isFalse();
+
+    evacuated.publish(Set.of());
+
+    assertThat(warming.leftMs(there)).isEqualTo(PLAN.durationMs());
+    warming.onSaid(there, 0);
+    assertThat(warming.isWarming(there)).isFalse();
+  }
+
+  @Test
+  void upstreamsElsewhereStayWarmWhenDomainIsTakenBack() {
+    ServingUpstream here = read(saying("i-1", OptionalLong.of(0), 1));
+    evacuated.publish(Set.of("kayseri"));
+
+    evacuated.publish(Set.of());
+
+    assertThat(warming.isWarming(here)).isFalse();
+  }
 }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamChoice.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamChoice.java
@@ -67,7 +67,8 @@
     this.timers = timers;
     view.upstreams().subscribe(loads::retain);
     view.upstreams().subscribe(memory::retain);
-    this.warming = new WarmingUpstreams(view.upstreams(), view::warmUpOf, timers);
+    this.warming =
+        new WarmingUpstreams(view.upstreams(), view.evacuatedDomains(), view::warmUpOf, timers);
     WarmUpPermits permits =
         new WarmUpPermits(self, fleet, warming, view::warmUpOf, settings.warmUp(), timers);
     view.upstreams().subscribe(permits::retain);
