Refusals for tokens say where the tokens of the team are

What callers saw: refused for tokens while their team had some. The lines of refused requests named only the row of the instance itself, so three hypotheses of the incident could not be told apart: counted as spent, held by other instances, or unassigned and out of reach of renewals.

Change: a refusal names what no limit covers, what the rows of the others hold and have ready, and the age of these rows. Gauges of unassigned tokens by team, of tokens lost at the start, counters of refusals and of those that the table could have paid for. No decision changes.

Cost: a pass over the rows for each refusal, none without.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -147,6 +147,44 @@
     return rows.heldTokens(team);
   }
 
+  /**
+   * Gives what no instance's limit covers of a team's budget.
+   *
+   * @param team the team
+   * @return tokens by the last read of the table
+   */
+  public long unassignedTokens(TeamPlan team) {
+    return rows.tokensOf(team).unassignedTokens();
+  }
+
+  /**
+   * Gives what counted as spent at the start, though the last row of the process before did not
+   * show it as spent.
+   *
+   * @return tokens of all teams
+   */
+  public long lostTokens() {
+    return rows.lostTokens();
+  }
+
+  /**
+   * Counts the requests that were refused for tokens.
+   *
+   * @return a count since the start
+   */
+  public long refusedCount() {
+    return rows.shortages().refusedCount();
+  }
+
+  /**
+   * Counts the refused requests that what the table had unassigned would have covered.
+   *
+   * @return a count since the start
+   */
+  public long refusedThoughUnassignedCount() {
+    return rows.shortages().refusedThoughUnassignedCount();
+  }
+
   /**
    * Lists the other instances that have renewed their rows lately.
    *
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRefusals.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRefusals.java
@@ -53,34 +53,41 @@
    * itself has too little; without them the caller is told to come back.
    */
   SpendingException of(TeamPlan team, long tokens) {
+    TeamTokens where = rows.tokensOf(team);
+    rows.shortages().onRefused(team.name(), tokens, where);
     return rows.find(team.name())
-        .map(spending -> of(team, spending, tokens))
+        .map(spending -> of(team, spending, tokens, where))
         .orElseGet(
             () ->
                 SpendingException.notHere(
                     team.name(), tokens, "no row yet", SpendingRenewal.PERIOD_MS));
   }
 
-  private SpendingException of(TeamPlan team, TeamSpending spending, long tokens) {
+  private SpendingException of(
+      TeamPlan team, TeamSpending spending, long tokens, TeamTokens where) {
     if (isSpent(team, spending, tokens)) {
       return SpendingException.spent(team.name(), rows.leftTokens(team, spending), tokens);
     }
     long sinceRenewalMs = renewal.sinceRenewalMs();
     if (isRenewed()) {
       return SpendingException.notHere(
-          team.name(), tokens, stateOf(spending, sinceRenewalMs), REBALANCED_MS);
+          team.name(), tokens, stateOf(spending, sinceRenewalMs, where), REBALANCED_MS);
     }
     long waitMs = Math.min(MAX_RETRY_AFTER_MS, spending.waitMs(tokens));
     return SpendingException.notHere(
         team.name(),
         tokens,
-        stateOf(spending, sinceRenewalMs),
+        stateOf(spending, sinceRenewalMs, where),
         Math.max(SpendingRenewal.LEAST_PAUSE_MS, waitMs));
   }
 
-  private static String stateOf(TeamSpending spending, long sinceRenewalMs) {
-    return "spent %d of %d, limit %d, renewed %d ms ago"
+  private static String stateOf(TeamSpending spending, long sinceRenewalMs, TeamTokens where) {
+    return "spent %d of %d, limit %d, renewed %d ms ago, %s"
         .formatted(
-            spending.spentTokens(), spending.boundTokens(), spending.limitTokens(), sinceRenewalMs);
+            spending.spentTokens(),
+            spending.boundTokens(),
+            spending.limitTokens(),
+            sinceRenewalMs,
+            where.describe());
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
@@ -42,11 +42,13 @@
   private final long startedMs;
   private final RandomGenerator random;
   private final GrantShaper shaper;
+  private final ShortageLog shortages;
   private final Map<String, TeamSpending> teams = new ConcurrentHashMap<>();
   private final Map<String, Demand> demands = new ConcurrentHashMap<>();
   private final Map<String, Long> wantedTokens = new ConcurrentHashMap<>();
   private volatile SpendingTables.Contents contents = SpendingTables.Contents.EMPTY;
   private volatile boolean takenOver;
+  private volatile long lostTokens;
   private volatile List<InstanceRecord> others = List.of();
   private long othersReadAtStoreMs = Long.MIN_VALUE;
   private volatile TeamHolders holders;
@@ -68,6 +70,7 @@
     this.startedMs = startedMs;
     this.random = random;
     this.shaper = new GrantShaper(policy);
+    this.shortages = new ShortageLog(timers);
     this.demandCountedMs = timers.nowMs();
     this.holders = new TeamHolders(self, List.of());
   }
@@ -109,6 +112,20 @@
     return demandOf(team).tokensPerS();
   }
 
+  /** Gives where a team's tokens are by the last read. */
+  TeamTokens tokensOf(TeamPlan team) {
+    return TeamTokens.of(contents, ownKey, team, storeClock.nowMs());
+  }
+
+  /** Gives what counted as spent at the start though the row did not show it as spent. */
+  long lostTokens() {
+    return lostTokens;
+  }
+
+  ShortageLog shortages() {
+    return shortages;
+  }
+
   /** Lists whom to ask for a loan. */
   List<InstanceRecord> lenders(String team) {
     return contents.lenders(ownKey, team, holders.idsFor(team), random);
@@ -225,6 +242,8 @@
     closed
         .grants()
         .forEach((team, grant) -> teams.put(team, new TeamSpending(timers, grant.spentTokens())));
+    lostTokens =
+        total(closed, SpendingGrant::spentTokens) - total(earlier, SpendingGrant::spentTokens);
     Logger.info(
         "spending continues teams={} silentMs={} spentTokens={} countedTokens={} limitTokens={}",
         closed.grants().size(),
@@ -316,9 +335,18 @@
   /** Notes that a row was written. */
   void confirm(Proposal proposal) {
     takenOver = true;
+    proposal.wantedTokens().forEach((name, wanted) -> noteGot(proposal, name, wanted));
     proposal.sent().forEach((name, grant) -> teams.get(name).confirm(grant));
   }
 
+  private void noteGot(Proposal proposal, String team, long wanted) {
+    Optional.ofNullable(proposal.sent().get(team))
+        .map(
+            sent ->
+                sent.grant().limitTokens() - contents.instance(ownKey).grantOf(team).limitTokens())
+        .ifPresent(got -> shortages.onWritten(team, wanted, got));
+  }
+
   /**
    * Notes that a row was surely not written.
    *
@@ -327,6 +355,7 @@
    * they want is asked for again.
    */
   void retract(Proposal proposal) {
+    proposal.wantedTokens().keySet().forEach(shortages::onConflict);
     proposal.wantedTokens().forEach(this::want);
     proposal.sent().forEach((name, grant) -> teams.get(name).retract(grant));
   }
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamTokens.java
@@ -0,0 +1,45 @@
+package io.mothrill.core.forward.spending;
+
+import io.mothrill.core.forward.plan.TeamPlan;
+import io.mothrill.core.platform.RowKey;
+import java.util.List;
+
+/**
+ * Where one team's tokens are by the rows that an instance has read.
+ *
+ * @param prepaidTokens all that the team may ever spend
+ * @param unassignedTokens what no instance's limit covers; negative while too much is granted
+ * @param othersHeldTokens what other instances' rows hold beyond what they have spent
+ * @param othersReadyTokens the part of it that was near when these rows were sent
+ * @param rowsAgeMs how old the rows of the others are
+ */
+record TeamTokens(
+    long prepaidTokens,
+    long unassignedTokens,
+    long othersHeldTokens,
+    long othersReadyTokens,
+    long rowsAgeMs) {
+
+  static TeamTokens of(
+      SpendingTables.Contents contents, RowKey ownKey, TeamPlan team, long nowStoreMs) {
+    long prepaidTokens = team.prepaidTokens().orElse(0);
+    List<SpendingGrant> others =
+        contents.others(ownKey).map(row -> row.grantOf(team.name())).toList();
+    return new TeamTokens(
+        prepaidTokens,
+        prepaidTokens - contents.grantedTokens(team.name()),
+        others.stream().mapToLong(SpendingGrant::holdingTokens).sum(),
+        others.stream().mapToLong(SpendingGrant::nearTokens).sum(),
+        nowStoreMs - contents.wholeAtStoreMs());
+  }
+
+  /** Says whether the table alone could have paid for a request. */
+  boolean isCoveredByTable(long tokens) {
+    return unassignedTokens >= tokens;
+  }
+
+  String describe() {
+    return "unassigned %d of %d, others hold %d with %d ready, their rows %d ms old"
+        .formatted(unassignedTokens, prepaidTokens, othersHeldTokens, othersReadyTokens, rowsAgeMs);
+  }
+}
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -43,16 +43,23 @@
   void showSpending(Section<ForwardingPlan> plan, SpendingController spending) {
     metrics.gauge("spending.instanceCount", () -> spending::instanceCount);
     metrics.gauge("spending.renewalAgeMs", () -> spending::sinceRenewalMs);
+    metrics.gauge("spending.lostTokens", () -> spending::lostTokens);
+    metrics.gauge("spending.refusedCount", () -> spending::refusedCount);
+    metrics.gauge(
+        "spending.refusedThoughUnassignedCount", () -> spending::refusedThoughUnassignedCount);
     plan.subscribe(
         newest ->
             newest.teams().stream()
                 .filter(team -> team.prepaidTokens().isPresent())
-                .map(TeamPlan::name)
-                .forEach(team -> showTeam(team, spending)));
+                .forEach(team -> showTeam(team, plan, spending)));
   }
 
-  private void showTeam(String team, SpendingController spending) {
-    metrics.gauge("spending.heldTokens." + team, () -> () -> spending.heldTokens(team));
+  private void showTeam(TeamPlan team, Section<ForwardingPlan> plan, SpendingController spending) {
+    String name = team.name();
+    metrics.gauge("spending.heldTokens." + name, () -> () -> spending.heldTokens(name));
+    metrics.gauge(
+        "spending.unassignedTokens." + name,
+        () -> () -> spending.unassignedTokens(plan.read().findTeam(name).orElse(team)));
   }
 
   /** Shows which upstreams get little or nothing, and what instances tell each other of them. */
