Shortages of tokens show how often peers had none or did not answer

What callers saw: refused for tokens although, by rows less than a second old, other instances held some with enough ready. Whether these were empty by then or did not answer in time was not told.

Change: two counts in the line of shortages. No decision changes.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/ShortageLog.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/ShortageLog.java
@@ -8,7 +8,7 @@
 import org.tinylog.Logger;
 
 /**
- * Writes what was asked of the table for each team, what came of it and what was refused: a line a
+ * Writes what was asked of table and peers for each team, what came of it and what was refused: a line a
  * second for each of the teams that lack most, and none while nothing is refused.
  */
 final class ShortageLog {
@@ -30,6 +30,8 @@
     private final LongAdder wantedTokens = new LongAdder();
     private final LongAdder gotTokens = new LongAdder();
     private final LongAdder conflictCount = new LongAdder();
+    private final LongAdder emptyCount = new LongAdder();
+    private final LongAdder unansweredCount = new LongAdder();
     private final LongAdder refusedCount = new LongAdder();
     private volatile TeamTokens tokens;
   }
@@ -50,6 +52,16 @@
     of(team).conflictCount.increment();
   }
 
+  /** Notes that another instance was asked and had nothing ready. */
+  void onEmpty(String team) {
+    of(team).emptyCount.increment();
+  }
+
+  /** Notes that another instance was asked and did not answer in time. */
+  void onUnanswered(String team) {
+    of(team).unansweredCount.increment();
+  }
+
   /** Notes that a request was refused. */
   void onRefused(String team, long neededTokens, TeamTokens tokens) {
     Shortage shortage = of(team);
@@ -82,12 +94,15 @@
 
   private static void write(String team, Shortage shortage) {
     Logger.info(
-        "tokens short team={} refused={} wantedTokens={} gotTokens={} conflicts={}: {}",
+        "tokens short team={} refused={} wantedTokens={} gotTokens={} conflicts={} empty={}"
+            + " unanswered={}: {}",
         team,
         shortage.refusedCount.sum(),
         shortage.wantedTokens.sum(),
         shortage.gotTokens.sum(),
         shortage.conflictCount.sum(),
+        shortage.emptyCount.sum(),
+        shortage.unansweredCount.sum(),
         shortage.tokens.describe());
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -105,7 +105,14 @@
         new SpendingReader(table, storeClock, timers, SpendingTables.instanceKey(self.id()));
     this.rows = new SpendingRows(self, storeClock, timers, startedMs, random, policy);
     this.loans =
-        new SpendingLoans(links, dispatcher, timers, self, this::findLendable, new Growth());
+        new SpendingLoans(
+            links,
+            dispatcher,
+            timers,
+            self,
+            this::findLendable,
+            new Growth(),
+            rows.shortages());
     this.renewal = new SpendingRenewal(table, reader, rows, plan, timers, random, loans::handBack);
     this.refusals = new SpendingRefusals(rows, reader, renewal);
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
@@ -53,6 +53,7 @@
   private final InstanceRecord self;
   private final Function<String, Optional<TeamSpending>> ownSpending;
   private final Growth growth;
+  private final ShortageLog shortages;
   private final Map<String, List<Loan>> loans = new ConcurrentHashMap<>();
   private final Map<String, CompletableFuture<Void>> underWay = new ConcurrentHashMap<>();
   private final Map<String, Long> noLenderMs = new ConcurrentHashMap<>();
@@ -65,8 +66,10 @@
       Timers timers,
       InstanceRecord self,
       Function<String, Optional<TeamSpending>> ownSpending,
-      Growth growth) {
+      Growth growth,
+      ShortageLog shortages) {
     this.growth = growth;
+    this.shortages = shortages;
     this.links = links;
     this.timers = timers;
     this.self = self;
@@ -266,6 +269,7 @@
         () -> {
           if (borrowed.complete(0L)) {
             silentMs.put(lender.id(), timers.nowMs());
+            shortages.onUnanswered(request.budget());
           }
         });
     links
@@ -274,6 +278,7 @@
         .exceptionally(
             error -> {
               silentMs.put(lender.id(), timers.nowMs());
+            shortages.onUnanswered(request.budget());
               Logger.debug("no loan from {}: {}", lender.id(), Failures.unwrap(error).getMessage());
               return 0L;
             })
@@ -283,6 +288,7 @@
 
   private long take(PeerMessage.BorrowRequest request, InstanceRecord lender, PeerMessage reply) {
     if (!(reply instanceof PeerMessage.BorrowReply given) || given.slices().isEmpty()) {
+      shortages.onEmpty(request.budget());
       return 0;
     }
     long tokens = given.slices().stream().mapToLong(PeerMessage.BorrowReply.Slice::tokens).sum();
