--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingAfterPowerLossTest.java
@@ -0,0 +1,90 @@
+package io.mothrill.core.forward.spending;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class SpendingAfterPowerLossTest {
+
+  /** The part of the requests that are to have their tokens in time, in a hundred. */
+  private static final double IN_TIME_PERCENT = 95;
+
+  /** Budgets pay for a third more than the callers of the whole test ask for. */
+  private static final long BUDGET_S = 55;
+
+  /** Budgets that are spent soon after the loss of power. */
+  private static final long SHORT_BUDGET_S = 40;
+
+  /** The shortest time in which callers hope for a first byte. */
+  private static final long SHORTEST_AIM_MS = 300;
+
+  private static final int HOT_TEAMS = 4;
+  private static final double HOT_SHARE = 0.4;
+  private static final long DARK_MS = 1_200;
+
+  // Guards against a loss of power inside a cut of the store after which teams that have paid are
+  // refused, as all that had opened in the silence counts as spent.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 17})
+  void callersAreServedAfterPowerLossInsideCut(long seed) {
+    // GIVEN
+    FleetLoad load = new FleetLoad(BUDGET_S, seed);
+    load.start();
+    load.serve(10);
+    load.heat(HOT_TEAMS, HOT_SHARE);
+    load.serve(6);
+    load.heat(0, 0);
+    load.cut();
+    load.serve(4);
+    // WHEN
+    load.losePower(DARK_MS);
+    load.serve(3);
+    load.heal();
+    load.serve(15);
+    load.countAnew();
+    load.serve(5);
+    // THEN
+    assertWithMessage("%s", load).that(load.inTimePercent()).isAtLeast(IN_TIME_PERCENT);
+  }
+
+  // Guards against refusals for tokens that come after the time in which callers hoped to be
+  // served, while budgets are nearly spent.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 3, 17})
+  void refusalsComeBeforeTheAimOfTheRequestWhileBudgetsRunOut(long seed) {
+    // GIVEN
+    FleetLoad load = new FleetLoad(SHORT_BUDGET_S, seed);
+    load.start();
+    load.serve(16);
+    load.cut();
+    load.serve(8);
+    load.heal();
+    load.serve(4);
+    load.losePower(DARK_MS);
+    load.serve(9);
+    load.countAnew();
+    // WHEN
+    load.serve(5);
+    // THEN
+    assertWithMessage("%s", load).that(load.refusedAfterMs(90)).isAtMost(SHORTEST_AIM_MS);
+  }
+
+  // Guards against shortages right after all instances have started again, when none of them has
+  // seen any demand yet.
+  @Test
+  void callersAreServedRightAfterPowerLoss() {
+    // GIVEN
+    FleetLoad load = new FleetLoad(BUDGET_S, 17);
+    load.start();
+    load.serve(10);
+    load.losePower(DARK_MS);
+    load.serve(2);
+    load.countAnew();
+    // WHEN
+    load.serve(6);
+    // THEN
+    assertWithMessage("%s", load).that(load.inTimePercent()).isAtLeast(IN_TIME_PERCENT);
+  }
+}
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingWorld.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingWorld.java
@@ -46,6 +46,7 @@
   private final Map<String, Long> firstTokens = new HashMap<>();
   private long writeTakesMs;
   private long tableFreeMs;
+  private long peerDelayMs = 1;
   private long prepaidTokens;
   private long spentTokens;
   private long rowsRead;
@@ -76,6 +77,11 @@
     writeTakesMs = takesMs;
   }
 
+  /** From now on a message between instances takes this long each way. */
+  void delayPeers(long delayMs) {
+    peerDelayMs = delayMs;
+  }
+
   /** Gives when a transaction that is sent now is written, after those before it. */
   private long writtenInMs() {
     tableFreeMs = Math.max(tableFreeMs, timers.nowMs()) + writeTakesMs;
@@ -234,7 +240,7 @@
         return reply;
       }
       timers.after(
-          1,
+          peerDelayMs,
           () -> {
             if (!to.dead) {
               to.dispatcher
@@ -242,7 +248,7 @@
                   .thenAccept(
                       message -> {
                         if (!to.answersLost) {
-                          after(1, () -> reply.complete(message));
+                          after(peerDelayMs, () -> reply.complete(message));
                         }
                       });
             }
