--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/FleetLoad.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/FleetLoad.java
@@ -181,6 +181,29 @@
     ask(request, true);
   }
 
+  private void ask(Request request, boolean mayComeBack) {
+    memberFor(request.team).ifPresent(member -> ask(request, member, mayComeBack));
+  }
+
+  private void ask(Request request, SpendingWorld.Member member, boolean mayComeBack) {
+    long triedMs = world.timers.nowMs();
+    var unused =
+        member
+            .reserve(teams.get(request.team), request.tokens)
+            .whenComplete(
+                (reservation, error) -> {
+                  if (member.dead) {
+                    return;
+                  }
+                  if (error == null) {
+                    onReserved(request, member, reservation);
+                  } else {
+                    request.refusedAfterMs.add(world.timers.nowMs() - triedMs);
+                    onRefused(request, (SpendingException) Failures.unwrap(error), mayComeBack);
+                  }
+                });
+  }
+
   private boolean isOwed(int team, long tokens) {
     return usedTokens[team] + reservedTokens[team] + tokens <= OWED_SHARE * budgets.get(team);
   }
@@ -227,29 +250,6 @@
     return place < members.size() ? Optional.of(members.get(place)) : Optional.empty();
   }
 
-  private void ask(Request request, boolean mayComeBack) {
-    memberFor(request.team).ifPresent(member -> ask(request, member, mayComeBack));
-  }
-
-  private void ask(Request request, SpendingWorld.Member member, boolean mayComeBack) {
-    long triedMs = world.timers.nowMs();
-    var unused =
-        member
-            .reserve(teams.get(request.team), request.tokens)
-            .whenComplete(
-                (reservation, error) -> {
-                  if (member.dead) {
-                    return;
-                  }
-                  if (error == null) {
-                    onReserved(request, member, reservation);
-                  } else {
-                    request.refusedAfterMs.add(world.timers.nowMs() - triedMs);
-                    onRefused(request, (SpendingException) Failures.unwrap(error), mayComeBack);
-                  }
-                });
-  }
-
   private void onReserved(
       Request request, SpendingWorld.Member member, SpendingReservation reservation) {
     long tookMs = world.timers.nowMs() - request.askedMs;
@@ -331,7 +331,8 @@
             .filter(team -> inTimePercent(team) < 90)
             .mapToObj(team -> "%d: %.0f".formatted(team, inTimePercent(team)))
             .collect(Collectors.joining(", "));
-    return "asked %d, owed %d, in time %.1f%%, refused %.1f%%, %d refusals after %d and %d ms, counted %.1f%%, writes %d, conflicts %d, teams below 90: %s"
+    return ("asked %d, owed %d, in time %.1f%%, refused %.1f%%, %d refusals after %d and %d ms, "
+            + "counted %.1f%%, writes %d, conflicts %d, teams below 90: %s")
         .formatted(
             requests.size(),
             owedCount(),
