Requests of a large fleet find what holders of all domains hold, and are refused at once when there is none

Most late requests of calm seconds were of teams whose callers come to one instance.

Cause, one class: waits in a chain that do not fit each other. A renewal that a request asks for is paced by the number of instances, with 79 of them 526 ms after the last one, while the request waits 250 ms for it and takes its absence for a silent store, a holder 100 ms, and a borrower 150 ms for the holder. With eight instances the pace is 53 ms and all fit. Besides, a request that joined a renewal under way lost what it wanted, only the holder of the own domain made more ready, and nothing told an instance that there was no more, so each refusal cost three renewals.

Change: the pace counts from the last urgent renewal, waits last until the renewal is sent and a little longer, a request that joins a renewal has another one after it, all holders make more ready, in parts, and a holder says when neither it nor the table has more: then the refusal follows at once. Conflicts refuted: 0 or 1 a second in the lines of shortages.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/ShortageLog.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/ShortageLog.java
@@ -8,8 +8,8 @@
 import org.tinylog.Logger;
 
 /**
- * Writes what was asked of table and peers for each team, what came of it and what was refused: a line a
- * second for each of the teams that lack most, and none while nothing is refused.
+ * Writes what was asked of table and peers for each team, what came of it and what was refused: a
+ * line a second for each of the teams that lack most, and none while nothing is refused.
  */
 final class ShortageLog {
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -35,6 +35,9 @@
    */
   private static final long MAX_WAIT_MS = 250;
 
+  /** A renewal that takes longer, once it is sent, shows that the store is slow or silent. */
+  private static final long RENEWAL_MS = 150;
+
   /**
    * Longest wait for the bound to open after no instance could lend: a caller that is sent away
    * comes back no earlier, and to an instance that may have as little.
@@ -72,6 +75,7 @@
   private final SpendingLoans loans;
   private final SpendingRenewal renewal;
   private final SpendingRefusals refusals;
+  private final Growth growth = new Growth();
 
   /**
    * Creates the controller and starts to renew.
@@ -106,13 +110,7 @@
     this.rows = new SpendingRows(self, storeClock, timers, startedMs, random, policy);
     this.loans =
         new SpendingLoans(
-            links,
-            dispatcher,
-            timers,
-            self,
-            this::findLendable,
-            new Growth(),
-            rows.shortages());
+            links, dispatcher, timers, self, this::findLendable, growth, rows.shortages());
     this.renewal = new SpendingRenewal(table, reader, rows, plan, timers, random, loans::handBack);
     this.refusals = new SpendingRefusals(rows, reader, renewal);
   }
@@ -246,16 +244,36 @@
         .thenCompose(asked -> tryReserveOr(team, tokens, () -> reserveGrown(team, tokens)));
   }
 
-  /** Lets the holder of the team in this failure domain get more from the table. */
+  /** Lets the holders of the team make more ready and get more from the table, this one first. */
   private CompletableFuture<SpendingReservation> reserveGrown(TeamPlan team, long tokens) {
-    String name = team.name();
-    if (rows.holders().isSelf(name)) {
-      return reserveAfterWait(team, tokens, MAX_WAITS);
+    if (!rows.holders().isSelf(team.name())) {
+      return borrowGrown(team, tokens, true);
     }
+    return growth
+        .grow(team.name(), tokens)
+        .orElseGet(() -> CompletableFuture.completedFuture(false))
+        .thenCompose(grown -> tryReserveOr(team, tokens, () -> borrowGrown(team, tokens, grown)));
+  }
+
+  private CompletableFuture<SpendingReservation> borrowGrown(
+      TeamPlan team, long tokens, boolean sureHere) {
+    String name = team.name();
     return loans
-        .borrowFromHolders(name, lackingTokens(name, tokens), rows.holders().othersFor(name))
+        .borrowGrown(name, lackingTokens(name, tokens), rows.holders().inOrderFor(name))
         .thenCompose(
-            asked -> tryReserveOr(team, tokens, () -> reserveAfterWait(team, tokens, MAX_WAITS)));
+            outcome ->
+                tryReserveOr(
+                    team,
+                    tokens,
+                    () ->
+                        sureHere && outcome.isNone() && !rows.areTokensElsewhere(name, tokens)
+                            ? refuse(team, tokens)
+                            : reserveAfterWait(team, tokens, MAX_WAITS)));
+  }
+
+  private CompletableFuture<SpendingReservation> refuse(TeamPlan team, long tokens) {
+    loans.handBack(team.name());
+    return CompletableFuture.failedFuture(refusals.of(team, tokens));
   }
 
   private long lackingTokens(String team, long tokens) {
@@ -283,8 +301,12 @@
       if (!isInTouch() || renewal.isLeaving()) {
         return Optional.empty();
       }
+      if (rows.isSurelyNone(team, needTokens)) {
+        return Optional.of(CompletableFuture.completedFuture(true));
+      }
+      long sentInMs = renewal.pauseMs();
       rows.want(team, needTokens);
-      return Optional.of(renewal.renewSoon());
+      return Optional.of(within(renewal.renewSoon(), sentInMs + RENEWAL_MS));
     }
   }
 
@@ -292,19 +314,35 @@
       TeamPlan team, long tokens, int waits) {
     long opensInMs = opensInMs(team, tokens);
     boolean renewing = !rows.isTakenOver() || isInTouch();
-    if (waits == 0 || !renewing && opensInMs > MAX_WAIT_MS) {
+    boolean useless = renewing && rows.isSurelyNone(team.name(), tokens);
+    if (waits == 0 || useless || !renewing && opensInMs > MAX_WAIT_MS) {
       return reserveFromLoan(team, tokens);
     }
-    CompletableFuture<Boolean> wait = new CompletableFuture<>();
-    timers.after(Math.min(MAX_WAIT_MS, opensInMs), () -> wait.complete(false));
-    if (renewing) {
-      rows.want(team.name(), tokens);
-      renewal.renewSoon().thenAccept(wait::complete);
+    return awaitTokens(team.name(), tokens, renewing, opensInMs)
+        .thenCompose(
+            renewed ->
+                tryReserveOr(
+                    team,
+                    tokens,
+                    () -> reserveAfterWait(team, tokens, waitsLeft(renewed, waits - 1))));
+  }
+
+  /** Completes with true when the row was renewed, and with false when it was not in time. */
+  private CompletableFuture<Boolean> awaitTokens(
+      String team, long tokens, boolean renewing, long opensInMs) {
+    if (!renewing) {
+      return within(new CompletableFuture<>(), Math.min(MAX_WAIT_MS, opensInMs));
     }
-    return wait.thenCompose(
-        renewed ->
-            tryReserveOr(
-                team, tokens, () -> reserveAfterWait(team, tokens, waitsLeft(renewed, waits - 1))));
+    long sentInMs = renewal.pauseMs();
+    rows.want(team, tokens);
+    return within(renewal.renewSoon(), Math.min(sentInMs + MAX_WAIT_MS, opensInMs));
+  }
+
+  private CompletableFuture<Boolean> within(CompletableFuture<Boolean> event, long limitMs) {
+    CompletableFuture<Boolean> wait = new CompletableFuture<>();
+    event.thenAccept(wait::complete);
+    timers.after(limitMs, () -> wait.complete(false));
+    return wait;
   }
 
   /**
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
@@ -42,8 +42,8 @@
   /** A holder that has just not answered is passed over for so long, and the table is asked. */
   private static final long SILENT_PAUSE_MS = 1_000;
 
-  /** Time for a renewal that a loan needs, within that in which the borrower waits. */
-  private static final long GROWTH_MS = 100;
+  /** A lender that makes more ready answers after its renewal, which is paced in a large fleet. */
+  private static final long GROWN_ANSWER_MS = 900;
 
   /** Part of what a lender has over that one loan may take. */
   private static final long LENT_DIVISOR = 2;
@@ -57,6 +57,7 @@
   private final Map<String, List<Loan>> loans = new ConcurrentHashMap<>();
   private final Map<String, CompletableFuture<Void>> underWay = new ConcurrentHashMap<>();
   private final Map<String, Long> noLenderMs = new ConcurrentHashMap<>();
+  private final Map<String, Long> noneMs = new ConcurrentHashMap<>();
   private final Map<String, Long> silentMs = new ConcurrentHashMap<>();
   private final AtomicLong transferCount = new AtomicLong();
 
@@ -84,7 +85,10 @@
     /** Has so much more ready with the next row, if the store is in reach. */
     void want(String team, long lackingTokens);
 
-    /** Asks for tokens; completes when they may be there. Gives nothing out of touch. */
+    /**
+     * Asks for tokens; completes with true when the own row was renewed and shows all that the
+     * table can give, and with false when it was not in time. Gives nothing out of touch.
+     */
     Optional<CompletableFuture<Boolean>> grow(String team, long needTokens);
   }
 
@@ -96,46 +100,48 @@
    * requests find each of them empty. What was lacking shows how much more has to be ready.
    */
   private CompletableFuture<PeerMessage> lend(PeerMessage.BorrowRequest request) {
-    long lent = tryLend(request);
+    return request.mayGrow() ? lendGrown(request) : lendReady(request);
+  }
+
+  private CompletableFuture<PeerMessage> lendReady(PeerMessage.BorrowRequest request) {
+    long lent = tryLend(request, request.needTokens());
+    if (lent < request.needTokens()) {
+      growth.want(request.budget(), request.needTokens() - lent);
+    }
+    return CompletableFuture.completedFuture(replyWith(request, lent, false));
+  }
+
+  private CompletableFuture<PeerMessage> lendGrown(PeerMessage.BorrowRequest request) {
+    long lent = tryLend(request, request.needTokens());
     long lacking = request.needTokens() - lent;
-    if (lacking > 0 && !request.mayGrow()) {
-      growth.want(request.budget(), lacking);
+    if (lacking <= 0) {
+      return CompletableFuture.completedFuture(replyWith(request, lent, false));
     }
-    Optional<CompletableFuture<Boolean>> grown =
-        lent == 0 && request.mayGrow() ? growth.grow(request.budget(), lacking) : Optional.empty();
-    return grown
-        .map(growing -> lendOnceGrown(request, growing))
-        .orElseGet(() -> CompletableFuture.completedFuture(lent))
-        .thenApply(tokens -> replyWith(request, tokens));
+    return growth
+        .grow(request.budget(), lacking)
+        .map(growing -> lendOnceGrown(request, lent, growing))
+        .orElseGet(() -> CompletableFuture.completedFuture(replyWith(request, lent, false)));
   }
 
-  /** Answers before the borrower stops to wait: a later loan comes too late for its request. */
-  private CompletableFuture<Long> lendOnceGrown(
-      PeerMessage.BorrowRequest request, CompletableFuture<Boolean> growing) {
-    CompletableFuture<Boolean> wait = new CompletableFuture<>();
-    growing.thenAccept(wait::complete);
-    timers.after(GROWTH_MS, () -> wait.complete(false));
-    return wait.thenApply(grown -> grown ? tryLend(request) : 0L);
+  private CompletableFuture<PeerMessage> lendOnceGrown(
+      PeerMessage.BorrowRequest request, long lent, CompletableFuture<Boolean> growing) {
+    return growing.thenApply(
+        renewed -> {
+          long more = tryLend(request, request.needTokens() - lent);
+          boolean sure = renewed && lent + more < request.needTokens();
+          return replyWith(request, lent + more, sure);
+        });
   }
 
-  private long tryLend(PeerMessage.BorrowRequest request) {
+  private long tryLend(PeerMessage.BorrowRequest request, long needTokens) {
+    long wantedTokens = Math.max(needTokens, request.wantedTokens());
     return ownSpending
         .apply(request.budget())
-        .map(
-            spending ->
-                request.mayGrow() ? lendWhole(spending, request) : lendPart(spending, request))
+        .map(spending -> spending.lend(needTokens, wantedTokens, LENT_DIVISOR))
         .orElse(0L);
   }
 
-  private static long lendWhole(TeamSpending spending, PeerMessage.BorrowRequest request) {
-    return spending.tryLendWhole(request.needTokens()) ? request.needTokens() : 0;
-  }
-
-  private static long lendPart(TeamSpending spending, PeerMessage.BorrowRequest request) {
-    return spending.lend(request.needTokens(), request.wantedTokens(), LENT_DIVISOR);
-  }
-
-  private PeerMessage replyWith(PeerMessage.BorrowRequest request, long lent) {
+  private PeerMessage replyWith(PeerMessage.BorrowRequest request, long lent, boolean sure) {
     if (lent > request.needTokens()) {
       Logger.info("tokens lent team={} tokens={}", request.budget(), lent);
     }
@@ -145,7 +151,7 @@
             : List.of(
                 new PeerMessage.BorrowReply.Slice(
                     new AllotmentId(self.incarnation(), request.budget()), lent, Long.MAX_VALUE));
-    return new PeerMessage.BorrowReply(slices, true);
+    return new PeerMessage.BorrowReply(slices, sure);
   }
 
   private CompletableFuture<PeerMessage> takeBack(PeerMessage.HandBack request) {
@@ -187,8 +193,8 @@
     }
     ask(team, needTokens, wantedTokens, lenders.stream().limit(MAX_ASKED).toList(), false)
         .thenAccept(
-            missing -> {
-              if (missing == needTokens) {
+            outcome -> {
+              if (outcome.missingTokens() == needTokens) {
                 noLenderMs.put(team, timers.nowMs());
               }
               underWay.remove(team);
@@ -206,7 +212,7 @@
    * @return completes when enough was lent or all were asked
    */
   CompletableFuture<Void> borrowReady(String team, long needTokens, List<InstanceRecord> holders) {
-    return ask(team, needTokens, needTokens, answering(holders), false).thenApply(missing -> null);
+    return ask(team, needTokens, needTokens, answering(holders), false).thenApply(outcome -> null);
   }
 
   private List<InstanceRecord> answering(List<InstanceRecord> holders) {
@@ -214,16 +220,31 @@
   }
 
   /**
-   * Reserves just what one request lacks from the holders of its team.
+   * Puts together what one request lacks from all that the holders of its team have, also what is
+   * not ready yet, and from what the table has left.
    *
    * @param team the team
    * @param needTokens what is lacking
-   * @param holders whom to ask, in order
-   * @return completes when the holders were asked, whatever they gave
+   * @param holders whom to ask, in order, until nothing is lacking
+   * @return what is still lacking then
    */
-  CompletableFuture<Void> borrowFromHolders(
+  CompletableFuture<Outcome> borrowGrown(
       String team, long needTokens, List<InstanceRecord> holders) {
-    return ask(team, needTokens, needTokens, answering(holders), true).thenApply(missing -> null);
+    if (timers.nowMs() - noneMs.getOrDefault(team, Long.MIN_VALUE / 2) < NO_LENDER_PAUSE_MS) {
+      return CompletableFuture.completedFuture(new Outcome(needTokens, true));
+    }
+    List<InstanceRecord> asked = answering(holders);
+    boolean all = asked.size() == holders.size();
+    return ask(team, needTokens, needTokens, asked, true)
+        .thenApply(outcome -> outcome.onlyIf(all))
+        .thenApply(outcome -> note(team, outcome));
+  }
+
+  private Outcome note(String team, Outcome outcome) {
+    if (outcome.isNone()) {
+      noneMs.put(team, timers.nowMs());
+    }
+    return outcome;
   }
 
   private boolean isSilent(String id) {
@@ -231,28 +252,57 @@
     return sinceMs != null && timers.nowMs() - sinceMs < SILENT_PAUSE_MS;
   }
 
-  /** Asks one lender after the other; gives what is still lacking afterwards. */
-  private CompletableFuture<Long> ask(
+  /** Asks one lender after the other. */
+  private CompletableFuture<Outcome> ask(
       String team,
       long needTokens,
       long wantedTokens,
       List<InstanceRecord> lenders,
       boolean mayGrow) {
     if (lenders.isEmpty() || needTokens <= 0) {
-      return CompletableFuture.completedFuture(needTokens);
+      return CompletableFuture.completedFuture(new Outcome(needTokens, true));
     }
     InstanceRecord lender = lenders.get(0);
+    List<InstanceRecord> next = lenders.subList(1, lenders.size());
     return askOne(
             lender,
             new PeerMessage.BorrowRequest(nextTransfer(), team, needTokens, wantedTokens, mayGrow))
         .thenCompose(
-            borrowed ->
-                ask(
-                    team,
-                    needTokens - borrowed,
-                    wantedTokens,
-                    lenders.subList(1, lenders.size()),
-                    mayGrow));
+            answer -> {
+              long missing = needTokens - answer.tokens();
+              return mayGrow && answer.isNoneForNow()
+                  ? CompletableFuture.completedFuture(new Outcome(missing, false))
+                  : ask(team, missing, wantedTokens, next, mayGrow)
+                      .thenApply(rest -> rest.onlyIf(answer.sure()));
+            });
+  }
+
+  /**
+   * What came of asking for one request's tokens.
+   *
+   * @param missingTokens what is still lacking
+   * @param sure true when all were asked and answered that neither they nor the table have more
+   */
+  record Outcome(long missingTokens, boolean sure) {
+
+    private Outcome onlyIf(boolean alsoSure) {
+      return new Outcome(missingTokens, sure && alsoSure);
+    }
+
+    /** Says whether there is surely not enough, and not only taken by another request meanwhile. */
+    boolean isNone() {
+      return sure && missingTokens > 0;
+    }
+  }
+
+  /** What one lender gave, and whether it said that there is no more. */
+  private record Answer(long tokens, boolean sure) {
+    private static final Answer NONE = new Answer(0, false);
+
+    /** The lender did not answer, or could not renew: the store may be out of reach for all. */
+    private boolean isNoneForNow() {
+      return tokens == 0 && !sure;
+    }
   }
 
   /**
@@ -262,12 +312,13 @@
    * counts the tokens as spent and nobody has them. A late loan is therefore taken when it comes,
    * and what is left of it goes back with the next renewal.
    */
-  private CompletableFuture<Long> askOne(InstanceRecord lender, PeerMessage.BorrowRequest request) {
-    CompletableFuture<Long> borrowed = new CompletableFuture<>();
+  private CompletableFuture<Answer> askOne(
+      InstanceRecord lender, PeerMessage.BorrowRequest request) {
+    CompletableFuture<Answer> borrowed = new CompletableFuture<>();
     timers.after(
-        ANSWER_MS,
+        request.mayGrow() ? GROWN_ANSWER_MS : ANSWER_MS,
         () -> {
-          if (borrowed.complete(0L)) {
+          if (borrowed.complete(Answer.NONE)) {
             silentMs.put(lender.id(), timers.nowMs());
             shortages.onUnanswered(request.budget());
           }
@@ -278,18 +329,21 @@
         .exceptionally(
             error -> {
               silentMs.put(lender.id(), timers.nowMs());
-            shortages.onUnanswered(request.budget());
+              shortages.onUnanswered(request.budget());
               Logger.debug("no loan from {}: {}", lender.id(), Failures.unwrap(error).getMessage());
-              return 0L;
+              return Answer.NONE;
             })
         .thenAccept(borrowed::complete);
     return borrowed;
   }
 
-  private long take(PeerMessage.BorrowRequest request, InstanceRecord lender, PeerMessage reply) {
-    if (!(reply instanceof PeerMessage.BorrowReply given) || given.slices().isEmpty()) {
+  private Answer take(PeerMessage.BorrowRequest request, InstanceRecord lender, PeerMessage reply) {
+    if (!(reply instanceof PeerMessage.BorrowReply given)) {
+      return Answer.NONE;
+    }
+    if (given.slices().isEmpty()) {
       shortages.onEmpty(request.budget());
-      return 0;
+      return new Answer(0, given.sure());
     }
     long tokens = given.slices().stream().mapToLong(PeerMessage.BorrowReply.Slice::tokens).sum();
     List<Loan> ofTeam =
@@ -300,7 +354,7 @@
       Logger.info(
           "tokens borrowed team={} tokens={} lender={}", request.budget(), tokens, lender.id());
     }
-    return tokens;
+    return new Answer(tokens, given.sure());
   }
 
   /**
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingReader.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingReader.java
@@ -106,7 +106,8 @@
         .thenCombine(
             own,
             (teams, ownRows) ->
-                latest.withNewer(Stream.concat(teams.stream(), ownRows.stream()).toList()));
+                latest.withTeams(
+                    Stream.concat(teams.stream(), ownRows.stream()).toList(), storeClock.nowMs()));
   }
 
   private CompletableFuture<List<Row>> readPages(String prefix, String afterKey, List<Row> before) {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRenewal.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRenewal.java
@@ -6,6 +6,7 @@
 import io.mothrill.core.platform.TableService;
 import io.mothrill.core.platform.error.PlatformException;
 import io.mothrill.core.time.Timers;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
@@ -68,6 +69,8 @@
   private final RenewalRounds rounds;
   private final AtomicBoolean leaving = new AtomicBoolean();
   private volatile long renewedMs = Long.MIN_VALUE / 2;
+  private long urgentMs = Long.MIN_VALUE / 2;
+  private CompletableFuture<Boolean> paced;
 
   /**
    * Starts to renew.
@@ -115,17 +118,45 @@
     return renew();
   }
 
-  /** Renews at once, or a little after the last renewal, together with whoever asks meanwhile. */
-  CompletableFuture<Boolean> renewSoon() {
-    long pauseMs = urgentPauseMs() - sinceRenewalMs();
+  /** Renews at once or when the pace allows it, together with whoever asks meanwhile. */
+  synchronized CompletableFuture<Boolean> renewSoon() {
+    if (paced != null) {
+      return paced;
+    }
+    long pauseMs = pauseMs();
     if (pauseMs <= 0) {
-      return renew();
+      urgentMs = timers.nowMs();
+      return renewMovingTokens();
     }
     CompletableFuture<Boolean> renewed = new CompletableFuture<>();
-    timers.after(pauseMs, () -> renew().thenAccept(renewed::complete));
+    paced = renewed;
+    timers.after(pauseMs, this::renewPaced);
     return renewed;
   }
 
+  private void renewPaced() {
+    CompletableFuture<Boolean> renewed;
+    synchronized (this) {
+      renewed = paced;
+      paced = null;
+      urgentMs = timers.nowMs();
+    }
+    renewMovingTokens().thenAccept(renewed::complete);
+  }
+
+  /** A renewal that was under way already does not bring what was asked for since it began. */
+  private CompletableFuture<Boolean> renewMovingTokens() {
+    return renew()
+        .thenCompose(
+            renewed ->
+                renewed && rows.isWanted() ? renew() : CompletableFuture.completedFuture(renewed));
+  }
+
+  /** Says how long it takes until a renewal that a request asks for now is sent. */
+  synchronized long pauseMs() {
+    return Math.max(0, urgentPauseMs() - (timers.nowMs() - urgentMs));
+  }
+
   /**
    * Gives the least pause between two renewals that requests ask for.
    *
@@ -154,13 +185,16 @@
 
   /** Reads and writes; begins again when other instances have changed the rows in between. */
   private void attempt(int attempts, boolean inTurn, RenewalRounds.Round round) {
+    Map<String, Long> wanted = rows.takeWanted();
     boolean mayMoveTokens =
         leaving.get()
-            || attempts > MAX_CONFLICTS - MOVING_ATTEMPTS && (inTurn || rows.needsTokens());
+            || attempts > MAX_CONFLICTS - MOVING_ATTEMPTS
+                && (inTurn || rows.isMoreThanHeld(wanted));
+    ShareChanges.Moves moves = new ShareChanges.Moves(mayMoveTokens, inTurn, leaving.get());
     rounds.onReading(round);
     reader
         .read(mayMoveTokens)
-        .thenCompose(read -> writeUnlessOvertaken(read, inTurn, mayMoveTokens, round))
+        .thenCompose(read -> writeUnlessOvertaken(read, moves, wanted, round))
         .exceptionally(this::failed)
         .thenAccept(
             outcome -> {
@@ -176,11 +210,11 @@
 
   private CompletableFuture<Outcome> writeUnlessOvertaken(
       SpendingTables.Contents read,
-      boolean inTurn,
-      boolean mayMoveTokens,
+      ShareChanges.Moves moves,
+      Map<String, Long> wanted,
       RenewalRounds.Round round) {
     return rounds.tryWrite(round)
-        ? write(read, inTurn, mayMoveTokens)
+        ? write(read, moves, wanted)
         : CompletableFuture.completedFuture(Outcome.OVERTAKEN);
   }
 
@@ -202,10 +236,8 @@
   }
 
   private CompletableFuture<Outcome> write(
-      SpendingTables.Contents read, boolean inTurn, boolean mayMoveTokens) {
-    SpendingRows.Proposal proposal =
-        rows.propose(
-            read, plan.read(), new ShareChanges.Moves(mayMoveTokens, inTurn, leaving.get()));
+      SpendingTables.Contents read, ShareChanges.Moves moves, Map<String, Long> wanted) {
+    SpendingRows.Proposal proposal = rows.propose(read, plan.read(), moves, wanted);
     return table
         .write(proposal.transaction())
         .handle((written, error) -> finish(proposal, written, error));
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
@@ -35,6 +35,9 @@
    */
   private static final double TURNS_PER_S = 12;
 
+  /** Rows of teams that were read so long ago still show that there is nothing to get. */
+  private static final long TEAMS_KNOWN_MS = 500;
+
   private final InstanceRecord self;
   private final RowKey ownKey;
   private final StoreClock storeClock;
@@ -47,6 +50,7 @@
   private final Map<String, Demand> demands = new ConcurrentHashMap<>();
   private final Map<String, Long> wantedTokens = new ConcurrentHashMap<>();
   private volatile SpendingTables.Contents contents = SpendingTables.Contents.EMPTY;
+  private volatile ForwardingPlan plan = ForwardingPlan.unknown();
   private volatile boolean takenOver;
   private volatile long lostTokens;
   private volatile List<InstanceRecord> others = List.of();
@@ -117,6 +121,29 @@
     return TeamTokens.of(contents, ownKey, team, storeClock.nowMs());
   }
 
+  /**
+   * Says whether a renewal would bring nothing: neither this instance nor the table had a part of a
+   * request when the rows of the teams were last read.
+   */
+  boolean isSurelyNone(String team, long neededTokens) {
+    long unassigned = prepaidTokens(team) - contents.grantedTokens(team);
+    return storeClock.nowMs() - contents.teamsAtStoreMs() < TEAMS_KNOWN_MS
+        && heldTokens(team) + Math.max(0, unassigned) < neededTokens / TeamSpending.MAX_PIECES;
+  }
+
+  private long prepaidTokens(String team) {
+    return plan.findTeam(team).map(TeamPlan::prepaidTokens).flatMap(SpendingRows::boxed).orElse(0L);
+  }
+
+  private static Optional<Long> boxed(OptionalLong tokens) {
+    return tokens.isPresent() ? Optional.of(tokens.getAsLong()) : Optional.empty();
+  }
+
+  /** Says whether instances that are no holders of a team have what a request needs. */
+  boolean areTokensElsewhere(String team, long tokens) {
+    return contents.heldOutside(ownKey, team, holders.idsFor(team)) >= tokens;
+  }
+
   /** Gives what counted as spent at the start though the row did not show it as spent. */
   long lostTokens() {
     return lostTokens;
@@ -154,10 +181,15 @@
     return takenOver && random.nextDouble() * instanceCount < TURNS_PER_S;
   }
 
-  /** Says whether tokens have to move though it is not this instance's turn. */
-  boolean needsTokens() {
-    return wantedTokens.entrySet().stream()
-        .anyMatch(wanted -> wanted.getValue() > heldTokens(wanted.getKey()));
+  /** Says whether requests wait for something that no row asks for yet. */
+  boolean isWanted() {
+    return !wantedTokens.isEmpty();
+  }
+
+  /** Says whether tokens have to move for this, though it is not this instance's turn. */
+  boolean isMoreThanHeld(Map<String, Long> wanted) {
+    return wanted.entrySet().stream()
+        .anyMatch(entry -> entry.getValue() > heldTokens(entry.getKey()));
   }
 
   /** Gives what is held of a team's budget and not spent yet; some of it may open only later. */
@@ -166,8 +198,13 @@
   }
 
   /** Works out the next row from what was just read; spending stays below it from now on. */
-  Proposal propose(SpendingTables.Contents read, ForwardingPlan inForce, ShareChanges.Moves moves) {
+  Proposal propose(
+      SpendingTables.Contents read,
+      ForwardingPlan inForce,
+      ShareChanges.Moves moves,
+      Map<String, Long> wanted) {
     contents = read;
+    plan = inForce;
     if (!takenOver) {
       takeOver(read);
     }
@@ -179,7 +216,6 @@
         .filter(team -> team.prepaidTokens().isPresent())
         .forEach(team -> teams.computeIfAbsent(team.name(), name -> new TeamSpending(timers, 0)));
     countDemand();
-    Map<String, Long> wanted = takeWanted();
     Map<String, TeamSpending.SentGrant> sent = new TreeMap<>();
     ShareChanges changes = new ShareChanges(moves, wanted.keySet(), teams.size(), firstChange);
     for (Map.Entry<String, TeamSpending> entry : new TreeMap<>(teams).entrySet()) {
@@ -217,7 +253,8 @@
     }
   }
 
-  private Map<String, Long> takeWanted() {
+  /** Takes what requests wait for, for the row that is worked out next. */
+  Map<String, Long> takeWanted() {
     Map<String, Long> wanted = new HashMap<>();
     wantedTokens.keySet().forEach(team -> wanted.put(team, wantedTokens.remove(team)));
     return wanted;
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingTables.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingTables.java
@@ -51,11 +51,15 @@
    * @param byKey the rows by key
    * @param instances the instances' rows, by key
    * @param wholeAtStoreMs when the rows of all instances were read, by the store's clock
+   * @param teamsAtStoreMs when the rows of all teams were read
    */
   record Contents(
-      Map<RowKey, Row> byKey, Map<RowKey, InstanceSpending> instances, long wholeAtStoreMs) {
+      Map<RowKey, Row> byKey,
+      Map<RowKey, InstanceSpending> instances,
+      long wholeAtStoreMs,
+      long teamsAtStoreMs) {
 
-    static final Contents EMPTY = new Contents(Map.of(), Map.of(), 0);
+    static final Contents EMPTY = new Contents(Map.of(), Map.of(), 0, 0);
 
     static Contents of(List<Row> rows, long wholeAtStoreMs) {
       Map<RowKey, Row> byKey =
@@ -64,7 +68,13 @@
           rows.stream()
               .filter(row -> row.key().key().startsWith(INSTANCE_PREFIX))
               .collect(Collectors.toMap(Row::key, row -> InstanceSpending.read(row.cells())));
-      return new Contents(byKey, instances, wholeAtStoreMs);
+      return new Contents(byKey, instances, wholeAtStoreMs, wholeAtStoreMs);
+    }
+
+    /** Takes the rows of all teams, and others, in place of those that are known. */
+    Contents withTeams(List<Row> rows, long readAtStoreMs) {
+      Contents newer = withNewer(rows);
+      return new Contents(newer.byKey(), newer.instances(), wholeAtStoreMs, readAtStoreMs);
     }
 
     /** Takes newer rows in place of those that are known; the others stay as they are. */
@@ -74,7 +84,7 @@
       allRows.putAll(newer.byKey());
       Map<RowKey, InstanceSpending> allInstances = new HashMap<>(instances);
       allInstances.putAll(newer.instances());
-      return new Contents(allRows, allInstances, wholeAtStoreMs);
+      return new Contents(allRows, allInstances, wholeAtStoreMs, teamsAtStoreMs);
     }
 
     Row row(RowKey key) {
@@ -117,6 +127,19 @@
           .toList();
     }
 
+    /** Gives what other instances hold of a team's budget, but for its holders. */
+    long heldOutside(RowKey ownKey, String team, Set<String> holderIds) {
+      return instances.entrySet().stream()
+          .filter(entry -> !entry.getKey().equals(ownKey))
+          .filter(entry -> !holderIds.contains(idOf(entry.getKey())))
+          .mapToLong(entry -> entry.getValue().grantOf(team).holdingTokens())
+          .sum();
+    }
+
+    private static String idOf(RowKey key) {
+      return key.key().substring(INSTANCE_PREFIX.length());
+    }
+
     /** Lists the other instances that can be reached, in the order of their ids. */
     List<InstanceRecord> reachable(RowKey ownKey, Predicate<InstanceSpending> inTouch) {
       return withAddress(ownKey)
@@ -133,7 +156,7 @@
     }
 
     private static InstanceRecord record(RowKey key, InstanceSpending row) {
-      String id = key.key().substring(INSTANCE_PREFIX.length());
+      String id = idOf(key);
       return new InstanceRecord(id, id, row.domain(), row.host(), row.peerPort(), false);
     }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamHolders.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamHolders.java
@@ -24,9 +24,6 @@
  */
 final class TeamHolders {
 
-  /** The holder and the one that takes its place: asked in turn before the table is. */
-  private static final int ASKED = 2;
-
   private final InstanceRecord self;
   private final Map<String, List<InstanceRecord>> byDomain;
   private final Map<String, List<InstanceRecord>> ranked = new ConcurrentHashMap<>();
@@ -54,14 +51,6 @@
     return rankedFor(team).get(0).id().equals(self.id());
   }
 
-  /** Lists the other instances to reserve a team's tokens from, in order. */
-  List<InstanceRecord> othersFor(String team) {
-    return rankedFor(team).stream()
-        .limit(ASKED)
-        .filter(instance -> !instance.id().equals(self.id()))
-        .toList();
-  }
-
   /** Lists the ids of a team's holders, one of each domain. */
   Set<String> idsFor(String team) {
     return holdersOf(team).stream().map(InstanceRecord::id).collect(Collectors.toSet());
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamSpending.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamSpending.java
@@ -21,7 +21,7 @@
   private static final double NEWEST_WEIGHT = 0.1;
 
   /** A request is put together from so many pieces at the most; smaller ones help too little. */
-  private static final long MAX_PIECES = 4;
+  static final long MAX_PIECES = 4;
 
   private final Timers timers;
   private final AtomicLong spentTokens;
@@ -136,17 +136,6 @@
     return lent >= Math.max(1, needTokens / MAX_PIECES) && tryLend(lent, needTokens) ? lent : 0;
   }
 
-  /**
-   * Sets aside all that another instance lacks for one request, or nothing: a part of it would lie
-   * there unused.
-   *
-   * @param needTokens what the other lacks
-   * @return true when it is set aside
-   */
-  boolean tryLendWhole(long needTokens) {
-    return tryLend(needTokens, needTokens);
-  }
-
   private boolean tryLend(long tokens, long needTokens) {
     if (!tryTake(tokens)) {
       return false;
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingReachTest.java
@@ -0,0 +1,46 @@
+package io.mothrill.core.forward.spending;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+class SpendingReachTest {
+
+  private static final long PREPAID_TOKENS = 10_000_000;
+  private static final long SETTLED_MS = 20_000;
+  private static final int MANY_INSTANCES = 79;
+  private static final long AIM_MS = 300;
+  private static final long STEP_MS = 37;
+
+  private final SpendingWorld world = new SpendingWorld(PREPAID_TOKENS, 5);
+
+  private void settle() {
+    world.timers.advanceMs(SETTLED_MS);
+  }
+
+  // Guards against refusals of requests that join a renewal which was begun before they came, and
+  // which does not bring what they want.
+  @Test
+  void requestThatNeedsRenewalIsServedWheneverItComes() {
+    // GIVEN
+    List<SpendingWorld.Member> members =
+        IntStream.range(0, MANY_INSTANCES).mapToObj(n -> world.start("konya-" + n)).toList();
+    settle();
+    // WHEN
+    List<Boolean> served =
+        members.stream().limit(20).map(member -> isServedInTime(member, 100_000)).toList();
+    // THEN
+    assertThat(served).doesNotContain(false);
+  }
+
+  private boolean isServedInTime(SpendingWorld.Member member, long tokens) {
+    CompletableFuture<SpendingReservation> reserved = member.reserve(SpendingWorld.TEAM, tokens);
+    world.timers.advanceMs(AIM_MS);
+    boolean served = reserved.isDone() && !reserved.isCompletedExceptionally();
+    world.timers.advanceMs(2 * AIM_MS + STEP_MS);
+    return served;
+  }
+}
