The average demand counts its first seconds in full

The average, by which holders have tokens ready, began at nothing and took ten seconds to follow.

Change: the first samples are averaged evenly until the usual weight is reached.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/Demand.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/Demand.java
@@ -16,12 +16,14 @@
 
   private volatile double tokensPerS;
   private volatile double averageTokensPerS;
+  private long updateCount;
 
   synchronized void update(long usedTokens, long elapsedMs) {
     double rate = Math.max(0, usedTokens) * MS_PER_S / Math.max(1, elapsedMs);
     double weight = rate > tokensPerS ? UP : DOWN;
     tokensPerS += weight * (rate - tokensPerS);
-    averageTokensPerS += AVERAGE * (rate - averageTokensPerS);
+    updateCount++;
+    averageTokensPerS += Math.max(AVERAGE, 1.0 / updateCount) * (rate - averageTokensPerS);
   }
 
   long averageTokensPerS() {
