In a long silence the bound opens by what is likely to be used

What callers saw: RECOVER and SHORT.

Class: a bound that is safe to exceed nothing is sized for serving alone, and its unused part is lost with the process.

Change: it opens by the average demand, by twice that while it is at most 5 in 100 of what is left each second, and by 0.5 in 100 of what is left in any case.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
@@ -39,17 +39,20 @@
    */
   private static final double OPEN_BY_DEMAND = 1.0;
 
-  /** In a long silence it opens faster, as demand grows in bursts. */
-  private static final double LATER_BY_DEMAND = 2.5;
+  /** In a long silence it opens faster than tokens are spent on average, for demand in bursts. */
+  private static final double LATER_BY_DEMAND = 2.0;
+
+  /** What bursts add may open so large a part of what a team has left in a second at the most. */
+  private static final double MOST_LATER_SHARE_PER_S = 0.05;
+
+  /** So much of it opens in any case, for a team that had no demand before the silence. */
+  private static final double LEAST_LATER_SHARE_PER_S = 0.005;
 
   /**
    * The bound opens by this many usual requests in a second at least, for teams that ask seldom.
    */
   private static final double OPEN_REQUESTS_PER_S = 0.25;
 
-  /** In a long silence all that is held opens within this time at the latest. */
-  private static final double OPEN_WITHIN_S = 15;
-
   /** A share that is off by less than this part is left as it is, to save conflicts. */
   private static final double TOLERANCE = 0.2;
 
@@ -147,11 +150,10 @@
     long typical = situation.usualTokens();
     long ready = situation.holder() ? readyTokens(situation, spentTokens) : 0;
     long wantedNear = ready + situation.wantedTokens();
-    double demand = situation.demandTokensPerS();
     double usualOpen =
         Math.max(OPEN_REQUESTS_PER_S * typical, OPEN_BY_DEMAND * situation.averageTokensPerS());
     double open = situation.holder() ? usualOpen : 0;
-    double later = Math.max(LATER_BY_DEMAND * demand, holding / OPEN_WITHIN_S);
+    double later = laterTokensPerS(situation, spentTokens);
     return new SpendingGrant(
         spentTokens,
         spentTokens + holding,
@@ -161,6 +163,20 @@
         situation.demandTokensPerS());
   }
 
+  /**
+   * Gives how fast the bound opens in a long silence.
+   *
+   * <p>Failure: all instances lose power while the store is out of reach. Symptom: all that has
+   * opened counts as spent, so a team that has paid is refused for good. So no more opens than is
+   * likely to be used, and demand that has just fallen cannot open all that a team has left.
+   */
+  private static double laterTokensPerS(Situation situation, long spentTokens) {
+    double average = situation.averageTokensPerS();
+    double share = (double) situation.leftTokens(spentTokens) / situation.holderCount();
+    double withBursts = Math.min(LATER_BY_DEMAND * average, MOST_LATER_SHARE_PER_S * share);
+    return Math.max(average, withBursts) + LEAST_LATER_SHARE_PER_S * share;
+  }
+
   /**
    * Gives what a holder has near.
    *
