Renewals take what requests want when they are worked out; instances that are no holders hand shares back at once

What callers saw, in the bed of 79 instances only: for twenty seconds after the return of the store teams were refused though a fifth of their budgets was neither spent nor unassigned.

Cause: an instance that knows few others takes a share as in a small fleet, and hands it back in its turn, 6.6 s later on average and seldom more than 20 s. Besides, a renewal that was overtaken by another one lost what requests wanted.

Change: such an instance draws a turn with odds of one half. What was wanted is taken when the row is worked out, at most as much as when the renewal began; a read that fails drops it. Renewals begin outside the lock of the pace.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
@@ -65,7 +65,7 @@
   private static final long ENOUGH_REQUESTS = 2;
 
   /** With so many others an equal share of a budget is of the size of a few requests. */
-  private static final int MANY_INSTANCES = 20;
+  static final int MANY_INSTANCES = 20;
 
   private final SharePolicy policy;
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRenewal.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRenewal.java
@@ -119,19 +119,22 @@
   }
 
   /** Renews at once or when the pace allows it, together with whoever asks meanwhile. */
-  synchronized CompletableFuture<Boolean> renewSoon() {
-    if (paced != null) {
-      return paced;
-    }
-    long pauseMs = pauseMs();
-    if (pauseMs <= 0) {
-      urgentMs = timers.nowMs();
-      return renewMovingTokens();
+  CompletableFuture<Boolean> renewSoon() {
+    return isDueNow() ? renewMovingTokens() : pacedRenewal();
+  }
+
+  private synchronized boolean isDueNow() {
+    boolean due = paced == null && pauseMs() == 0;
+    urgentMs = due ? timers.nowMs() : urgentMs;
+    return due;
+  }
+
+  private synchronized CompletableFuture<Boolean> pacedRenewal() {
+    if (paced == null) {
+      paced = new CompletableFuture<>();
+      timers.after(pauseMs(), this::renewPaced);
     }
-    CompletableFuture<Boolean> renewed = new CompletableFuture<>();
-    paced = renewed;
-    timers.after(pauseMs, this::renewPaced);
-    return renewed;
+    return paced;
   }
 
   private void renewPaced() {
@@ -185,7 +188,7 @@
 
   /** Reads and writes; begins again when other instances have changed the rows in between. */
   private void attempt(int attempts, boolean inTurn, RenewalRounds.Round round) {
-    Map<String, Long> wanted = rows.takeWanted();
+    Map<String, Long> wanted = rows.wanted();
     boolean mayMoveTokens =
         leaving.get()
             || attempts > MAX_CONFLICTS - MOVING_ATTEMPTS
@@ -195,7 +198,7 @@
     reader
         .read(mayMoveTokens)
         .thenCompose(read -> writeUnlessOvertaken(read, moves, wanted, round))
-        .exceptionally(this::failed)
+        .exceptionally(error -> readFailed(wanted, error))
         .thenAccept(
             outcome -> {
               rounds.onWritten(round, outcome == Outcome.WRITTEN);
@@ -230,6 +233,12 @@
     FAILED
   }
 
+  /** Drops what was asked for: in a long silence of the store it would add up. */
+  private Outcome readFailed(Map<String, Long> wanted, Throwable error) {
+    rows.takeWanted(wanted);
+    return failed(error);
+  }
+
   private Outcome failed(Throwable error) {
     Logger.debug("spending not renewed: {}", Failures.unwrap(error).getMessage());
     return Outcome.FAILED;
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
@@ -38,6 +38,12 @@
   /** Rows of teams that were read so long ago still show that there is nothing to get. */
   private static final long TEAMS_KNOWN_MS = 500;
 
+  /** Part of a budget that only its holders have in a large fleet. */
+  private static final double HOLDERS_SHARE = 0.02;
+
+  /** Odds of a turn for an instance that has more of a team though it is no holder. */
+  private static final double EXCESS_ODDS = 0.5;
+
   private final InstanceRecord self;
   private final RowKey ownKey;
   private final StoreClock storeClock;
@@ -178,7 +184,22 @@
    * rows at once.
    */
   boolean drawTurn() {
-    return takenOver && random.nextDouble() * instanceCount < TURNS_PER_S;
+    double odds = holdsSharesOfOthers() ? EXCESS_ODDS : TURNS_PER_S / Math.max(1, instanceCount);
+    return takenOver && random.nextDouble() < odds;
+  }
+
+  /**
+   * Says whether this instance holds a good part of a team's budget in the place of its holders.
+   *
+   * <p>Failure: it held much when it knew few others, and its turn to hand that back comes late.
+   * Symptom: requests of the team are refused for seconds, as nobody asks an instance that is no
+   * holder, and it has nothing ready.
+   */
+  private boolean holdsSharesOfOthers() {
+    return instanceCount > GrantShaper.MANY_INSTANCES
+        && teams.keySet().stream()
+            .filter(team -> !holders.isSelf(team))
+            .anyMatch(team -> heldTokens(team) > HOLDERS_SHARE * prepaidTokens(team));
   }
 
   /** Says whether requests wait for something that no row asks for yet. */
@@ -202,7 +223,7 @@
       SpendingTables.Contents read,
       ForwardingPlan inForce,
       ShareChanges.Moves moves,
-      Map<String, Long> wanted) {
+      Map<String, Long> noted) {
     contents = read;
     plan = inForce;
     if (!takenOver) {
@@ -216,6 +237,7 @@
         .filter(team -> team.prepaidTokens().isPresent())
         .forEach(team -> teams.computeIfAbsent(team.name(), name -> new TeamSpending(timers, 0)));
     countDemand();
+    Map<String, Long> wanted = takeWanted(noted);
     Map<String, TeamSpending.SentGrant> sent = new TreeMap<>();
     ShareChanges changes = new ShareChanges(moves, wanted.keySet(), teams.size(), firstChange);
     for (Map.Entry<String, TeamSpending> entry : new TreeMap<>(teams).entrySet()) {
@@ -253,11 +275,29 @@
     }
   }
 
-  /** Takes what requests wait for, for the row that is worked out next. */
-  Map<String, Long> takeWanted() {
-    Map<String, Long> wanted = new HashMap<>();
-    wantedTokens.keySet().forEach(team -> wanted.put(team, wantedTokens.remove(team)));
-    return wanted;
+  /** Gives what requests wait for now. */
+  Map<String, Long> wanted() {
+    return Map.copyOf(wantedTokens);
+  }
+
+  /**
+   * Takes what requests waited for when a renewal began, unless another one has taken it since.
+   *
+   * @param noted what they waited for then
+   * @return what is left of it
+   */
+  Map<String, Long> takeWanted(Map<String, Long> noted) {
+    Map<String, Long> taken = new HashMap<>();
+    noted.forEach(
+        (team, tokens) ->
+            wantedTokens.computeIfPresent(
+                team,
+                (name, current) -> {
+                  long part = Math.min(current, tokens);
+                  taken.put(name, part);
+                  return current == part ? null : Long.valueOf(current - part);
+                }));
+    return taken;
   }
 
   /**
