Requests of a fleet of hundreds do not wait out the pace of renewals

What callers would have seen: with 300 instances a renewal that a request asks for may be due two seconds later, with 1,700 eleven, and the request would have waited for it. Found by reading, before it landed.

Cause: waits last until a paced renewal is sent, and the pace grows with the fleet.

Change: a renewal that is due later than 700 ms is asked for, as others will need it, and not waited for; the request goes on to the table by itself and to lenders.

Evidence: SpendingReachTest.requestsOfHundredsOfInstancesDoNotWaitOutThePace, 300 instances, failed without it.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -35,6 +35,12 @@
    */
   private static final long MAX_WAIT_MS = 250;
 
+  /**
+   * A renewal that is sent later than this comes too late for the request that asks for it. In a
+   * fleet of hundreds the pace allows one in seconds.
+   */
+  private static final long MAX_PACED_MS = 700;
+
   /** A renewal that takes longer, once it is sent, shows that the store is slow or silent. */
   private static final long RENEWAL_MS = 150;
 
@@ -306,7 +312,10 @@
       }
       long sentInMs = renewal.pauseMs();
       rows.want(team, needTokens);
-      return Optional.of(within(renewal.renewSoon(), sentInMs + RENEWAL_MS));
+      CompletableFuture<Boolean> renewed = renewal.renewSoon();
+      return sentInMs > MAX_PACED_MS
+          ? Optional.empty()
+          : Optional.of(within(renewed, sentInMs + RENEWAL_MS));
     }
   }
 
@@ -335,7 +344,8 @@
     }
     long sentInMs = renewal.pauseMs();
     rows.want(team, tokens);
-    return within(renewal.renewSoon(), Math.min(sentInMs + MAX_WAIT_MS, opensInMs));
+    long limitMs = sentInMs > MAX_PACED_MS ? MAX_WAIT_MS : sentInMs + MAX_WAIT_MS;
+    return within(renewal.renewSoon(), Math.min(limitMs, opensInMs));
   }
 
   private CompletableFuture<Boolean> within(CompletableFuture<Boolean> event, long limitMs) {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
@@ -43,7 +43,7 @@
   private static final long SILENT_PAUSE_MS = 1_000;
 
   /** A lender that makes more ready answers after its renewal, which is paced in a large fleet. */
-  private static final long GROWN_ANSWER_MS = 900;
+  private static final long GROWN_ANSWER_MS = 1_000;
 
   /** Part of what a lender has over that one loan may take. */
   private static final long LENT_DIVISOR = 2;
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingReachTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingReachTest.java
@@ -12,7 +12,12 @@
   private static final long PREPAID_TOKENS = 10_000_000;
   private static final long SETTLED_MS = 20_000;
   private static final int MANY_INSTANCES = 79;
+  private static final int HUNDREDS_OF_INSTANCES = 300;
   private static final long AIM_MS = 300;
+
+  /** The time to the first byte that callers hope for at the most. */
+  private static final long LONGEST_WAIT_MS = 1_000;
+
   private static final long STEP_MS = 37;
 
   private final SpendingWorld world = new SpendingWorld(PREPAID_TOKENS, 5);
@@ -43,4 +48,23 @@
     world.timers.advanceMs(2 * AIM_MS + STEP_MS);
     return served;
   }
+
+  // Guards against requests that wait for seconds in a fleet whose pace allows each instance one
+  // renewal in two seconds.
+  @Test
+  void requestsOfHundredsOfInstancesDoNotWaitOutThePace() {
+    // GIVEN
+    List<SpendingWorld.Member> members =
+        IntStream.range(0, HUNDREDS_OF_INSTANCES).mapToObj(n -> world.start("konya-" + n)).toList();
+    settle();
+    SpendingWorld.Member member = members.get(1);
+    member.tryReserve(PREPAID_TOKENS / 100);
+    world.timers.advanceMs(AIM_MS);
+    // WHEN
+    CompletableFuture<SpendingReservation> reserved =
+        member.reserve(SpendingWorld.TEAM, PREPAID_TOKENS / 10);
+    world.timers.advanceMs(LONGEST_WAIT_MS);
+    // THEN
+    assertThat(reserved.isDone()).isTrue();
+  }
 }
