First requests of a process and of a new team are not taken for requests of a spent one

Cause: rows that were read less than half a second ago show that a renewal brings nothing, also before the first row is written and for a team that came with a plan after it.

Change: that counts only once a row of this process shows the team.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
@@ -129,11 +129,14 @@
 
   /**
    * Says whether a renewal would bring nothing: neither this instance nor the table had a part of a
-   * request when the rows of the teams were last read.
+   * request when the rows of the teams were last read. Of a team that came with a newer plan no row
+   * shows anything.
    */
   boolean isSurelyNone(String team, long neededTokens) {
     long unassigned = prepaidTokens(team) - contents.grantedTokens(team);
-    return storeClock.nowMs() - contents.teamsAtStoreMs() < TEAMS_KNOWN_MS
+    return takenOver
+        && teams.containsKey(team)
+        && storeClock.nowMs() - contents.teamsAtStoreMs() < TEAMS_KNOWN_MS
         && heldTokens(team) + Math.max(0, unassigned) < neededTokens / TeamSpending.MAX_PIECES;
   }
 
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingReachTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingReachTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.mothrill.core.forward.plan.ForwardingPlan;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.IntStream;
@@ -49,6 +50,40 @@
     return served;
   }
 
+  // Guards against refusals of first requests of a fleet whose store has just started, whose clock
+  // is as young as a read that shows that there is nothing.
+  @Test
+  void firstRequestIsServedWhileTheStoreIsYoung() {
+    // GIVEN
+    SpendingWorld.Member member = world.start("konya-1");
+    // WHEN
+    CompletableFuture<SpendingReservation> reserved = member.reserve(SpendingWorld.TEAM, 1_000);
+    world.timers.advanceMs(AIM_MS);
+    // THEN
+    assertThat(reserved.isDone()).isTrue();
+    assertThat(reserved.isCompletedExceptionally()).isFalse();
+  }
+
+  // Guards against refusals of first requests of a team that came with a plan which no row of this
+  // instance knows yet.
+  @Test
+  void firstRequestOfNewTeamIsServed() {
+    // GIVEN
+    SpendingWorld newcomers =
+        new SpendingWorld(List.of("first", "second"), List.of(PREPAID_TOKENS, PREPAID_TOKENS), 5);
+    ForwardingPlan whole = newcomers.plan.read();
+    newcomers.plan.publish(ForwardingPlan.unknown());
+    SpendingWorld.Member member = newcomers.start("konya-1");
+    newcomers.timers.advanceMs(AIM_MS);
+    newcomers.plan.publish(whole);
+    // WHEN
+    CompletableFuture<SpendingReservation> reserved = member.reserve("second", 1_000);
+    newcomers.timers.advanceMs(AIM_MS);
+    // THEN
+    assertThat(reserved.isDone()).isTrue();
+    assertThat(reserved.isCompletedExceptionally()).isFalse();
+  }
+
   // Guards against requests that wait for seconds in a fleet whose pace allows each instance one
   // renewal in two seconds.
   @Test
