--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -294,7 +294,7 @@
     @Override
     public void want(String team, long lackingTokens) {
       if (isInTouch() && !renewal.isLeaving()) {
-        rows.want(team, partOf(lackingTokens, rows.holders().countOfEach()));
+        rows.wanted().add(team, partOf(lackingTokens, rows.holders().countOfEach()));
       }
     }
 
@@ -311,7 +311,7 @@
         return Optional.of(CompletableFuture.completedFuture(true));
       }
       long sentInMs = renewal.pauseMs();
-      rows.want(team, needTokens);
+      rows.wanted().add(team, needTokens);
       CompletableFuture<Boolean> renewed = renewal.renewSoon();
       return sentInMs > MAX_PACED_MS
           ? Optional.empty()
@@ -343,7 +343,7 @@
       return within(new CompletableFuture<>(), Math.min(MAX_WAIT_MS, opensInMs));
     }
     long sentInMs = renewal.pauseMs();
-    rows.want(team, tokens);
+    rows.wanted().add(team, tokens);
     long limitMs = sentInMs > MAX_PACED_MS ? MAX_WAIT_MS : sentInMs + MAX_WAIT_MS;
     return within(renewal.renewSoon(), Math.min(limitMs, opensInMs));
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRenewal.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRenewal.java
@@ -152,7 +152,9 @@
     return renew()
         .thenCompose(
             renewed ->
-                renewed && rows.isWanted() ? renew() : CompletableFuture.completedFuture(renewed));
+                renewed && !rows.wanted().isEmpty()
+                    ? renew()
+                    : CompletableFuture.completedFuture(renewed));
   }
 
   /** Says how long it takes until a renewal that a request asks for now is sent. */
@@ -188,7 +190,7 @@
 
   /** Reads and writes; begins again when other instances have changed the rows in between. */
   private void attempt(int attempts, boolean inTurn, RenewalRounds.Round round) {
-    Map<String, Long> wanted = rows.wanted();
+    Map<String, Long> wanted = rows.wanted().current();
     boolean mayMoveTokens =
         leaving.get()
             || attempts > MAX_CONFLICTS - MOVING_ATTEMPTS
@@ -235,7 +237,7 @@
 
   /** Drops what was asked for: in a long silence of the store it would add up. */
   private Outcome readFailed(Map<String, Long> wanted, Throwable error) {
-    rows.takeWanted(wanted);
+    rows.wanted().take(wanted);
     return failed(error);
   }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
@@ -8,7 +8,6 @@
 import io.mothrill.core.platform.StoreClock;
 import io.mothrill.core.platform.Transaction;
 import io.mothrill.core.time.Timers;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -54,7 +53,7 @@
   private final ShortageLog shortages;
   private final Map<String, TeamSpending> teams = new ConcurrentHashMap<>();
   private final Map<String, Demand> demands = new ConcurrentHashMap<>();
-  private final Map<String, Long> wantedTokens = new ConcurrentHashMap<>();
+  private final WantedTokens wanted = new WantedTokens();
   private volatile SpendingTables.Contents contents = SpendingTables.Contents.EMPTY;
   private volatile ForwardingPlan plan = ForwardingPlan.unknown();
   private volatile boolean takenOver;
@@ -133,19 +132,15 @@
    * shows anything.
    */
   boolean isSurelyNone(String team, long neededTokens) {
-    long unassigned = prepaidTokens(team) - contents.grantedTokens(team);
+    long unassigned = contents.unassignedTokens(team, prepaidTokens(plan, team).orElse(0));
     return takenOver
         && teams.containsKey(team)
         && storeClock.nowMs() - contents.teamsAtStoreMs() < TEAMS_KNOWN_MS
         && heldTokens(team) + Math.max(0, unassigned) < neededTokens / TeamSpending.MAX_PIECES;
   }
 
-  private long prepaidTokens(String team) {
-    return plan.findTeam(team).map(TeamPlan::prepaidTokens).flatMap(SpendingRows::boxed).orElse(0L);
-  }
-
-  private static Optional<Long> boxed(OptionalLong tokens) {
-    return tokens.isPresent() ? Optional.of(tokens.getAsLong()) : Optional.empty();
+  private static OptionalLong prepaidTokens(ForwardingPlan plan, String team) {
+    return plan.findTeam(team).map(TeamPlan::prepaidTokens).orElse(OptionalLong.empty());
   }
 
   /** Says whether instances that are no holders of a team have what a request needs. */
@@ -167,9 +162,9 @@
     return contents.lenders(ownKey, team, holders.idsFor(team), random);
   }
 
-  /** Asks for tokens in the next row. */
-  void want(String team, long tokens) {
-    wantedTokens.merge(team, tokens, Long::sum);
+  /** Gives what requests wait for, which the next row asks for. */
+  WantedTokens wanted() {
+    return wanted;
   }
 
   /** Gives what a team has left by the last read, with what this instance has spent since. */
@@ -202,17 +197,13 @@
     return instanceCount > GrantShaper.MANY_INSTANCES
         && teams.keySet().stream()
             .filter(team -> !holders.isSelf(team))
-            .anyMatch(team -> heldTokens(team) > HOLDERS_SHARE * prepaidTokens(team));
-  }
-
-  /** Says whether requests wait for something that no row asks for yet. */
-  boolean isWanted() {
-    return !wantedTokens.isEmpty();
+            .anyMatch(
+                team -> heldTokens(team) > HOLDERS_SHARE * prepaidTokens(plan, team).orElse(0));
   }
 
   /** Says whether tokens have to move for this, though it is not this instance's turn. */
-  boolean isMoreThanHeld(Map<String, Long> wanted) {
-    return wanted.entrySet().stream()
+  boolean isMoreThanHeld(Map<String, Long> tokensByTeam) {
+    return tokensByTeam.entrySet().stream()
         .anyMatch(entry -> entry.getValue() > heldTokens(entry.getKey()));
   }
 
@@ -240,9 +231,9 @@
         .filter(team -> team.prepaidTokens().isPresent())
         .forEach(team -> teams.computeIfAbsent(team.name(), name -> new TeamSpending(timers, 0)));
     countDemand();
-    Map<String, Long> wanted = takeWanted(noted);
+    Map<String, Long> taken = wanted.take(noted);
     Map<String, TeamSpending.SentGrant> sent = new TreeMap<>();
-    ShareChanges changes = new ShareChanges(moves, wanted.keySet(), teams.size(), firstChange);
+    ShareChanges changes = new ShareChanges(moves, taken.keySet(), teams.size(), firstChange);
     for (Map.Entry<String, TeamSpending> entry : new TreeMap<>(teams).entrySet()) {
       boolean mayChange = changes.allow(entry.getKey());
       GrantShaper.Situation situation =
@@ -252,14 +243,14 @@
               inForce,
               read,
               othersSpending,
-              wanted.getOrDefault(entry.getKey(), 0L),
+              taken.getOrDefault(entry.getKey(), 0L),
               moves);
       sent.put(
           entry.getKey(),
           entry.getValue().propose(spent -> shaper.shape(situation, spent, mayChange)));
     }
     firstChange = teams.isEmpty() ? 0 : (firstChange + ShareChanges.MAX_CHANGES) % teams.size();
-    return new Proposal(sent, wanted, transaction(read, sent, sentAtStoreMs));
+    return new Proposal(sent, taken, transaction(read, sent, sentAtStoreMs));
   }
 
   /**
@@ -278,31 +269,6 @@
     }
   }
 
-  /** Gives what requests wait for now. */
-  Map<String, Long> wanted() {
-    return Map.copyOf(wantedTokens);
-  }
-
-  /**
-   * Takes what requests waited for when a renewal began, unless another one has taken it since.
-   *
-   * @param noted what they waited for then
-   * @return what is left of it
-   */
-  Map<String, Long> takeWanted(Map<String, Long> noted) {
-    Map<String, Long> taken = new HashMap<>();
-    noted.forEach(
-        (team, tokens) ->
-            wantedTokens.computeIfPresent(
-                team,
-                (name, current) -> {
-                  long part = Math.min(current, tokens);
-                  taken.put(name, part);
-                  return current == part ? null : Long.valueOf(current - part);
-                }));
-    return taken;
-  }
-
   /**
    * Continues with what an earlier process on this machine can have spent at the most.
    *
@@ -366,8 +332,7 @@
       OthersSpending othersSpending,
       long wanted,
       ShareChanges.Moves moves) {
-    OptionalLong prepaid =
-        inForce.findTeam(team).map(TeamPlan::prepaidTokens).orElse(OptionalLong.empty());
+    OptionalLong prepaid = prepaidTokens(inForce, team);
     OthersSpending.Sums sums = othersSpending.of(team);
     return new GrantShaper.Situation(
         prepaid.orElse(0),
@@ -436,7 +401,7 @@
    */
   void retract(Proposal proposal) {
     proposal.wantedTokens().keySet().forEach(shortages::onConflict);
-    proposal.wantedTokens().forEach(this::want);
+    proposal.wantedTokens().forEach(wanted::add);
     proposal.sent().forEach((name, grant) -> teams.get(name).retract(grant));
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingTables.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingTables.java
@@ -175,6 +175,11 @@
       return row.exists() && !understood ? ALL_GRANTED : row.cells().number(GRANTED);
     }
 
+    /** Gives what no instance's limit covers; negative while more is granted than was paid. */
+    long unassignedTokens(String team, long prepaidTokens) {
+      return prepaidTokens - grantedTokens(team);
+    }
+
     long spentTokens(String team) {
       return instances.values().stream().mapToLong(row -> row.grantOf(team).spentTokens()).sum();
     }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamTokens.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamTokens.java
@@ -27,7 +27,7 @@
         contents.others(ownKey).map(row -> row.grantOf(team.name())).toList();
     return new TeamTokens(
         prepaidTokens,
-        prepaidTokens - contents.grantedTokens(team.name()),
+        contents.unassignedTokens(team.name(), prepaidTokens),
         others.stream().mapToLong(SpendingGrant::holdingTokens).sum(),
         others.stream().mapToLong(SpendingGrant::nearTokens).sum(),
         nowStoreMs - contents.wholeAtStoreMs());
