One class remembers what was just seen of a team or a lender

Cause: SpendingLoans kept three maps of times with the same check beside each, one of them added with the sure refusals; a lender that did not answer was noted in two places.

Change: RecentMarks, and one method for a lender that did not answer. No decision changes.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingLoans.java
@@ -56,9 +56,9 @@
   private final ShortageLog shortages;
   private final Map<String, List<Loan>> loans = new ConcurrentHashMap<>();
   private final Map<String, CompletableFuture<Void>> underWay = new ConcurrentHashMap<>();
-  private final Map<String, Long> noLenderMs = new ConcurrentHashMap<>();
-  private final Map<String, Long> noneMs = new ConcurrentHashMap<>();
-  private final Map<String, Long> silentMs = new ConcurrentHashMap<>();
+  private final RecentMarks teamsWithoutLender;
+  private final RecentMarks teamsWithoutTokens;
+  private final RecentMarks silentPeers;
   private final AtomicLong transferCount = new AtomicLong();
 
   SpendingLoans(
@@ -75,6 +75,9 @@
     this.timers = timers;
     this.self = self;
     this.ownSpending = ownSpending;
+    this.teamsWithoutLender = new RecentMarks(timers, NO_LENDER_PAUSE_MS);
+    this.teamsWithoutTokens = new RecentMarks(timers, NO_LENDER_PAUSE_MS);
+    this.silentPeers = new RecentMarks(timers, SILENT_PAUSE_MS);
     dispatcher.on(PeerMessage.BorrowRequest.class, this::lend);
     dispatcher.on(PeerMessage.HandBack.class, this::takeBack);
   }
@@ -182,8 +185,7 @@
    */
   CompletableFuture<Void> borrow(
       String team, long needTokens, long wantedTokens, List<InstanceRecord> lenders) {
-    Long failedMs = noLenderMs.get(team);
-    if (failedMs != null && timers.nowMs() - failedMs < NO_LENDER_PAUSE_MS) {
+    if (teamsWithoutLender.isRecent(team)) {
       return CompletableFuture.completedFuture(null);
     }
     CompletableFuture<Void> mine = new CompletableFuture<>();
@@ -195,7 +197,7 @@
         .thenAccept(
             outcome -> {
               if (outcome.missingTokens() == needTokens) {
-                noLenderMs.put(team, timers.nowMs());
+                teamsWithoutLender.mark(team);
               }
               underWay.remove(team);
               mine.complete(null);
@@ -216,7 +218,7 @@
   }
 
   private List<InstanceRecord> answering(List<InstanceRecord> holders) {
-    return holders.stream().filter(holder -> !isSilent(holder.id())).toList();
+    return holders.stream().filter(holder -> !silentPeers.isRecent(holder.id())).toList();
   }
 
   /**
@@ -230,7 +232,7 @@
    */
   CompletableFuture<Outcome> borrowGrown(
       String team, long needTokens, List<InstanceRecord> holders) {
-    if (timers.nowMs() - noneMs.getOrDefault(team, Long.MIN_VALUE / 2) < NO_LENDER_PAUSE_MS) {
+    if (teamsWithoutTokens.isRecent(team)) {
       return CompletableFuture.completedFuture(new Outcome(needTokens, true));
     }
     List<InstanceRecord> asked = answering(holders);
@@ -242,16 +244,11 @@
 
   private Outcome note(String team, Outcome outcome) {
     if (outcome.isNone()) {
-      noneMs.put(team, timers.nowMs());
+      teamsWithoutTokens.mark(team);
     }
     return outcome;
   }
 
-  private boolean isSilent(String id) {
-    Long sinceMs = silentMs.get(id);
-    return sinceMs != null && timers.nowMs() - sinceMs < SILENT_PAUSE_MS;
-  }
-
   /** Asks one lender after the other. */
   private CompletableFuture<Outcome> ask(
       String team,
@@ -319,8 +316,7 @@
         request.mayGrow() ? GROWN_ANSWER_MS : ANSWER_MS,
         () -> {
           if (borrowed.complete(Answer.NONE)) {
-            silentMs.put(lender.id(), timers.nowMs());
-            shortages.onUnanswered(request.budget());
+            noteUnanswered(lender, request);
           }
         });
     links
@@ -328,8 +324,7 @@
         .thenApply(reply -> take(request, lender, reply))
         .exceptionally(
             error -> {
-              silentMs.put(lender.id(), timers.nowMs());
-              shortages.onUnanswered(request.budget());
+              noteUnanswered(lender, request);
               Logger.debug("no loan from {}: {}", lender.id(), Failures.unwrap(error).getMessage());
               return Answer.NONE;
             })
@@ -337,6 +332,11 @@
     return borrowed;
   }
 
+  private void noteUnanswered(InstanceRecord lender, PeerMessage.BorrowRequest request) {
+    silentPeers.mark(lender.id());
+    shortages.onUnanswered(request.budget());
+  }
+
   private Answer take(PeerMessage.BorrowRequest request, InstanceRecord lender, PeerMessage reply) {
     if (!(reply instanceof PeerMessage.BorrowReply given)) {
       return Answer.NONE;
