A refusal works out its evidence once

Cause: whether a team is spent was asked before the search and again for the refusal, and what it has left once more for the message: two or three passes over the rows of all instances for each refused request.

Change: the evidence gives the refusal itself, or nothing. One method refuses, and the decision between a sure refusal and another wait is no longer nested in three closures.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingController.java
@@ -238,13 +238,17 @@
 
   /** Takes what the holders of the team have ready, wherever they are, then asks the table. */
   private CompletableFuture<SpendingReservation> reserveElsewhere(TeamPlan team, long tokens) {
-    String name = team.name();
     if (!rows.isTakenOver()) {
       return reserveAfterWait(team, tokens, MAX_WAITS);
     }
-    if (refusals.isSurelySpent(team, tokens)) {
-      return CompletableFuture.failedFuture(refusals.of(team, tokens));
-    }
+    return refusals
+        .ofSpent(team, tokens)
+        .map(CompletableFuture::<SpendingReservation>failedFuture)
+        .orElseGet(() -> reserveFromHolders(team, tokens));
+  }
+
+  private CompletableFuture<SpendingReservation> reserveFromHolders(TeamPlan team, long tokens) {
+    String name = team.name();
     return loans
         .borrowReady(name, lackingTokens(name, tokens), rows.holders().inOrderFor(name))
         .thenCompose(asked -> tryReserveOr(team, tokens, () -> reserveGrown(team, tokens)));
@@ -272,13 +276,24 @@
                     team,
                     tokens,
                     () ->
-                        sureHere && outcome.isNone() && !rows.areTokensElsewhere(name, tokens)
-                            ? refuse(team, tokens)
+                        sureHere && outcome.isNone()
+                            ? reserveFromOthers(team, tokens)
                             : reserveAfterWait(team, tokens, MAX_WAITS)));
   }
 
-  private CompletableFuture<SpendingReservation> refuse(TeamPlan team, long tokens) {
+  /**
+   * Neither the holders nor the table have enough; other instances may hold what they did not hand
+   * back.
+   */
+  private CompletableFuture<SpendingReservation> reserveFromOthers(TeamPlan team, long tokens) {
+    if (rows.areTokensElsewhere(team.name(), tokens)) {
+      return reserveAfterWait(team, tokens, MAX_WAITS);
+    }
     loans.handBack(team.name());
+    return refuse(team, tokens);
+  }
+
+  private CompletableFuture<SpendingReservation> refuse(TeamPlan team, long tokens) {
     return CompletableFuture.failedFuture(refusals.of(team, tokens));
   }
 
@@ -366,7 +381,7 @@
   private CompletableFuture<SpendingReservation> reserveFromLoan(TeamPlan team, long tokens) {
     return rows.isTakenOver() && !renewal.isLeaving()
         ? reserveFromLoan(team, tokens, MAX_LOAN_ROUNDS)
-        : CompletableFuture.failedFuture(refusals.of(team, tokens));
+        : refuse(team, tokens);
   }
 
   /** Asks the lenders, and asks again when more has opened at them. */
@@ -403,13 +418,10 @@
   private CompletableFuture<SpendingReservation> reserveWhenOpen(TeamPlan team, long tokens) {
     long opensInMs = opensInMs(team, tokens);
     if (opensInMs > MAX_OPENING_WAIT_MS) {
-      return CompletableFuture.failedFuture(refusals.of(team, tokens));
+      return refuse(team, tokens);
     }
     return pause(opensInMs)
-        .thenCompose(
-            over ->
-                tryReserveOr(
-                    team, tokens, () -> CompletableFuture.failedFuture(refusals.of(team, tokens))));
+        .thenCompose(over -> tryReserveOr(team, tokens, () -> refuse(team, tokens)));
   }
 
   private long opensInMs(TeamPlan team, long tokens) {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRefusals.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRefusals.java
@@ -1,6 +1,7 @@
 package io.mothrill.core.forward.spending;
 
 import io.mothrill.core.forward.plan.TeamPlan;
+import java.util.Optional;
 
 /** Explains why tokens cannot be set aside, and when to come back. */
 final class SpendingRefusals {
@@ -28,17 +29,21 @@
   }
 
   /**
-   * Says whether the last rows already show that a team cannot pay, so that its caller is told at
-   * once. Asking holders and table first would take most of a second and could find no more.
+   * Gives the refusal of a request whose team cannot pay, as the last rows already show, so that
+   * its caller is told at once. Asking holders and table first could find no more.
    */
-  boolean isSurelySpent(TeamPlan team, long tokens) {
-    return rows.find(team.name()).filter(spending -> isSpent(team, spending, tokens)).isPresent();
+  Optional<SpendingException> ofSpent(TeamPlan team, long tokens) {
+    Optional<SpendingException> refusal = spent(team, tokens);
+    refusal.ifPresent(given -> noteRefused(team, tokens));
+    return refusal;
   }
 
-  private boolean isSpent(TeamPlan team, TeamSpending spending, long tokens) {
-    return isRenewed()
-        && reader.sinceWholeReadMs() < EVIDENCE_MS
-        && rows.leftTokens(team, spending) < tokens;
+  private Optional<SpendingException> spent(TeamPlan team, long tokens) {
+    return rows.find(team.name())
+        .filter(spending -> isRenewed() && reader.sinceWholeReadMs() < EVIDENCE_MS)
+        .map(spending -> rows.leftTokens(team, spending))
+        .filter(leftTokens -> leftTokens < tokens)
+        .map(leftTokens -> SpendingException.spent(team.name(), leftTokens, tokens));
   }
 
   private boolean isRenewed() {
@@ -53,32 +58,35 @@
    * itself has too little; without them the caller is told to come back.
    */
   SpendingException of(TeamPlan team, long tokens) {
+    TeamTokens where = noteRefused(team, tokens);
+    return spent(team, tokens).orElseGet(() -> notHere(team, tokens, where));
+  }
+
+  private TeamTokens noteRefused(TeamPlan team, long tokens) {
     TeamTokens where = rows.tokensOf(team);
     rows.shortages().onRefused(team.name(), tokens, where);
+    return where;
+  }
+
+  private SpendingException notHere(TeamPlan team, long tokens, TeamTokens where) {
     return rows.find(team.name())
-        .map(spending -> of(team, spending, tokens, where))
+        .map(spending -> notHere(team, spending, tokens, where))
         .orElseGet(
             () ->
                 SpendingException.notHere(
                     team.name(), tokens, "no row yet", SpendingRenewal.PERIOD_MS));
   }
 
-  private SpendingException of(
+  private SpendingException notHere(
       TeamPlan team, TeamSpending spending, long tokens, TeamTokens where) {
-    if (isSpent(team, spending, tokens)) {
-      return SpendingException.spent(team.name(), rows.leftTokens(team, spending), tokens);
-    }
-    long sinceRenewalMs = renewal.sinceRenewalMs();
-    if (isRenewed()) {
-      return SpendingException.notHere(
-          team.name(), tokens, stateOf(spending, sinceRenewalMs, where), REBALANCED_MS);
-    }
-    long waitMs = Math.min(MAX_RETRY_AFTER_MS, spending.waitMs(tokens));
+    long retryAfterMs =
+        isRenewed()
+            ? REBALANCED_MS
+            : Math.max(
+                SpendingRenewal.LEAST_PAUSE_MS,
+                Math.min(MAX_RETRY_AFTER_MS, spending.waitMs(tokens)));
     return SpendingException.notHere(
-        team.name(),
-        tokens,
-        stateOf(spending, sinceRenewalMs, where),
-        Math.max(SpendingRenewal.LEAST_PAUSE_MS, waitMs));
+        team.name(), tokens, stateOf(spending, renewal.sinceRenewalMs(), where), retryAfterMs);
   }
 
   private static String stateOf(TeamSpending spending, long sinceRenewalMs, TeamTokens where) {
