--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRenewal.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRenewal.java
@@ -57,6 +57,15 @@
    */
   private static final long URGENT_WRITES_PER_S = 150;
 
+  /**
+   * A renewal that is sent later than this comes too late for the request that asks for it. In a
+   * fleet of hundreds the pace allows one in seconds.
+   */
+  private static final long MAX_PACED_MS = 700;
+
+  /** A renewal that took longer ago than this shows that the store is out of reach. */
+  private static final long IN_TOUCH_MS = 1_400;
+
   private static final long MS_PER_S = 1_000;
 
   private final TableService table;
@@ -118,9 +127,34 @@
     return renew();
   }
 
+  /** Says whether the store has answered lately. */
+  boolean isInTouch() {
+    return sinceRenewalMs() < IN_TOUCH_MS;
+  }
+
+  /**
+   * A renewal that a request has asked for.
+   *
+   * @param sentInMs how long it takes until it is sent
+   * @param renewed completes with true when it was written
+   */
+  record Asked(long sentInMs, CompletableFuture<Boolean> renewed) {
+
+    boolean isTooLate() {
+      return sentInMs > MAX_PACED_MS;
+    }
+  }
+
+  /** Asks for tokens with the next renewal. */
+  Asked askFor(String team, long tokens) {
+    long sentInMs = pauseMs();
+    rows.wanted().add(team, tokens);
+    return new Asked(sentInMs, renewSoon());
+  }
+
   /** Renews at once or when the pace allows it, together with whoever asks meanwhile. */
-  CompletableFuture<Boolean> renewSoon() {
-    return isDueNow() ? renewMovingTokens() : pacedRenewal();
+  private CompletableFuture<Boolean> renewSoon() {
+    return isDueNow() ? renewForRequests() : pacedRenewal();
   }
 
   private synchronized boolean isDueNow() {
@@ -144,11 +178,11 @@
       paced = null;
       urgentMs = timers.nowMs();
     }
-    renewMovingTokens().thenAccept(renewed::complete);
+    renewForRequests().thenAccept(renewed::complete);
   }
 
   /** A renewal that was under way already does not bring what was asked for since it began. */
-  private CompletableFuture<Boolean> renewMovingTokens() {
+  private CompletableFuture<Boolean> renewForRequests() {
     return renew()
         .thenCompose(
             renewed ->
@@ -157,8 +191,7 @@
                     : CompletableFuture.completedFuture(renewed));
   }
 
-  /** Says how long it takes until a renewal that a request asks for now is sent. */
-  synchronized long pauseMs() {
+  private synchronized long pauseMs() {
     return Math.max(0, urgentPauseMs() - (timers.nowMs() - urgentMs));
   }
 
