Uneven teams and kinds of request are drawn in one place by the tests of spending

Cause: the load of the fleet of 79 instances wrote again how SpendingOfLongPromptsTest draws teams and kinds.

Change: UnevenTeams, used by both. No assertion is touched.

--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/FleetLoad.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/FleetLoad.java
@@ -58,11 +58,10 @@
           new Kind(46, 1_050, 0.5, 300, 1_000, 0.75),
           new Kind(223, 2_200, 0.5, 300, 150, 0.98));
 
-  private static final double[] TEAM_SHARES = shares();
+  private static final UnevenTeams UNEVEN = new UnevenTeams(TEAMS);
 
   final SpendingWorld world;
-  private final List<String> teams =
-      IntStream.range(0, TEAMS).mapToObj(number -> "team-" + number).toList();
+  private final List<String> teams = UNEVEN.names();
   private final List<Long> budgets;
   private final List<SpendingWorld.Member> members = new ArrayList<>();
   private final long[] usedTokens = new long[TEAMS];
@@ -103,16 +102,9 @@
     }
   }
 
-  private static double[] shares() {
-    double sum = IntStream.rangeClosed(1, TEAMS).mapToDouble(rank -> 1.0 / rank).sum();
-    return IntStream.rangeClosed(1, TEAMS).mapToDouble(rank -> 1.0 / rank / sum).toArray();
-  }
-
   private static List<Long> budgets(long seconds) {
     double tokensPerS = KINDS.stream().mapToDouble(Kind::tokensPerS).sum();
-    return Arrays.stream(TEAM_SHARES)
-        .mapToObj(share -> Math.round(seconds * tokensPerS * share))
-        .toList();
+    return UNEVEN.budgets(seconds * tokensPerS);
   }
 
   /** Starts all instances, before any caller comes. */
@@ -173,7 +165,7 @@
   }
 
   private void ask() {
-    Kind kind = drawKind();
+    Kind kind = UnevenTeams.drawKind(world.random, KINDS, Kind::perS);
     int team = drawTeam();
     long tokens = kind.draw(world.random);
     Request request = new Request(kind, team, tokens, isOwed(team, tokens), world.timers.nowMs());
@@ -208,17 +200,6 @@
     return usedTokens[team] + reservedTokens[team] + tokens <= OWED_SHARE * budgets.get(team);
   }
 
-  private Kind drawKind() {
-    int drawn = world.random.nextInt(REQUESTS_PER_S);
-    for (Kind kind : KINDS) {
-      drawn -= kind.perS();
-      if (drawn < 0) {
-        return kind;
-      }
-    }
-    return KINDS.get(0);
-  }
-
   /** From now on a part of all requests comes from the largest teams alone. */
   void heat(int teamCount, double share) {
     hotTeams = teamCount;
@@ -226,17 +207,9 @@
   }
 
   private int drawTeam() {
-    if (world.random.nextDouble() < hotShare) {
-      return world.random.nextInt(hotTeams);
-    }
-    double drawn = world.random.nextDouble();
-    for (int team = 0; team < TEAMS - 1; team++) {
-      drawn -= TEAM_SHARES[team];
-      if (drawn < 0) {
-        return team;
-      }
-    }
-    return TEAMS - 1;
+    return world.random.nextDouble() < hotShare
+        ? world.random.nextInt(hotTeams)
+        : UNEVEN.draw(world.random);
   }
 
   /** Empty if the instance has not started yet. */
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingOfLongPromptsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingOfLongPromptsTest.java
@@ -3,10 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
-import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -81,10 +79,9 @@
           new Kind(146, 2_000, 0.7, 250, 160, 0.97),
           new Kind(41, 1_600, 0.4, 200, 1_250, 0.63));
 
-  private static final double[] TEAM_SHARES = shares();
+  private static final UnevenTeams UNEVEN = new UnevenTeams(TEAMS);
 
-  private final List<String> teams =
-      IntStream.range(0, TEAMS).mapToObj(number -> "team-" + number).toList();
+  private final List<String> teams = UNEVEN.names();
   private SpendingWorld world = new SpendingWorld(teams, budgets(BUDGET_S), SEED);
   private final List<SpendingWorld.Member> members = new ArrayList<>();
   private long spentTokens;
@@ -96,16 +93,9 @@
   private int askedLong;
   private int inTimeLong;
 
-  private static double[] shares() {
-    double sum = IntStream.rangeClosed(1, TEAMS).mapToDouble(rank -> 1.0 / rank).sum();
-    return IntStream.rangeClosed(1, TEAMS).mapToDouble(rank -> 1.0 / rank / sum).toArray();
-  }
-
   private static List<Long> budgets(long seconds) {
     double tokensPerS = KINDS.stream().mapToDouble(kind -> kind.perS() * kind.meanTokens()).sum();
-    return Arrays.stream(TEAM_SHARES)
-        .mapToObj(share -> Math.round(seconds * tokensPerS * share))
-        .toList();
+    return UNEVEN.budgets(seconds * tokensPerS);
   }
 
   private void startAll() {
@@ -118,17 +108,6 @@
     }
   }
 
-  private int drawTeam() {
-    double drawn = world.random.nextDouble();
-    for (int team = 0; team < TEAMS - 1; team++) {
-      drawn -= TEAM_SHARES[team];
-      if (drawn < 0) {
-        return team;
-      }
-    }
-    return TEAMS - 1;
-  }
-
   /** Instances of the first domain are drawn more often. */
   private SpendingWorld.Member drawMember() {
     int drawn = world.random.nextInt(BUSY + DOMAINS - 1);
@@ -144,25 +123,14 @@
     return members.get(domain + DOMAINS * world.random.nextInt(INSTANCES_PER_DOMAIN));
   }
 
-  private Kind drawKind() {
-    int drawn = world.random.nextInt(REQUESTS_PER_S);
-    for (Kind kind : KINDS) {
-      drawn -= kind.perS();
-      if (drawn < 0) {
-        return kind;
-      }
-    }
-    return KINDS.get(0);
-  }
-
   private void ask() {
-    Kind kind = drawKind();
+    Kind kind = UnevenTeams.drawKind(world.random, KINDS, Kind::perS);
     long tokens = kind.draw(world.random);
     boolean isLong = kind == KINDS.get(0);
     long askedMs = world.timers.nowMs();
     asked++;
     askedLong += isLong ? 1 : 0;
-    int team = hot && world.random.nextInt(10) < HOT_OF_TEN ? HOT_TEAM : drawTeam();
+    int team = hot && world.random.nextInt(10) < HOT_OF_TEN ? HOT_TEAM : UNEVEN.draw(world.random);
     SpendingWorld.Member member =
         atHome && world.random.nextInt(10) < AT_HOME_OF_TEN ? memberIn(homeOf(team)) : drawMember();
     var unused =
