Tests make calls to plain services in one place

Cause: CrashingCallTest and EvacuatedCallTest built the same request of seventeen fields.

Change: PlainCalls. No assertion is touched; both hold.

--- a/mothrill-lab/src/test/java/io/mothrill/lab/fleet/CrashingCallTest.java
+++ b/mothrill-lab/src/test/java/io/mothrill/lab/fleet/CrashingCallTest.java
@@ -14,10 +14,8 @@
 import io.mothrill.core.resource.TeamSpec;
 import io.mothrill.core.resource.TopUp;
 import io.mothrill.core.resource.UpstreamSpec;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
@@ -29,7 +27,6 @@
 class CrashingCallTest {
 
   private static final String DEADLY = "deadly";
-  private static final String SECRET = "secret";
   private static final int UPSTREAMS = 6;
   private static final int REPEATS = 10;
   private static final int CRASHES = 3;
@@ -42,7 +39,7 @@
   private void startFleet() {
     fleet.start("konya-1", "konya");
     fleet.start("konya-2", "konya");
-    fleet.declare("team", new TeamSpec(List.of(TeamKey.hash("salt", SECRET)), 1));
+    fleet.declare("team", new TeamSpec(List.of(TeamKey.hash("salt", PlainCalls.SECRET)), 1));
     fleet.declare(
         "budget", new BudgetSpec("team", List.of(), List.of(new TopUp("paid", 1_000_000))));
     fleet.declare(
@@ -58,28 +55,7 @@
   }
 
   private static CallRequest request() {
-    return requestOf(DEADLY);
-  }
-
-  private static CallRequest requestOf(String body) {
-    return new CallRequest(
-        "team." + SECRET,
-        ServiceType.PLAIN,
-        "asistan",
-        Optional.empty(),
-        Optional.empty(),
-        false,
-        Optional.of("budget"),
-        10,
-        OptionalLong.of(90),
-        false,
-        "",
-        body,
-        "POST",
-        "/",
-        "text/plain",
-        cap -> body.getBytes(StandardCharsets.UTF_8),
-        new byte[0]);
+    return PlainCalls.to("asistan", DEADLY);
   }
 
   @Test
@@ -120,12 +96,12 @@
   void bystandersAreServed() {
     startFleet();
     fleet.call("konya-1", request());
-    MemoryCaller bystander = fleet.call("konya-1", requestOf("innocent"));
+    MemoryCaller bystander = fleet.call("konya-1", PlainCalls.to("asistan", "innocent"));
     fleet.advanceMs(PAUSE_MS);
     assertThat(bystander.refusal().map(Refusal::code))
         .isNotEqualTo(Optional.of("crashes_upstreams"));
 
-    MemoryCaller again = fleet.call("konya-2", requestOf("innocent"));
+    MemoryCaller again = fleet.call("konya-2", PlainCalls.to("asistan", "innocent"));
     fleet.advanceMs(PAUSE_MS);
 
     assertThat(again.refusal()).isEqualTo(Optional.empty());
--- a/mothrill-lab/src/test/java/io/mothrill/lab/fleet/EvacuatedCallTest.java
+++ b/mothrill-lab/src/test/java/io/mothrill/lab/fleet/EvacuatedCallTest.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.mothrill.core.node.NodeSettings;
-import io.mothrill.core.request.CallRequest;
 import io.mothrill.core.request.NotRun;
 import io.mothrill.core.request.Refusal;
 import io.mothrill.core.resource.BudgetSpec;
@@ -15,10 +14,7 @@
 import io.mothrill.core.resource.TeamSpec;
 import io.mothrill.core.resource.TopUp;
 import io.mothrill.core.resource.UpstreamSpec;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Optional;
-import java.util.OptionalLong;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -26,7 +22,6 @@
 // to upstreams elsewhere from then on; where there are none, callers hear at once that nothing ran.
 class EvacuatedCallTest {
 
-  private static final String SECRET = "secret";
   private static final int CALLS = 8;
 
   /** A change is in force everywhere within a few turns of reading it. */
@@ -37,7 +32,7 @@
   @BeforeEach
   void startFleet() {
     fleet.start("konya-1", "konya");
-    fleet.declare("team", new TeamSpec(List.of(TeamKey.hash("salt", SECRET)), 1));
+    fleet.declare("team", new TeamSpec(List.of(TeamKey.hash("salt", PlainCalls.SECRET)), 1));
     fleet.declare(
         "budget", new BudgetSpec("team", List.of(), List.of(new TopUp("paid", 1_000_000))));
     fleet.declare(
@@ -58,27 +53,7 @@
   }
 
   private MemoryCaller call(int number) {
-    String body = "call " + number;
-    return fleet.call(
-        "konya-1",
-        new CallRequest(
-            "team." + SECRET,
-            ServiceType.PLAIN,
-            "sira",
-            Optional.empty(),
-            Optional.empty(),
-            false,
-            Optional.of("budget"),
-            10,
-            OptionalLong.of(90),
-            false,
-            "",
-            body,
-            "POST",
-            "/",
-            "text/plain",
-            cap -> body.getBytes(StandardCharsets.UTF_8),
-            new byte[0]));
+    return fleet.call("konya-1", PlainCalls.to("sira", "call " + number));
   }
 
   private int runsAt(String upstream) {
