A warm upstream that says so again costs nothing

Cause: what an upstream says of its warm-up beside an answer copied the map of all upstreams under a lock, also when it was known to be warm; where ordinary answers carry it, that is work for each request.

Change: a warm word about an upstream that is known to be warm returns at once. WarmingUpstreamsTest and the property of the bound hold as they were.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/warmup/WarmingUpstreams.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/warmup/WarmingUpstreams.java
@@ -121,7 +121,13 @@
   }
 
   @Override
-  public synchronized void onSaid(ServingUpstream upstream, long leftMs) {
+  public void onSaid(ServingUpstream upstream, long leftMs) {
+    if (leftMs > 0 || isWarming(upstream)) {
+      takeSaid(upstream, leftMs);
+    }
+  }
+
+  private synchronized void takeSaid(ServingUpstream upstream, long leftMs) {
     Known before = known.get(upstream.incarnation());
     if (before == null) {
       return;
