Comments give the reason in a line or two; tests say in one line what they guard against

Cause: ten comments told a failure's story, which belongs into commits and postmortems.

Change: comments only.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/check/EvacuationCheck.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/check/EvacuationCheck.java
@@ -10,9 +10,8 @@
 /**
  * Upstreams of a failure domain that operators are emptying get nothing new.
  *
- * <p>Failure: the domain's work begins while requests still go there. Symptom: they are lost with
- * its upstreams. What is under way ends by itself; this is asked once more right before a request
- * is written, so one that waited for a connection meanwhile does not slip through.
+ * <p>What is under way there ends by itself. This is asked once more right before a request is
+ * written, as one may have waited for a connection meanwhile.
  */
 final class EvacuationCheck implements SendCheck {
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/check/SendChecks.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/check/SendChecks.java
@@ -77,9 +77,8 @@
   /**
    * Decides right before a request is written, and counts it where an upstream warms up.
    *
-   * <p>Failure: between the choice and an open connection an upstream begins to leave, its domain
-   * is evacuated, or the request has ended a third upstream elsewhere. Symptom: it is sent though
-   * this instance knows better by then.
+   * <p>Between the choice and an open connection an upstream may begin to leave, its domain may be
+   * evacuated, or the request may have ended a third upstream elsewhere.
    *
    * @param upstream the upstream that was chosen
    * @param query the request
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantShaper.java
@@ -166,9 +166,8 @@
   /**
    * Gives how fast the bound opens in a long silence.
    *
-   * <p>Failure: all instances lose power while the store is out of reach. Symptom: all that has
-   * opened counts as spent, so a team that has paid is refused for good. So no more opens than is
-   * likely to be used, and demand that has just fallen cannot open all that a team has left.
+   * <p>What has opened counts as spent if the process ends before the store is back, so no more
+   * opens than is likely to be used, also where demand has just fallen.
    */
   private static double laterTokensPerS(Situation situation, long spentTokens) {
     double average = situation.averageTokensPerS();
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingRows.java
@@ -189,9 +189,7 @@
   /**
    * Says whether this instance holds a good part of a team's budget in the place of its holders.
    *
-   * <p>Failure: it held much when it knew few others, and its turn to hand that back comes late.
-   * Symptom: requests of the team are refused for seconds, as nobody asks an instance that is no
-   * holder, and it has nothing ready.
+   * <p>Nobody asks an instance that is no holder, so what it keeps is out of reach for the team.
    */
   private boolean holdsSharesOfOthers() {
     return instanceCount > GrantShaper.MANY_INSTANCES
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamNews.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamNews.java
@@ -14,11 +14,9 @@
 /**
  * Lets instances know of upstreams that others have found ended, replaced or out of reach.
  *
- * <p>Failure: upstreams end while instances cannot read the list, or before it shows that. Symptom:
- * each of sixty instances finds each of forty of them by a request of its own, that is late or,
- * once no further send is allowed, refused. An instance that finds one tells the others, which
- * spare it from then on: a report costs a datagram for each, and most upstreams are found by one or
- * two.
+ * <p>The list shows an end late, and not at all while it cannot be read. Without reports each
+ * instance would find each of these upstreams by a request of its own. A report costs a datagram
+ * for each other instance.
  *
  * <p>What is heard only steers the choice. An upstream that was reported wrongly is avoided for a
  * time and tried again, and is still taken where there is no other.
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/warmup/WarmUpPermits.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/warmup/WarmUpPermits.java
@@ -18,14 +18,13 @@
 /**
  * Shares out what upstreams bear while they warm up.
  *
- * <p>Failure: the upstreams of a domain come back together, empty and cold, and every instance sees
- * them as the least loaded. Symptom: each gets the requests of all instances at once and ends under
- * them again. No message is fast and sure enough to prevent that between instances that may be cut
- * off from each other, so of all instances one sends to an upstream that warms up: the first in an
- * order that all work out alike. The others leave it alone. It sends a quarter of what is allowed
- * in any second, as instances that see different fleets may for some seconds take several for the
- * first: one that has lapsed and its successor, and each of both before and after a change. An
- * instance that is cut off, or has just started, does not know the fleet and sends nothing.
+ * <p>Upstreams that have just started are the least loaded to every instance, and no message is
+ * fast and sure enough to share out what they bear between instances that may be cut off from each
+ * other. So of all instances one sends to an upstream that warms up: the first in an order that all
+ * work out alike. The others leave it alone. It sends a quarter of what is allowed in any second,
+ * as instances that see different fleets may for some seconds take several for the first: one that
+ * has lapsed and its successor, and each of both before and after a change. An instance that is cut
+ * off, or has just started, does not know the fleet and sends nothing.
  */
 public final class WarmUpPermits {
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/warmup/WarmingUpstreams.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/warmup/WarmingUpstreams.java
@@ -23,13 +23,9 @@
  * the age of its word, never shorter. One that is seen for the first time and says nothing is taken
  * to have just started.
  *
- * <p>Failure: an upstream ends and starts again under its name. Symptom: until the list shows that,
- * it is taken to be as fast as before and gets its part of the requests at once. An upstream that
- * refuses connections is therefore taken to be warming up until the list must have shown the truth.
- *
- * <p>Failure: operators take back a domain that was emptied. Symptom: its upstreams are idle, so
- * all instances choose them at once, and they may have turned cold meanwhile, which the list shows
- * only a heartbeat later. They are taken to warm up from then on until they say otherwise.
+ * <p>An upstream that refuses connections may start again under its name, so it is taken to be
+ * warming up until the list must have shown the truth. The idle upstreams of a domain that is taken
+ * back may have turned cold, so they are taken to warm up until they say otherwise.
  */
 public final class WarmingUpstreams implements WarmUpSigns {
 
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingAfterPowerLossTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingAfterPowerLossTest.java
@@ -24,8 +24,7 @@
   private static final double HOT_SHARE = 0.4;
   private static final long DARK_MS = 1_200;
 
-  // Guards against a loss of power inside a cut of the store after which teams that have paid are
-  // refused, as all that had opened in the silence counts as spent.
+  // Guards against a loss of power inside a cut that leaves teams without what they have paid for.
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4, 17})
   void callersAreServedAfterPowerLossInsideCut(long seed) {
@@ -49,8 +48,7 @@
     assertWithMessage("%s", load).that(load.inTimePercent()).isAtLeast(IN_TIME_PERCENT);
   }
 
-  // Guards against refusals for tokens that come after the time in which callers hoped to be
-  // served, while budgets are nearly spent.
+  // Guards against refusals for tokens that come after the time in which callers hoped for answers.
   @ParameterizedTest
   @ValueSource(longs = {1, 3, 17})
   void refusalsComeBeforeTheAimOfTheRequestWhileBudgetsRunOut(long seed) {
@@ -71,8 +69,7 @@
     assertWithMessage("%s", load).that(load.refusedAfterMs(90)).isAtMost(SHORTEST_AIM_MS);
   }
 
-  // Guards against shortages right after all instances have started again, when none of them has
-  // seen any demand yet.
+  // Guards against shortages while no instance has seen any demand since its start.
   @Test
   void callersAreServedRightAfterPowerLoss() {
     // GIVEN
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingReachTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/SpendingReachTest.java
@@ -27,8 +27,7 @@
     world.timers.advanceMs(SETTLED_MS);
   }
 
-  // Guards against refusals of requests that join a renewal which was begun before they came, and
-  // which does not bring what they want.
+  // Guards against wishes that get lost when a request joins a renewal that was begun before it.
   @Test
   void requestThatNeedsRenewalIsServedWheneverItComes() {
     // GIVEN
@@ -50,8 +49,7 @@
     return served;
   }
 
-  // Guards against refusals of first requests of a fleet whose store has just started, whose clock
-  // is as young as a read that shows that there is nothing.
+  // Guards against taking a young clock of the store for a read that showed no tokens.
   @Test
   void firstRequestIsServedWhileTheStoreIsYoung() {
     // GIVEN
@@ -64,8 +62,7 @@
     assertThat(reserved.isCompletedExceptionally()).isFalse();
   }
 
-  // Guards against refusals of first requests of a team that came with a plan which no row of this
-  // instance knows yet.
+  // Guards against taking a team that no row shows yet for a spent one.
   @Test
   void firstRequestOfNewTeamIsServed() {
     // GIVEN
@@ -84,8 +81,7 @@
     assertThat(reserved.isCompletedExceptionally()).isFalse();
   }
 
-  // Guards against requests that wait for seconds in a fleet whose pace allows each instance one
-  // renewal in two seconds.
+  // Guards against requests that wait for seconds until the pace of a large fleet allows a renewal.
   @Test
   void requestsOfHundredsOfInstancesDoNotWaitOutThePace() {
     // GIVEN
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/SilenceWatch.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/SilenceWatch.java
@@ -8,8 +8,7 @@
 /**
  * Watches for an upstream that says nothing; confined to its request's event loop.
  *
- * <p>Failure: an upstream is dead or cut off without a reset. Symptom: its callers wait until their
- * deadline, as nothing else shows it.
+ * <p>Nothing else shows an upstream that is dead or cut off without a reset.
  */
 final class SilenceWatch {
 
