Limits that upstreams name are read, logged and counted; no decision changes

Cause: logs and metrics showed neither what an upstream's answers name nor what it got from one instance, so an instance that ignores a limit could not be told from one that keeps it by itself. Change: an answer's report of the upstream's own state is read into one type (SelfReport) and passed on in one place (SelfReports), warm-up included; NamedLimits logs when a limit begins, changes and ends, with the requests sent meanwhile; gauges upstreams_limited_count and upstreams_limited_sent_count.

--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/answer/SelfReports.java
@@ -0,0 +1,50 @@
+package io.mothrill.core.forward.answer;
+
+import io.mothrill.core.forward.limit.NamedLimits;
+import io.mothrill.core.forward.upstream.ServingUpstream;
+import io.mothrill.core.forward.upstream.WarmUpSigns;
+
+/**
+ * Passes on what upstreams say of themselves in their answers, each part to what decides by it.
+ *
+ * <pre>{@code
+ * reports.onAnswer(upstream, sentMs, marks.self());
+ * }</pre>
+ */
+public final class SelfReports {
+
+  private final WarmUpSigns warmUps;
+  private final NamedLimits limits;
+
+  /**
+   * Creates the place that all answers are reported to.
+   *
+   * @param warmUps gets what is said about warming up
+   * @param limits gets the limits that upstreams name
+   */
+  public SelfReports(WarmUpSigns warmUps, NamedLimits limits) {
+    this.warmUps = warmUps;
+    this.limits = limits;
+  }
+
+  /**
+   * Takes what one answer says.
+   *
+   * @param upstream the upstream that has answered
+   * @param sentMs when the request was written that it answers
+   * @param report what it says of itself
+   */
+  public void onAnswer(ServingUpstream upstream, long sentMs, SelfReport report) {
+    report.warmUpLeftMs().ifPresent(leftMs -> warmUps.onSaid(upstream, leftMs));
+    limits.onAnswer(upstream, sentMs, report.limitPerS());
+  }
+
+  /**
+   * Notes a request that is written to an upstream.
+   *
+   * @param upstream the upstream
+   */
+  public void onSent(ServingUpstream upstream) {
+    limits.onSent(upstream);
+  }
+}
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamNews.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamNews.java
@@ -97,16 +97,6 @@
     }
   }
 
-  /**
-   * Notes what an upstream has said of itself beside an answer.
-   *
-   * @param upstream the upstream
-   * @param leftMs how much longer it warms up
-   */
-  public void onWarmUpSaid(ServingUpstream upstream, long leftMs) {
-    warmUps.onSaid(upstream, leftMs);
-  }
-
   /**
    * Takes what another instance has found out.
    *
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -66,6 +66,8 @@
   void showUpstreams(Section<Set<String>> evacuatedDomains, UpstreamChoice choice) {
     metrics.gauge("upstreams.evacuatedDomainCount", () -> () -> evacuatedDomains.read().size());
     metrics.gauge("upstreams.warmingCount", () -> choice.warming()::warmingCount);
+    metrics.gauge("upstreams.limitedCount", () -> choice.limits()::limitedCount);
+    metrics.gauge("upstreams.limitedSentCount", () -> choice.limits()::sentCount);
     metrics.gauge("upstreams.reportsSentCount", () -> choice.news()::sentCount);
     metrics.gauge("upstreams.reportsHeardCount", () -> choice.news()::heardCount);
   }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -173,6 +173,7 @@
             new StoryLog(metrics, timers),
             crashes,
             choice.news(),
+            choice.answers(),
             reach::onHeardFrom,
             timers,
             ports.work(),
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamChoice.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamChoice.java
@@ -1,8 +1,10 @@
 package io.mothrill.daemon.forward;
 
 import io.mothrill.core.board.Section;
+import io.mothrill.core.forward.answer.SelfReports;
 import io.mothrill.core.forward.check.SendChecks;
 import io.mothrill.core.forward.crash.UpstreamEnds;
+import io.mothrill.core.forward.limit.NamedLimits;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.plan.ServicePlan;
 import io.mothrill.core.forward.plan.WarmUpPlan;
@@ -34,6 +36,8 @@
   private final ReadingSpeed speed = new ReadingSpeed();
   private final PromptMemory memory = new PromptMemory();
   private final WarmingUpstreams warming;
+  private final NamedLimits limits;
+  private final SelfReports answers;
   private final UpstreamNews news;
   private final SendChecks checks;
   private final UpstreamPicker picker;
@@ -72,6 +76,9 @@
     WarmUpPermits permits =
         new WarmUpPermits(self, fleet, warming, view::warmUpOf, settings.warmUp(), timers);
     view.upstreams().subscribe(permits::retain);
+    this.limits = new NamedLimits(timers);
+    view.upstreams().subscribe(limits::retain);
+    this.answers = new SelfReports(warming, limits);
     this.news =
         new UpstreamNews(self, fleet::others, reports, view.upstreams(), loads, warming, timers);
     this.checks =
@@ -123,6 +130,14 @@
     return warming;
   }
 
+  NamedLimits limits() {
+    return limits;
+  }
+
+  SelfReports answers() {
+    return answers;
+  }
+
   UpstreamNews news() {
     return news;
   }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -151,6 +151,7 @@
     progress.ranCount++;
     sentMs = parts.timers().nowMs();
     load.onSent(promptTokens);
+    parts.answers().onSent(upstream);
     work.call()
         .prompt()
         .ifPresent(prompt -> parts.memory().onSent(prompt, upstream.incarnation(), sentMs));
@@ -230,7 +231,7 @@
     if (marks.running().isPresent()) {
       load.onReport(marks.running().getAsInt(), marks.waiting().orElse(0), silence.heardMs());
     }
-    marks.warmUpLeftMs().ifPresent(leftMs -> parts.news().onWarmUpSaid(upstream, leftMs));
+    parts.answers().onAnswer(upstream, sentMs, marks.self());
     answer = newAnswer;
     int status = answer.status().code();
     if (marks.notRun() || status == MISDIRECTED) {
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardParts.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardParts.java
@@ -1,6 +1,7 @@
 package io.mothrill.wire.forward;
 
 import io.mothrill.core.board.Section;
+import io.mothrill.core.forward.answer.SelfReports;
 import io.mothrill.core.forward.check.SendChecks;
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.plan.ForwardingPlan;
@@ -35,6 +36,7 @@
  * @param log gets a line for each request
  * @param crashes keeps requests that end upstreams away from them
  * @param news gets what is found out about upstreams
+ * @param answers gets what upstreams say of themselves in answers
  * @param heardDomains gets the failure domain of each upstream that says something
  * @param timers the time
  * @param work counts what connections cost
@@ -55,6 +57,7 @@
     ForwardLog log,
     CrashGuard crashes,
     UpstreamNews news,
+    SelfReports answers,
     Consumer<String> heardDomains,
     Timers timers,
     WorkAccount work,
