One class shares out what upstreams take from all instances; warming up is its first source

Cause: what an upstream that warms up bears and what one takes that names a limit are the same matter: a bound over instances that do not hear each other. The permits knew warming up only. Change: WarmUpPermits is SendPermits, which asks an Allowances for the bound (most requests, window); WarmUpAllowances is the first. An instance counts who is before it instead of sorting the fleet.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/check/WarmUpCheck.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/check/PermitCheck.java
@@ -1,24 +1,26 @@
 package io.mothrill.core.forward.check;
 
+import io.mothrill.core.forward.permit.SendPermits;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
 import io.mothrill.core.forward.upstream.ServingUpstream;
 import io.mothrill.core.forward.upstream.UpstreamQuery;
-import io.mothrill.core.forward.warmup.WarmUpPermits;
 import java.util.Optional;
 
-/** An upstream that warms up gets no more than all instances together may send it. */
-final class WarmUpCheck implements SendCheck {
+/** An upstream that is bounded gets no more than all instances together may send it. */
+final class PermitCheck implements SendCheck {
 
-  private final WarmUpPermits permits;
+  private final SendPermits permits;
+  private final Cause cause;
 
-  WarmUpCheck(WarmUpPermits permits) {
+  PermitCheck(SendPermits permits, Cause cause) {
     this.permits = permits;
+    this.cause = cause;
   }
 
   @Override
   public Optional<Objection> objection(ServingUpstream upstream, UpstreamQuery query, long nowMs) {
     return permits.hasPermit(upstream)
         ? Optional.empty()
-        : Optional.of(new Objection(Cause.WARMING_UP, permits.retryAfterMs(upstream)));
+        : Optional.of(new Objection(cause, permits.retryAfterMs(upstream)));
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/check/SendChecks.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/check/SendChecks.java
@@ -1,12 +1,12 @@
 package io.mothrill.core.forward.check;
 
 import io.mothrill.core.board.Section;
+import io.mothrill.core.forward.permit.SendPermits;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
 import io.mothrill.core.forward.upstream.ServingUpstream;
 import io.mothrill.core.forward.upstream.UpstreamFilter;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.upstream.UpstreamQuery;
-import io.mothrill.core.forward.warmup.WarmUpPermits;
 import io.mothrill.core.time.Timers;
 import java.util.Comparator;
 import java.util.List;
@@ -36,7 +36,7 @@
   private static final Objection NOBODY = new Objection(Cause.NO_UPSTREAM, 700);
 
   private final Section<UpstreamList> list;
-  private final WarmUpPermits permits;
+  private final SendPermits warmUps;
   private final Timers timers;
   private final List<SendCheck> checks;
 
@@ -46,17 +46,17 @@
    * @param list the registered upstreams
    * @param regionByDomain the region of each failure domain
    * @param evacuatedDomains the failure domains that operators are emptying
-   * @param permits shares out what upstreams bear while they warm up
+   * @param warmUps shares out what upstreams bear while they warm up
    * @param timers the time
    */
   public SendChecks(
       Section<UpstreamList> list,
       Map<String, String> regionByDomain,
       Section<Set<String>> evacuatedDomains,
-      WarmUpPermits permits,
+      SendPermits warmUps,
       Timers timers) {
     this.list = list;
-    this.permits = permits;
+    this.warmUps = warmUps;
     this.timers = timers;
     this.checks =
         List.of(
@@ -66,7 +66,7 @@
             new HomeCheck(regionByDomain),
             new EvacuationCheck(evacuatedDomains),
             new LeavingCheck(list),
-            new WarmUpCheck(permits));
+            new PermitCheck(warmUps, Cause.WARMING_UP));
   }
 
   @Override
@@ -85,7 +85,7 @@
    * @return true when it may be written now
    */
   public boolean admit(ServingUpstream upstream, UpstreamQuery query) {
-    return permits(upstream, query, timers.nowMs()) && permits.tryTake(upstream);
+    return permits(upstream, query, timers.nowMs()) && warmUps.tryTake(upstream);
   }
 
   /**
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/warmup/FleetView.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/permit/FleetView.java
@@ -1,4 +1,4 @@
-package io.mothrill.core.forward.warmup;
+package io.mothrill.core.forward.permit;
 
 import io.mothrill.core.platform.InstanceRecord;
 import java.util.List;
--- a/mothrill-core/src/main/java/io/mothrill/core/peer/Rendezvous.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/peer/Rendezvous.java
@@ -31,6 +31,27 @@
         .toList();
   }
 
+  /**
+   * Counts the instances that {@link #rank} places before one.
+   *
+   * @param key the key
+   * @param instance the instance whose place is asked for
+   * @param others the instances beside it
+   * @return its place; 0 for the first
+   */
+  public static int place(String key, InstanceRecord instance, Collection<InstanceRecord> others) {
+    long score = score(key, instance.id());
+    return (int)
+        others.stream()
+            .filter(other -> isBefore(score(key, other.id()), other, score, instance))
+            .count();
+  }
+
+  private static boolean isBefore(
+      long otherScore, InstanceRecord other, long score, InstanceRecord instance) {
+    return otherScore == score ? other.id().compareTo(instance.id()) < 0 : otherScore < score;
+  }
+
   /**
    * Places a name for a key on a scale; the name with the greatest share is the same everywhere.
    *
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/check/SendChecksTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/check/SendChecksTest.java
@@ -4,6 +4,8 @@
 
 import io.mothrill.core.board.Section;
 import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.forward.permit.FleetView;
+import io.mothrill.core.forward.permit.SendPermits;
 import io.mothrill.core.forward.plan.HomeRegions;
 import io.mothrill.core.forward.plan.WarmUpPlan;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
@@ -12,9 +14,8 @@
 import io.mothrill.core.forward.upstream.UpstreamQuery;
 import io.mothrill.core.forward.upstream.UpstreamQuery.Standing;
 import io.mothrill.core.forward.upstream.UpstreamWord;
-import io.mothrill.core.forward.warmup.FleetView;
+import io.mothrill.core.forward.warmup.WarmUpAllowances;
 import io.mothrill.core.forward.warmup.WarmUpBounds;
-import io.mothrill.core.forward.warmup.WarmUpPermits;
 import io.mothrill.core.forward.warmup.WarmingUpstreams;
 import io.mothrill.core.platform.InstanceRecord;
 import java.util.List;
@@ -42,7 +43,11 @@
           list,
           Map.of("konya", "anadolu", "izmir", "ege"),
           evacuated,
-          new WarmUpPermits(self, alone(), warming, service -> PLAN, WarmUpBounds.exact(), timers),
+          new SendPermits(
+              self,
+              alone(),
+              new WarmUpAllowances(warming, service -> PLAN, WarmUpBounds.exact()),
+              timers),
           timers);
 
   private static FleetView alone() {
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/warmup/WarmUpPermitsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/warmup/WarmUpPermitsTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.forward.permit.SendPermits;
 import io.mothrill.core.forward.upstream.ServingUpstream;
 import java.util.List;
 import java.util.stream.IntStream;
@@ -69,7 +70,7 @@
   void callersAreToldToComeBackWithinSecond() {
     ServingUpstream cold = world.turnCold(0, 60_000);
 
-    WarmUpPermits permits = world.instances().get(0).permits();
+    SendPermits permits = world.instances().get(0).permits();
 
     assertThat(permits.retryAfterMs(cold)).isEqualTo(1_000);
     timers.advanceMs(59_600);
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/warmup/WarmUpWorld.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/warmup/WarmUpWorld.java
@@ -2,6 +2,8 @@
 
 import io.mothrill.core.board.Section;
 import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.forward.permit.FleetView;
+import io.mothrill.core.forward.permit.SendPermits;
 import io.mothrill.core.forward.plan.WarmUpPlan;
 import io.mothrill.core.forward.upstream.ServingUpstream;
 import io.mothrill.core.forward.upstream.UpstreamList;
@@ -89,7 +91,7 @@
     private final InstanceRecord record;
     private final Section<UpstreamList> list = new Section<>(UpstreamList.empty());
     private final WarmingUpstreams warming;
-    private final WarmUpPermits permits;
+    private final SendPermits permits;
     private List<InstanceRecord> others = List.of();
     private long startedMs;
     private long readMs;
@@ -103,14 +105,18 @@
       this.warming =
           new WarmingUpstreams(list, new Section<>(Set.of()), service -> Optional.of(PLAN), time);
       this.permits =
-          new WarmUpPermits(record, this, warming, service -> Optional.of(PLAN), BOUNDS, time);
+          new SendPermits(
+              record,
+              this,
+              new WarmUpAllowances(warming, service -> Optional.of(PLAN), BOUNDS),
+              time);
     }
 
     InstanceRecord record() {
       return record;
     }
 
-    WarmUpPermits permits() {
+    SendPermits permits() {
       return permits;
     }
 
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamChoice.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamChoice.java
@@ -5,6 +5,8 @@
 import io.mothrill.core.forward.check.SendChecks;
 import io.mothrill.core.forward.crash.UpstreamEnds;
 import io.mothrill.core.forward.limit.NamedLimits;
+import io.mothrill.core.forward.permit.FleetView;
+import io.mothrill.core.forward.permit.SendPermits;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.plan.ServicePlan;
 import io.mothrill.core.forward.plan.WarmUpPlan;
@@ -18,8 +20,7 @@
 import io.mothrill.core.forward.upstream.UpstreamLoads;
 import io.mothrill.core.forward.upstream.UpstreamNews;
 import io.mothrill.core.forward.upstream.UpstreamPicker;
-import io.mothrill.core.forward.warmup.FleetView;
-import io.mothrill.core.forward.warmup.WarmUpPermits;
+import io.mothrill.core.forward.warmup.WarmUpAllowances;
 import io.mothrill.core.forward.warmup.WarmingUpstreams;
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.time.Timers;
@@ -73,9 +74,10 @@
     view.upstreams().subscribe(memory::retain);
     this.warming =
         new WarmingUpstreams(view.upstreams(), view.evacuatedDomains(), view::warmUpOf, timers);
-    WarmUpPermits permits =
-        new WarmUpPermits(self, fleet, warming, view::warmUpOf, settings.warmUp(), timers);
-    view.upstreams().subscribe(permits::retain);
+    SendPermits warmUps =
+        new SendPermits(
+            self, fleet, new WarmUpAllowances(warming, view::warmUpOf, settings.warmUp()), timers);
+    view.upstreams().subscribe(warmUps::retain);
     this.limits = new NamedLimits(timers);
     view.upstreams().subscribe(limits::retain);
     this.answers = new SelfReports(warming, limits);
@@ -83,7 +85,7 @@
         new UpstreamNews(self, fleet::others, reports, view.upstreams(), loads, warming, timers);
     this.checks =
         new SendChecks(
-            view.upstreams(), settings.regionByDomain(), view.evacuatedDomains(), permits, timers);
+            view.upstreams(), settings.regionByDomain(), view.evacuatedDomains(), warmUps, timers);
     this.picker =
         new UpstreamPicker(
             view.upstreams(),
