Instances together send an upstream no more than the limit that it names

Cause: no decision read the limit. What an instance does by itself cannot keep it, as it binds all of them. Change: NamedLimits is the second source of SendPermits: half of the limit is shared out by the order of rendezvous, mostly to one instance; one that becomes a sender waits a span of 4 s, so that what its predecessor sent has left it. Instances tell each other when a limit begins, changes and ends (datagram LimitNotice). A word that allows more and may be older than the known one does not count. An upstream that nobody has heard of for 10 s is asked by one instance after the other. Refusals say LIMITED and when to come back. What a wrong upstream answers (421) is not taken for the one that was meant, its load included. Why it holds: at any moment one view of the fleet gives at most half; a successor sends only when what its predecessor sent is out of the span, so two views never add up to more than the limit.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/check/SendChecks.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/check/SendChecks.java
@@ -37,6 +37,7 @@
 
   private final Section<UpstreamList> list;
   private final SendPermits warmUps;
+  private final SendPermits limits;
   private final Timers timers;
   private final List<SendCheck> checks;
 
@@ -47,6 +48,7 @@
    * @param regionByDomain the region of each failure domain
    * @param evacuatedDomains the failure domains that operators are emptying
    * @param warmUps shares out what upstreams bear while they warm up
+   * @param limits shares out what upstreams take that name a limit
    * @param timers the time
    */
   public SendChecks(
@@ -54,9 +56,11 @@
       Map<String, String> regionByDomain,
       Section<Set<String>> evacuatedDomains,
       SendPermits warmUps,
+      SendPermits limits,
       Timers timers) {
     this.list = list;
     this.warmUps = warmUps;
+    this.limits = limits;
     this.timers = timers;
     this.checks =
         List.of(
@@ -66,7 +70,8 @@
             new HomeCheck(regionByDomain),
             new EvacuationCheck(evacuatedDomains),
             new LeavingCheck(list),
-            new PermitCheck(warmUps, Cause.WARMING_UP));
+            new PermitCheck(warmUps, Cause.WARMING_UP),
+            new PermitCheck(limits, Cause.LIMITED));
   }
 
   @Override
@@ -75,7 +80,7 @@
   }
 
   /**
-   * Decides right before a request is written, and counts it where an upstream warms up.
+   * Decides right before a request is written, and counts it where an upstream takes only so much.
    *
    * <p>Between the choice and an open connection an upstream may begin to leave, its domain may be
    * evacuated, or the request may have ended a third upstream elsewhere.
@@ -85,7 +90,9 @@
    * @return true when it may be written now
    */
   public boolean admit(ServingUpstream upstream, UpstreamQuery query) {
-    return permits(upstream, query, timers.nowMs()) && warmUps.tryTake(upstream);
+    return permits(upstream, query, timers.nowMs())
+        && warmUps.tryTake(upstream)
+        && limits.tryTake(upstream);
   }
 
   /**
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/permit/Allowance.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/permit/Allowance.java
@@ -5,5 +5,8 @@
  *
  * @param most the requests that it may get in any span of the window's length
  * @param windowMs the window
+ * @param ageMs how long ago this was heard last
+ * @param waitMs how long an instance waits that has become one of its senders, so that what others
+ *     have sent before is out of the window
  */
-public record Allowance(int most, long windowMs) {}
+public record Allowance(int most, long windowMs, long ageMs, long waitMs) {}
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/permit/SendPermits.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/permit/SendPermits.java
@@ -19,10 +19,12 @@
  * <p>No message is fast and sure enough to share that out between instances that may be cut off
  * from each other. So of all instances a few send to an upstream that is bounded, mostly one: the
  * first in an order that all work out alike, those of its own domain before the others. All others
- * leave it alone. Together they send a quarter of what is allowed, as instances that see different
- * fleets may for some seconds take several for the first: one that has lapsed and its successor,
- * and each of both before and after a change. An instance that is cut off, or has just started,
- * does not know the fleet and sends nothing.
+ * leave it alone. Together they send a part of what is allowed, as instances that see different
+ * fleets may for some seconds take several for the first. An instance that is cut off, or has just
+ * started, does not know the fleet and sends nothing.
+ *
+ * <p>Upstreams say that they are bounded in answers only. So one that nobody has heard of for long
+ * is sent a single request, by one instance after the other, until somebody has heard.
  *
  * <pre>{@code
  * if (permits.hasPermit(upstream) && permits.tryTake(upstream)) {
@@ -32,12 +34,24 @@
  */
 public final class SendPermits {
 
-  /** Views of the fleet by which instances may send at the same time. */
+  /**
+   * Views of the fleet by which instances may send at the same time: before and after a change,
+   * each of one that has lapsed and its successor.
+   */
   private static final int VIEWS = 4;
 
+  /** A successor that waits leaves only one that does not know yet that it has lapsed. */
+  private static final int VIEWS_AFTER_WAIT = 2;
+
   /** With less, an instance would often have no permit when its callers need one. */
   private static final int LEAST_SHARE = 4;
 
+  /** An upstream of which nothing was heard for so long is asked whether it is still bounded. */
+  private static final long ASK_AFTER_MS = 10_000;
+
+  /** Longer than an answer takes, and the way of its news. */
+  private static final long ASK_STEP_MS = 2_000;
+
   private final InstanceRecord self;
   private final FleetView fleet;
   private final Allowances allowances;
@@ -67,7 +81,7 @@
    */
   public boolean hasPermit(ServingUpstream upstream) {
     return bounding(upstream)
-        .map(bound -> windowOf(upstream).hasRoom(share(upstream, bound), bound.windowMs()))
+        .map(bound -> windowOf(upstream).hasRoom(part(upstream, bound)))
         .orElse(true);
   }
 
@@ -79,7 +93,7 @@
    */
   public boolean tryTake(ServingUpstream upstream) {
     return bounding(upstream)
-        .map(bound -> windowOf(upstream).tryTake(share(upstream, bound), bound.windowMs()))
+        .map(bound -> windowOf(upstream).tryTake(part(upstream, bound)))
         .orElse(true);
   }
 
@@ -110,36 +124,50 @@
     return bound;
   }
 
+  private Part part(ServingUpstream upstream, Allowance bound) {
+    return new Part(
+        fleet.isCurrent() ? share(upstream, bound) : 0,
+        bound.windowMs(),
+        bound.waitMs(),
+        bound.ageMs() < ASK_AFTER_MS ? Long.MAX_VALUE : askAfterMs(upstream, bound));
+  }
+
   private int share(ServingUpstream upstream, Allowance bound) {
-    if (!fleet.isCurrent()) {
-      return 0;
-    }
-    List<InstanceRecord> others = fleet.others();
     int quota = quota(bound);
-    int senders = Math.max(1, Math.min(others.size() + 1, quota / LEAST_SHARE));
-    int place = place(upstream, others, senders);
+    int senders = Math.max(1, Math.min(fleet.others().size() + 1, quota / LEAST_SHARE));
+    int place = place(upstream, senders);
     if (place >= senders) {
       return 0;
     }
     return quota / senders + (place < quota % senders ? 1 : 0);
   }
 
+  /** Instances ask one after the other, so that the first answer spares the others the question. */
+  private long askAfterMs(ServingUpstream upstream, Allowance bound) {
+    long afterMs = ASK_AFTER_MS + ASK_STEP_MS * place(upstream, Integer.MAX_VALUE);
+    return bound.ageMs() < afterMs ? Long.MAX_VALUE : afterMs;
+  }
+
   /** A bound below the number of views still lets one request through in a window. */
   private static int quota(Allowance bound) {
-    return bound.most() < VIEWS ? Math.min(1, bound.most()) : bound.most() / VIEWS;
+    int views = bound.waitMs() > 0 ? VIEWS_AFTER_WAIT : VIEWS;
+    return bound.most() < views ? Math.min(1, bound.most()) : bound.most() / views;
   }
 
-  /** The instances of the upstream's own domain come first, as a cut leaves it with those. */
-  private int place(ServingUpstream upstream, List<InstanceRecord> others, int senders) {
+  /**
+   * Counts the instances that come before this one, up to a number that is enough to know. Those of
+   * the upstream's own domain come first, as a cut leaves it with those.
+   */
+  private int place(ServingUpstream upstream, int most) {
     Map<Boolean, List<InstanceRecord>> byNearness =
-        others.stream()
+        fleet.others().stream()
             .collect(Collectors.partitioningBy(other -> other.domain().equals(upstream.domain())));
     List<InstanceRecord> near = byNearness.get(true);
     if (self.domain().equals(upstream.domain())) {
       return Rendezvous.place(upstream.incarnation(), self, near);
     }
-    return near.size() >= senders
-        ? senders
+    return near.size() >= most
+        ? most
         : near.size() + Rendezvous.place(upstream.incarnation(), self, byNearness.get(false));
   }
 
@@ -147,23 +175,42 @@
     return windows.computeIfAbsent(upstream.incarnation(), unused -> new Window());
   }
 
+  /**
+   * What this instance may send.
+   *
+   * @param most requests in any span of the window's length
+   * @param windowMs the window
+   * @param waitMs how long it waits from when there is any such part
+   * @param askAfterMs one request may be sent when the one before is so long ago
+   */
+  private record Part(int most, long windowMs, long waitMs, long askAfterMs) {}
+
   /** The times of the last requests to one upstream. */
   private final class Window {
     private final Deque<Long> sentMs = new ArrayDeque<>();
+    private long lastSentMs = Long.MIN_VALUE / 2;
+    private long senderSinceMs = Long.MAX_VALUE / 2;
 
-    synchronized boolean hasRoom(int share, long windowMs) {
+    synchronized boolean hasRoom(Part part) {
       long nowMs = timers.nowMs();
-      while (!sentMs.isEmpty() && nowMs - sentMs.peekFirst() > windowMs) {
+      while (!sentMs.isEmpty() && nowMs - sentMs.peekFirst() > part.windowMs()) {
         sentMs.pollFirst();
       }
-      return sentMs.size() < share;
+      return hasWaited(part, nowMs) && sentMs.size() < part.most()
+          || nowMs - lastSentMs >= part.askAfterMs();
+    }
+
+    private boolean hasWaited(Part part, long nowMs) {
+      senderSinceMs = part.most() == 0 ? Long.MAX_VALUE / 2 : Math.min(senderSinceMs, nowMs);
+      return nowMs - senderSinceMs >= part.waitMs();
     }
 
-    synchronized boolean tryTake(int share, long windowMs) {
-      if (!hasRoom(share, windowMs)) {
+    synchronized boolean tryTake(Part part) {
+      if (!hasRoom(part)) {
         return false;
       }
-      sentMs.addLast(timers.nowMs());
+      lastSentMs = timers.nowMs();
+      sentMs.addLast(lastSentMs);
       return true;
     }
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardRefusal.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardRefusal.java
@@ -30,6 +30,8 @@
     OUTSIDE_HOME(503),
     /** All upstreams that are left have just started and bear no more; it has not run. */
     WARMING_UP(503),
+    /** All upstreams that are left have named limits that are used up; it has not run. */
+    LIMITED(503),
     /** All upstreams are full; the request has not run. */
     ALL_FULL(503),
     /** The time ran out before the request was sent; it has not run. */
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamNews.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamNews.java
@@ -1,6 +1,7 @@
 package io.mothrill.core.forward.upstream;
 
 import io.mothrill.core.board.Section;
+import io.mothrill.core.peer.ReportRate;
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.time.Timers;
 import java.util.List;
@@ -38,8 +39,6 @@
    */
   private static final int MAX_REPORTS_PER_S = 20;
 
-  private static final long SECOND_MS = 1_000;
-
   private final InstanceRecord self;
   private final Supplier<List<InstanceRecord>> others;
   private final FateReports reports;
@@ -50,8 +49,7 @@
   private final Map<FateReport, Long> knownMs = new ConcurrentHashMap<>();
   private final AtomicLong sentCount = new AtomicLong();
   private final AtomicLong heardCount = new AtomicLong();
-  private long secondBeganMs;
-  private int sentInSecond;
+  private final ReportRate rate = new ReportRate(MAX_REPORTS_PER_S);
 
   /**
    * Creates the news.
@@ -91,7 +89,7 @@
   public void onFound(ServingUpstream upstream, UpstreamFate fate) {
     take(upstream, fate);
     FateReport report = FateReport.of(upstream, fate);
-    if (noteKnown(report) && mayTell()) {
+    if (noteKnown(report) && rate.tryReport(timers.nowMs())) {
       sentCount.incrementAndGet();
       reports.send(report, told(fate));
     }
@@ -141,15 +139,6 @@
     return before == null || timers.nowMs() - before >= TOLD_MS;
   }
 
-  private synchronized boolean mayTell() {
-    long nowMs = timers.nowMs();
-    if (nowMs - secondBeganMs >= SECOND_MS) {
-      secondBeganMs = nowMs;
-      sentInSecond = 0;
-    }
-    return sentInSecond++ < MAX_REPORTS_PER_S;
-  }
-
   private void forgetOld() {
     long nowMs = timers.nowMs();
     knownMs.values().removeIf(atMs -> nowMs - atMs >= TOLD_MS);
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/warmup/WarmUpAllowances.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/warmup/WarmUpAllowances.java
@@ -43,7 +43,7 @@
     return plans
         .apply(upstream.service())
         .filter(plan -> warming.isWarming(upstream))
-        .map(plan -> new Allowance(bounds.mostInAnySecond(plan), WINDOW_MS));
+        .map(plan -> new Allowance(bounds.mostInAnySecond(plan), WINDOW_MS, 0, 0));
   }
 
   @Override
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/check/SendChecksTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/check/SendChecksTest.java
@@ -4,6 +4,7 @@
 
 import io.mothrill.core.board.Section;
 import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.forward.limit.NamedLimits;
 import io.mothrill.core.forward.permit.FleetView;
 import io.mothrill.core.forward.permit.SendPermits;
 import io.mothrill.core.forward.plan.HomeRegions;
@@ -38,6 +39,7 @@
   private final InstanceRecord self = new InstanceRecord("e-1", "e-1.a", "konya", "::1", 1, false);
   private final WarmingUpstreams warming =
       new WarmingUpstreams(list, evacuated, service -> PLAN, timers);
+  private final NamedLimits limits = new NamedLimits(List::of, (report, to) -> {}, list, timers);
   private final SendChecks checks =
       new SendChecks(
           list,
@@ -48,6 +50,7 @@
               alone(),
               new WarmUpAllowances(warming, service -> PLAN, WarmUpBounds.exact()),
               timers),
+          new SendPermits(self, alone(), limits, timers),
           timers);
 
   private static FleetView alone() {
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/limit/LimitWorld.java
@@ -0,0 +1,156 @@
+package io.mothrill.core.forward.limit;
+
+import io.mothrill.core.board.Section;
+import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.forward.permit.ReadFleet;
+import io.mothrill.core.forward.permit.SendPermits;
+import io.mothrill.core.forward.upstream.ServingUpstream;
+import io.mothrill.core.forward.upstream.UpstreamList;
+import io.mothrill.core.forward.upstream.UpstreamWord;
+import io.mothrill.core.platform.InstanceRecord;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.TreeMap;
+
+/**
+ * Instances before one upstream that names limits: each sends all that it may, hears the answers
+ * after a while, and tells the others in reports that are late or lost.
+ */
+final class LimitWorld {
+
+  static final int DOMAINS = 4;
+
+  /** An instance that knows of no limit sends one request in each step. */
+  private static final int UNBOUNDED_SENDS = 1;
+
+  private static final int LOST_ONE_IN = 4;
+  private static final int MAX_DELAY_MS = 400;
+
+  private final ManualTimers timers;
+  private final Random random;
+  private final ReadFleet fleet;
+  private final Map<String, Instance> living = new TreeMap<>();
+  private final ServingUpstream upstream =
+      new ServingUpstream(
+          "i-1",
+          "asistan",
+          "10.1.0.1",
+          80,
+          "domain-1",
+          16,
+          false,
+          OptionalLong.of(0),
+          new UpstreamWord(1, 1));
+  private Saying saying = new Saying(0, OptionalDouble.empty());
+
+  /** What the upstream names from some moment on. */
+  private record Saying(int number, OptionalDouble limitPerS) {}
+
+  LimitWorld(ManualTimers timers, Random random, int count) {
+    this.timers = timers;
+    this.random = random;
+    this.fleet = new ReadFleet(timers);
+    for (int number = 0; number < count; number++) {
+      start("edge-" + number, number % DOMAINS);
+    }
+    fleet.settle();
+  }
+
+  Instance start(String id, int domain) {
+    Instance instance = new Instance(fleet.start(id, "domain-" + domain));
+    living.put(id, instance);
+    return instance;
+  }
+
+  void stop(String id) {
+    living.remove(id);
+    fleet.stop(id);
+  }
+
+  List<Instance> instances() {
+    return List.copyOf(living.values());
+  }
+
+  /** Lets the upstream name another limit in its next answers, or none. */
+  void name(OptionalDouble newLimitPerS) {
+    saying = new Saying(saying.number() + 1, newLimitPerS);
+  }
+
+  private void deliver(Instance from, LimitReport report, List<InstanceRecord> to) {
+    if (from.member.isCutOff()) {
+      return;
+    }
+    to.stream()
+        .filter(told -> random.nextInt(LOST_ONE_IN) > 0)
+        .forEach(
+            told ->
+                timers.after(
+                    random.nextInt(MAX_DELAY_MS), () -> hear(living.get(told.id()), report)));
+  }
+
+  private static void hear(Instance instance, LimitReport report) {
+    if (instance != null && !instance.member.isCutOff()) {
+      instance.limits.onHeard(report);
+    }
+  }
+
+  /** One instance, as far as it sends to the upstream. */
+  final class Instance {
+
+    private final ReadFleet.Member member;
+    private final NamedLimits limits;
+    private final SendPermits permits;
+    private int toldNumber;
+    private long toldMs;
+
+    private Instance(ReadFleet.Member member) {
+      this.member = member;
+      this.limits =
+          new NamedLimits(
+              member::others,
+              (report, to) -> deliver(this, report, to),
+              new Section<>(new UpstreamList(List.of(upstream))),
+              timers);
+      this.permits = new SendPermits(member.self(), member, limits, timers);
+    }
+
+    ReadFleet.Member member() {
+      return member;
+    }
+
+    /** Says whether it knows of a limit. */
+    boolean isBounded() {
+      return limits.of(upstream).isPresent();
+    }
+
+    /** Says for how long it has known from an answer what the upstream names now. */
+    long toldAgoMs() {
+      return toldNumber == saying.number() ? timers.nowMs() - toldMs : 0;
+    }
+
+    /** Sends all that it may, and gives how much that was. */
+    int send() {
+      int sent = 0;
+      while ((isBounded() || sent < UNBOUNDED_SENDS) && permits.tryTake(upstream)) {
+        sent++;
+        await(timers.nowMs(), saying);
+      }
+      return sent;
+    }
+
+    private void await(long sentMs, Saying answered) {
+      timers.after(
+          random.nextInt(MAX_DELAY_MS),
+          () -> {
+            if (toldNumber < answered.number()) {
+              toldNumber = answered.number();
+              toldMs = timers.nowMs();
+            }
+            limits.onAnswer(upstream, sentMs, answered.limitPerS());
+          });
+    }
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/limit/NamedLimitPropertyTest.java
@@ -0,0 +1,111 @@
+package io.mothrill.core.forward.limit;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.mothrill.core.fake.ManualTimers;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.OptionalDouble;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+
+// Guards against instances that each keep a limit, or parts of it, and together exceed it while
+// they are cut off, killed, started again and added, and reports between them are late and lost.
+class NamedLimitPropertyTest {
+
+  private static final long STEP_MS = 250;
+  private static final int STEPS = 240;
+  private static final long SPAN_MS = 4_000;
+
+  /** An instance that has passed an answer on keeps to it from then on. */
+  private static final long TAKEN_IN_MS = 500;
+
+  /** A limit allows a few requests in a span, however small it is. */
+  private static final double LEAST_MOST = 4;
+
+  private static final double[] LIMITS_PER_S = {0, 0.2, 1, 1.4, 3, 20, 500};
+
+  @Property(tries = 200, seed = "41001")
+  void eightInstancesKeepTheLimit(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    play(seed, 8);
+  }
+
+  @Property(tries = 100, seed = "41002")
+  void sixtyInstancesKeepTheLimit(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    play(seed, 62);
+  }
+
+  private static void play(long seed, int count) {
+    Random random = new Random(seed);
+    ManualTimers timers = new ManualTimers();
+    LimitWorld world = new LimitWorld(timers, random, count);
+    Deque<Long> sentMs = new ArrayDeque<>();
+    double limitPerS = Double.MAX_VALUE;
+    for (int step = 0; step < STEPS; step++) {
+      disturb(world, random, count);
+      if (random.nextInt(40) == 0) {
+        limitPerS = next(world, random);
+        sentMs.clear();
+      }
+      world.instances().stream()
+          .filter(instance -> random.nextInt(1 + count / 6) == 0)
+          .forEach(instance -> instance.member().read());
+      sendAll(world, limitPerS, timers.nowMs(), sentMs);
+      timers.advanceMs(STEP_MS);
+    }
+  }
+
+  private static double next(LimitWorld world, Random random) {
+    int choice = random.nextInt(LIMITS_PER_S.length + 1);
+    if (choice == LIMITS_PER_S.length) {
+      world.name(OptionalDouble.empty());
+      return Double.MAX_VALUE;
+    }
+    world.name(OptionalDouble.of(LIMITS_PER_S[choice]));
+    return LIMITS_PER_S[choice];
+  }
+
+  private static void disturb(LimitWorld world, Random random, int count) {
+    List<LimitWorld.Instance> instances = world.instances();
+    LimitWorld.Instance one = instances.get(random.nextInt(instances.size()));
+    String id = one.member().self().id();
+    switch (random.nextInt(12)) {
+      case 0 -> one.member().cutOff();
+      case 1, 2, 3 -> one.member().reconnect();
+      case 4 -> world.start(id, domainOf(one));
+      case 5 -> {
+        if (instances.size() > count / 2) {
+          world.stop(id);
+        }
+      }
+      case 6 -> world.start("edge-" + random.nextInt(2 * count), random.nextInt(4));
+      default -> {}
+    }
+  }
+
+  private static int domainOf(LimitWorld.Instance instance) {
+    String domain = instance.member().self().domain();
+    return Integer.parseInt(domain.substring(domain.indexOf('-') + 1));
+  }
+
+  private static void sendAll(LimitWorld world, double limitPerS, long nowMs, Deque<Long> sentMs) {
+    while (!sentMs.isEmpty() && nowMs - sentMs.peekFirst() >= SPAN_MS) {
+      sentMs.pollFirst();
+    }
+    for (LimitWorld.Instance instance : world.instances()) {
+      boolean told = instance.toldAgoMs() >= TAKEN_IN_MS;
+      int sent = instance.send();
+      if (told) {
+        for (int number = 0; number < sent; number++) {
+          sentMs.addLast(nowMs);
+        }
+      }
+    }
+    assertWithMessage("sent in a span by %s, limit %s", nowMs, limitPerS)
+        .that((double) sentMs.size())
+        .isAtMost(Math.max(LEAST_MOST, limitPerS * SPAN_MS / 1_000));
+  }
+}
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/limit/NamedLimitsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/limit/NamedLimitsTest.java
@@ -2,11 +2,15 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.mothrill.core.board.Section;
 import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.forward.permit.Allowance;
 import io.mothrill.core.forward.upstream.ServingUpstream;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.upstream.UpstreamWord;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
@@ -14,8 +18,11 @@
 class NamedLimitsTest {
 
   private final ManualTimers timers = new ManualTimers();
-  private final NamedLimits limits = new NamedLimits(timers);
   private final ServingUpstream upstream = upstream("i-1", 1);
+  private final Section<UpstreamList> list = new Section<>(new UpstreamList(List.of(upstream)));
+  private final List<LimitReport> told = new ArrayList<>();
+  private final NamedLimits limits =
+      new NamedLimits(List::of, (report, to) -> told.add(report), list, timers);
 
   private static ServingUpstream upstream(String id, long startedMs) {
     return new ServingUpstream(
@@ -57,6 +64,113 @@
     assertThat(limits.limitedCount()).isEqualTo(1);
   }
 
+  @Test
+  void allowsWhatTheLimitAllowsInFourSeconds() {
+    answer(timers.nowMs(), OptionalDouble.of(1.4));
+
+    assertThat(limits.of(upstream)).isEqualTo(Optional.of(new Allowance(5, 4_000, 0, 4_000)));
+  }
+
+  @Test
+  void keepsSmallLimitOverLongerSpan() {
+    answer(timers.nowMs(), OptionalDouble.of(0.2));
+
+    assertThat(limits.of(upstream)).isEqualTo(Optional.of(new Allowance(2, 10_000, 0, 4_000)));
+  }
+
+  @Test
+  void limitOfNothingAllowsNothing() {
+    answer(timers.nowMs(), OptionalDouble.of(0));
+
+    assertThat(limits.of(upstream).orElseThrow().most()).isEqualTo(0);
+    assertThat(limits.retryAfterMs(upstream)).isEqualTo(4_000);
+  }
+
+  private static LimitReport naming(double limitPerS) {
+    return new LimitReport("i-1@1", OptionalDouble.of(limitPerS));
+  }
+
+  private static LimitReport over() {
+    return new LimitReport("i-1@1", OptionalDouble.empty());
+  }
+
+  @Test
+  void tellsOthersWhenTheLimitBeginsChangesAndEnds() {
+    answer(timers.nowMs(), OptionalDouble.of(1));
+    timers.advanceMs(600);
+    answer(timers.nowMs(), OptionalDouble.of(2));
+    timers.advanceMs(600);
+    answer(timers.nowMs(), OptionalDouble.empty());
+    timers.advanceMs(600);
+
+    assertThat(told).containsExactly(naming(1), naming(2), over()).inOrder();
+  }
+
+  // Whoever misses the end would leave the upstream alone for long.
+  @Test
+  void tellsTheEndTwice() {
+    answer(timers.nowMs(), OptionalDouble.of(1));
+    timers.advanceMs(1);
+    answer(timers.nowMs(), OptionalDouble.empty());
+    told.clear();
+
+    timers.advanceMs(3_000);
+
+    assertThat(told).containsExactly(over());
+  }
+
+  // An upstream whose limit follows its load names another one in each answer.
+  @Test
+  void limitThatChangesAllTheTimeIsToldTwiceInSecond() {
+    for (int answers = 0; answers < 100; answers++) {
+      answer(timers.nowMs(), OptionalDouble.of(1 + answers / 100.0));
+      timers.advanceMs(10);
+    }
+
+    assertThat(told).hasSize(2);
+  }
+
+  @Test
+  void limitThatOthersHaveHeardOfHoldsHereToo() {
+    limits.onHeard(naming(1));
+    assertThat(limits.of(upstream)).isPresent();
+
+    timers.advanceMs(2_001);
+    limits.onHeard(over());
+    assertThat(limits.of(upstream)).isEmpty();
+  }
+
+  // The report was sent before the upstream named its limit, and came late.
+  @Test
+  void reportThatAllowsMoreDoesNotCountAgainstWhatWasJustHeard() {
+    answer(timers.nowMs(), OptionalDouble.of(1));
+    timers.advanceMs(2_000);
+
+    limits.onHeard(over());
+    limits.onHeard(naming(500));
+    assertThat(limits.of(upstream).orElseThrow().most()).isEqualTo(4);
+
+    timers.advanceMs(1);
+    limits.onHeard(naming(500));
+    assertThat(limits.of(upstream).orElseThrow().most()).isEqualTo(2_000);
+  }
+
+  @Test
+  void reportThatAllowsLessCountsAtOnce() {
+    answer(timers.nowMs(), OptionalDouble.of(500));
+
+    limits.onHeard(naming(1));
+
+    assertThat(limits.of(upstream).orElseThrow().most()).isEqualTo(4);
+  }
+
+  @Test
+  void reportAboutAnEarlierProcessIsPassedOver() {
+    limits.onHeard(new LimitReport("i-1@0", OptionalDouble.of(1)));
+
+    assertThat(limits.limitedCount()).isEqualTo(0);
+  }
+
   @Test
   void countsWhatAnUpstreamGetsSinceItNamedItsLimit() {
     limits.onSent(upstream);
@@ -72,7 +186,7 @@
   void limitEndsWithTheProcessThatNamedIt() {
     answer(timers.nowMs(), OptionalDouble.of(1));
 
-    limits.retain(new UpstreamList(List.of(upstream("i-1", 2))));
+    list.publish(new UpstreamList(List.of(upstream("i-1", 2))));
 
     assertThat(limits.limitedCount()).isEqualTo(0);
   }
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/permit/ReadFleet.java
@@ -0,0 +1,105 @@
+package io.mothrill.core.forward.permit;
+
+import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.platform.InstanceRecord;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Instances that each read at times of their own who the others are. */
+public final class ReadFleet {
+
+  /** Rows that an instance reads in a second, on average. */
+  private static final int ROWS_PER_S = 6;
+
+  private static final long LATE_READ_MS = 2_000;
+
+  private final ManualTimers timers;
+  private final Map<String, Member> living = new TreeMap<>();
+
+  /** Creates a fleet without instances. */
+  public ReadFleet(ManualTimers timers) {
+    this.timers = timers;
+  }
+
+  /** Says for how long a view of some instances is current. */
+  public static long currentMs(int count) {
+    return count * 1_000L / ROWS_PER_S + LATE_READ_MS;
+  }
+
+  /** Starts an instance, in place of the one that had its id. */
+  public Member start(String id, String domain) {
+    Member member = new Member(new InstanceRecord(id, id, domain, "10.0.0.1", 1, false));
+    living.put(id, member);
+    return member;
+  }
+
+  /** Ends an instance. */
+  public void stop(String id) {
+    living.remove(id);
+  }
+
+  /** Lets all instances know of each other, as after hours of calm. */
+  public void settle() {
+    living.values().forEach(member -> member.startedMs = timers.nowMs() - 3_600_000);
+    living.values().forEach(Member::read);
+  }
+
+  /** One instance and its view of the others. */
+  public final class Member implements FleetView {
+
+    private final InstanceRecord self;
+    private List<InstanceRecord> others = List.of();
+    private long startedMs = timers.nowMs();
+    private long readMs = startedMs;
+    private boolean cutOff;
+
+    private Member(InstanceRecord self) {
+      this.self = self;
+    }
+
+    /** Gives what others read of this instance. */
+    public InstanceRecord self() {
+      return self;
+    }
+
+    /** Cuts the instance off from the store and from the others. */
+    public void cutOff() {
+      cutOff = true;
+    }
+
+    /** Ends the cut. */
+    public void reconnect() {
+      cutOff = false;
+    }
+
+    /** Says whether the instance is cut off. */
+    public boolean isCutOff() {
+      return cutOff;
+    }
+
+    /** Reads the rows of the others: those that renew theirs. */
+    public void read() {
+      if (cutOff) {
+        return;
+      }
+      readMs = timers.nowMs();
+      others =
+          new ArrayList<>(living.values())
+              .stream().filter(other -> !other.cutOff && other != this).map(Member::self).toList();
+    }
+
+    @Override
+    public List<InstanceRecord> others() {
+      return others;
+    }
+
+    @Override
+    public boolean isCurrent() {
+      long dueMs = currentMs(others.size() + 1);
+      long nowMs = timers.nowMs();
+      return nowMs - readMs <= dueMs && nowMs - startedMs >= dueMs;
+    }
+  }
+}
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/warmup/WarmUpWorld.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/warmup/WarmUpWorld.java
@@ -2,7 +2,7 @@
 
 import io.mothrill.core.board.Section;
 import io.mothrill.core.fake.ManualTimers;
-import io.mothrill.core.forward.permit.FleetView;
+import io.mothrill.core.forward.permit.ReadFleet;
 import io.mothrill.core.forward.permit.SendPermits;
 import io.mothrill.core.forward.plan.WarmUpPlan;
 import io.mothrill.core.forward.upstream.ServingUpstream;
@@ -24,36 +24,35 @@
   static final int DOMAINS = 4;
   static final int MOST_IN_A_SECOND = 18;
 
-  /** Reads of the fleet: six rows a second, as instances do. */
-  private static final int ROWS_PER_S = 6;
-
   /** Views of eight instances are current for so long. */
-  static final long CURRENT_MS = 8 * 1_000 / ROWS_PER_S + 2_000;
+  static final long CURRENT_MS = ReadFleet.currentMs(8);
 
   private static final WarmUpPlan PLAN = new WarmUpPlan(3_000, 8.7);
   private static final WarmUpBounds BOUNDS = new WarmUpBounds(1.5, 5);
 
   private final ManualTimers timers;
+  private final ReadFleet fleet;
   private final Map<String, Instance> living = new TreeMap<>();
   private final Map<Integer, Long> words = new TreeMap<>();
 
   WarmUpWorld(ManualTimers timers, int count) {
     this.timers = timers;
+    this.fleet = new ReadFleet(timers);
     for (int number = 0; number < count; number++) {
       start("edge-" + number, number % DOMAINS);
     }
-    living.values().forEach(Instance::grownOld);
-    living.values().forEach(Instance::read);
+    fleet.settle();
   }
 
   Instance start(String id, int domain) {
-    Instance instance = new Instance(id, "domain-" + domain);
+    Instance instance = new Instance(fleet.start(id, "domain-" + domain), timers);
     living.put(id, instance);
     return instance;
   }
 
   void stop(String id) {
     living.remove(id);
+    fleet.stop(id);
   }
 
   List<Instance> instances() {
@@ -86,34 +85,27 @@
   }
 
   /** One instance, as far as it sends to upstreams that warm up. */
-  final class Instance implements FleetView {
+  static final class Instance {
 
-    private final InstanceRecord record;
+    private final ReadFleet.Member member;
     private final Section<UpstreamList> list = new Section<>(UpstreamList.empty());
     private final WarmingUpstreams warming;
     private final SendPermits permits;
-    private List<InstanceRecord> others = List.of();
-    private long startedMs;
-    private long readMs;
-    private boolean cutOff;
-
-    private Instance(String id, String domain) {
-      this.record = new InstanceRecord(id, id, domain, "10.0.0.1", 1, false);
-      this.startedMs = timers.nowMs();
-      this.readMs = startedMs;
-      Timers time = timers;
+
+    private Instance(ReadFleet.Member member, Timers timers) {
+      this.member = member;
       this.warming =
-          new WarmingUpstreams(list, new Section<>(Set.of()), service -> Optional.of(PLAN), time);
+          new WarmingUpstreams(list, new Section<>(Set.of()), service -> Optional.of(PLAN), timers);
       this.permits =
           new SendPermits(
-              record,
-              this,
+              member.self(),
+              member,
               new WarmUpAllowances(warming, service -> Optional.of(PLAN), BOUNDS),
-              time);
+              timers);
     }
 
     InstanceRecord record() {
-      return record;
+      return member.self();
     }
 
     SendPermits permits() {
@@ -128,41 +120,16 @@
       return permits.hasPermit(upstream);
     }
 
-    private void grownOld() {
-      startedMs = timers.nowMs() - 3_600_000;
-    }
-
     void cutOff() {
-      cutOff = true;
+      member.cutOff();
     }
 
     void reconnect() {
-      cutOff = false;
+      member.reconnect();
     }
 
-    /** Reads the rows of the others: those that renew theirs. */
     void read() {
-      if (cutOff) {
-        return;
-      }
-      readMs = timers.nowMs();
-      others =
-          instances().stream()
-              .filter(other -> !other.cutOff && other != this)
-              .map(Instance::record)
-              .toList();
-    }
-
-    @Override
-    public List<InstanceRecord> others() {
-      return others;
-    }
-
-    @Override
-    public boolean isCurrent() {
-      long dueMs = (others.size() + 1) * 1_000L / ROWS_PER_S + 2_000;
-      long nowMs = timers.nowMs();
-      return nowMs - readMs <= dueMs && nowMs - startedMs >= dueMs;
+      member.read();
     }
   }
 }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/EntryInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/EntryInstance.java
@@ -20,6 +20,7 @@
 import io.mothrill.wire.operator.ResourceStatus;
 import io.mothrill.wire.peer.DatagramNotices;
 import io.mothrill.wire.peer.NettyPeers;
+import io.mothrill.wire.peer.NoticeListeners;
 import io.mothrill.wire.peer.PeerDecoder;
 import io.mothrill.wire.peer.PeerEncoder;
 import io.mothrill.wire.platform.HttpInstanceList;
@@ -89,10 +90,7 @@
             settings.host(),
             peers.port(),
             () -> node.members().read().others(),
-            (incarnation, tokens) -> {},
-            node.crashes()::onMessage,
-            report -> {},
-            host -> {},
+            NoticeListeners.ofCrashes(node.crashes()::onMessage),
             new WorkAccount());
     this.callerEdge =
         new CallerEdge(
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -4,6 +4,7 @@
 import io.mothrill.core.board.Section;
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.crash.CrashMessage;
+import io.mothrill.core.forward.limit.LimitReport;
 import io.mothrill.core.forward.permit.FleetView;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.retry.SharedRetryBudget;
@@ -27,6 +28,7 @@
 import io.mothrill.wire.operator.ProbeService;
 import io.mothrill.wire.peer.DatagramNotices;
 import io.mothrill.wire.peer.NettyPeers;
+import io.mothrill.wire.peer.NoticeListeners;
 import io.mothrill.wire.peer.PeerDecoder;
 import io.mothrill.wire.peer.PeerEncoder;
 import io.netty.channel.EventLoopGroup;
@@ -128,6 +130,7 @@
             new UpstreamChoice.View(plan, evacuatedDomains, upstreams),
             fleet(),
             this::sendFate,
+            this::sendLimit,
             reach::isOpen,
             timers,
             random);
@@ -148,14 +151,16 @@
             settings.peers().host(),
             settings.peers().port(),
             spending::others,
-            (incarnation, tokens) -> {
-              if (upstreams.read().containsIncarnation(incarnation)) {
-                choice.onNotice(incarnation, tokens);
-              }
-            },
-            crashes::onMessage,
-            choice.news()::onHeard,
-            reach::onHeard,
+            new NoticeListeners(
+                (incarnation, tokens) -> {
+                  if (upstreams.read().containsIncarnation(incarnation)) {
+                    choice.onNotice(incarnation, tokens);
+                  }
+                },
+                crashes::onMessage,
+                choice.news()::onHeard,
+                choice.limits()::onHeard,
+                reach::onHeard),
             ports.work());
     ForwardParts parts =
         new ForwardParts(
@@ -224,6 +229,10 @@
     notices.send(report, to);
   }
 
+  private void sendLimit(LimitReport report, List<InstanceRecord> to) {
+    notices.send(report, to);
+  }
+
   private void sendReport(CrashMessage message, List<InstanceRecord> to) {
     notices.send(message, to);
   }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamChoice.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamChoice.java
@@ -4,6 +4,7 @@
 import io.mothrill.core.forward.answer.SelfReports;
 import io.mothrill.core.forward.check.SendChecks;
 import io.mothrill.core.forward.crash.UpstreamEnds;
+import io.mothrill.core.forward.limit.LimitReports;
 import io.mothrill.core.forward.limit.NamedLimits;
 import io.mothrill.core.forward.permit.FleetView;
 import io.mothrill.core.forward.permit.SendPermits;
@@ -66,6 +67,7 @@
       View view,
       FleetView fleet,
       FateReports reports,
+      LimitReports limitReports,
       Predicate<String> reachedDomains,
       Timers timers,
       RandomGenerator random) {
@@ -78,14 +80,20 @@
         new SendPermits(
             self, fleet, new WarmUpAllowances(warming, view::warmUpOf, settings.warmUp()), timers);
     view.upstreams().subscribe(warmUps::retain);
-    this.limits = new NamedLimits(timers);
-    view.upstreams().subscribe(limits::retain);
+    this.limits = new NamedLimits(fleet::others, limitReports, view.upstreams(), timers);
+    SendPermits limitPermits = new SendPermits(self, fleet, limits, timers);
+    view.upstreams().subscribe(limitPermits::retain);
     this.answers = new SelfReports(warming, limits);
     this.news =
         new UpstreamNews(self, fleet::others, reports, view.upstreams(), loads, warming, timers);
     this.checks =
         new SendChecks(
-            view.upstreams(), settings.regionByDomain(), view.evacuatedDomains(), warmUps, timers);
+            view.upstreams(),
+            settings.regionByDomain(),
+            view.evacuatedDomains(),
+            warmUps,
+            limitPermits,
+            timers);
     this.picker =
         new UpstreamPicker(
             view.upstreams(),
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -228,12 +228,11 @@
   @Override
   public void onHead(HttpResponse newAnswer, ReplyMarks marks) {
     noteHeard();
-    if (marks.running().isPresent()) {
-      load.onReport(marks.running().getAsInt(), marks.waiting().orElse(0), silence.heardMs());
-    }
-    parts.answers().onAnswer(upstream, sentMs, marks.self());
     answer = newAnswer;
     int status = answer.status().code();
+    if (status != MISDIRECTED) {
+      takeMarks(marks);
+    }
     if (marks.notRun() || status == MISDIRECTED) {
       onNotRun(status);
       return;
@@ -246,6 +245,13 @@
     }
   }
 
+  private void takeMarks(ReplyMarks marks) {
+    if (marks.running().isPresent()) {
+      load.onReport(marks.running().getAsInt(), marks.waiting().orElse(0), silence.heardMs());
+    }
+    parts.answers().onAnswer(upstream, sentMs, marks.self());
+  }
+
   private void onNotRun(int status) {
     if (status == MISDIRECTED) {
       parts.news().onFound(upstream, UpstreamFate.REPLACED);
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
@@ -3,6 +3,8 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.mothrill.core.forward.crash.CrashMessage;
 import io.mothrill.core.forward.crash.CrashReports;
+import io.mothrill.core.forward.limit.LimitReport;
+import io.mothrill.core.forward.limit.LimitReports;
 import io.mothrill.core.forward.upstream.FateReport;
 import io.mothrill.core.forward.upstream.FateReports;
 import io.mothrill.core.forward.upstream.PromptNotices;
@@ -24,14 +26,13 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
 import org.tinylog.Logger;
 
 /** Notices between instances, each in a datagram of its own; nothing is repeated or confirmed. */
-public final class DatagramNotices implements PromptNotices, CrashReports, FateReports {
+public final class DatagramNotices
+    implements PromptNotices, CrashReports, FateReports, LimitReports {
 
   /** Shorter prompts are read before the notice could change a choice. */
   private static final long MIN_TOKENS = 1_500;
@@ -66,11 +67,7 @@
    * @param host an IP address
    * @param port a UDP port; 0 for any
    * @param others the instances that are told
-   * @param heard gets the notices of others about prompts
-   * @param heardCrashes gets their messages about requests under which upstreams crash, and where
-   *     an answer goes
-   * @param heardFates gets their reports about upstreams
-   * @param heardHosts gets the IP address of each instance that sent one
+   * @param listeners get the notices of others
    * @param work counts what the notices cost
    */
   public DatagramNotices(
@@ -78,10 +75,7 @@
       String host,
       int port,
       Supplier<List<InstanceRecord>> others,
-      PromptNotices heard,
-      BiConsumer<CrashMessage, InstanceRecord> heardCrashes,
-      Consumer<FateReport> heardFates,
-      Consumer<String> heardHosts,
+      NoticeListeners listeners,
       WorkAccount work) {
     this.others = others;
     this.host = host;
@@ -96,7 +90,7 @@
                     opened
                         .pipeline()
                         .addLast(new WorkMeter(work, WorkKind.NOTICE))
-                        .addLast(new NoticeHandler(heard, heardCrashes, heardFates, heardHosts));
+                        .addLast(new NoticeHandler(listeners));
                   }
                 })
             .bind(host, port)
@@ -125,6 +119,11 @@
     send(Notice.newBuilder().setUpstream(FateNoticeCodec.write(report)).build(), to);
   }
 
+  @Override
+  public void send(LimitReport report, List<InstanceRecord> to) {
+    send(Notice.newBuilder().setLimit(LimitNoticeCodec.write(report)).build(), to);
+  }
+
   private void send(Notice notice, List<InstanceRecord> peers) {
     byte[] bytes = notice.toByteArray();
     peers.stream()
@@ -153,34 +152,26 @@
 
   /** Reads notices; bytes of other programs are passed over. */
   static final class NoticeHandler extends SimpleChannelInboundHandler<DatagramPacket> {
-    private final PromptNotices heard;
-    private final BiConsumer<CrashMessage, InstanceRecord> heardCrashes;
-    private final Consumer<FateReport> heardFates;
-    private final Consumer<String> heardHosts;
-
-    NoticeHandler(
-        PromptNotices heard,
-        BiConsumer<CrashMessage, InstanceRecord> heardCrashes,
-        Consumer<FateReport> heardFates,
-        Consumer<String> heardHosts) {
-      this.heard = heard;
-      this.heardCrashes = heardCrashes;
-      this.heardFates = heardFates;
-      this.heardHosts = heardHosts;
+    private final NoticeListeners listeners;
+
+    NoticeHandler(NoticeListeners listeners) {
+      this.listeners = listeners;
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
       try {
         Notice notice = Notice.parseFrom(ByteBufUtil.getBytes(packet.content()));
-        heardHosts.accept(packet.sender().getAddress().getHostAddress());
+        listeners.hosts().accept(packet.sender().getAddress().getHostAddress());
         if (notice.hasPrompt()) {
           take(notice.getPrompt());
         } else if (notice.hasCrashes()) {
           CrashNoticeCodec.read(notice.getCrashes())
-              .ifPresent(message -> heardCrashes.accept(message, senderOf(packet)));
+              .ifPresent(message -> listeners.crashes().accept(message, senderOf(packet)));
         } else if (notice.hasUpstream()) {
-          FateNoticeCodec.read(notice.getUpstream()).ifPresent(heardFates);
+          FateNoticeCodec.read(notice.getUpstream()).ifPresent(listeners.fates());
+        } else if (notice.hasLimit()) {
+          LimitNoticeCodec.read(notice.getLimit()).ifPresent(listeners.limits());
         }
       } catch (InvalidProtocolBufferException ex) {
         Logger.debug("notice not understood: {}", ex.getMessage());
@@ -189,7 +180,7 @@
 
     private void take(PromptNotice prompt) {
       if (prompt.getUnreadTokens() >= 0 && prompt.getUnreadTokens() <= MAX_TOKENS) {
-        heard.announce(prompt.getUpstreamId(), prompt.getUnreadTokens());
+        listeners.prompts().announce(prompt.getUpstreamId(), prompt.getUnreadTokens());
       }
     }
 
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/FateNoticeCodec.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/FateNoticeCodec.java
@@ -10,7 +10,7 @@
 final class FateNoticeCodec {
 
   /** The longest key that a row of the platform's table may have, with a start behind it. */
-  private static final int MAX_NAME_CHARS = 230;
+  static final int MAX_NAME_CHARS = 230;
 
   private static final int MAX_HOST_CHARS = 45;
   private static final int MAX_PORT = 65_535;
--- a/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.mothrill.core.forward.limit.LimitReport;
 import io.mothrill.core.forward.upstream.FateReport;
 import io.mothrill.core.forward.upstream.UpstreamFate;
 import io.mothrill.core.platform.InstanceRecord;
@@ -14,6 +15,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -31,6 +33,7 @@
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final BlockingQueue<Long> heard = new LinkedBlockingQueue<>();
   private final BlockingQueue<FateReport> heardFates = new LinkedBlockingQueue<>();
+  private final BlockingQueue<LimitReport> heardLimits = new LinkedBlockingQueue<>();
 
   @AfterEach
   void stop() {
@@ -43,10 +46,12 @@
         HOST,
         port,
         List::of,
-        (upstreamId, tokens) -> heard.add(tokens),
-        (message, sender) -> {},
-        heardFates::add,
-        host -> {},
+        new NoticeListeners(
+            (upstreamId, tokens) -> heard.add(tokens),
+            (message, sender) -> {},
+            heardFates::add,
+            heardLimits::add,
+            host -> {}),
         new WorkAccount());
   }
 
@@ -57,10 +62,7 @@
         HOST,
         0,
         () -> Collections.nCopies(peerCount, peer),
-        (id, tokens) -> {},
-        (message, sender) -> {},
-        report -> {},
-        host -> {},
+        NoticeListeners.ofCrashes((message, sender) -> {}),
         new WorkAccount());
   }
 
@@ -132,4 +134,24 @@
 
     assertThat(heard).isEqualTo(report);
   }
+
+  @Test
+  void carriesLimitsAndTheirEnds() throws Exception {
+    int port = freePort();
+    LimitReport begun = new LimitReport("i-1@0", OptionalDouble.of(0));
+    LimitReport ended = new LimitReport("i-1@0", OptionalDouble.empty());
+    InstanceRecord peer = new InstanceRecord("konya-1", "konya-1", "konya", HOST, port, false);
+    DatagramNotices listener = listener(port);
+    DatagramNotices speaker = speaker(port, 1);
+
+    speaker.send(begun, List.of(peer));
+    final LimitReport first = heardLimits.poll(WAIT_S, TimeUnit.SECONDS);
+    speaker.send(ended, List.of(peer));
+    final LimitReport second = heardLimits.poll(WAIT_S, TimeUnit.SECONDS);
+    listener.close();
+    speaker.close();
+
+    assertThat(first).isEqualTo(begun);
+    assertThat(second).isEqualTo(ended);
+  }
 }
--- a/mothrill-wire/src/test/java/io/mothrill/wire/peer/ForeignNoticesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/peer/ForeignNoticesTest.java
@@ -3,11 +3,13 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.mothrill.core.forward.crash.CrashMessage;
+import io.mothrill.core.forward.limit.LimitReport;
 import io.mothrill.core.forward.upstream.FateReport;
 import io.mothrill.core.forward.upstream.UpstreamFate;
 import io.mothrill.wire.peer.generated.CrashNotice;
 import io.mothrill.wire.peer.generated.CrashReport;
 import io.mothrill.wire.peer.generated.CrashedRequest;
+import io.mothrill.wire.peer.generated.LimitNotice;
 import io.mothrill.wire.peer.generated.Notice;
 import io.mothrill.wire.peer.generated.PromptNotice;
 import io.mothrill.wire.peer.generated.UpstreamNotice;
@@ -20,6 +22,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** What comes to the port for notices from anyone but an instance does no harm. */
 class ForeignNoticesTest {
@@ -29,13 +33,16 @@
   private final List<Long> heardTokens = new ArrayList<>();
   private final List<CrashMessage> heardCrashes = new ArrayList<>();
   private final List<FateReport> heardFates = new ArrayList<>();
+  private final List<LimitReport> heardLimits = new ArrayList<>();
   private final EmbeddedChannel channel =
       new EmbeddedChannel(
           new DatagramNotices.NoticeHandler(
-              (incarnation, tokens) -> heardTokens.add(tokens),
-              (message, sender) -> heardCrashes.add(message),
-              heardFates::add,
-              host -> {}));
+              new NoticeListeners(
+                  (incarnation, tokens) -> heardTokens.add(tokens),
+                  (message, sender) -> heardCrashes.add(message),
+                  heardFates::add,
+                  heardLimits::add,
+                  host -> {})));
 
   private void receive(byte[] bytes) {
     channel.writeInbound(new DatagramPacket(Unpooled.wrappedBuffer(bytes), HERE, HERE));
@@ -124,4 +131,16 @@
     assertThat(heardFates)
         .containsExactly(new FateReport("i-1@0", "10.0.0.1", 80, UpstreamFate.ENDED));
   }
+
+  // A limit that is no rate would stop or free all requests to an upstream.
+  @ParameterizedTest
+  @ValueSource(doubles = {-1, Double.NaN, Double.POSITIVE_INFINITY})
+  void passesOverLimitThatIsNoRate(double limitPerS) {
+    LimitNotice.Builder limit =
+        LimitNotice.newBuilder().setIncarnation("i-1@0").setLimitPerS(limitPerS);
+
+    receive(Notice.newBuilder().setLimit(limit).build().toByteArray());
+
+    assertThat(heardLimits).isEmpty();
+  }
 }
