Leaves and rests that upstreams say in answers are read, logged and counted; no decision changes

Cause: the logs held neither what an upstream had asked for nor what it got after that, so a constant in place of the time asked for, and a preference in place of a check, could not be told apart. Change: SelfReport has the leave and the rest; LeavingUpstreams and RestingUpstreams log them and count what is sent all the same (upstreams_said_leaving_*, upstreams_resting_*).

--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/answer/RestingUpstreams.java
@@ -0,0 +1,105 @@
+package io.mothrill.core.forward.answer;
+
+import io.mothrill.core.forward.upstream.ServingUpstream;
+import io.mothrill.core.forward.upstream.UpstreamList;
+import io.mothrill.core.time.Timers;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.tinylog.Logger;
+
+/**
+ * Knows which upstreams have asked this instance to send them nothing for a time.
+ *
+ * <p>An upstream asks each instance for itself, so the others are not told.
+ */
+public final class RestingUpstreams {
+
+  private final Timers timers;
+  private final Map<String, Long> untilMs = new ConcurrentHashMap<>();
+  private final AtomicLong sentCount = new AtomicLong();
+
+  /**
+   * Creates the record; no upstream rests at first.
+   *
+   * @param timers the time
+   */
+  public RestingUpstreams(Timers timers) {
+    this.timers = timers;
+  }
+
+  /**
+   * Notes that an upstream wants nothing for a time. A longer time that it has asked for before
+   * stands.
+   *
+   * @param upstream the upstream
+   * @param restMs how long
+   */
+  public void note(ServingUpstream upstream, long restMs) {
+    boolean rests = isResting(upstream);
+    untilMs.merge(upstream.incarnation(), timers.nowMs() + restMs, Math::max);
+    if (!rests) {
+      Logger.info("upstream asks for rest upstream={} restMs={}", upstream.incarnation(), restMs);
+    }
+  }
+
+  /**
+   * Says whether an upstream rests.
+   *
+   * @param upstream the upstream
+   * @return true when it is to get nothing now
+   */
+  public boolean isResting(ServingUpstream upstream) {
+    return leftMs(upstream) > 0;
+  }
+
+  /**
+   * Says how much longer an upstream rests.
+   *
+   * @param upstream the upstream
+   * @return milliseconds; 0 when it does not
+   */
+  public long leftMs(ServingUpstream upstream) {
+    Long until = untilMs.get(upstream.incarnation());
+    return until == null ? 0 : Math.max(0, until - timers.nowMs());
+  }
+
+  /**
+   * Counts a request that is written to an upstream.
+   *
+   * @param upstream the upstream
+   */
+  public void onSent(ServingUpstream upstream) {
+    if (isResting(upstream)) {
+      sentCount.incrementAndGet();
+    }
+  }
+
+  /**
+   * Counts the upstreams that rest.
+   *
+   * @return a count
+   */
+  public long restingCount() {
+    long nowMs = timers.nowMs();
+    return untilMs.values().stream().filter(until -> until > nowMs).count();
+  }
+
+  /**
+   * Counts what upstreams got from here while they rested.
+   *
+   * @return requests since the start
+   */
+  public long sentCount() {
+    return sentCount.get();
+  }
+
+  /**
+   * Forgets upstreams that have gone.
+   *
+   * @param list those that are there
+   */
+  public void retain(UpstreamList list) {
+    untilMs.keySet().removeIf(incarnation -> !list.containsIncarnation(incarnation));
+  }
+}
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/answer/SelfReport.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/answer/SelfReport.java
@@ -9,18 +9,8 @@
  * @param warmUpLeftMs how much longer it warms up, if it says so
  * @param limitPerS the requests a second that it takes from all instances together; empty when it
  *     names no limit
+ * @param leaving true when it says that it leaves
+ * @param restMs how long it wants no requests of this instance, if it asks for that
  */
-public record SelfReport(OptionalLong warmUpLeftMs, OptionalDouble limitPerS) {
-
-  private static final SelfReport NOTHING =
-      new SelfReport(OptionalLong.empty(), OptionalDouble.empty());
-
-  /**
-   * Gives the report of an upstream that says nothing of itself.
-   *
-   * @return a report without any field
-   */
-  public static SelfReport nothing() {
-    return NOTHING;
-  }
-}
+public record SelfReport(
+    OptionalLong warmUpLeftMs, OptionalDouble limitPerS, boolean leaving, OptionalLong restMs) {}
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/answer/SelfReports.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/answer/SelfReports.java
@@ -15,16 +15,23 @@
 
   private final WarmUpSigns warmUps;
   private final NamedLimits limits;
+  private final LeavingUpstreams leaving;
+  private final RestingUpstreams resting;
 
   /**
    * Creates the place that all answers are reported to.
    *
    * @param warmUps gets what is said about warming up
    * @param limits gets the limits that upstreams name
+   * @param leaving gets the upstreams that leave
+   * @param resting gets the upstreams that ask for rest
    */
-  public SelfReports(WarmUpSigns warmUps, NamedLimits limits) {
+  public SelfReports(
+      WarmUpSigns warmUps, NamedLimits limits, LeavingUpstreams leaving, RestingUpstreams resting) {
     this.warmUps = warmUps;
     this.limits = limits;
+    this.leaving = leaving;
+    this.resting = resting;
   }
 
   /**
@@ -37,6 +44,10 @@
   public void onAnswer(ServingUpstream upstream, long sentMs, SelfReport report) {
     report.warmUpLeftMs().ifPresent(leftMs -> warmUps.onSaid(upstream, leftMs));
     limits.onAnswer(upstream, sentMs, report.limitPerS());
+    if (report.leaving()) {
+      leaving.note(upstream);
+    }
+    report.restMs().ifPresent(restMs -> resting.note(upstream, restMs));
   }
 
   /**
@@ -46,5 +57,7 @@
    */
   public void onSent(ServingUpstream upstream) {
     limits.onSent(upstream);
+    leaving.onSent(upstream);
+    resting.onSent(upstream);
   }
 }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -68,6 +68,10 @@
     metrics.gauge("upstreams.warmingCount", () -> choice.warming()::warmingCount);
     metrics.gauge("upstreams.limitedCount", () -> choice.limits()::limitedCount);
     metrics.gauge("upstreams.limitedSentCount", () -> choice.limits()::sentCount);
+    metrics.gauge("upstreams.saidLeavingCount", () -> choice.leaving()::leavingCount);
+    metrics.gauge("upstreams.saidLeavingSentCount", () -> choice.leaving()::sentCount);
+    metrics.gauge("upstreams.restingCount", () -> choice.resting()::restingCount);
+    metrics.gauge("upstreams.restingSentCount", () -> choice.resting()::sentCount);
     metrics.gauge("upstreams.reportsSentCount", () -> choice.news()::sentCount);
     metrics.gauge("upstreams.reportsHeardCount", () -> choice.news()::heardCount);
   }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamChoice.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamChoice.java
@@ -1,6 +1,8 @@
 package io.mothrill.daemon.forward;
 
 import io.mothrill.core.board.Section;
+import io.mothrill.core.forward.answer.LeavingUpstreams;
+import io.mothrill.core.forward.answer.RestingUpstreams;
 import io.mothrill.core.forward.answer.SelfReports;
 import io.mothrill.core.forward.check.SendChecks;
 import io.mothrill.core.forward.crash.UpstreamEnds;
@@ -39,6 +41,8 @@
   private final PromptMemory memory = new PromptMemory();
   private final WarmingUpstreams warming;
   private final NamedLimits limits;
+  private final LeavingUpstreams leaving = new LeavingUpstreams();
+  private final RestingUpstreams resting;
   private final SelfReports answers;
   private final UpstreamNews news;
   private final SendChecks checks;
@@ -83,7 +87,10 @@
     this.limits = new NamedLimits(fleet::others, limitReports, view.upstreams(), timers);
     SendPermits limitPermits = new SendPermits(self, fleet, limits, timers);
     view.upstreams().subscribe(limitPermits::retain);
-    this.answers = new SelfReports(warming, limits);
+    this.resting = new RestingUpstreams(timers);
+    view.upstreams().subscribe(leaving::retain);
+    view.upstreams().subscribe(resting::retain);
+    this.answers = new SelfReports(warming, limits, leaving, resting);
     this.news =
         new UpstreamNews(self, fleet::others, reports, view.upstreams(), loads, warming, timers);
     this.checks =
@@ -144,6 +151,14 @@
     return limits;
   }
 
+  LeavingUpstreams leaving() {
+    return leaving;
+  }
+
+  RestingUpstreams resting() {
+    return resting;
+  }
+
   SelfReports answers() {
     return answers;
   }
