An upstream that has said in an answer that it leaves gets nothing more, from no instance

Cause: LeavingCheck asked the list of the store only; nothing read the word in the answer. Change: LeavingUpstreams, known by start of the process, is part of LeavingCheck, which also holds for requests that were chosen before and go on elsewhere; a later read of an older word does not undo it, nor an entry that lapses and is back. The word goes to all instances as the fate LEAVING of UpstreamNews, and is taken also of an upstream that is avoided just then. Why it holds: an instance that has passed such an answer on has noted it before, on the same thread, and every write asks.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/answer/SelfReports.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/answer/SelfReports.java
@@ -1,7 +1,10 @@
 package io.mothrill.core.forward.answer;
 
 import io.mothrill.core.forward.limit.NamedLimits;
+import io.mothrill.core.forward.upstream.LeavingUpstreams;
 import io.mothrill.core.forward.upstream.ServingUpstream;
+import io.mothrill.core.forward.upstream.UpstreamFate;
+import io.mothrill.core.forward.upstream.UpstreamNews;
 import io.mothrill.core.forward.upstream.WarmUpSigns;
 
 /**
@@ -16,6 +19,7 @@
   private final WarmUpSigns warmUps;
   private final NamedLimits limits;
   private final LeavingUpstreams leaving;
+  private final UpstreamNews news;
   private final RestingUpstreams resting;
 
   /**
@@ -23,14 +27,20 @@
    *
    * @param warmUps gets what is said about warming up
    * @param limits gets the limits that upstreams name
-   * @param leaving gets the upstreams that leave
+   * @param leaving knows the upstreams that leave
+   * @param news gets the upstreams that leave, and tells other instances
    * @param resting gets the upstreams that ask for rest
    */
   public SelfReports(
-      WarmUpSigns warmUps, NamedLimits limits, LeavingUpstreams leaving, RestingUpstreams resting) {
+      WarmUpSigns warmUps,
+      NamedLimits limits,
+      LeavingUpstreams leaving,
+      UpstreamNews news,
+      RestingUpstreams resting) {
     this.warmUps = warmUps;
     this.limits = limits;
     this.leaving = leaving;
+    this.news = news;
     this.resting = resting;
   }
 
@@ -45,7 +55,7 @@
     report.warmUpLeftMs().ifPresent(leftMs -> warmUps.onSaid(upstream, leftMs));
     limits.onAnswer(upstream, sentMs, report.limitPerS());
     if (report.leaving()) {
-      leaving.note(upstream);
+      news.onFound(upstream, UpstreamFate.LEAVING);
     }
     report.restMs().ifPresent(restMs -> resting.note(upstream, restMs));
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/check/SendChecks.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/check/SendChecks.java
@@ -3,6 +3,7 @@
 import io.mothrill.core.board.Section;
 import io.mothrill.core.forward.permit.SendPermits;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
+import io.mothrill.core.forward.upstream.LeavingUpstreams;
 import io.mothrill.core.forward.upstream.ServingUpstream;
 import io.mothrill.core.forward.upstream.UpstreamFilter;
 import io.mothrill.core.forward.upstream.UpstreamList;
@@ -47,6 +48,7 @@
    * @param list the registered upstreams
    * @param regionByDomain the region of each failure domain
    * @param evacuatedDomains the failure domains that operators are emptying
+   * @param leaving the upstreams that have said that they leave
    * @param warmUps shares out what upstreams bear while they warm up
    * @param limits shares out what upstreams take that name a limit
    * @param timers the time
@@ -55,6 +57,7 @@
       Section<UpstreamList> list,
       Map<String, String> regionByDomain,
       Section<Set<String>> evacuatedDomains,
+      LeavingUpstreams leaving,
       SendPermits warmUps,
       SendPermits limits,
       Timers timers) {
@@ -69,7 +72,7 @@
             new CrashCheck(),
             new HomeCheck(regionByDomain),
             new EvacuationCheck(evacuatedDomains),
-            new LeavingCheck(list),
+            new LeavingCheck(list, leaving),
             new PermitCheck(warmUps, Cause.WARMING_UP),
             new PermitCheck(limits, Cause.LIMITED));
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamNews.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamNews.java
@@ -19,8 +19,9 @@
  * instance would find each of these upstreams by a request of its own. A report costs a datagram
  * for each other instance.
  *
- * <p>What is heard only steers the choice. An upstream that was reported wrongly is avoided for a
- * time and tried again, and is still taken where there is no other.
+ * <p>What is heard only steers the choice, but for a leave. An upstream that was reported wrongly
+ * is avoided for a time and tried again, and is still taken where there is no other. One that
+ * leaves has said so itself, and gets nothing more.
  */
 public final class UpstreamNews {
 
@@ -45,6 +46,7 @@
   private final Section<UpstreamList> list;
   private final UpstreamLoads loads;
   private final WarmUpSigns warmUps;
+  private final LeavingUpstreams leaving;
   private final Timers timers;
   private final Map<FateReport, Long> knownMs = new ConcurrentHashMap<>();
   private final AtomicLong sentCount = new AtomicLong();
@@ -60,6 +62,7 @@
    * @param list the registered upstreams
    * @param loads the loads by which upstreams are avoided
    * @param warmUps gets what shows that an upstream warms up
+   * @param leaving gets the upstreams that leave
    * @param timers the time
    */
   public UpstreamNews(
@@ -69,6 +72,7 @@
       Section<UpstreamList> list,
       UpstreamLoads loads,
       WarmUpSigns warmUps,
+      LeavingUpstreams leaving,
       Timers timers) {
     this.self = self;
     this.others = others;
@@ -76,6 +80,7 @@
     this.list = list;
     this.loads = loads;
     this.warmUps = warmUps;
+    this.leaving = leaving;
     this.timers = timers;
     timers.every(TOLD_MS, this::forgetOld);
   }
@@ -109,20 +114,21 @@
     }
     Logger.info("upstream reported upstream={} fate={}", report.incarnation(), report.fate());
     boolean avoided = loads.of(report.incarnation()).isAvoided(timers.nowMs());
-    if (!avoided || report.fate() == UpstreamFate.REPLACED) {
+    if (!avoided || report.fate().isFinal()) {
       take(upstream.get(), report.fate());
     }
   }
 
   private void take(ServingUpstream upstream, UpstreamFate fate) {
     UpstreamLoad load = loads.of(upstream.incarnation());
-    if (fate == UpstreamFate.REPLACED) {
-      load.onFull(timers.nowMs(), REPLACED_AVOID_MS);
-      return;
-    }
-    load.onFailure(timers.nowMs());
-    if (fate == UpstreamFate.ENDED) {
-      warmUps.onEnded(upstream);
+    switch (fate) {
+      case LEAVING -> leaving.note(upstream);
+      case REPLACED -> load.onFull(timers.nowMs(), REPLACED_AVOID_MS);
+      case ENDED -> {
+        load.onFailure(timers.nowMs());
+        warmUps.onEnded(upstream);
+      }
+      default -> load.onFailure(timers.nowMs());
     }
   }
 
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/check/SendChecksTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/check/SendChecksTest.java
@@ -10,6 +10,7 @@
 import io.mothrill.core.forward.plan.HomeRegions;
 import io.mothrill.core.forward.plan.WarmUpPlan;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
+import io.mothrill.core.forward.upstream.LeavingUpstreams;
 import io.mothrill.core.forward.upstream.ServingUpstream;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.upstream.UpstreamQuery;
@@ -40,11 +41,13 @@
   private final WarmingUpstreams warming =
       new WarmingUpstreams(list, evacuated, service -> PLAN, timers);
   private final NamedLimits limits = new NamedLimits(List::of, (report, to) -> {}, list, timers);
+  private final LeavingUpstreams leaving = new LeavingUpstreams(timers);
   private final SendChecks checks =
       new SendChecks(
           list,
           Map.of("konya", "anadolu", "izmir", "ege"),
           evacuated,
+          leaving,
           new SendPermits(
               self,
               alone(),
@@ -148,6 +151,17 @@
     assertRefused(chosen, sound(), Cause.NO_UPSTREAM);
   }
 
+  // The list was read before the upstream said so, and again after that from a store that lags.
+  @Test
+  void upstreamThatHasSaidItLeavesGetsNothingWhateverTheListSays() {
+    ServingUpstream chosen = register("konya");
+
+    leaving.note(chosen);
+    register("konya");
+
+    assertRefused(chosen, sound(), Cause.NO_UPSTREAM);
+  }
+
   @Test
   void upstreamThatWarmsUpGetsItsShareAndNoMore() {
     ServingUpstream cold = upstream("konya", false, 3_000);
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/LeavingUpstreamsTest.java
@@ -0,0 +1,65 @@
+package io.mothrill.core.forward.upstream;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.mothrill.core.fake.ManualTimers;
+import java.util.List;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+
+class LeavingUpstreamsTest {
+
+  private final ManualTimers timers = new ManualTimers();
+  private final LeavingUpstreams leaving = new LeavingUpstreams(timers);
+
+  private static ServingUpstream startedAt(long startedMs) {
+    return new ServingUpstream(
+        "i-1",
+        "asistan",
+        "10.0.0.1",
+        80,
+        "konya",
+        16,
+        false,
+        OptionalLong.of(0),
+        new UpstreamWord(startedMs, 1));
+  }
+
+  // Its entry lapses while the store is silent, and is back as ready before the leave is written.
+  @Test
+  void leaveOutlastsAnEntryThatLapses() {
+    leaving.note(startedAt(1));
+
+    timers.advanceMs(12_000);
+    leaving.retain(UpstreamList.empty());
+    leaving.retain(new UpstreamList(List.of(startedAt(1))));
+
+    assertThat(leaving.isLeaving(startedAt(1))).isTrue();
+  }
+
+  @Test
+  void nextProcessUnderTheSameNameTakesRequests() {
+    leaving.note(startedAt(1));
+
+    assertThat(leaving.isLeaving(startedAt(2))).isFalse();
+  }
+
+  @Test
+  void upstreamsThatHaveGoneAreForgotten() {
+    leaving.note(startedAt(1));
+
+    timers.advanceMs(600_001);
+    leaving.retain(UpstreamList.empty());
+
+    assertThat(leaving.leavingCount()).isEqualTo(0);
+  }
+
+  @Test
+  void countsWhatAnUpstreamGetsAfterItsWord() {
+    leaving.onSent(startedAt(1));
+    leaving.note(startedAt(1));
+    leaving.onSent(startedAt(1));
+
+    assertThat(leaving.sentCount()).isEqualTo(1);
+  }
+}
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/UpstreamNewsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/UpstreamNewsTest.java
@@ -62,6 +62,7 @@
     private final InstanceRecord record;
     private final UpstreamLoads loads = new UpstreamLoads();
     private final Set<String> ended = new HashSet<>();
+    private final LeavingUpstreams leaving = new LeavingUpstreams(timers);
     private final UpstreamNews news;
     private final UpstreamPicker picker;
 
@@ -84,6 +85,7 @@
                 @Override
                 public void onSaid(ServingUpstream upstream, long leftMs) {}
               },
+              leaving,
               timers);
       PlainCost cost = new PlainCost(record.domain(), loads, random);
       this.picker =
@@ -174,6 +176,32 @@
     }
   }
 
+  // The store is silent, so the list shows no leave; the upstream ends under what it still gets.
+  @Test
+  void upstreamThatSaysItLeavesIsKnownEverywhere() {
+    startFleet(this::deliver);
+
+    instances.get(0).news.onFound(upstream(3), UpstreamFate.LEAVING);
+    timers.advanceMs(1);
+
+    for (Instance instance : instances) {
+      assertThat(instance.leaving.isLeaving(upstream(3))).isTrue();
+    }
+  }
+
+  // It was avoided for being full just before, which is over soon; the leave is not.
+  @Test
+  void leaveIsTakenAlsoOfAnUpstreamThatIsAvoided() {
+    startFleet(this::deliver);
+    Instance other = instances.get(1);
+    other.loads.of(upstream(3).incarnation()).onFull(timers.nowMs(), 250);
+
+    instances.get(0).news.onFound(upstream(3), UpstreamFate.LEAVING);
+    timers.advanceMs(1);
+
+    assertThat(other.leaving.isLeaving(upstream(3))).isTrue();
+  }
+
   // What one domain cannot reach, others may reach.
   @Test
   void unreachableUpstreamIsToldInTheOwnDomainOnly() {
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamChoice.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamChoice.java
@@ -1,7 +1,6 @@
 package io.mothrill.daemon.forward;
 
 import io.mothrill.core.board.Section;
-import io.mothrill.core.forward.answer.LeavingUpstreams;
 import io.mothrill.core.forward.answer.RestingUpstreams;
 import io.mothrill.core.forward.answer.SelfReports;
 import io.mothrill.core.forward.check.SendChecks;
@@ -14,6 +13,7 @@
 import io.mothrill.core.forward.plan.ServicePlan;
 import io.mothrill.core.forward.plan.WarmUpPlan;
 import io.mothrill.core.forward.upstream.FateReports;
+import io.mothrill.core.forward.upstream.LeavingUpstreams;
 import io.mothrill.core.forward.upstream.PlainCost;
 import io.mothrill.core.forward.upstream.PromptCost;
 import io.mothrill.core.forward.upstream.PromptMemory;
@@ -41,7 +41,7 @@
   private final PromptMemory memory = new PromptMemory();
   private final WarmingUpstreams warming;
   private final NamedLimits limits;
-  private final LeavingUpstreams leaving = new LeavingUpstreams();
+  private final LeavingUpstreams leaving;
   private final RestingUpstreams resting;
   private final SelfReports answers;
   private final UpstreamNews news;
@@ -87,17 +87,20 @@
     this.limits = new NamedLimits(fleet::others, limitReports, view.upstreams(), timers);
     SendPermits limitPermits = new SendPermits(self, fleet, limits, timers);
     view.upstreams().subscribe(limitPermits::retain);
+    this.leaving = new LeavingUpstreams(timers);
     this.resting = new RestingUpstreams(timers);
     view.upstreams().subscribe(leaving::retain);
     view.upstreams().subscribe(resting::retain);
-    this.answers = new SelfReports(warming, limits, leaving, resting);
     this.news =
-        new UpstreamNews(self, fleet::others, reports, view.upstreams(), loads, warming, timers);
+        new UpstreamNews(
+            self, fleet::others, reports, view.upstreams(), loads, warming, leaving, timers);
+    this.answers = new SelfReports(warming, limits, leaving, news, resting);
     this.checks =
         new SendChecks(
             view.upstreams(),
             settings.regionByDomain(),
             view.evacuatedDomains(),
+            leaving,
             warmUps,
             limitPermits,
             timers);
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/FateNoticeCodec.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/FateNoticeCodec.java
@@ -24,6 +24,7 @@
         .setPort(report.port())
         .setFate(
             switch (report.fate()) {
+              case LEAVING -> Fate.FATE_LEAVING;
               case REPLACED -> Fate.FATE_REPLACED;
               case ENDED -> Fate.FATE_ENDED;
               case UNREACHABLE -> Fate.FATE_UNREACHABLE;
@@ -49,6 +50,7 @@
 
   private static Optional<UpstreamFate> fateOf(Fate fate) {
     return switch (fate) {
+      case FATE_LEAVING -> Optional.of(UpstreamFate.LEAVING);
       case FATE_REPLACED -> Optional.of(UpstreamFate.REPLACED);
       case FATE_ENDED -> Optional.of(UpstreamFate.ENDED);
       case FATE_UNREACHABLE -> Optional.of(UpstreamFate.UNREACHABLE);
