An upstream that asks an instance for rest gets nothing from it for that time

Cause: the time asked for was not read. After each answer 'not run' the upstream was avoided for 250 ms, and avoiding is a preference: where all are avoided, all are taken. Change: RestCheck, by RestingUpstreams: until the end of the longest rest asked for, also for requests chosen before, and where no other is left. Those are refused at once as RESTING, with the earliest end of a rest as the time to come back. Why it holds: the rest is noted before the answer is passed on, and every write asks.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/answer/SelfReports.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/answer/SelfReports.java
@@ -2,6 +2,7 @@
 
 import io.mothrill.core.forward.limit.NamedLimits;
 import io.mothrill.core.forward.upstream.LeavingUpstreams;
+import io.mothrill.core.forward.upstream.RestingUpstreams;
 import io.mothrill.core.forward.upstream.ServingUpstream;
 import io.mothrill.core.forward.upstream.UpstreamFate;
 import io.mothrill.core.forward.upstream.UpstreamNews;
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/check/SendChecks.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/check/SendChecks.java
@@ -4,6 +4,7 @@
 import io.mothrill.core.forward.permit.SendPermits;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
 import io.mothrill.core.forward.upstream.LeavingUpstreams;
+import io.mothrill.core.forward.upstream.RestingUpstreams;
 import io.mothrill.core.forward.upstream.ServingUpstream;
 import io.mothrill.core.forward.upstream.UpstreamFilter;
 import io.mothrill.core.forward.upstream.UpstreamList;
@@ -49,6 +50,7 @@
    * @param regionByDomain the region of each failure domain
    * @param evacuatedDomains the failure domains that operators are emptying
    * @param leaving the upstreams that have said that they leave
+   * @param resting the upstreams that have asked this instance for rest
    * @param warmUps shares out what upstreams bear while they warm up
    * @param limits shares out what upstreams take that name a limit
    * @param timers the time
@@ -58,6 +60,7 @@
       Map<String, String> regionByDomain,
       Section<Set<String>> evacuatedDomains,
       LeavingUpstreams leaving,
+      RestingUpstreams resting,
       SendPermits warmUps,
       SendPermits limits,
       Timers timers) {
@@ -73,6 +76,7 @@
             new HomeCheck(regionByDomain),
             new EvacuationCheck(evacuatedDomains),
             new LeavingCheck(list, leaving),
+            new RestCheck(resting),
             new PermitCheck(warmUps, Cause.WARMING_UP),
             new PermitCheck(limits, Cause.LIMITED));
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardRefusal.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardRefusal.java
@@ -28,6 +28,8 @@
     EVACUATED(503),
     /** No upstream is left in the regions that the request may go to; it has not run. */
     OUTSIDE_HOME(503),
+    /** All upstreams that are left have asked for rest; it has not run. */
+    RESTING(503),
     /** All upstreams that are left have just started and bear no more; it has not run. */
     WARMING_UP(503),
     /** All upstreams that are left have named limits that are used up; it has not run. */
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/answer/RestingUpstreams.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/RestingUpstreams.java
@@ -1,7 +1,5 @@
-package io.mothrill.core.forward.answer;
+package io.mothrill.core.forward.upstream;
 
-import io.mothrill.core.forward.upstream.ServingUpstream;
-import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.time.Timers;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -95,11 +93,14 @@
   }
 
   /**
-   * Forgets upstreams that have gone.
+   * Forgets rests that are over, and those of processes that have been followed by others.
    *
-   * @param list those that are there
+   * @param list the upstreams that are there
    */
   public void retain(UpstreamList list) {
-    untilMs.keySet().removeIf(incarnation -> !list.containsIncarnation(incarnation));
+    long nowMs = timers.nowMs();
+    untilMs
+        .entrySet()
+        .removeIf(rest -> rest.getValue() <= nowMs || list.hasReplaced(rest.getKey()));
   }
 }
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/check/SendChecksTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/check/SendChecksTest.java
@@ -11,6 +11,7 @@
 import io.mothrill.core.forward.plan.WarmUpPlan;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
 import io.mothrill.core.forward.upstream.LeavingUpstreams;
+import io.mothrill.core.forward.upstream.RestingUpstreams;
 import io.mothrill.core.forward.upstream.ServingUpstream;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.upstream.UpstreamQuery;
@@ -42,12 +43,14 @@
       new WarmingUpstreams(list, evacuated, service -> PLAN, timers);
   private final NamedLimits limits = new NamedLimits(List::of, (report, to) -> {}, list, timers);
   private final LeavingUpstreams leaving = new LeavingUpstreams(timers);
+  private final RestingUpstreams resting = new RestingUpstreams(timers);
   private final SendChecks checks =
       new SendChecks(
           list,
           Map.of("konya", "anadolu", "izmir", "ege"),
           evacuated,
           leaving,
+          resting,
           new SendPermits(
               self,
               alone(),
@@ -162,6 +165,30 @@
     assertRefused(chosen, sound(), Cause.NO_UPSTREAM);
   }
 
+  // The upstream turns one request away while another one waits for its connection.
+  @Test
+  void upstreamThatRestsGetsNotEvenWhatWasChosenBefore() {
+    ServingUpstream chosen = register("konya");
+    assertThat(checks.permits(chosen, sound(), timers.nowMs())).isTrue();
+
+    resting.note(chosen, 3_000);
+
+    assertRefused(chosen, sound(), Cause.RESTING);
+    timers.advanceMs(3_000);
+    assertThat(checks.admit(chosen, sound())).isTrue();
+  }
+
+  @Test
+  void callersAreToldTheEarliestEndOfRest() {
+    ServingUpstream one = upstream("konya", false, 0);
+    ServingUpstream other = upstream("izmir", false, 0);
+    list.publish(new UpstreamList(List.of(one, other)));
+    resting.note(one, 3_000);
+    resting.note(other, 1_200);
+
+    assertThat(checks.whyNone(sound())).isEqualTo(new Objection(Cause.RESTING, 1_200));
+  }
+
   @Test
   void upstreamThatWarmsUpGetsItsShareAndNoMore() {
     ServingUpstream cold = upstream("konya", false, 3_000);
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamChoice.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamChoice.java
@@ -1,7 +1,6 @@
 package io.mothrill.daemon.forward;
 
 import io.mothrill.core.board.Section;
-import io.mothrill.core.forward.answer.RestingUpstreams;
 import io.mothrill.core.forward.answer.SelfReports;
 import io.mothrill.core.forward.check.SendChecks;
 import io.mothrill.core.forward.crash.UpstreamEnds;
@@ -18,6 +17,7 @@
 import io.mothrill.core.forward.upstream.PromptCost;
 import io.mothrill.core.forward.upstream.PromptMemory;
 import io.mothrill.core.forward.upstream.ReadingSpeed;
+import io.mothrill.core.forward.upstream.RestingUpstreams;
 import io.mothrill.core.forward.upstream.UpstreamFate;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.upstream.UpstreamLoads;
@@ -101,6 +101,7 @@
             settings.regionByDomain(),
             view.evacuatedDomains(),
             leaving,
+            resting,
             warmUps,
             limitPermits,
             timers);
