Upstreams of mothrill's own interface that ask for rest get nothing for that time

What callers would see: calls turned away by upstreams that had asked for rest, while it lasted. Cause: the same as on the forwarding path, found by looking for it elsewhere: Retry-After of an answer 'not run' was not read, and what followed was a preference of the choice for a constant time. Change: UpstreamFailure carries the rest, UpstreamState keeps it, ServiceQueue gives nothing to an upstream that rests and tells the earliest end when all do. Conclusion: one meaning on both paths; limits have no header on the own interface.

--- a/mothrill-core/src/main/java/io/mothrill/core/request/Exchange.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/Exchange.java
@@ -272,6 +272,9 @@
     } else {
       assignment.upstream().avoidUntil(parts.timers().nowMs() + parts.settings().avoidMs());
     }
+    failure
+        .restMs()
+        .ifPresent(restMs -> assignment.upstream().restUntil(parts.timers().nowMs() + restMs));
     mayHaveRun |= !failure.isNotRun();
     if (failure.kind() == Kind.BROKEN) {
       suspicion.onClosed(assignment.upstream().asServing());
--- a/mothrill-core/src/main/java/io/mothrill/core/routing/ServiceQueue.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/routing/ServiceQueue.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * The calls to one service that wait for a slot at one of its upstreams.
@@ -105,7 +106,7 @@
   /** Refuses at once what would wait in vain, so that the caller can try elsewhere. */
   private Optional<NoCapacityException> refusalOf(Ticket ticket) {
     if (staying(ticket).isEmpty()) {
-      return Optional.of(NoCapacityException.noUpstream(service, UNKNOWN_RETRY_MS));
+      return Optional.of(NoCapacityException.noUpstream(service, earliestReturnMs()));
     }
     long waitMs = estimatedWaitMs(ticket);
     return waitMs > maxWaitMs(ticket)
@@ -125,15 +126,28 @@
 
   /** When every upstream has failed the call once, all of them are tried again. */
   private List<UpstreamState> staying(Ticket ticket) {
+    long nowMs = timers.nowMs();
     List<UpstreamState> all =
-        upstreams.of(service).stream()
-            .filter(upstream -> !upstream.isLeaving() && !upstream.isEvacuated())
-            .toList();
+        present().filter(upstream -> upstream.restLeftMs(nowMs) == 0).toList();
     List<UpstreamState> untried =
         all.stream().filter(upstream -> !ticket.excluded().contains(upstream.name())).toList();
     return untried.isEmpty() ? all : untried;
   }
 
+  private Stream<UpstreamState> present() {
+    return upstreams.of(service).stream()
+        .filter(upstream -> !upstream.isLeaving() && !upstream.isEvacuated());
+  }
+
+  /** The earliest end of a rest, where upstreams are there that rest. */
+  private long earliestReturnMs() {
+    long nowMs = timers.nowMs();
+    return present()
+        .mapToLong(upstream -> upstream.restLeftMs(nowMs))
+        .min()
+        .orElse(UNKNOWN_RETRY_MS);
+  }
+
   private void expire(Waiting waiting) {
     boolean removed;
     long retryAfterMs;
--- a/mothrill-core/src/main/java/io/mothrill/core/routing/UpstreamState.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/routing/UpstreamState.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 
 /** One upstream as this instance sees it: exact counts of its own calls, and late reports. */
@@ -20,6 +21,7 @@
       new AtomicReference<>(Optional.empty());
   private final AtomicInteger ownAtReport = new AtomicInteger();
   private volatile long avoidUntilMs;
+  private final AtomicLong restUntilMs = new AtomicLong(Long.MIN_VALUE);
   private volatile boolean leaving;
   private volatile boolean evacuated;
 
@@ -171,6 +173,25 @@
     return leaving || spec().leaving();
   }
 
+  /**
+   * Gives the upstream nothing new for a time that it has asked for; a longer one stands.
+   *
+   * @param untilMs the time on the timer service
+   */
+  public void restUntil(long untilMs) {
+    restUntilMs.accumulateAndGet(untilMs, Math::max);
+  }
+
+  /**
+   * Says how much longer the upstream wants nothing new.
+   *
+   * @param nowMs the time
+   * @return milliseconds; 0 when it takes calls
+   */
+  public long restLeftMs(long nowMs) {
+    return restUntilMs.get() <= nowMs ? 0 : restUntilMs.get() - nowMs;
+  }
+
   /**
    * Keeps new calls away for a while after a failure.
    *
--- a/mothrill-core/src/main/java/io/mothrill/core/upstream/UpstreamFailure.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/upstream/UpstreamFailure.java
@@ -1,12 +1,25 @@
 package io.mothrill.core.upstream;
 
+import java.util.OptionalLong;
+
 /**
  * Why an answer did not come.
  *
  * @param kind what is known about the run
  * @param detail what happened, for the log
+ * @param restMs how long the upstream wants no calls of this instance, if it asks for that
  */
-public record UpstreamFailure(Kind kind, String detail) {
+public record UpstreamFailure(Kind kind, String detail, OptionalLong restMs) {
+
+  /**
+   * Creates a failure after which the upstream asks for no rest.
+   *
+   * @param kind what is known about the run
+   * @param detail what happened, for the log
+   */
+  public UpstreamFailure(Kind kind, String detail) {
+    this(kind, detail, OptionalLong.empty());
+  }
 
   /** What is known about a run that failed. */
   public enum Kind {
--- a/mothrill-core/src/test/java/io/mothrill/core/routing/ServiceQueueTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/routing/ServiceQueueTest.java
@@ -1,6 +1,7 @@
 package io.mothrill.core.routing;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.mothrill.core.board.Section;
 import io.mothrill.core.config.ConfigSnapshot;
@@ -8,11 +9,13 @@
 import io.mothrill.core.resource.Priority;
 import io.mothrill.core.resource.Resource;
 import io.mothrill.core.resource.UpstreamSpec;
+import io.mothrill.core.routing.error.NoCapacityException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import org.junit.jupiter.api.Test;
 
 class ServiceQueueTest {
@@ -111,4 +114,37 @@
     assertThat(running.isCompletedExceptionally()).isFalse();
     assertThat(waiting.isCompletedExceptionally()).isTrue();
   }
+
+  // An upstream turns a call away and asks for rest; the next call finds no other one.
+  @Test
+  void givesNothingToUpstreamThatRests() {
+    // GIVEN
+    declare(false);
+    Assignment refused = route("first", "a", Priority.URGENT).join();
+    refused.upstream().restUntil(timers.nowMs() + 3_000);
+    refused.release();
+    // WHEN
+    var next = route("next", "a", Priority.URGENT);
+    // THEN
+    assertThat(retryAfterMs(next)).isEqualTo(3_000);
+    timers.advanceMs(3_000);
+    assertThat(route("later", "a", Priority.URGENT).isDone()).isTrue();
+  }
+
+  @Test
+  void shorterRestDoesNotCutLongerOneShort() {
+    // GIVEN
+    declare(false);
+    UpstreamState upstream = route("first", "a", Priority.URGENT).join().upstream();
+    // WHEN
+    upstream.restUntil(timers.nowMs() + 3_000);
+    upstream.restUntil(timers.nowMs() + 500);
+    // THEN
+    assertThat(upstream.restLeftMs(timers.nowMs())).isEqualTo(3_000);
+  }
+
+  private static long retryAfterMs(CompletableFuture<Assignment> refused) {
+    CompletionException thrown = assertThrows(CompletionException.class, refused::join);
+    return ((NoCapacityException) thrown.getCause()).retryAfterMs();
+  }
 }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/upstream/HttpUpstreamClient.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/upstream/HttpUpstreamClient.java
@@ -9,6 +9,7 @@
 import io.mothrill.core.upstream.UpstreamFailure.Kind;
 import io.mothrill.core.upstream.UpstreamListener;
 import io.mothrill.wire.http.Address;
+import io.mothrill.wire.http.HeaderNumbers;
 import io.mothrill.wire.http.HttpCall;
 import io.mothrill.wire.http.HttpClient;
 import io.mothrill.wire.http.HttpSink;
@@ -89,9 +90,13 @@
         fail(Kind.BROKEN, "the answer belongs to request " + echoed);
         return false;
       }
+      boolean leaving = headers.contains(UpstreamHeaders.LEAVING, "true", true);
       if (headers.contains(UpstreamHeaders.NOT_RUN, "true", true)) {
-        boolean leaving = headers.contains(UpstreamHeaders.LEAVING, "true", true);
-        fail(leaving ? Kind.LEAVING : Kind.REFUSED, "refused with status " + head.status().code());
+        listener.onFailure(
+            new UpstreamFailure(
+                leaving ? Kind.LEAVING : Kind.REFUSED,
+                "refused with status " + head.status().code(),
+                HeaderNumbers.retryAfterMs(headers.get(HttpHeaderNames.RETRY_AFTER, ""))));
         return false;
       }
       listener.onHead(
