On mothrill's own interface, an upstream's leave counts in each answer, not only beside its load

What callers would see: calls sent to an upstream that had said in an answer that it leaves, and cut off at its end. Cause: the header was read in refusals, and otherwise only where the answer also told a load. Change: HttpUpstreamClient passes it on for any answer to the call. Evidence: by reading, as the same cause was looked for; the path is that of a refusal, which SaidLeavingTest's twin on this interface (ServiceQueueTest, leaving) covers from the mark on. No test sends such an answer over a socket yet. Conclusion: suspected and closed, not seen.

--- a/mothrill-core/src/main/java/io/mothrill/core/request/Attempt.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/Attempt.java
@@ -54,4 +54,9 @@
   public void onLoad(LoadReport report) {
     upstream.report(report);
   }
+
+  @Override
+  public void onLeaving() {
+    upstream.markLeaving();
+  }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/upstream/UpstreamListener.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/upstream/UpstreamListener.java
@@ -37,4 +37,7 @@
    * @param report the load
    */
   void onLoad(LoadReport report);
+
+  /** The upstream said beside an answer that it must get nothing new. */
+  void onLeaving();
 }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/upstream/HttpUpstreamClient.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/upstream/HttpUpstreamClient.java
@@ -99,6 +99,9 @@
                 HeaderNumbers.retryAfterMs(headers.get(HttpHeaderNames.RETRY_AFTER, ""))));
         return false;
       }
+      if (leaving) {
+        listener.onLeaving();
+      }
       listener.onHead(
           head.status().code(), headers.get(HttpHeaderNames.CONTENT_TYPE, "application/json"));
       return true;
