A limit outlasts an entry of the list that lapses while the store is silent

What callers would see: an upstream in need gets its full part of the requests again when its entry is back after an outage. Cause: limits, and what was sent under them, were forgotten with the entry, which lapses while the store is out of reach. Change: both are kept for a minute after the last word; the next process under the name is free of them at once. Evidence: NamedLimitsTest#limitOutlastsAnEntryThatLapses (found by reading; the removal before was by absence alone). Why it holds: an entry that is back is the same start of the process, and the limit is kept by that.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/limit/NamedLimits.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/limit/NamedLimits.java
@@ -50,6 +50,12 @@
 
   private static final long LEAST_RETRY_MS = 250;
 
+  /**
+   * An entry of the list can lapse while the store is out of reach, and be back as it was before:
+   * the limit is remembered for longer than such an outage.
+   */
+  private static final long KEPT_MS = 60_000;
+
   /** A limit may end at any time. */
   private static final long MAX_RETRY_MS = 4_000;
 
@@ -92,8 +98,15 @@
   }
 
   private void retain(UpstreamList newest) {
-    named.keySet().removeIf(incarnation -> !newest.containsIncarnation(incarnation));
-    toldMs.keySet().removeIf(incarnation -> !newest.containsIncarnation(incarnation));
+    long nowMs = timers.nowMs();
+    named
+        .entrySet()
+        .removeIf(
+            entry ->
+                newest.hasReplaced(entry.getKey())
+                    || !newest.containsIncarnation(entry.getKey())
+                        && nowMs - entry.getValue().heardMs() > KEPT_MS);
+    toldMs.keySet().retainAll(named.keySet());
   }
 
   /**
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/permit/SendPermits.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/permit/SendPermits.java
@@ -52,6 +52,9 @@
   /** Longer than an answer takes, and the way of its news. */
   private static final long ASK_STEP_MS = 2_000;
 
+  /** What was sent counts on when the entry of an upstream lapses and is back. */
+  private static final long KEPT_MS = 60_000;
+
   private final InstanceRecord self;
   private final FleetView fleet;
   private final Allowances allowances;
@@ -113,7 +116,11 @@
    * @param list those that are there
    */
   public void retain(UpstreamList list) {
-    windows.keySet().removeIf(incarnation -> !list.containsIncarnation(incarnation));
+    windows
+        .entrySet()
+        .removeIf(
+            entry ->
+                !list.containsIncarnation(entry.getKey()) && entry.getValue().isQuiet(KEPT_MS));
   }
 
   private Optional<Allowance> bounding(ServingUpstream upstream) {
@@ -191,6 +198,10 @@
     private long lastSentMs = Long.MIN_VALUE / 2;
     private long senderSinceMs = Long.MAX_VALUE / 2;
 
+    synchronized boolean isQuiet(long forMs) {
+      return timers.nowMs() - lastSentMs > forMs;
+    }
+
     synchronized boolean hasRoom(Part part) {
       long nowMs = timers.nowMs();
       while (!sentMs.isEmpty() && nowMs - sentMs.peekFirst() > part.windowMs()) {
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/limit/NamedLimitsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/limit/NamedLimitsTest.java
@@ -171,6 +171,28 @@
     assertThat(limits.limitedCount()).isEqualTo(0);
   }
 
+  // Entries lapse while the store is silent, and are back after it as they were.
+  @Test
+  void limitOutlastsAnEntryThatLapses() {
+    answer(timers.nowMs(), OptionalDouble.of(1));
+    timers.advanceMs(12_000);
+
+    list.publish(UpstreamList.empty());
+    list.publish(new UpstreamList(List.of(upstream)));
+
+    assertThat(limits.of(upstream)).isPresent();
+  }
+
+  @Test
+  void limitOfAnUpstreamThatHasGoneIsForgotten() {
+    answer(timers.nowMs(), OptionalDouble.of(1));
+    timers.advanceMs(60_001);
+
+    list.publish(UpstreamList.empty());
+
+    assertThat(limits.limitedCount()).isEqualTo(0);
+  }
+
   @Test
   void countsWhatAnUpstreamGetsSinceItNamedItsLimit() {
     limits.onSent(upstream);
