A limit that is large beside the fleet is shared by all instances alike

What callers would see: upstreams that always name a limit far above what they get. At a silent store no instance knows the fleet, so none would send them anything, and all of a service would be refused until the store is back; the same for four seconds when all begin to name one. Cause: the order of instances and the wait are there for limits of a few requests; they were used for any. Change: where half of the bound gives each instance eight requests in a window, each takes that part, without order, wait or a current list; the fleet counts as the largest number seen in a minute (FleetSize), and nothing is taken so before the list has been current once. Evidence: SendPermitsTest#silentStoreLeavesLargeLimitToAll and #nobodyWaitsUnderLargeLimit (sent nothing before). Conclusion: limits of a few requests are kept as before.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/permit/SendPermits.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/permit/SendPermits.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
 
@@ -23,6 +24,9 @@
  * fleets may for some seconds take several for the first. An instance that is cut off, or has just
  * started, does not know the fleet and sends nothing.
  *
+ * <p>A bound that is large beside the fleet is shared by all instances alike, also by those that
+ * are cut off.
+ *
  * <p>Upstreams say that they are bounded in answers only. So one that nobody has heard of for long
  * is sent a single request, by one instance after the other, until somebody has heard.
  *
@@ -43,6 +47,12 @@
   /** A successor that waits leaves only one that does not know yet that it has lapsed. */
   private static final int VIEWS_AFTER_WAIT = 2;
 
+  /**
+   * Requests in a window for each instance with which all of them share a bound alike: so large a
+   * bound needs no order, and holds as long as instances know half of the fleet.
+   */
+  private static final int LEAST_EQUAL_SHARE = 8;
+
   /** With less, an instance would often have no permit when its callers need one. */
   private static final int LEAST_SHARE = 4;
 
@@ -57,6 +67,7 @@
 
   private final InstanceRecord self;
   private final FleetView fleet;
+  private final FleetSize fleetSize;
   private final Allowances allowances;
   private final Timers timers;
   private final Map<String, Window> windows = new ConcurrentHashMap<>();
@@ -72,6 +83,7 @@
   public SendPermits(InstanceRecord self, FleetView fleet, Allowances allowances, Timers timers) {
     this.self = self;
     this.fleet = fleet;
+    this.fleetSize = new FleetSize(fleet, timers);
     this.allowances = allowances;
     this.timers = timers;
   }
@@ -132,6 +144,10 @@
   }
 
   private Part part(ServingUpstream upstream, Allowance bound) {
+    int equalShare = equalShare(bound);
+    if (equalShare >= LEAST_EQUAL_SHARE) {
+      return new Part(equalShare, bound.windowMs(), 0, Long.MAX_VALUE);
+    }
     return new Part(
         fleet.isCurrent() ? share(upstream, bound) : 0,
         bound.windowMs(),
@@ -139,6 +155,14 @@
         bound.ageMs() < ASK_AFTER_MS ? Long.MAX_VALUE : askAfterMs(upstream, bound));
   }
 
+  /** Sources whose senders need not wait are shared by order alone. */
+  private int equalShare(Allowance bound) {
+    OptionalInt count = fleetSize.count();
+    return bound.waitMs() == 0 || count.isEmpty()
+        ? 0
+        : bound.most() / VIEWS_AFTER_WAIT / count.getAsInt();
+  }
+
   private int share(ServingUpstream upstream, Allowance bound) {
     int quota = quota(bound);
     int senders = Math.max(1, Math.min(fleet.others().size() + 1, quota / LEAST_SHARE));
@@ -187,7 +211,7 @@
    *
    * @param most requests in any span of the window's length
    * @param windowMs the window
-   * @param waitMs how long it waits from when there is any such part
+   * @param waitMs how long it waits when there is such a part that was not there before
    * @param askAfterMs one request may be sent when the one before is so long ago
    */
   private record Part(int most, long windowMs, long waitMs, long askAfterMs) {}
@@ -212,8 +236,9 @@
     }
 
     private boolean hasWaited(Part part, long nowMs) {
-      senderSinceMs = part.most() == 0 ? Long.MAX_VALUE / 2 : Math.min(senderSinceMs, nowMs);
-      return nowMs - senderSinceMs >= part.waitMs();
+      boolean waits = part.most() > 0 && part.waitMs() > 0;
+      senderSinceMs = waits ? Math.min(senderSinceMs, nowMs) : Long.MAX_VALUE / 2;
+      return !waits || nowMs - senderSinceMs >= part.waitMs();
     }
 
     synchronized boolean tryTake(Part part) {
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/permit/SendPermitsTest.java
@@ -0,0 +1,158 @@
+package io.mothrill.core.forward.permit;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.forward.upstream.ServingUpstream;
+import io.mothrill.core.forward.upstream.UpstreamWord;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+class SendPermitsTest {
+
+  private static final long SPAN_MS = 4_000;
+  private static final long WAIT_MS = 4_000;
+  private static final int INSTANCES = 8;
+
+  private final ManualTimers timers = new ManualTimers();
+  private final ReadFleet fleet = new ReadFleet(timers);
+  private final ServingUpstream upstream =
+      new ServingUpstream(
+          "i-1",
+          "asistan",
+          "10.1.0.1",
+          80,
+          "domain-1",
+          16,
+          false,
+          OptionalLong.of(0),
+          new UpstreamWord(1, 1));
+  private int most = 4;
+  private long heardMs = timers.nowMs();
+
+  private record Sender(ReadFleet.Member member, SendPermits permits) {}
+
+  private List<Sender> start() {
+    List<ReadFleet.Member> members =
+        IntStream.range(0, INSTANCES)
+            .mapToObj(number -> fleet.start("edge-" + number, "domain-" + number % 4))
+            .toList();
+    fleet.settle();
+    return members.stream()
+        .map(
+            member ->
+                new Sender(member, new SendPermits(member.self(), member, allowances(), timers)))
+        .toList();
+  }
+
+  private Allowances allowances() {
+    return new Allowances() {
+      @Override
+      public Optional<Allowance> of(ServingUpstream asked) {
+        return Optional.of(new Allowance(most, SPAN_MS, timers.nowMs() - heardMs, WAIT_MS));
+      }
+
+      @Override
+      public long retryAfterMs(ServingUpstream asked) {
+        return 0;
+      }
+    };
+  }
+
+  private int takeAll(Sender sender) {
+    return (int)
+        IntStream.range(0, 5_000).filter(take -> sender.permits().tryTake(upstream)).count();
+  }
+
+  private int takeAll(List<Sender> senders) {
+    return senders.stream().mapToInt(this::takeAll).sum();
+  }
+
+  private Sender senderAmong(List<Sender> senders) {
+    return senders.stream()
+        .filter(sender -> sender.permits().hasPermit(upstream))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  @Test
+  void halfOfSmallLimitIsSentByOneInstanceOfTheDomain() {
+    List<Sender> senders = start();
+    takeAll(senders);
+    timers.advanceMs(WAIT_MS);
+    senders.forEach(one -> one.member().read());
+    Sender sender = senderAmong(senders);
+
+    assertThat(sender.member().self().domain()).isEqualTo(upstream.domain());
+    assertThat(takeAll(senders)).isEqualTo(2);
+    assertThat(sender.permits().hasPermit(upstream)).isFalse();
+  }
+
+  // A limit that is far above what callers want must not take the upstream away from most of them.
+  @Test
+  void largeLimitIsSharedByAllInstances() {
+    most = 2_000;
+
+    start().forEach(sender -> assertThat(takeAll(sender)).isAtLeast(40));
+  }
+
+  // All upstreams of a service name limits at the same time, far above what they get.
+  @Test
+  void nobodyWaitsUnderLargeLimit() {
+    most = 2_000;
+
+    assertThat(takeAll(start())).isEqualTo(1_000);
+  }
+
+  // The instance that sent has ended just after its last request.
+  @Test
+  void successorWaitsUntilWhatWasSentBeforeHasLeftTheSpan() {
+    List<Sender> senders = start();
+    takeAll(senders);
+    timers.advanceMs(WAIT_MS);
+    senders.forEach(one -> one.member().read());
+    Sender first = senderAmong(senders);
+    assertThat(takeAll(senders)).isEqualTo(2);
+    fleet.stop(first.member().self().id());
+    List<Sender> left = senders.stream().filter(sender -> sender != first).toList();
+    left.forEach(sender -> sender.member().read());
+
+    assertThat(takeAll(left)).isEqualTo(0);
+    timers.advanceMs(SPAN_MS - 1);
+    left.forEach(sender -> sender.member().read());
+    assertThat(takeAll(left)).isEqualTo(0);
+    timers.advanceMs(1);
+    assertThat(takeAll(left)).isEqualTo(2);
+  }
+
+  // Under a silent store nobody knows the fleet; a large limit must not end all service then.
+  @Test
+  void silentStoreLeavesLargeLimitToAll() {
+    most = 2_000;
+    List<Sender> senders = start();
+
+    timers.advanceMs(ReadFleet.currentMs(INSTANCES) + 1);
+
+    assertThat(takeAll(senders)).isEqualTo(1_000);
+  }
+
+  // Nobody sends under a limit of nothing, so no answer would ever tell that it is over.
+  @Test
+  void oneInstanceAfterTheOtherAsksWhenNobodyHasHeardForLong() {
+    most = 0;
+    List<Sender> senders = start();
+    assertThat(takeAll(senders)).isEqualTo(0);
+
+    timers.advanceMs(10_000);
+    assertThat(takeAll(senders)).isEqualTo(1);
+    timers.advanceMs(2_000);
+    assertThat(takeAll(senders)).isEqualTo(1);
+
+    heardMs = timers.nowMs();
+    timers.advanceMs(9_999);
+    assertThat(takeAll(senders)).isEqualTo(0);
+  }
+}
