Reports of limits that come and go stay within the bound for reports

What others would get: two datagrams to each instance for each answer without a limit, of an upstream that names one in every other answer; ends were told outside the bound of 20 reports a second. Cause: only limits asked ReportRate, and an end forgot when the limit had been told last (found by reading). Change: both ask it. Test data for one start of an upstream stands in one place (TestUpstreams). Conclusion: an end that is not told so is found out by asking.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/limit/NamedLimits.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/limit/NamedLimits.java
@@ -188,8 +188,14 @@
   private void tellLimit(LimitReport report, long pauseMs) {
     long nowMs = timers.nowMs();
     Long before = toldMs.get(report.incarnation());
-    if ((before == null || nowMs - before >= pauseMs) && rate.tryReport(nowMs)) {
+    if (before == null || nowMs - before >= pauseMs) {
       toldMs.put(report.incarnation(), nowMs);
+      tell(report);
+    }
+  }
+
+  private void tell(LimitReport report) {
+    if (rate.tryReport(timers.nowMs())) {
       reports.send(report, others.get());
     }
   }
@@ -197,13 +203,12 @@
   /** Tells twice, as whoever misses it leaves the upstream alone until somebody asks it. */
   private void tellEnd(String incarnation) {
     LimitReport ended = new LimitReport(incarnation, OptionalDouble.empty());
-    toldMs.remove(incarnation);
-    reports.send(ended, others.get());
+    tell(ended);
     timers.after(
         TELL_END_AGAIN_MS,
         () -> {
           if (!named.containsKey(incarnation)) {
-            reports.send(ended, others.get());
+            tell(ended);
           }
         });
   }
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/limit/NamedLimitsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/limit/NamedLimitsTest.java
@@ -6,37 +6,23 @@
 import io.mothrill.core.fake.ManualTimers;
 import io.mothrill.core.forward.permit.Allowance;
 import io.mothrill.core.forward.upstream.ServingUpstream;
+import io.mothrill.core.forward.upstream.TestUpstreams;
 import io.mothrill.core.forward.upstream.UpstreamList;
-import io.mothrill.core.forward.upstream.UpstreamWord;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 
 class NamedLimitsTest {
 
   private final ManualTimers timers = new ManualTimers();
-  private final ServingUpstream upstream = upstream("i-1", 1);
+  private final ServingUpstream upstream = TestUpstreams.started("i-1", "konya", 1);
   private final Section<UpstreamList> list = new Section<>(new UpstreamList(List.of(upstream)));
   private final List<LimitReport> told = new ArrayList<>();
   private final NamedLimits limits =
       new NamedLimits(List::of, (report, to) -> told.add(report), list, timers);
 
-  private static ServingUpstream upstream(String id, long startedMs) {
-    return new ServingUpstream(
-        id,
-        "asistan",
-        "10.0.0.1",
-        80,
-        "konya",
-        16,
-        false,
-        OptionalLong.of(0),
-        new UpstreamWord(startedMs, 1));
-  }
-
   private void answer(long sentMs, OptionalDouble limitPerS) {
     limits.onAnswer(upstream, sentMs, limitPerS);
   }
@@ -130,6 +116,18 @@
     assertThat(told).hasSize(2);
   }
 
+  // An upstream names a limit in every other answer.
+  @Test
+  void limitThatComesAndGoesIsToldWithinBounds() {
+    for (int answers = 0; answers < 900; answers++) {
+      answer(timers.nowMs(), OptionalDouble.of(1));
+      timers.advanceMs(1);
+      answer(timers.nowMs(), OptionalDouble.empty());
+    }
+
+    assertThat(told.size()).isAtMost(20);
+  }
+
   @Test
   void limitThatOthersHaveHeardOfHoldsHereToo() {
     limits.onHeard(naming(1));
@@ -208,7 +206,7 @@
   void limitEndsWithTheProcessThatNamedIt() {
     answer(timers.nowMs(), OptionalDouble.of(1));
 
-    list.publish(new UpstreamList(List.of(upstream("i-1", 2))));
+    list.publish(new UpstreamList(List.of(TestUpstreams.started("i-1", "konya", 2))));
 
     assertThat(limits.limitedCount()).isEqualTo(0);
   }
