The passing on of a stream's events is a class of its own

Change: EventRelay passes events on, each once and in order, and starts the caller's stream; no decision changes.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -73,6 +73,7 @@
   private HttpResponse answer;
   private ByteBuf whole;
   private EventSplitter splitter;
+  private EventRelay relay;
 
   ForwardAttempt(
       ForwardWork work, ForwardProgress progress, Owner owner, ServingUpstream upstream) {
@@ -240,6 +241,7 @@
     boolean streams = work.route().kind().isStream() && status < FIRST_ERROR;
     if (streams) {
       splitter = new EventSplitter();
+      relay = new EventRelay(work, progress, answer);
     } else {
       whole = Unpooled.buffer();
     }
@@ -288,26 +290,7 @@
       parts.speed().onRead(promptTokens, silence.heardMs() - sentMs);
     }
     notePromptRead();
-    if (event.id().isPresent() && progress.lastEventId.isPresent()) {
-      long expected = progress.lastEventId.getAsLong() + 1;
-      if (event.id().getAsLong() < expected) {
-        return;
-      }
-      if (event.id().getAsLong() > expected) {
-        onBroken(BreakCause.GARBLED, "event " + event.id().getAsLong() + " instead of " + expected);
-        return;
-      }
-    }
-    if (!progress.streamStarted) {
-      progress.streamStarted = true;
-      progress.firstMs = work.elapsedMs();
-      work.reply().startStream(answer.status(), parts.dialect().toCaller(answer.headers()));
-    }
-    if (event.id().isPresent()) {
-      progress.lastEventId = event.id();
-      progress.eventCount++;
-    }
-    work.reply().sendPart(event.bytes());
+    relay.pass(event).ifPresent(detail -> onBroken(BreakCause.GARBLED, detail));
   }
 
   @Override
@@ -337,9 +320,7 @@
     load.onSuccess();
     noteGoodRun();
     finish();
-    if (!progress.streamStarted) {
-      work.reply().startStream(answer.status(), parts.dialect().toCaller(answer.headers()));
-    }
+    relay.begin();
     owner.end("served", answer.status().code());
     work.reply().endStream();
   }
