--- a/mothrill-core/src/test/java/io/mothrill/core/forward/limit/LimitWorld.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/limit/LimitWorld.java
@@ -5,13 +5,12 @@
 import io.mothrill.core.forward.permit.ReadFleet;
 import io.mothrill.core.forward.permit.SendPermits;
 import io.mothrill.core.forward.upstream.ServingUpstream;
+import io.mothrill.core.forward.upstream.TestUpstreams;
 import io.mothrill.core.forward.upstream.UpstreamList;
-import io.mothrill.core.forward.upstream.UpstreamWord;
 import io.mothrill.core.platform.InstanceRecord;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
-import java.util.OptionalLong;
 import java.util.Random;
 import java.util.TreeMap;
 
@@ -33,17 +32,7 @@
   private final Random random;
   private final ReadFleet fleet;
   private final Map<String, Instance> living = new TreeMap<>();
-  private final ServingUpstream upstream =
-      new ServingUpstream(
-          "i-1",
-          "asistan",
-          "10.1.0.1",
-          80,
-          "domain-1",
-          16,
-          false,
-          OptionalLong.of(0),
-          new UpstreamWord(1, 1));
+  private final ServingUpstream upstream = TestUpstreams.started("i-1", "domain-1", 1);
   private Saying saying = new Saying(0, OptionalDouble.empty());
 
   /** What the upstream names from some moment on. */
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/permit/SendPermitsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/permit/SendPermitsTest.java
@@ -4,10 +4,9 @@
 
 import io.mothrill.core.fake.ManualTimers;
 import io.mothrill.core.forward.upstream.ServingUpstream;
-import io.mothrill.core.forward.upstream.UpstreamWord;
+import io.mothrill.core.forward.upstream.TestUpstreams;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
@@ -19,17 +18,7 @@
 
   private final ManualTimers timers = new ManualTimers();
   private final ReadFleet fleet = new ReadFleet(timers);
-  private final ServingUpstream upstream =
-      new ServingUpstream(
-          "i-1",
-          "asistan",
-          "10.1.0.1",
-          80,
-          "domain-1",
-          16,
-          false,
-          OptionalLong.of(0),
-          new UpstreamWord(1, 1));
+  private final ServingUpstream upstream = TestUpstreams.started("i-1", "domain-1", 1);
   private int most = 4;
   private long heardMs = timers.nowMs();
 
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/LeavingUpstreamsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/LeavingUpstreamsTest.java
@@ -4,7 +4,6 @@
 
 import io.mothrill.core.fake.ManualTimers;
 import java.util.List;
-import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 
 class LeavingUpstreamsTest {
@@ -13,16 +12,7 @@
   private final LeavingUpstreams leaving = new LeavingUpstreams(timers);
 
   private static ServingUpstream startedAt(long startedMs) {
-    return new ServingUpstream(
-        "i-1",
-        "asistan",
-        "10.0.0.1",
-        80,
-        "konya",
-        16,
-        false,
-        OptionalLong.of(0),
-        new UpstreamWord(startedMs, 1));
+    return TestUpstreams.started("i-1", "konya", startedMs);
   }
 
   // Its entry lapses while the store is silent, and is back as ready before the leave is written.
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/RestingUpstreamsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/upstream/RestingUpstreamsTest.java
@@ -4,7 +4,6 @@
 
 import io.mothrill.core.fake.ManualTimers;
 import java.util.List;
-import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 
 class RestingUpstreamsTest {
@@ -14,16 +13,7 @@
   private final ServingUpstream upstream = startedAt(1);
 
   private static ServingUpstream startedAt(long startedMs) {
-    return new ServingUpstream(
-        "i-1",
-        "asistan",
-        "10.0.0.1",
-        80,
-        "konya",
-        16,
-        false,
-        OptionalLong.of(0),
-        new UpstreamWord(startedMs, 1));
+    return TestUpstreams.started("i-1", "konya", startedMs);
   }
 
   @Test
