--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/load/package-info.java
@@ -0,0 +1,2 @@
+/** Determines for which services decisions under load are active. */
+package io.mothrill.core.forward.load;
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/plan/Route.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/plan/Route.java
@@ -1,6 +1,7 @@
 package io.mothrill.core.forward.plan;
 
 import java.util.List;
+import java.util.OptionalLong;
 
 /**
  * A route: the requests it matches, their target services and their time limits.
@@ -12,6 +13,8 @@
  * @param targets the target services with their weights
  * @param timeoutMs the maximum time a caller waits
  * @param targetLatencyMs the target time to the answer, or to the first event of a stream
+ * @param maxPauseMs the longest pause between events of a stream that is still on time; empty if
+ *     not declared
  * @param priority the priority; 0 is the most urgent
  * @param maxAttempts the maximum number of upstreams at which one request may run
  * @param regionRestriction the regions in which its requests may be processed
@@ -25,6 +28,7 @@
     List<WeightedService> targets,
     long timeoutMs,
     long targetLatencyMs,
+    OptionalLong maxPauseMs,
     int priority,
     int maxAttempts,
     RegionRestriction regionRestriction,
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/plan/ForwardingPlanRoutesTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/plan/ForwardingPlanRoutesTest.java
@@ -18,6 +18,7 @@
         List.of(targets),
         1_000,
         300,
+        OptionalLong.empty(),
         1,
         2,
         RegionRestriction.unrestricted(),
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -5,6 +5,7 @@
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.crash.CrashMessage;
 import io.mothrill.core.forward.limit.RateLimitReport;
+import io.mothrill.core.forward.load.LoadFeatures;
 import io.mothrill.core.forward.permit.FleetView;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.retry.SharedRetryBudget;
@@ -124,6 +125,7 @@
             random,
             peers,
             dispatcher);
+    LoadFeatures loadFeatures = LoadFeatures.of(settings.underPressure());
     this.readiness = new Readiness(plan, upstreams, spending, timers);
     dispatcher.on(
         PeerMessage.Heartbeat.class,
@@ -186,6 +188,7 @@
             choice.statusBroadcast(),
             choice.selfReports(),
             reach::onMessageFromDomain,
+            loadFeatures,
             timers,
             ports.work(),
             random);
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardSettings.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardSettings.java
@@ -22,6 +22,8 @@
  * @param view how plan and upstreams are polled
  * @param retries the limits of retries
  * @param warmUp how far the load on warming upstreams may exceed their capacity
+ * @param underPressure whether callers may demand more than there is room for, so that decisions
+ *     under load are active for all services
  * @param drainTimeoutMs how long requests may continue after the termination signal
  */
 public record ForwardSettings(
@@ -38,6 +40,7 @@
     ViewSettings view,
     RetryBounds retries,
     WarmUpBounds warmUp,
+    boolean underPressure,
     long drainTimeoutMs) {
 
   /** Copies the regions. */
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -291,6 +291,9 @@
           metadata.queuedCount().orElse(0),
           idleTimer.lastReceivedMs());
     }
+    if (metadata.slowdown().isPresent()) {
+      dependencies.loadFeatures().onContentionAnnounced(upstream.service());
+    }
     dependencies.selfReports().onAnswer(upstream, sentMs, metadata.selfReport());
   }
 
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
@@ -4,6 +4,7 @@
 import io.mothrill.core.forward.answer.SelfReportDispatcher;
 import io.mothrill.core.forward.check.SendChecks;
 import io.mothrill.core.forward.crash.CrashGuard;
+import io.mothrill.core.forward.load.LoadFeatures;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.retry.SharedRetryBudget;
 import io.mothrill.core.forward.spending.SpendingController;
@@ -38,6 +39,7 @@
  * @param statusBroadcast receives status changes of upstreams that were detected here
  * @param selfReports receives what upstreams report about themselves in responses
  * @param domainContacts receives the failure domain of each upstream from which data arrives
+ * @param loadFeatures determines where decisions under load are active
  * @param timers the clock and timers
  * @param workStats counts the work of connections
  * @param random selects among the services of a split route
@@ -59,6 +61,7 @@
     UpstreamStatusBroadcast statusBroadcast,
     SelfReportDispatcher selfReports,
     Consumer<String> domainContacts,
+    LoadFeatures loadFeatures,
     Timers timers,
     WorkStats workStats,
     RandomGenerator random) {}
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ResponseMetadata.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ResponseMetadata.java
@@ -2,6 +2,7 @@
 
 import io.mothrill.core.forward.answer.SelfReport;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 
 /**
@@ -11,6 +12,8 @@
  * @param notRun true when the upstream states that it did not run the request
  * @param runningCount number of requests running at the upstream, if stated
  * @param queuedCount number of requests queued at the upstream, if stated
+ * @param slowdown how much longer work takes on the upstream's machine now than usual, as a factor,
+ *     if stated
  * @param keepAliveMs how long the upstream keeps an idle connection open, if stated
  * @param selfReport what the upstream reports about its own state
  */
@@ -19,5 +22,6 @@
     boolean notRun,
     OptionalInt runningCount,
     OptionalInt queuedCount,
+    OptionalDouble slowdown,
     OptionalInt keepAliveMs,
     SelfReport selfReport) {}
