--- a/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardRefusal.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardRefusal.java
@@ -48,6 +48,8 @@
     SENT_TOO_SLOWLY(408),
     /** Too many bytes of requests are queued; the request has not run. */
     OUT_OF_MEMORY(503),
+    /** This instance cannot start the request in time; the request has not run. */
+    OVERLOADED(503),
     /** This instance is shutting down; the request has not run. */
     LEAVING(503),
     /** Upstreams crashed under requests identical to this one; the request has not run. */
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -38,6 +38,7 @@
 
   void registerServer(ForwardServer edge) {
     metrics.gauge("edge.underWayCount", () -> edge::inFlightCount);
+    metrics.gauge("edge.waitingToStartCount", () -> edge::waitingToStartCount);
     metrics.gauge("edge.connectionCount", () -> edge::connectionCount);
   }
 
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/CallerConnection.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/CallerConnection.java
@@ -41,6 +41,7 @@
 
   private final ForwardDependencies dependencies;
   private final UpstreamPool pool;
+  private final RequestStarter starter;
   private final ForwardServerState serverState;
   private final Deque<HttpObject> pipelined = new ArrayDeque<>();
   private ChannelHandlerContext context;
@@ -55,9 +56,13 @@
   private boolean headStarted;
 
   CallerConnection(
-      ForwardDependencies dependencies, UpstreamPool pool, ForwardServerState serverState) {
+      ForwardDependencies dependencies,
+      UpstreamPool pool,
+      RequestStarter starter,
+      ForwardServerState serverState) {
     this.dependencies = dependencies;
     this.pool = pool;
+    this.starter = starter;
     this.serverState = serverState;
   }
 
@@ -168,7 +173,15 @@
     exchange =
         new ForwardExchange(
             new ReceivedRequest(
-                dependencies, pool, context.channel().eventLoop(), this, head, call, body, headMs));
+                dependencies,
+                pool,
+                starter,
+                context.channel().eventLoop(),
+                this,
+                head,
+                call,
+                body,
+                headMs));
     serverState.onRequestStarted();
     exchange.start();
   }
@@ -261,6 +274,11 @@
     onResponseEnd(false);
   }
 
+  @Override
+  public boolean isConnected() {
+    return context.channel().isActive();
+  }
+
   @Override
   public boolean isWritable() {
     return context.channel().isWritable();
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/CallerResponse.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/CallerResponse.java
@@ -25,6 +25,9 @@
   /** Aborts the response, so that the caller can tell that it is incomplete. */
   void abort();
 
+  /** Checks whether the caller is still connected. */
+  boolean isConnected();
+
   /** Checks whether the caller reads fast enough. */
   boolean isWritable();
 }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -172,6 +172,15 @@
       connected.close();
       return;
     }
+    if (!admitted.response().isConnected()) {
+      finished = true;
+      connected.close();
+      return;
+    }
+    if (!connected.isActive()) {
+      onClosedBeforeSending();
+      return;
+    }
     if (!owner.mayBeSentTo(upstream)) {
       finished = true;
       connected.close();
@@ -205,6 +214,17 @@
     idleTimer.start();
   }
 
+  /**
+   * Handles an upstream that has closed the connection before the request was written, for example
+   * because it has too many.
+   */
+  private void onClosedBeforeSending() {
+    finished = true;
+    load.avoidFor(dependencies.timers().nowMs(), FULL_AVOID_MS);
+    recordFailure("connection closed before the request was sent");
+    owner.tryNextUpstream();
+  }
+
   private static long idleTimeoutMs(AdmittedRequest admitted) {
     return Math.max(MIN_IDLE_TIMEOUT_MS, IDLE_TIMEOUT_TARGETS * admitted.route().targetLatencyMs());
   }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
@@ -32,7 +32,7 @@
  * request is retried only if its upstream reported that it was not run, or if it may run more than
  * once.
  */
-final class ForwardExchange implements ForwardAttempt.Owner {
+final class ForwardExchange implements ForwardAttempt.Owner, RequestStarter.Request {
 
   /** Maximum number of upstreams tried for one request, including those that did not run it. */
   private static final int MAX_ATTEMPTS = 3;
@@ -78,7 +78,7 @@
    */
   void start() {
     if (dependencies.initialStateLoaded().isDone()) {
-      admitAndSend();
+      received.starter().submit(this);
       return;
     }
     CompletableFuture<Void> ready = new CompletableFuture<>();
@@ -91,10 +91,45 @@
     if (!ended) {
       deadlineTimer.cancel();
       plan = dependencies.plan().read();
-      admitAndSend();
+      received.starter().submit(this);
     }
   }
 
+  @Override
+  public boolean isCallerConnected() {
+    return !ended && received.response().isConnected();
+  }
+
+  @Override
+  public long receivedMs() {
+    return received.startMs();
+  }
+
+  @Override
+  public Terms startTerms() {
+    Optional<Route> route = plan.findRoute(received.call().host(), received.call().path());
+    int routePriority = route.map(Route::priority).orElse(0);
+    int urgency =
+        received
+            .call()
+            .key()
+            .flatMap(plan::findTeamByKey)
+            .map(team -> team.priority().orElse(routePriority))
+            .orElse(routePriority);
+    return new Terms(urgency, received.deadlineMs(route.map(Route::timeoutMs)));
+  }
+
+  @Override
+  public void startNow() {
+    plan = dependencies.plan().read();
+    admitAndSend();
+  }
+
+  @Override
+  public void rejectOverloaded(long retryAfterMs) {
+    refuse(ForwardRefusal.retryAfter(Cause.OVERLOADED, retryAfterMs));
+  }
+
   private void admitAndSend() {
     Optional<ForwardRefusal> refusal = admit();
     if (refusal.isPresent()) {
@@ -158,8 +193,7 @@
             route,
             route.selectService(dependencies.random().nextDouble()),
             needsKey ? team : Optional.empty(),
-            received.startMs()
-                + Math.min(route.timeoutMs(), received.call().deadlineMs().orElse(Long.MAX_VALUE)));
+            received.deadlineMs(Optional.of(route.timeoutMs())));
     return needsKey && team.isEmpty()
         ? Optional.of(ForwardRefusal.of(Cause.UNKNOWN_KEY))
         : Optional.empty();
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardServer.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardServer.java
@@ -4,6 +4,7 @@
 import io.mothrill.core.work.WorkKind;
 import io.mothrill.wire.work.WorkMeter;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -11,6 +12,8 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -31,9 +34,19 @@
   private static final int MAX_LINE_BYTES = 8_192;
   private static final long IDLE_CHECK_INTERVAL_MS = 500;
 
+  /**
+   * Maximum number of connections accepted at a time. A process that has just started finds its
+   * accept queue full; accepting a few at a time, it would read the last of them seconds later.
+   */
+  private static final int MAX_ACCEPTS_PER_TURN = 256;
+
+  /** Maximum number of reads from one caller at a time, so that a long body holds up no others. */
+  private static final int MAX_READS_PER_TURN = 16;
+
   private final ForwardDependencies dependencies;
   private final ForwardServerState state;
   private final Map<EventLoop, UpstreamPool> pools = new ConcurrentHashMap<>();
+  private final Map<EventLoop, RequestStarter> starters = new ConcurrentHashMap<>();
   private final Channel listener;
 
   /**
@@ -57,7 +70,11 @@
         new ServerBootstrap()
             .group(group)
             .channelFactory(() -> new NioServerSocketChannel(socket.channel()))
+            .option(
+                ChannelOption.RECVBUF_ALLOCATOR,
+                new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(MAX_ACCEPTS_PER_TURN))
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, readingUntilEmpty())
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
@@ -70,6 +87,16 @@
             .channel();
   }
 
+  /**
+   * Reads a caller's socket until it is empty, so that a close behind a request is known together
+   * with the request.
+   */
+  private static RecvByteBufAllocator readingUntilEmpty() {
+    return new AdaptiveRecvByteBufAllocator()
+        .respectMaybeMoreData(false)
+        .maxMessagesPerRead(MAX_READS_PER_TURN);
+  }
+
   private void initCaller(SocketChannel channel) {
     UpstreamPool pool =
         pools.computeIfAbsent(
@@ -77,7 +104,10 @@
             loop ->
                 new UpstreamPool(
                     loop, dependencies.dialect(), dependencies.timers(), dependencies.workStats()));
-    CallerConnection connection = new CallerConnection(dependencies, pool, state);
+    RequestStarter starter =
+        starters.computeIfAbsent(
+            channel.eventLoop(), loop -> new RequestStarter(loop, dependencies.timers()));
+    CallerConnection connection = new CallerConnection(dependencies, pool, starter, state);
     int headerBytes = dependencies.plan().read().bounds().headerBytes();
     channel
         .pipeline()
@@ -144,6 +174,15 @@
     return state.inFlightCount();
   }
 
+  /**
+   * Returns the number of received requests that wait to be started.
+   *
+   * @return a count
+   */
+  public int waitingToStartCount() {
+    return starters.values().stream().mapToInt(RequestStarter::waitingCount).sum();
+  }
+
   /**
    * Returns the number of open caller connections.
    *
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
@@ -80,6 +80,10 @@
     return context.channel().isActive() && nowMs - idleSinceMs < keepAliveMs * keepAliveShare;
   }
 
+  boolean isActive() {
+    return context.channel().isActive();
+  }
+
   void close() {
     context.close();
   }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamPool.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamPool.java
@@ -112,7 +112,8 @@
         .addListener(
             (ChannelFuture connected) -> {
               if (connected.isSuccess()) {
-                onConnected.accept(connection);
+                // Runs after the reads of this turn, in which the caller's close may be found.
+                loop.execute(() -> onConnected.accept(connection));
               } else {
                 onFailed.accept(connected.cause());
               }
