Prompt pools: prefill time model, classes, engine pools and cost of the first event

Two in three of the late short prompts overlapped with a prompt of more than 8,000 tokens: long and short prompts shared all engines, and the prefill speed was taken as the highest observed.

Where LoadFeatures.isActive, prompts are now selected by FirstEventCost in place of PromptCost. It counts in ms: a model of prefill times by length, the backlog of each engine, and the class of the prompt, for which EnginePools reserves engines of each failure domain. Other services are served as before; PromptCost and PrefillSpeed are unchanged.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/plan/ForwardingPlan.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/plan/ForwardingPlan.java
@@ -97,6 +97,15 @@
     return version;
   }
 
+  /**
+   * Returns all routes.
+   *
+   * @return the routes, in no particular order
+   */
+  public List<Route> routes() {
+    return routesByHost.values().stream().flatMap(List::stream).toList();
+  }
+
   /**
    * Finds the route of a request: the one with the longest matching prefix for its host.
    *
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/SentPrompt.java
@@ -0,0 +1,25 @@
+package io.mothrill.core.forward.prompt;
+
+/** A prompt that an engine reads; receives how that goes on. */
+public interface SentPrompt {
+
+  /** For requests that are not tracked. */
+  SentPrompt UNTRACKED =
+      new SentPrompt() {
+        @Override
+        public void onFirstEvent(long tookMs) {}
+
+        @Override
+        public void onPrefillDone() {}
+      };
+
+  /**
+   * Called when the first event has arrived.
+   *
+   * @param tookMs the time from sending to the first event
+   */
+  void onFirstEvent(long tookMs);
+
+  /** Called once when the engine no longer reads the prompt, whether it has read it or not. */
+  void onPrefillDone();
+}
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/request/Prompt.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/request/Prompt.java
@@ -34,6 +34,15 @@
     return inputTokens + maxOutputTokens;
   }
 
+  /**
+   * Checks whether requests may share a prefix of this prompt.
+   *
+   * @return false if it consists of a single part
+   */
+  public boolean hasSharedPrefix() {
+    return parts.size() > 1;
+  }
+
   /**
    * Returns the id of the prefix that requests of one session or subject share.
    *
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/PrefixCacheEstimator.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/PrefixCacheEstimator.java
@@ -114,6 +114,19 @@
         : prompt.inputTokens();
   }
 
+  /**
+   * Checks whether {@link #uncachedTokens(Prompt, String, long)} is known rather than an upper
+   * bound.
+   *
+   * @param prompt the prompt
+   * @param incarnation the incarnation of the upstream
+   * @param nowMs the current time
+   * @return true if this instance has recently sent the prefix there, or if the prompt has none
+   */
+  public boolean isUncachedPartKnown(Prompt prompt, String incarnation, long nowMs) {
+    return !prompt.hasSharedPrefix() || wasSent(prompt, incarnation, nowMs);
+  }
+
   private static double cachedShare(String upstreamId, PreferredUpstreams preferred) {
     if (upstreamId.equals(preferred.first())) {
       return FIRST_CACHED_SHARE;
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamLoad.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamLoad.java
@@ -22,6 +22,7 @@
 
   private final AtomicInteger inFlightCount = new AtomicInteger();
   private final AtomicLong pendingPrefillTokens = new AtomicLong();
+  private final PrefillBacklog prefillBacklog = new PrefillBacklog();
   private final AtomicInteger failureStreak = new AtomicInteger();
   private volatile long avoidUntilMs = Long.MIN_VALUE;
   private volatile LoadReport report = new LoadReport(0, 0, Long.MIN_VALUE / 2);
@@ -70,6 +71,15 @@
         new PromptBacklog(promptBacklog.remainingAt(nowMs, tokensPerMs) + promptTokens, nowMs);
   }
 
+  /**
+   * Returns the backlog in ms, which is counted only where decisions under load are active.
+   *
+   * @return the backlog
+   */
+  public PrefillBacklog prefillBacklog() {
+    return prefillBacklog;
+  }
+
   /**
    * Registers a listener for the replacement of this process by another one.
    *
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -5,6 +5,8 @@
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.plan.TeamPlan;
+import io.mothrill.core.forward.prompt.EnginePools;
+import io.mothrill.core.forward.prompt.PromptClass;
 import io.mothrill.core.forward.spending.SpendingController;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.view.StatePoller;
@@ -91,6 +93,14 @@
     metrics.gauge("crashes.droppedCount", () -> () -> crashes.counts().dropped());
   }
 
+  /** Registers gauges for the division of engines among short and long prompts. */
+  void registerPromptPools(EnginePools pools) {
+    metrics.gauge("load.shortPoolCount", () -> () -> pools.engineCount(PromptClass.SHORT));
+    metrics.gauge("load.longPoolCount", () -> () -> pools.engineCount(PromptClass.LONG));
+    metrics.gauge("load.bulkPoolCount", () -> () -> pools.engineCount(PromptClass.BULK));
+    metrics.gauge("load.poolChangeCount", () -> pools::changeCount);
+  }
+
   /** Registers gauges for the work of the event loops and the CPU time of the threads. */
   void registerWork(WorkStats work) {
     Arrays.stream(WorkKind.values()).forEach(kind -> registerWork("work." + kind, kind, work));
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -135,6 +135,7 @@
         new UpstreamSelection(
             self,
             settings,
+            loadFeatures,
             new UpstreamSelection.View(plan, evacuatedDomains, upstreams),
             fleetView(),
             this::sendStatusReport,
@@ -181,6 +182,7 @@
             choice.memory(),
             choice.speed(),
             notices,
+            choice.prompts().tracker(),
             spending,
             new SharedRetryBudget(settings.retries(), spending::instanceCount, timers),
             new RequestLog(metrics, timers),
@@ -210,6 +212,7 @@
     gauges.registerSpending(plan, spending);
     gauges.registerCrashes(crashes);
     gauges.registerUpstreams(evacuatedDomains, choice);
+    gauges.registerPromptPools(choice.prompts().pools());
     gauges.registerLog();
     gauges.registerWork(ports.work());
     timers.every(PRUNE_INTERVAL_MS, () -> choice.loads().retain(upstreams.read()));
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamSelection.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamSelection.java
@@ -6,11 +6,14 @@
 import io.mothrill.core.forward.crash.TerminationProbe;
 import io.mothrill.core.forward.limit.AnnouncedRateLimits;
 import io.mothrill.core.forward.limit.RateLimitReportSender;
+import io.mothrill.core.forward.load.LoadFeatures;
+import io.mothrill.core.forward.load.SwitchedCost;
 import io.mothrill.core.forward.permit.FleetView;
 import io.mothrill.core.forward.permit.SendPermits;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.plan.ServicePlan;
 import io.mothrill.core.forward.plan.WarmUpPlan;
+import io.mothrill.core.forward.prompt.UpstreamCondition;
 import io.mothrill.core.forward.upstream.LeavingUpstreams;
 import io.mothrill.core.forward.upstream.PlainCost;
 import io.mothrill.core.forward.upstream.PrefillSpeed;
@@ -46,6 +49,7 @@
   private final SelfReportDispatcher selfReports;
   private final UpstreamStatusBroadcast statusBroadcast;
   private final SendChecks checks;
+  private final PromptSelection prompts;
   private final UpstreamPicker picker;
 
   /**
@@ -68,6 +72,7 @@
   UpstreamSelection(
       InstanceRecord self,
       ForwardSettings settings,
+      LoadFeatures features,
       View view,
       FleetView fleet,
       UpstreamStatusReportSender reports,
@@ -105,12 +110,24 @@
             warmUps,
             limitPermits,
             timers);
+    this.prompts =
+        new PromptSelection(
+            settings.domain(),
+            features,
+            view,
+            fleet,
+            loads,
+            memory,
+            UpstreamCondition.neutral(),
+            timers,
+            random);
     this.picker =
         new UpstreamPicker(
             view.upstreams(),
             loads,
             new PlainCost(settings.domain(), loads, random),
-            new PromptCost(settings.domain(), loads, memory, speed),
+            new SwitchedCost(
+                features, prompts.cost(), new PromptCost(settings.domain(), loads, memory, speed)),
             checks,
             warming::isWarming,
             reachedDomains,
@@ -120,6 +137,7 @@
   /** Records a prompt that another instance has sent to an upstream. */
   void onNotice(String incarnation, long promptTokens) {
     loads.of(incarnation).onPromptNotice(promptTokens, speed.tokensPerMs(), timers.nowMs());
+    prompts.tracker().onNotice(incarnation, promptTokens);
   }
 
   /** Wraps a probe so that terminated upstreams are reported to all instances. */
@@ -175,6 +193,10 @@
     return checks;
   }
 
+  PromptSelection prompts() {
+    return prompts;
+  }
+
   UpstreamPicker picker() {
     return picker;
   }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -1,6 +1,7 @@
 package io.mothrill.wire.forward;
 
 import io.mothrill.core.forward.crash.RequestCrashGuard;
+import io.mothrill.core.forward.prompt.SentPrompt;
 import io.mothrill.core.forward.request.ForwardRefusal;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
@@ -82,6 +83,7 @@
   private final AttemptRecorder recorder;
   private final IdleTimer idleTimer;
   private UpstreamConnection connection;
+  private SentPrompt sentPrompt = SentPrompt.UNTRACKED;
   private Subscription replacement = () -> {};
   private boolean finished;
   private boolean sent;
@@ -189,7 +191,10 @@
         .call()
         .prompt()
         .ifPresent(
-            prompt -> dependencies.prefixCache().onSent(prompt, upstream.incarnation(), sentMs));
+            prompt -> {
+              sentPrompt = dependencies.promptTracker().onSent(upstream, prompt);
+              dependencies.prefixCache().onSent(prompt, upstream.incarnation(), sentMs);
+            });
     dependencies.promptNotices().send(upstream.incarnation(), promptTokens);
     connection.send(
         UpstreamRequest.of(admitted, upstream.id(), progress.lastEventId),
@@ -255,6 +260,7 @@
     if (!prefillDone) {
       prefillDone = true;
       load.onPrefillDone(promptTokens);
+      sentPrompt.onPrefillDone();
     }
   }
 
@@ -330,7 +336,9 @@
 
   private void relayEvent(EventSplitter.Event event) {
     if (!prefillDone) {
-      dependencies.prefillSpeed().onPrefill(promptTokens, idleTimer.lastReceivedMs() - sentMs);
+      long tookMs = idleTimer.lastReceivedMs() - sentMs;
+      dependencies.prefillSpeed().onPrefill(promptTokens, tookMs);
+      sentPrompt.onFirstEvent(tookMs);
     }
     recordPrefillDone();
     relay.relay(event).ifPresent(detail -> onFailure(ResponseFailure.PROTOCOL_ERROR, detail));
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
@@ -6,6 +6,7 @@
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.load.LoadFeatures;
 import io.mothrill.core.forward.plan.ForwardingPlan;
+import io.mothrill.core.forward.prompt.PromptTracker;
 import io.mothrill.core.forward.retry.SharedRetryBudget;
 import io.mothrill.core.forward.spending.SpendingController;
 import io.mothrill.core.forward.upstream.PrefillSpeed;
@@ -32,6 +33,7 @@
  * @param prefixCache estimates which prompt prefixes each upstream has cached
  * @param prefillSpeed the estimated prefill speed of upstreams
  * @param promptNotices notifies other instances of long prompts
+ * @param promptTracker follows prompts where decisions under load are active
  * @param spending reserves prepaid tokens
  * @param retries bounds the number of retries
  * @param log receives one entry per request
@@ -54,6 +56,7 @@
     PrefixCacheEstimator prefixCache,
     PrefillSpeed prefillSpeed,
     PromptNoticeSender promptNotices,
+    PromptTracker promptTracker,
     SpendingController spending,
     SharedRetryBudget retries,
     ForwardedRequestLog log,
