--- a/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PromptTracker.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PromptTracker.java
@@ -9,6 +9,7 @@
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.upstream.UpstreamLoads;
 import io.mothrill.core.time.Timers;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Follows the prompts that instances send to engines, for services with decisions under load.
@@ -30,6 +31,7 @@
   private final EnginePools pools;
   private final UpstreamCondition condition;
   private final Timers timers;
+  private final AtomicLong sentCount = new AtomicLong();
 
   /**
    * Creates the tracker.
@@ -78,6 +80,7 @@
     if (!features.isActive(service)) {
       return SentPrompt.UNTRACKED;
     }
+    sentCount.incrementAndGet();
     String incarnation = upstream.incarnation();
     long nowMs = timers.nowMs();
     long uncachedTokens = prefixCache.uncachedTokens(prompt, incarnation, nowMs);
@@ -115,10 +118,19 @@
         .findIncarnation(incarnation)
         .map(RegisteredUpstream::service)
         .filter(features::isActive)
-        .ifPresent(service -> onNotice(service, incarnation, uncachedTokens));
+        .ifPresent(service -> recordNotice(service, incarnation, uncachedTokens));
   }
 
-  private void onNotice(String service, String incarnation, long uncachedTokens) {
+  /**
+   * Counts the prompts that this instance has sent while they were followed.
+   *
+   * @return the number of prompts since the start
+   */
+  public long sentCount() {
+    return sentCount.get();
+  }
+
+  private void recordNotice(String service, String incarnation, long uncachedTokens) {
     double prefillMs = model.prefillMs(service, uncachedTokens);
     PromptClass promptClass = classifier.classOf(service, uncachedTokens);
     pools.onNotice(service, promptClass, uncachedTokens, prefillMs);
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/prompt/FirstEventCostTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/prompt/FirstEventCostTest.java
@@ -74,7 +74,7 @@
   @Test
   void backlogOfOwnPromptEndsWithItsFirstEventAndOfNoticedOneWithTime() {
     // GIVEN
-    SentPrompt sent = instance.tracker.onSent(engine, PROMPT);
+    final SentPrompt sent = instance.tracker.onSent(engine, PROMPT);
     instance.tracker.onNotice(incarnation, 8_000);
     fleet.timers.advanceMs(150);
     assertThat(backlogMs()).isWithin(0.1).of(100 + 50);
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -7,6 +7,7 @@
 import io.mothrill.core.forward.plan.TeamPlan;
 import io.mothrill.core.forward.prompt.EnginePools;
 import io.mothrill.core.forward.prompt.PromptClass;
+import io.mothrill.core.forward.prompt.PromptTracker;
 import io.mothrill.core.forward.spending.SpendingController;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.view.StatePoller;
@@ -94,7 +95,8 @@
   }
 
   /** Registers gauges for the division of engines among short and long prompts. */
-  void registerPromptPools(EnginePools pools) {
+  void registerPromptPools(EnginePools pools, PromptTracker tracker) {
+    metrics.gauge("load.trackedPromptCount", () -> tracker::sentCount);
     metrics.gauge("load.shortPoolCount", () -> () -> pools.engineCount(PromptClass.SHORT));
     metrics.gauge("load.longPoolCount", () -> () -> pools.engineCount(PromptClass.LONG));
     metrics.gauge("load.bulkPoolCount", () -> () -> pools.engineCount(PromptClass.BULK));
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -212,7 +212,7 @@
     gauges.registerSpending(plan, spending);
     gauges.registerCrashes(crashes);
     gauges.registerUpstreams(evacuatedDomains, choice);
-    gauges.registerPromptPools(choice.prompts().pools());
+    gauges.registerPromptPools(choice.prompts().pools(), choice.prompts().tracker());
     gauges.registerLog();
     gauges.registerWork(ports.work());
     timers.every(PRUNE_INTERVAL_MS, () -> choice.loads().retain(upstreams.read()));
