Engine memory: holdings of engines and the check before sending

An engine crashes when its requests need more than its memory, and instances chose engines without regard to it. EngineHoldings counts own requests at their maximum from the write to their end, and those of other instances from prompt notices and load reports. HeldTokensCheck rejects engines that have no room; it is one of SendChecks, before the permits. Both act only where decisions under load are active and the plan specifies kvCapacity.

--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/capacity/package-info.java
@@ -0,0 +1,2 @@
+/** Tracks the tokens that engines are asked to hold, so that none exceeds its memory. */
+package io.mothrill.core.forward.capacity;
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/check/SendChecks.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/check/SendChecks.java
@@ -27,8 +27,8 @@
  * }</pre>
  *
  * <p>Checks of the request itself come first, as their result is the same for every upstream. Then
- * come the decisions of operators, then what upstreams have announced, and last the permits, which
- * are limited.
+ * come the decisions of operators, then what upstreams have announced, then the memory of engines,
+ * and last the permits, which are limited.
  */
 public final class SendChecks implements UpstreamFilter {
 
@@ -52,6 +52,7 @@
    * @param evacuatedDomains the failure domains that operators are evacuating
    * @param leaving the upstreams that have announced that they are leaving
    * @param backoffs the upstreams that have requested a backoff from this instance
+   * @param heldTokens rejects engines without enough memory for the request
    * @param warmUpPermits the permits for upstreams that are warming up
    * @param limitPermits the permits for upstreams that announce a rate limit
    * @param timers the clock
@@ -62,6 +63,7 @@
       PublishedValue<Set<String>> evacuatedDomains,
       LeavingUpstreams leaving,
       UpstreamBackoffs backoffs,
+      HeldTokensCheck heldTokens,
       SendPermits warmUpPermits,
       SendPermits limitPermits,
       Timers timers) {
@@ -78,6 +80,7 @@
             new EvacuationCheck(evacuatedDomains),
             new AvailabilityCheck(list, leaving),
             new BackoffCheck(backoffs),
+            heldTokens,
             new PermitCheck(warmUpPermits, Cause.WARMING_UP),
             new PermitCheck(limitPermits, Cause.LIMITED));
   }
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/check/SendChecksTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/check/SendChecksTest.java
@@ -4,9 +4,12 @@
 
 import io.mothrill.core.board.PublishedValue;
 import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.forward.capacity.EngineHoldings;
 import io.mothrill.core.forward.limit.AnnouncedRateLimits;
+import io.mothrill.core.forward.load.LoadFeatures;
 import io.mothrill.core.forward.permit.FleetView;
 import io.mothrill.core.forward.permit.SendPermits;
+import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.plan.RegionRestriction;
 import io.mothrill.core.forward.plan.WarmUpPlan;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
@@ -52,6 +55,10 @@
           evacuated,
           leaving,
           backoffs,
+          new HeldTokensCheck(
+              LoadFeatures.onDemand(),
+              new PublishedValue<>(ForwardingPlan.unknown()),
+              new EngineHoldings(LoadFeatures.onDemand())),
           new SendPermits(
               self,
               alone(),
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -2,12 +2,14 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.mothrill.core.board.PublishedValue;
+import io.mothrill.core.forward.capacity.EngineHoldings;
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.plan.TeamPlan;
 import io.mothrill.core.forward.spending.SpendingController;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.view.StatePoller;
+import io.mothrill.core.time.Timers;
 import io.mothrill.core.work.WorkKind;
 import io.mothrill.core.work.WorkStats;
 import io.mothrill.daemon.log.JsonLinesWriter;
@@ -82,6 +84,13 @@
     metrics.gauge("upstreams.reportsHeardCount", () -> choice.statusBroadcast()::receivedCount);
   }
 
+  /** Registers gauges for the tokens that engines are asked to hold. */
+  void registerHoldings(EngineHoldings holdings, Timers timers) {
+    metrics.gauge("load.heldOwnTokens", () -> holdings::ownTokens);
+    metrics.gauge("load.heldOthersTokens", () -> () -> holdings.othersTokens(timers.nowMs()));
+    metrics.gauge("load.heldMaxTokens", () -> () -> holdings.maxTokens(timers.nowMs()));
+  }
+
   /** Registers gauges for requests suspected of crashing upstreams and the messages about them. */
   void registerCrashes(CrashGuard crashes) {
     metrics.gauge("crashes.suspectCount", () -> () -> crashes.counts().suspects());
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -135,6 +135,7 @@
         new UpstreamSelection(
             self,
             settings,
+            loadFeatures,
             new UpstreamSelection.View(plan, evacuatedDomains, upstreams),
             fleetView(),
             this::sendStatusReport,
@@ -160,11 +161,11 @@
             settings.peers().port(),
             spending::peers,
             new NoticeListeners(
-                (incarnation, tokens) -> {
-                  if (upstreams.read().containsIncarnation(incarnation)) {
-                    choice.onNotice(incarnation, tokens);
-                  }
-                },
+                (incarnation, tokens) ->
+                    upstreams
+                        .read()
+                        .findIncarnation(incarnation)
+                        .ifPresent(upstream -> choice.onNotice(upstream, tokens)),
                 crashes::onMessage,
                 choice.statusBroadcast()::onReport,
                 choice.limits()::onReport,
@@ -178,6 +179,7 @@
             choice.checks(),
             choice.picker(),
             choice.loads(),
+            choice.holdings(),
             choice.memory(),
             choice.speed(),
             notices,
@@ -210,9 +212,10 @@
     gauges.registerSpending(plan, spending);
     gauges.registerCrashes(crashes);
     gauges.registerUpstreams(evacuatedDomains, choice);
+    gauges.registerHoldings(choice.holdings(), timers);
     gauges.registerLog();
     gauges.registerWork(ports.work());
-    timers.every(PRUNE_INTERVAL_MS, () -> choice.loads().retain(upstreams.read()));
+    timers.every(PRUNE_INTERVAL_MS, () -> choice.retain(upstreams.read()));
     timers.every(WORK_LOG_INTERVAL_MS, () -> WorkLog.write(ports.work()));
     StatePoller follower =
         new StatePoller(ports.state(), plan, evacuatedDomains, upstreams, timers, settings.view());
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamSelection.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamSelection.java
@@ -2,10 +2,13 @@
 
 import io.mothrill.core.board.PublishedValue;
 import io.mothrill.core.forward.answer.SelfReportDispatcher;
+import io.mothrill.core.forward.capacity.EngineHoldings;
+import io.mothrill.core.forward.check.HeldTokensCheck;
 import io.mothrill.core.forward.check.SendChecks;
 import io.mothrill.core.forward.crash.TerminationProbe;
 import io.mothrill.core.forward.limit.AnnouncedRateLimits;
 import io.mothrill.core.forward.limit.RateLimitReportSender;
+import io.mothrill.core.forward.load.LoadFeatures;
 import io.mothrill.core.forward.permit.FleetView;
 import io.mothrill.core.forward.permit.SendPermits;
 import io.mothrill.core.forward.plan.ForwardingPlan;
@@ -16,6 +19,7 @@
 import io.mothrill.core.forward.upstream.PrefillSpeed;
 import io.mothrill.core.forward.upstream.PrefixCacheEstimator;
 import io.mothrill.core.forward.upstream.PromptCost;
+import io.mothrill.core.forward.upstream.RegisteredUpstream;
 import io.mothrill.core.forward.upstream.UpstreamBackoffs;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.upstream.UpstreamLoads;
@@ -39,6 +43,7 @@
   private final UpstreamLoads loads = new UpstreamLoads();
   private final PrefillSpeed speed = new PrefillSpeed();
   private final PrefixCacheEstimator memory = new PrefixCacheEstimator();
+  private final EngineHoldings holdings;
   private final WarmingUpstreams warming;
   private final AnnouncedRateLimits limits;
   private final LeavingUpstreams leaving;
@@ -68,6 +73,7 @@
   UpstreamSelection(
       InstanceRecord self,
       ForwardSettings settings,
+      LoadFeatures loadFeatures,
       View view,
       FleetView fleet,
       UpstreamStatusReportSender reports,
@@ -78,6 +84,8 @@
     this.timers = timers;
     view.upstreams().subscribe(loads::retain);
     view.upstreams().subscribe(memory::retain);
+    this.holdings = new EngineHoldings(loadFeatures);
+    view.upstreams().subscribe(holdings::retain);
     this.warming =
         new WarmingUpstreams(view.upstreams(), view.evacuatedDomains(), view::warmUpOf, timers);
     SendPermits warmUps =
@@ -102,6 +110,7 @@
             view.evacuatedDomains(),
             leaving,
             resting,
+            new HeldTokensCheck(loadFeatures, view.plan(), holdings),
             warmUps,
             limitPermits,
             timers);
@@ -118,8 +127,16 @@
   }
 
   /** Records a prompt that another instance has sent to an upstream. */
-  void onNotice(String incarnation, long promptTokens) {
-    loads.of(incarnation).onPromptNotice(promptTokens, speed.tokensPerMs(), timers.nowMs());
+  void onNotice(RegisteredUpstream upstream, long promptTokens) {
+    long nowMs = timers.nowMs();
+    loads.of(upstream.incarnation()).onPromptNotice(promptTokens, speed.tokensPerMs(), nowMs);
+    holdings.onNotice(upstream, promptTokens, nowMs);
+  }
+
+  /** Removes the state of upstreams that are no longer registered and have nothing in flight. */
+  void retain(UpstreamList list) {
+    loads.retain(list);
+    holdings.retain(list);
   }
 
   /** Wraps a probe so that terminated upstreams are reported to all instances. */
@@ -143,6 +160,10 @@
     return speed;
   }
 
+  EngineHoldings holdings() {
+    return holdings;
+  }
+
   PrefixCacheEstimator memory() {
     return memory;
   }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -1,5 +1,6 @@
 package io.mothrill.wire.forward;
 
+import io.mothrill.core.forward.capacity.HeldTokens;
 import io.mothrill.core.forward.crash.RequestCrashGuard;
 import io.mothrill.core.forward.request.ForwardRefusal;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
@@ -83,6 +84,7 @@
   private final IdleTimer idleTimer;
   private UpstreamConnection connection;
   private Subscription replacement = () -> {};
+  private HeldTokens held = HeldTokens.NONE;
   private boolean finished;
   private boolean sent;
   private boolean prefillDone;
@@ -184,6 +186,7 @@
     progress.runCount++;
     sentMs = dependencies.timers().nowMs();
     load.onSent(promptTokens);
+    held = holdTokens();
     dependencies.selfReports().onSent(upstream);
     admitted
         .call()
@@ -205,6 +208,16 @@
     idleTimer.start();
   }
 
+  private HeldTokens holdTokens() {
+    return admitted
+        .call()
+        .prompt()
+        .map(
+            prompt ->
+                dependencies.holdings().onSent(upstream, prompt.maxTokens(), promptTokens, sentMs))
+        .orElse(HeldTokens.NONE);
+  }
+
   private static long idleTimeoutMs(AdmittedRequest admitted) {
     return Math.max(MIN_IDLE_TIMEOUT_MS, IDLE_TIMEOUT_TARGETS * admitted.route().targetLatencyMs());
   }
@@ -244,6 +257,7 @@
     if (sent) {
       recordPrefillDone();
       load.onRequestEnded();
+      held.end(dependencies.timers().nowMs());
     }
     if (body != null) {
       body.release();
@@ -286,10 +300,12 @@
 
   private void applyMetadata(ResponseMetadata metadata) {
     if (metadata.runningCount().isPresent()) {
-      load.onReport(
-          metadata.runningCount().getAsInt(),
-          metadata.queuedCount().orElse(0),
-          idleTimer.lastReceivedMs());
+      int running = metadata.runningCount().getAsInt();
+      int queued = metadata.queuedCount().orElse(0);
+      load.onReport(running, queued, idleTimer.lastReceivedMs());
+      if (admitted.call().prompt().isPresent()) {
+        dependencies.holdings().onReport(upstream, running, queued, idleTimer.lastReceivedMs());
+      }
     }
     if (metadata.slowdown().isPresent()) {
       dependencies.loadFeatures().onContentionAnnounced(upstream.service());
@@ -304,6 +320,7 @@
       load.avoidFor(dependencies.timers().nowMs(), FULL_AVOID_MS);
     }
     recordFailure("not run, status " + status);
+    held.release();
     progress.runCount--;
     progress.mayHaveRun = progress.runCount > 0;
     cancel();
@@ -441,6 +458,7 @@
     reportToCrashGuard(cause);
     load.onFailure(dependencies.timers().nowMs());
     recordFailure(detail);
+    held.release();
     cancel();
     if (owner.tryAcquireRerun()) {
       owner.tryNextUpstream();
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
@@ -2,6 +2,7 @@
 
 import io.mothrill.core.board.PublishedValue;
 import io.mothrill.core.forward.answer.SelfReportDispatcher;
+import io.mothrill.core.forward.capacity.EngineHoldings;
 import io.mothrill.core.forward.check.SendChecks;
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.load.LoadFeatures;
@@ -29,6 +30,7 @@
  * @param checks the checks that can forbid sending a request
  * @param picker selects upstreams
  * @param loads the known load of each upstream
+ * @param holdings the tokens that each engine is asked to hold
  * @param prefixCache estimates which prompt prefixes each upstream has cached
  * @param prefillSpeed the estimated prefill speed of upstreams
  * @param promptNotices notifies other instances of long prompts
@@ -51,6 +53,7 @@
     SendChecks checks,
     UpstreamPicker picker,
     UpstreamLoads loads,
+    EngineHoldings holdings,
     PrefixCacheEstimator prefixCache,
     PrefillSpeed prefillSpeed,
     PromptNoticeSender promptNotices,
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
@@ -11,6 +11,7 @@
 import io.mothrill.core.forward.request.Fingerprint;
 import io.mothrill.core.forward.request.ForwardRefusal;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
+import io.mothrill.core.forward.request.Prompt;
 import io.mothrill.core.forward.spending.SpendingException;
 import io.mothrill.core.forward.spending.SpendingReservation;
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
@@ -213,6 +214,9 @@
     Optional<RegisteredUpstream> upstream = dependencies.picker().pick(query);
     if (upstream.isEmpty()) {
       Rejection rejection = dependencies.checks().findRejection(query);
+      if (rejection.cause() == Cause.ALL_FULL) {
+        reason = "no engine has memory for " + maxTokens() + " more tokens";
+      }
       endWithoutResponse(rejection.cause(), rejection.retryAfterMs());
       return;
     }
@@ -232,6 +236,10 @@
             admitted.deadlineMs(), !needsTokens() || reserved, requestCrashGuard::isQuarantined));
   }
 
+  private long maxTokens() {
+    return received.call().prompt().map(Prompt::maxTokens).orElse(0L);
+  }
+
   private boolean needsTokens() {
     return received.call().prompt().isPresent() && admitted.team().isPresent();
   }
