--- a/mothrill-core/src/main/java/io/mothrill/core/forward/capacity/EngineHolding.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/capacity/EngineHolding.java
@@ -34,10 +34,12 @@
     }
   }
 
-  synchronized void onSent(long maxTokens) {
+  /** Adds an own request and returns the tokens that are known to be there with it. */
+  synchronized long onSent(long maxTokens, long nowMs) {
     ownTokens += maxTokens;
     ownCount++;
     ownMean = ownMean.plus(maxTokens, 1);
+    return tokens(nowMs);
   }
 
   synchronized void onEnded(long maxTokens) {
@@ -45,8 +47,8 @@
     ownCount--;
   }
 
-  synchronized void onNotice(long tokens, long responseMs, long nowMs) {
-    expire(nowMs);
+  synchronized void onNotice(long tokens, RequestAverages service, long nowMs) {
+    long responseMs = service.responseMs(tokens(nowMs) + tokens);
     announced.add(new Announced(tokens, nowMs + responseMs));
     announcedTokens += tokens;
   }
@@ -55,7 +57,10 @@
     expire(nowMs);
     int unannouncedCount = Math.max(0, count - ownCount - announced.size());
     double tokensPerRequest = ownMean.meanWith(service.tokens(), SERVICE_WEIGHT);
-    unannounced = new Unannounced(unannouncedCount * tokensPerRequest, nowMs, service.responseMs());
+    double unannouncedTokens = unannouncedCount * tokensPerRequest;
+    long responseMs =
+        service.responseMs(ownTokens + announcedTokens + Math.round(unannouncedTokens));
+    unannounced = new Unannounced(unannouncedTokens, nowMs, responseMs);
   }
 
   synchronized long ownTokens() {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/capacity/EngineHoldings.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/capacity/EngineHoldings.java
@@ -50,17 +50,16 @@
       RegisteredUpstream engine, long maxTokens, long uncachedTokens, long nowMs) {
     EngineHolding holding = holdingOf(engine);
     RequestAverages averages = averagesOf(engine.service());
-    holding.onSent(maxTokens);
     averages.onSent(maxTokens, uncachedTokens);
-    return new OwnRequest(holding, averages, maxTokens, nowMs);
+    return new OwnRequest(holding, averages, maxTokens, holding.onSent(maxTokens, nowMs), nowMs);
   }
 
   /**
    * Called when another instance has sent a prompt to an engine.
    *
    * <p>The notice names only the tokens to prefill. The request is assumed to hold in addition what
-   * this instance's requests to the service hold on average beyond theirs, for as long as responses
-   * of the service take on average.
+   * this instance's requests to the service hold on average beyond theirs, for as long as they take
+   * at engines that hold as much.
    *
    * @param engine the engine
    * @param uncachedTokens the number of tokens to prefill
@@ -70,10 +69,7 @@
     if (features.isActive(engine.service())) {
       RequestAverages averages = averagesOf(engine.service());
       holdingOf(engine)
-          .onNotice(
-              uncachedTokens + Math.round(averages.tokensBeyondNotice()),
-              averages.responseMs(),
-              nowMs);
+          .onNotice(uncachedTokens + Math.round(averages.tokensBeyondNotice()), averages, nowMs);
     }
   }
 
@@ -163,13 +159,20 @@
     private final EngineHolding holding;
     private final RequestAverages averages;
     private final long maxTokens;
+    private final long heldTokens;
     private final long sentMs;
     private final AtomicBoolean returned = new AtomicBoolean();
 
-    OwnRequest(EngineHolding holding, RequestAverages averages, long maxTokens, long sentMs) {
+    OwnRequest(
+        EngineHolding holding,
+        RequestAverages averages,
+        long maxTokens,
+        long heldTokens,
+        long sentMs) {
       this.holding = holding;
       this.averages = averages;
       this.maxTokens = maxTokens;
+      this.heldTokens = heldTokens;
       this.sentMs = sentMs;
     }
 
@@ -177,7 +180,7 @@
     public void end(long nowMs) {
       if (returned.compareAndSet(false, true)) {
         holding.onEnded(maxTokens);
-        averages.onEnded(maxTokens, nowMs - sentMs);
+        averages.onEnded(maxTokens, heldTokens, nowMs - sentMs);
       }
     }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/capacity/RequestAverages.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/capacity/RequestAverages.java
@@ -5,17 +5,14 @@
 /** Running averages of this instance's requests to one service; thread-safe. */
 final class RequestAverages {
 
-  /** Used until the first request has ended; responses of engines take seconds. */
-  private static final double INITIAL_RESPONSE_MS = 3_000;
-
   /** Instances send notices only of prompts with at least this many uncached tokens. */
   private static final long MIN_NOTICE_TOKENS = 1_500;
 
   private final AtomicReference<DecayingMean> tokens = new AtomicReference<>(DecayingMean.EMPTY);
   private final AtomicReference<DecayingMean> tokensBeyondNotice =
       new AtomicReference<>(DecayingMean.EMPTY);
-  private final AtomicReference<DecayingMean> responseMs =
-      new AtomicReference<>(DecayingMean.EMPTY);
+  private final AtomicReference<ResponseTimeModel> responseTime =
+      new AtomicReference<>(ResponseTimeModel.initial());
 
   void onSent(long maxTokens, long uncachedTokens) {
     tokens.updateAndGet(mean -> mean.plus(maxTokens, 1));
@@ -25,12 +22,9 @@
     }
   }
 
-  /**
-   * Records a response. It is weighted by its tokens: the responses to long prompts take longer
-   * than the others and hold most of the memory.
-   */
-  void onEnded(long maxTokens, long tookMs) {
-    responseMs.updateAndGet(mean -> mean.plus(tookMs, Math.max(1, maxTokens)));
+  /** Records how long a request took at an engine that held a number of tokens with it. */
+  void onEnded(long maxTokens, long heldTokens, long tookMs) {
+    responseTime.updateAndGet(model -> model.plus(heldTokens, tookMs, maxTokens));
   }
 
   /** Returns the average maximum tokens of a request. */
@@ -46,8 +40,11 @@
     return tokensBeyondNotice.get().meanOr(0);
   }
 
-  /** Returns the average time from sending a request to its end. */
-  long responseMs() {
-    return Math.max(1, Math.round(responseMs.get().meanOr(INITIAL_RESPONSE_MS)));
+  /**
+   * Returns the longest time to expect from sending a request to its end, at an engine that holds a
+   * number of tokens with it.
+   */
+  long responseMs(long heldTokens) {
+    return responseTime.get().longestMs(heldTokens);
   }
 }
