--- a/mothrill-core/src/test/java/io/mothrill/core/forward/capacity/EngineMemoryLoadTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/capacity/EngineMemoryLoadTest.java
@@ -41,7 +41,7 @@
   // The margin of a tenth is smaller than one of these prompts, so it does not cover two lost
   // notices about one engine.
   @Test
-  void fewRequestsOverfillEnginesWhenATenthOfTheNoticesIsLost() {
+  void fewRequestsOverfillEnginesWhenOneNoticeInTenIsLost() {
     Result result = run(true, 0.1);
 
     assertThat(result.overfilledCount()).isAtMost(PROMPTS / 50);
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/capacity/EngineMemorySimulation.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/capacity/EngineMemorySimulation.java
@@ -136,7 +136,8 @@
       long nowMs = timers.nowMs();
       UpstreamLoad load = loads.of(upstream.incarnation());
       load.onSent(prompt.inputTokens());
-      HeldTokens held = holdings.onSent(upstream, prompt.maxTokens(), prompt.inputTokens(), nowMs);
+      final HeldTokens held =
+          holdings.onSent(upstream, prompt.maxTokens(), prompt.inputTokens(), nowMs);
       instances.stream()
           .filter(peer -> peer != this && random.nextDouble() >= lostShare)
           .forEach(peer -> peer.receiveLater(upstream, prompt.inputTokens()));
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/check/HeldTokensCheckTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/check/HeldTokensCheckTest.java
@@ -61,7 +61,7 @@
   }
 
   @Test
-  void requestThatMightExceedTheMemoryIsRejectedWithATimeToRetry() {
+  void requestThatMightExceedTheMemoryIsRejectedWithRetryTime() {
     hold(60_000);
 
     assertThat(check(30_000)).isEmpty();
