--- a/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PrefillCurve.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PrefillCurve.java
@@ -13,7 +13,10 @@
 
   static final int POINT_COUNT = 8;
 
-  /** The length of the first point. The latency of shorter prompts is mostly network and steps. */
+  /**
+   * The length of the first point. The latency of shorter prompts is mostly network and steps,
+   * which is subtracted from the times of longer ones: it delays nobody else at the engine.
+   */
   private static final double FIRST_TOKENS = 512;
 
   /** Used until prompts were observed; low, so that an engine is avoided rather too long. */
@@ -28,6 +31,8 @@
       IntStream.range(0, POINT_COUNT).mapToDouble(PrefillCurve::initialMs).toArray();
   private final double[] observationCount = new double[POINT_COUNT];
   private volatile double[] pointsMs = learnedMs.clone();
+  private volatile double baseMs;
+  private double baseCount;
 
   private static double tokensAt(int point) {
     return FIRST_TOKENS * (1 << point);
@@ -61,11 +66,17 @@
     return tokens / tokensAt(point) - 1;
   }
 
+  /** Returns the time that every first event takes: the network and the steps of the engine. */
+  double baseMs() {
+    return baseMs;
+  }
+
   synchronized void observe(double tokens, double tookMs) {
     if (tokens < FIRST_TOKENS) {
+      observeBase(tookMs);
       return;
     }
-    double ratio = Math.max(1, tookMs) / interpolate(pointsMs, tokens);
+    double ratio = Math.max(1, tookMs - baseMs) / interpolate(pointsMs, tokens);
     int point = pointFor(tokens);
     double position = point == POINT_COUNT - 1 ? 0 : positionAfter(point, tokens);
     adjust(point, 1 - position, ratio);
@@ -75,6 +86,15 @@
     pointsMs = complete();
   }
 
+  private void observeBase(double tookMs) {
+    double gain = Math.max(MIN_GAIN, 1 / (1 + baseCount));
+    baseMs =
+        tookMs > baseMs
+            ? Math.min(tookMs, baseMs + QUANTILE * gain * tookMs)
+            : Math.max(tookMs, baseMs - (1 - QUANTILE) * gain * baseMs);
+    baseCount++;
+  }
+
   private void adjust(int point, double weight, double ratio) {
     double gain = weight * Math.max(MIN_GAIN, 1 / (1 + observationCount[point]));
     double factor =
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PrefillTimeModel.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PrefillTimeModel.java
@@ -38,6 +38,18 @@
     return curveOf(service).prefillMs(uncachedTokens);
   }
 
+  /**
+   * Estimates the time from sending to the first event on an engine that has nothing else to do.
+   *
+   * @param service the service
+   * @param uncachedTokens the number of tokens to prefill
+   * @return the prefill time with the latency that all first events have
+   */
+  public double firstEventMs(String service, double uncachedTokens) {
+    PrefillCurve curve = curveOf(service);
+    return curve.baseMs() + curve.prefillMs(uncachedTokens);
+  }
+
   private PrefillCurve curveOf(String service) {
     PrefillCurve known = curves.get(service);
     return known == null ? curves.computeIfAbsent(service, unused -> new PrefillCurve()) : known;
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/PrefixCacheEstimator.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/PrefixCacheEstimator.java
@@ -34,6 +34,12 @@
   /** Maximum number of prefixes stored per upstream: some hundred bytes each. */
   private static final int MAX_PREFIXES = 2_048;
 
+  /** Engines read this many tokens in a few milliseconds, cached or not. */
+  private static final double SMALL_PREFIX_TOKENS = 256;
+
+  /** Share of the prompt below which its prefix hardly matters for the time to read it. */
+  private static final double SMALL_PREFIX_SHARE = 0.25;
+
   private final Map<String, Map<String, Long>> sentAtMs = new ConcurrentHashMap<>();
 
   /**
@@ -115,16 +121,18 @@
   }
 
   /**
-   * Checks whether {@link #uncachedTokens(Prompt, String, long)} is known rather than an upper
-   * bound.
+   * Checks whether {@link #uncachedTokens(Prompt, String, long)} is known, at least approximately,
+   * rather than an upper bound.
    *
    * @param prompt the prompt
    * @param incarnation the incarnation of the upstream
    * @param nowMs the current time
-   * @return true if this instance has recently sent the prefix there, or if the prompt has none
+   * @return true if this instance has recently sent the prefix there, or if the prefix is small
    */
   public boolean isUncachedPartKnown(Prompt prompt, String incarnation, long nowMs) {
-    return !prompt.hasSharedPrefix() || wasSent(prompt, incarnation, nowMs);
+    double approximateTokens =
+        Math.max(SMALL_PREFIX_TOKENS, SMALL_PREFIX_SHARE * prompt.inputTokens());
+    return sharedTokens(prompt) <= approximateTokens || wasSent(prompt, incarnation, nowMs);
   }
 
   private static double cachedShare(String upstreamId, PreferredUpstreams preferred) {
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/prompt/PrefillTimeModelTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/prompt/PrefillTimeModelTest.java
@@ -54,4 +54,22 @@
     IntStream.range(0, 80)
         .forEach(i -> assertThat(prefillMs(i * 1_000)).isAtMost(prefillMs((i + 1) * 1_000)));
   }
+
+  // Guards against short prompts taken for long ones, as the first event of an engine that puts
+  // many
+  // tokens into one event arrives late for every prompt.
+  @Test
+  void latencyOfAllFirstEventsIsNoPrefillTime() {
+    // WHEN
+    IntStream.range(0, 200)
+        .forEach(
+            i -> {
+              observe(1, 300, 40);
+              observe(1, 2_048, 40 + 24);
+            });
+
+    // THEN
+    assertThat(prefillMs(2_048)).isWithin(4).of(24);
+    assertThat(model.firstEventMs("asistan", 2_048)).isWithin(6).of(64);
+  }
 }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -1,5 +1,6 @@
 package io.mothrill.wire.forward;
 
+import io.mothrill.core.forward.capacity.HeldTokens;
 import io.mothrill.core.forward.crash.RequestCrashGuard;
 import io.mothrill.core.forward.prompt.SentPrompt;
 import io.mothrill.core.forward.request.ForwardRefusal;
@@ -85,6 +86,7 @@
   private UpstreamConnection connection;
   private SentPrompt sentPrompt = SentPrompt.UNTRACKED;
   private Subscription replacement = () -> {};
+  private HeldTokens held = HeldTokens.NONE;
   private boolean finished;
   private boolean sent;
   private boolean prefillDone;
@@ -195,6 +197,7 @@
     progress.runCount++;
     sentMs = dependencies.timers().nowMs();
     load.onSent(promptTokens);
+    held = holdTokens();
     dependencies.selfReports().onSent(upstream);
     admitted
         .call()
@@ -219,6 +222,16 @@
     idleTimer.start();
   }
 
+  private HeldTokens holdTokens() {
+    return admitted
+        .call()
+        .prompt()
+        .map(
+            prompt ->
+                dependencies.holdings().onSent(upstream, prompt.maxTokens(), promptTokens, sentMs))
+        .orElse(HeldTokens.NONE);
+  }
+
   /**
    * Handles an upstream that has closed the connection before the request was written, for example
    * because it has too many.
@@ -269,6 +282,7 @@
     if (sent) {
       recordPrefillDone();
       load.onRequestEnded();
+      held.end(dependencies.timers().nowMs());
     }
     if (body != null) {
       body.release();
@@ -312,10 +326,12 @@
 
   private void applyMetadata(ResponseMetadata metadata) {
     if (metadata.runningCount().isPresent()) {
-      load.onReport(
-          metadata.runningCount().getAsInt(),
-          metadata.queuedCount().orElse(0),
-          idleTimer.lastReceivedMs());
+      int running = metadata.runningCount().getAsInt();
+      int queued = metadata.queuedCount().orElse(0);
+      load.onReport(running, queued, idleTimer.lastReceivedMs());
+      if (admitted.call().prompt().isPresent()) {
+        dependencies.holdings().onReport(upstream, running, queued, idleTimer.lastReceivedMs());
+      }
     }
     if (metadata.slowdown().isPresent()) {
       dependencies.loadFeatures().onContentionAnnounced(upstream.service());
@@ -330,6 +346,7 @@
       load.avoidFor(dependencies.timers().nowMs(), FULL_AVOID_MS);
     }
     recordFailure("not run, status " + status);
+    held.release();
     progress.runCount--;
     progress.mayHaveRun = progress.runCount > 0;
     cancel();
@@ -469,6 +486,7 @@
     reportToCrashGuard(cause);
     load.onFailure(dependencies.timers().nowMs());
     recordFailure(detail);
+    held.release();
     cancel();
     if (owner.tryAcquireRerun()) {
       owner.tryNextUpstream();
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
@@ -11,6 +11,7 @@
 import io.mothrill.core.forward.request.Fingerprint;
 import io.mothrill.core.forward.request.ForwardRefusal;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
+import io.mothrill.core.forward.request.Prompt;
 import io.mothrill.core.forward.spending.SpendingException;
 import io.mothrill.core.forward.spending.SpendingReservation;
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
@@ -247,6 +248,9 @@
     Optional<RegisteredUpstream> upstream = dependencies.picker().pick(query);
     if (upstream.isEmpty()) {
       Rejection rejection = dependencies.checks().findRejection(query);
+      if (rejection.cause() == Cause.ALL_FULL) {
+        reason = "no engine has memory for " + maxTokens() + " more tokens";
+      }
       endWithoutResponse(rejection.cause(), rejection.retryAfterMs());
       return;
     }
@@ -266,6 +270,10 @@
             admitted.deadlineMs(), !needsTokens() || reserved, requestCrashGuard::isQuarantined));
   }
 
+  private long maxTokens() {
+    return received.call().prompt().map(Prompt::maxTokens).orElse(0L);
+  }
+
   private boolean needsTokens() {
     return received.call().prompt().isPresent() && admitted.team().isPresent();
   }
