--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/admission/InFlightLimit.java
@@ -0,0 +1,111 @@
+package io.mothrill.core.forward.admission;
+
+/**
+ * The limit on this instance's requests in flight at a service, which exists only while the service
+ * is full. It may be less than one request: an instance of a large fleet has less than one slot of
+ * a small service.
+ */
+final class InFlightLimit {
+
+  /** The limit ends when the service was not full for this time. */
+  static final long END_AFTER_MS = 2_000;
+
+  /** A step of the limit; several responses of a service arrive in this time. */
+  private static final long STEP_MS = 100;
+
+  private static final double SHRINK_FACTOR = 0.9;
+
+  /**
+   * Maximum growth per step. One per answered request alone would double the limit of short
+   * requests within one step, so upstreams would turn requests away in nine of ten steps.
+   */
+  private static final double MAX_GROWTH_PER_STEP = 0.05;
+
+  /** Lets every instance learn from a request now and then that a service is free again. */
+  private static final double MIN_LIMIT = 0.2;
+
+  /** A limit beyond the requests in flight limits nothing, and would take long to shrink. */
+  private static final double MAX_OF_AVERAGE = 1.5;
+
+  private static final double MAX_BEYOND_AVERAGE = 0.5;
+
+  private boolean exists;
+  private double limit;
+  private long startedMs;
+  private long lastFullMs;
+  private long lastShrunkMs;
+  private long lastRejectedMs = Long.MIN_VALUE / 2;
+  private long growthStepMs;
+  private double growthInStep;
+
+  boolean exists() {
+    return exists;
+  }
+
+  /** Returns the number of requests that may be in flight. */
+  double value() {
+    return limit;
+  }
+
+  long startedMs() {
+    return startedMs;
+  }
+
+  /** Called when the service is full; starts the limit with the number of requests in flight. */
+  void onFull(double inFlight, long nowMs) {
+    lastFullMs = nowMs;
+    if (!exists) {
+      exists = true;
+      limit = Math.max(MIN_LIMIT, inFlight);
+      startedMs = nowMs;
+      lastShrunkMs = nowMs;
+      growthStepMs = nowMs;
+      growthInStep = 0;
+    }
+  }
+
+  /** Called when an upstream of a full service has turned a request away. */
+  void onRejected(double inFlight, long nowMs) {
+    lastRejectedMs = nowMs;
+    shrink(inFlight, nowMs);
+  }
+
+  /** Called when the service is too full for the requests in flight. */
+  void shrink(double inFlight, long nowMs) {
+    onFull(inFlight, nowMs);
+    if (nowMs - lastShrunkMs >= STEP_MS) {
+      lastShrunkMs = nowMs;
+      limit = Math.max(MIN_LIMIT, limit * SHRINK_FACTOR);
+    }
+  }
+
+  /**
+   * Called when a request was answered while the service has free slots.
+   *
+   * @param averageInFlight the average number of requests in flight
+   */
+  void onAnswered(double averageInFlight, long nowMs) {
+    boolean isUsed = limit < MAX_OF_AVERAGE * averageInFlight + MAX_BEYOND_AVERAGE;
+    if (!exists || !isUsed || nowMs - lastRejectedMs < STEP_MS) {
+      return;
+    }
+    if (nowMs - growthStepMs >= STEP_MS) {
+      growthStepMs = nowMs;
+      growthInStep = 0;
+    }
+    double growth = Math.min(1, limit * MAX_GROWTH_PER_STEP - growthInStep);
+    if (growth > 0) {
+      growthInStep += growth;
+      limit += growth;
+    }
+  }
+
+  /** Ends the limit if the service was not full for long enough; returns true if it has ended. */
+  boolean endIfFree(long nowMs) {
+    if (exists && nowMs - lastFullMs >= END_AFTER_MS) {
+      exists = false;
+      return true;
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/admission/ServiceAdmission.java
@@ -0,0 +1,262 @@
+package io.mothrill.core.forward.admission;
+
+import io.mothrill.core.forward.check.Rejection;
+import io.mothrill.core.forward.request.ForwardRefusal.Cause;
+import io.mothrill.core.time.Timers;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.tinylog.Logger;
+
+/**
+ * Decides which requests are admitted to one service while it is full; thread-safe.
+ *
+ * <p>While upstreams turn requests away, or load reports leave few slots free, the requests of this
+ * instance in flight are limited. Teams share the limit by max-min fairness, and its last fifth is
+ * open only to urgent requests. Nothing queues: a request is admitted or refused at once.
+ *
+ * <pre>{@code
+ * Optional<Rejection> rejection = admission.admit(request);
+ * if (rejection.isEmpty()) {
+ *   admission.onStarted(request);
+ * }
+ * }</pre>
+ */
+public final class ServiceAdmission {
+
+  /** The part of the limit that is open to all priorities. */
+  private static final double OPEN_TO_ALL = 0.8;
+
+  /** How long an estimate of the occupancy is used; it reads the loads of all upstreams. */
+  private static final long OCCUPANCY_MS = 10;
+
+  /** A request that waits at an upstream for more than this part of its target is probably late. */
+  private static final double MAX_WAIT_OF_TARGET = 0.5;
+
+  private final String service;
+  private final OccupancySource occupancySource;
+  private final RetryAfterPolicy retryAfter;
+  private final Timers timers;
+  private final RandomGenerator random;
+  private final InFlightLimit limit = new InFlightLimit();
+  private final TeamShares teams = new TeamShares();
+  private final PriorityUse priorities = new PriorityUse();
+  private final InFlightAverage inFlight = new InFlightAverage();
+  private final DecayingSum answers = new DecayingSum();
+  private Occupancy occupancy = new Occupancy(0, 0, 0);
+  private long occupancyAtMs = Long.MIN_VALUE / 2;
+  private AdmissionCounts counts = AdmissionCounts.NONE;
+
+  /**
+   * Creates the admission of a service; there is no limit at first.
+   *
+   * @param service the service's name
+   * @param occupancySource estimates how much of the service is in use
+   * @param retryAfter decides when refused callers retry
+   * @param timers the clock
+   * @param random distributes fractions of a limit over requests
+   */
+  public ServiceAdmission(
+      String service,
+      OccupancySource occupancySource,
+      RetryAfterPolicy retryAfter,
+      Timers timers,
+      RandomGenerator random) {
+    this.service = service;
+    this.occupancySource = occupancySource;
+    this.retryAfter = retryAfter;
+    this.timers = timers;
+    this.random = random;
+  }
+
+  /**
+   * Checks whether a request may start. A refused request counts as demand of its team.
+   *
+   * @param request the request
+   * @return the rejection, or empty if it may start
+   */
+  public synchronized Optional<Rejection> admit(AdmissionRequest request) {
+    return check(request, 0);
+  }
+
+  /**
+   * Checks whether a started request that an upstream has turned away may be sent to another one.
+   *
+   * @param request the request
+   * @return the rejection, or empty if it may be sent again
+   */
+  public synchronized Optional<Rejection> admitAgain(AdmissionRequest request) {
+    return check(request, 1);
+  }
+
+  private Optional<Rejection> check(AdmissionRequest request, int ownCount) {
+    long nowMs = timers.nowMs();
+    priorities.onRequest(request.priority(), nowMs);
+    updateLimit(request.targetLatencyMs(), nowMs);
+    if (!limit.exists() || !occupancy.isBusy()) {
+      return Optional.empty();
+    }
+    TeamUse team = teams.of(request.team());
+    double share = teams.largestShare(limit.value(), holdMs(nowMs), nowMs);
+    if (ownCount == 0 && !team.isWithin(share, nowMs)) {
+      counts = counts.plus(new AdmissionCounts(0, 0, 1, 0));
+      return Optional.of(refuse(Cause.OVER_SHARE, request, team, nowMs));
+    }
+    double open = limit.value() * (priorities.isUrgent(request.priority()) ? 1 : OPEN_TO_ALL);
+    // The fraction of a limit is open to the same fraction of the requests.
+    if (inFlight.count() - ownCount + 1 > open + random.nextDouble()) {
+      counts = counts.plus(new AdmissionCounts(0, 1, 0, 0));
+      return Optional.of(refuse(Cause.OVER_LIMIT, request, team, nowMs));
+    }
+    return Optional.empty();
+  }
+
+  private Rejection refuse(Cause cause, AdmissionRequest request, TeamUse team, long nowMs) {
+    Rejection rejection = new Rejection(cause, untilSlotFreeMs(request));
+    team.onRefused(nowMs);
+    return rejection;
+  }
+
+  /**
+   * Returns the time until a slot is probably free for the caller of a refused request.
+   *
+   * @param request the request
+   * @return the time
+   */
+  public synchronized long untilSlotFreeMs(AdmissionRequest request) {
+    long nowMs = timers.nowMs();
+    double teamPart =
+        limit.exists()
+            ? teams.largestShare(limit.value(), holdMs(nowMs), nowMs) / limit.value()
+            : 1;
+    double answersPerMs = answers.at(nowMs) / DecayingSum.TIME_CONSTANT_MS;
+    return retryAfter.untilSlotFreeMs(
+        1 + teams.of(request.team()).refusalsAt(nowMs),
+        answersPerMs * Math.min(1, teamPart),
+        request.callerDeadlineMs() - nowMs);
+  }
+
+  /**
+   * Adds jitter to the time of another refusal; it does not become shorter.
+   *
+   * @param fixedMs the time
+   * @param request the refused request
+   * @return the time with jitter
+   */
+  public long spreadMs(long fixedMs, AdmissionRequest request) {
+    return retryAfter.spreadMs(fixedMs, request.callerDeadlineMs() - timers.nowMs());
+  }
+
+  /**
+   * Called when an admitted request starts.
+   *
+   * @param request the request
+   */
+  public synchronized void onStarted(AdmissionRequest request) {
+    long nowMs = timers.nowMs();
+    inFlight.add(1, nowMs);
+    teams.of(request.team()).onStarted(nowMs);
+  }
+
+  /**
+   * Called when a started request has ended.
+   *
+   * @param request the request
+   * @param answered whether an upstream has answered it
+   */
+  public synchronized void onEnded(AdmissionRequest request, boolean answered) {
+    long nowMs = timers.nowMs();
+    inFlight.add(-1, nowMs);
+    teams.of(request.team()).onEnded(nowMs);
+    if (answered) {
+      answers.add(1, nowMs);
+      updateLimit(request.targetLatencyMs(), nowMs);
+      if (!occupancy.isFull()) {
+        limit.onAnswered(inFlight.averageAt(nowMs), nowMs);
+      }
+    }
+  }
+
+  /**
+   * Called when an upstream has turned a request away because it is full.
+   *
+   * <p>Turned-away requests say nothing about a service that is known to be less than half taken: a
+   * single upstream may be broken.
+   */
+  public synchronized void onTurnedAway() {
+    long nowMs = timers.nowMs();
+    counts = counts.plus(new AdmissionCounts(0, 0, 0, 1));
+    readOccupancy(nowMs);
+    if (occupancy.isBusy()) {
+      boolean existed = limit.exists();
+      limit.onRejected(startValue(nowMs), nowMs);
+      logStart(existed, "turned away");
+    }
+  }
+
+  /**
+   * Returns the counts of this service.
+   *
+   * @return the counts since the start
+   */
+  public synchronized AdmissionCounts counts() {
+    endLimitIfFree(timers.nowMs());
+    return counts.plus(new AdmissionCounts(limit.exists() ? 1 : 0, 0, 0, 0));
+  }
+
+  private void updateLimit(long targetLatencyMs, long nowMs) {
+    readOccupancy(nowMs);
+    boolean existed = limit.exists();
+    if (occupancy.isFull()) {
+      limit.onFull(startValue(nowMs), nowMs);
+      if (occupancy.queuedShare() * holdMs(nowMs) > MAX_WAIT_OF_TARGET * targetLatencyMs) {
+        limit.shrink(startValue(nowMs), nowMs);
+      }
+    }
+    logStart(existed, "no free slots");
+    endLimitIfFree(nowMs);
+  }
+
+  private void readOccupancy(long nowMs) {
+    if (nowMs - occupancyAtMs >= OCCUPANCY_MS) {
+      occupancyAtMs = nowMs;
+      occupancy = occupancySource.read(service, nowMs);
+    }
+  }
+
+  private double startValue(long nowMs) {
+    return Math.max(inFlight.count(), inFlight.averageAt(nowMs));
+  }
+
+  /** Estimates by Little's law how long a request is in flight. */
+  private double holdMs(long nowMs) {
+    double answersPerS = answers.at(nowMs);
+    return answersPerS > 0
+        ? inFlight.averageAt(nowMs) * DecayingSum.TIME_CONSTANT_MS / answersPerS
+        : 0;
+  }
+
+  private void logStart(boolean existed, String sign) {
+    if (!existed && limit.exists()) {
+      Logger.info(
+          "admission limit starts service={} sign={} limit={} takenSlots={} slots={} queued={}",
+          service,
+          sign,
+          Math.round(limit.value()),
+          Math.round(occupancy.taken()),
+          Math.round(occupancy.slots()),
+          Math.round(occupancy.queued()));
+    }
+  }
+
+  private void endLimitIfFree(long nowMs) {
+    if (limit.endIfFree(nowMs)) {
+      Logger.info(
+          "admission limit ends service={} forMs={} limit={} overLimit={} overShare={}",
+          service,
+          nowMs - limit.startedMs(),
+          Math.round(limit.value()),
+          counts.overLimit(),
+          counts.overShare());
+    }
+  }
+}
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardRefusal.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardRefusal.java
@@ -36,6 +36,10 @@
     LIMITED(503),
     /** All upstreams are full; the request has not run. */
     ALL_FULL(503),
+    /** The limit of this instance for a full service is reached; the request has not run. */
+    OVER_LIMIT(503),
+    /** The team already uses its share of a full service; the request has not run. */
+    OVER_SHARE(503),
     /** The deadline passed before the request was sent; the request has not run. */
     NOT_SENT_IN_TIME(503),
     /** The request is malformed or ambiguous. */
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/explain/OutcomeMeaning.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/explain/OutcomeMeaning.java
@@ -21,6 +21,13 @@
                   + " at other instances, or open only as its contact with the store stays away"),
           Map.entry("no_upstream", "no upstream of the service was left to offer it to"),
           Map.entry("all_full", "every upstream that it was offered to was full; it did not run"),
+          Map.entry(
+              "over_limit",
+              "the service was full, and the instance had as many requests there as it may; it did"
+                  + " not run"),
+          Map.entry(
+              "over_share",
+              "the service was full, and the team already used its share of it; it did not run"),
           Map.entry(
               "crashes_upstreams",
               "upstreams ended under requests with the same team, method, host, path and body; this"
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.mothrill.core.board.PublishedValue;
+import io.mothrill.core.forward.admission.ServiceAdmissions;
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.plan.TeamPlan;
@@ -105,6 +106,14 @@
     metrics.gauge(name + ".sentBytes", () -> () -> work.totals(kind).sentBytes());
   }
 
+  /** Registers gauges for requests that are refused because their service is full. */
+  void registerAdmissions(ServiceAdmissions admissions) {
+    metrics.gauge("load.limitedServiceCount", () -> () -> admissions.counts().limitedServices());
+    metrics.gauge("load.overLimitCount", () -> () -> admissions.counts().overLimit());
+    metrics.gauge("load.overShareCount", () -> () -> admissions.counts().overShare());
+    metrics.gauge("load.turnedAwayCount", () -> () -> admissions.counts().turnedAway());
+  }
+
   void registerLog() {
     metrics.gauge("log.droppedCount", () -> JsonLinesWriter::droppedCount);
   }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -2,6 +2,9 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.mothrill.core.board.PublishedValue;
+import io.mothrill.core.forward.admission.ReportedOccupancy;
+import io.mothrill.core.forward.admission.RetryAfterPolicy;
+import io.mothrill.core.forward.admission.ServiceAdmissions;
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.crash.CrashMessage;
 import io.mothrill.core.forward.limit.RateLimitReport;
@@ -170,6 +173,13 @@
                 choice.limits()::onReport,
                 reach::onMessageFromHost),
             ports.work());
+    ServiceAdmissions admissions =
+        new ServiceAdmissions(
+            loadFeatures,
+            new ReportedOccupancy(upstreams, evacuatedDomains, choice.loads()),
+            new RetryAfterPolicy(random),
+            timers,
+            random);
     ForwardDependencies parts =
         new ForwardDependencies(
             ports.dialect(),
@@ -189,6 +199,7 @@
             choice.selfReports(),
             reach::onMessageFromDomain,
             loadFeatures,
+            admissions,
             timers,
             ports.work(),
             random);
@@ -210,6 +221,7 @@
     gauges.registerSpending(plan, spending);
     gauges.registerCrashes(crashes);
     gauges.registerUpstreams(evacuatedDomains, choice);
+    gauges.registerAdmissions(admissions);
     gauges.registerLog();
     gauges.registerWork(ports.work());
     timers.every(PRUNE_INTERVAL_MS, () -> choice.loads().retain(upstreams.read()));
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/AdmittedRequest.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/AdmittedRequest.java
@@ -1,11 +1,14 @@
 package io.mothrill.wire.forward;
 
+import io.mothrill.core.forward.admission.AdmissionRequest;
+import io.mothrill.core.forward.admission.RequestAdmission;
 import io.mothrill.core.forward.plan.RegionRestriction;
 import io.mothrill.core.forward.plan.Route;
 import io.mothrill.core.forward.plan.TeamPlan;
 import io.mothrill.core.forward.request.Fingerprint;
 import io.mothrill.core.forward.request.ForwardCall;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 /**
  * An admitted request with its routing decisions, which do not change any more.
@@ -46,6 +49,18 @@
         received.body().nioBuffer());
   }
 
+  /** Creates the admission of the request to its service. */
+  RequestAdmission newAdmission() {
+    long callerRemainingMs = call().deadlineMs().orElse(route.timeoutMs());
+    return new RequestAdmission(
+        received.dependencies().admissions().find(service),
+        new AdmissionRequest(
+            team.map(TeamPlan::name).orElse(""),
+            team.map(TeamPlan::priority).orElse(OptionalInt.empty()).orElse(route.priority()),
+            route.targetLatencyMs(),
+            received.startMs() + callerRemainingMs));
+  }
+
   CallerResponse response() {
     return received.response();
   }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -1,5 +1,6 @@
 package io.mothrill.wire.forward;
 
+import io.mothrill.core.forward.check.Rejection;
 import io.mothrill.core.forward.crash.RequestCrashGuard;
 import io.mothrill.core.forward.request.ForwardRefusal;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
@@ -11,6 +12,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
+import java.util.Optional;
 
 /** Sends a request to one upstream and relays its response. */
 final class ForwardAttempt implements UpstreamSink {
@@ -21,6 +23,9 @@
    */
   private static final long FULL_AVOID_MS = 250;
 
+  /** The outcome of a request that was answered completely. */
+  static final String SERVED = "served";
+
   private static final int MISDIRECTED = 421;
   private static final int FIRST_SERVER_ERROR = 500;
   private static final int FIRST_ERROR = 400;
@@ -44,6 +49,13 @@
     /** Sends the request to the next upstream. */
     void tryNextUpstream();
 
+    /**
+     * Called when an upstream has turned the request away because it is full.
+     *
+     * @return the rejection if the request should not be sent to another upstream
+     */
+    Optional<Rejection> onTurnedAway();
+
     /**
      * Checks whether a request that was not run may go to another upstream; takes one retry from
      * the budget if so.
@@ -307,10 +319,12 @@
     progress.runCount--;
     progress.mayHaveRun = progress.runCount > 0;
     cancel();
-    if (owner.tryAcquireRetry()) {
+    Optional<Rejection> rejection = status == MISDIRECTED ? Optional.empty() : owner.onTurnedAway();
+    if (rejection.isEmpty() && owner.tryAcquireRetry()) {
       owner.tryNextUpstream();
     } else {
-      owner.endWithoutResponse(Cause.ALL_FULL, ForwardExchange.FULL_RETRY_AFTER_MS);
+      Rejection last = rejection.orElse(ForwardExchange.FULL);
+      owner.endWithoutResponse(last.cause(), last.retryAfterMs());
     }
   }
 
@@ -364,7 +378,7 @@
     recordCompletedRun();
     finish();
     relay.startStream();
-    owner.end("served", response.status().code());
+    owner.end(SERVED, response.status().code());
     admitted.response().endStream();
   }
 
@@ -408,7 +422,7 @@
       owner.refuse(ForwardRefusal.of(Cause.UPSTREAM_FAILED));
       return;
     }
-    owner.end(status < FIRST_ERROR ? "served" : "upstream_error", status);
+    owner.end(status < FIRST_ERROR ? SERVED : "upstream_error", status);
     admitted
         .response()
         .sendFull(
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
@@ -1,6 +1,7 @@
 package io.mothrill.wire.forward;
 
 import io.mothrill.core.error.Failures;
+import io.mothrill.core.forward.admission.RequestAdmission;
 import io.mothrill.core.forward.check.Rejection;
 import io.mothrill.core.forward.check.SendChecks;
 import io.mothrill.core.forward.crash.CrashRecord;
@@ -43,6 +44,9 @@
   /** Retry-After when all upstreams are full: most requests end within this time. */
   static final long FULL_RETRY_AFTER_MS = 400;
 
+  /** The rejection of a request that upstreams have turned away. */
+  static final Rejection FULL = new Rejection(Cause.ALL_FULL, FULL_RETRY_AFTER_MS);
+
   private static final long NO_PLAN_RETRY_AFTER_MS = 500;
 
   /**
@@ -60,6 +64,7 @@
   private String reason = "";
   private long reservationMs;
   private AdmittedRequest admitted;
+  private Optional<RequestAdmission> admission = Optional.empty();
   private RequestCrashGuard requestCrashGuard;
   private Subscription deadlineTimer = () -> {};
   private SpendingReservation reservation = SpendingReservation.UNLIMITED;
@@ -96,7 +101,7 @@
   }
 
   private void admitAndSend() {
-    Optional<ForwardRefusal> refusal = admit();
+    Optional<ForwardRefusal> refusal = admit().or(this::admitToService);
     if (refusal.isPresent()) {
       refuse(refusal.get());
       return;
@@ -165,6 +170,21 @@
         : Optional.empty();
   }
 
+  /** Refuses the request before it costs anything if its service is full. */
+  private Optional<ForwardRefusal> admitToService() {
+    admission = Optional.of(admitted.newAdmission());
+    return admission
+        .flatMap(RequestAdmission::admit)
+        .map(rejection -> ForwardRefusal.retryAfter(rejection.cause(), rejection.retryAfterMs()));
+  }
+
+  /** A request that may have run is not given up, since it would be lost. */
+  @Override
+  public Optional<Rejection> onTurnedAway() {
+    Optional<Rejection> rejection = admission.flatMap(RequestAdmission::onTurnedAway);
+    return progress.mayHaveRun || progress.streamStarted ? Optional.empty() : rejection;
+  }
+
   private void reserve() {
     long tokens = received.call().prompt().orElseThrow().maxTokens();
     dependencies
@@ -270,7 +290,8 @@
   }
 
   @Override
-  public void refuse(ForwardRefusal refusal) {
+  public void refuse(ForwardRefusal fixed) {
+    ForwardRefusal refusal = admission.map(request -> request.withRetryTime(fixed)).orElse(fixed);
     end(refusal.cause().name().toLowerCase(Locale.ROOT), refusal.cause().status());
     received
         .response()
@@ -305,6 +326,7 @@
   public void end(String outcome, int status) {
     ended = true;
     deadlineTimer.cancel();
+    admission.ifPresent(request -> request.onEnded(outcome.equals(ForwardAttempt.SERVED)));
     RequestCost cost = new RequestCost(received.call().prompt(), progress);
     long chargedTokens = admitted == null ? 0 : cost.chargedTokens(plan, admitted.service());
     reservation.settle(chargedTokens);
