--- a/mothrill-core/src/main/java/io/mothrill/core/forward/admission/InFlightLimit.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/admission/InFlightLimit.java
@@ -21,8 +21,10 @@
    */
   private static final double MAX_GROWTH_PER_STEP = 0.05;
 
+  private static final double GROWTH_PER_ANSWER = 0.02;
+
   /** Lets every instance learn from a request now and then that a service is free again. */
-  private static final double MIN_LIMIT = 0.2;
+  private static final double MIN_LIMIT = 0.05;
 
   /** A limit beyond the requests in flight limits nothing, and would take long to shrink. */
   private static final double MAX_OF_AVERAGE = 1.5;
@@ -93,9 +95,10 @@
       growthStepMs = nowMs;
       growthInStep = 0;
     }
-    double growth = Math.min(1, limit * MAX_GROWTH_PER_STEP - growthInStep);
+    double growth =
+        Math.min(1, limit * Math.min(GROWTH_PER_ANSWER, MAX_GROWTH_PER_STEP - growthInStep));
     if (growth > 0) {
-      growthInStep += growth;
+      growthInStep += growth / limit;
       limit += growth;
     }
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/admission/RetryAfterPolicy.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/admission/RetryAfterPolicy.java
@@ -37,8 +37,8 @@
   /**
    * Returns the time until a slot is probably free.
    *
-   * <p>A time that exceeds what the caller accepts is drawn between half of that and all of it, as
-   * the callers that were refused at the same moment would otherwise return together.
+   * <p>The jitter is up to half of the time. If the caller does not accept the time, it is drawn
+   * from what the caller accepts with the same jitter.
    *
    * @param requestsAhead the requests that get a slot first, including recently refused ones
    * @param completionsPerMs the rate at which slots become free for this caller
@@ -52,8 +52,7 @@
             ? Math.min(MAX_MS, Math.max(MIN_MS, requestsAhead / completionsPerMs))
             : MAX_MS;
     double latestMs = Math.min(acceptedMs, expectedMs * (1 + JITTER));
-    double earliestMs = Math.min(expectedMs, latestMs * (1 - JITTER));
-    return drawMs(expectedMs * (1 + JITTER) <= acceptedMs ? expectedMs : earliestMs, latestMs);
+    return drawMs(latestMs / (1 + JITTER), latestMs);
   }
 
   /**
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/admission/ServiceAdmission.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/admission/ServiceAdmission.java
@@ -32,6 +32,9 @@
   /** A request that waits at an upstream for more than this part of its target is probably late. */
   private static final double MAX_WAIT_OF_TARGET = 0.5;
 
+  /** Up to this wait, queued requests only keep all slots in use. */
+  private static final double GROWTH_WAIT_OF_TARGET = 0.25;
+
   private final String service;
   private final OccupancySource occupancySource;
   private final RetryAfterPolicy retryAfter;
@@ -102,14 +105,24 @@
       return Optional.of(refuse(Cause.OVER_SHARE, request, team, nowMs));
     }
     double open = limit.value() * (priorities.isUrgent(request.priority()) ? 1 : OPEN_TO_ALL);
-    // The fraction of a limit is open to the same fraction of the requests.
-    if (inFlight.count() - ownCount + 1 > open + random.nextDouble()) {
+    if (!isWithin(open, ownCount, nowMs)) {
       counts = counts.plus(new AdmissionCounts(0, 1, 0, 0));
       return Optional.of(refuse(Cause.OVER_LIMIT, request, team, nowMs));
     }
     return Optional.empty();
   }
 
+  /**
+   * The average over a second stays within the limit; the number at one moment may exceed it by its
+   * standard deviation, as a limit of few requests would otherwise leave slots unused. The fraction
+   * of a limit is open to the same fraction of the requests.
+   */
+  private boolean isWithin(double open, int ownCount, long nowMs) {
+    double otherCount = inFlight.count() - ownCount;
+    return otherCount + 1 <= open + Math.sqrt(open) + random.nextDouble()
+        && (ownCount > 0 || inFlight.averageAt(nowMs) < open);
+  }
+
   private Rejection refuse(Cause cause, AdmissionRequest request, TeamUse team, long nowMs) {
     Rejection rejection = new Rejection(cause, untilSlotFreeMs(request));
     team.onRefused(nowMs);
@@ -170,7 +183,7 @@
     if (answered) {
       answers.add(1, nowMs);
       updateLimit(request.targetLatencyMs(), nowMs);
-      if (!occupancy.isFull()) {
+      if (waitMs(nowMs) < GROWTH_WAIT_OF_TARGET * request.targetLatencyMs()) {
         limit.onAnswered(inFlight.averageAt(nowMs), nowMs);
       }
     }
@@ -208,7 +221,7 @@
     boolean existed = limit.exists();
     if (occupancy.isFull()) {
       limit.onFull(startValue(nowMs), nowMs);
-      if (occupancy.queuedShare() * holdMs(nowMs) > MAX_WAIT_OF_TARGET * targetLatencyMs) {
+      if (waitMs(nowMs) > MAX_WAIT_OF_TARGET * targetLatencyMs) {
         limit.shrink(startValue(nowMs), nowMs);
       }
     }
@@ -235,6 +248,11 @@
         : 0;
   }
 
+  /** Estimates how long a request waits in the queue of an upstream. */
+  private double waitMs(long nowMs) {
+    return occupancy.queuedShare() * holdMs(nowMs);
+  }
+
   private void logStart(boolean existed, String sign) {
     if (!existed && limit.exists()) {
       Logger.info(
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/admission/AdmissionLoadTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/admission/AdmissionLoadTest.java
@@ -37,7 +37,7 @@
         int[] buckets = new int[300];
         s.returnsMs.stream().filter(t -> t < 6000).forEach(t -> buckets[(int) (t / 20)]++);
         System.out.printf(
-            "| n=%d active=%s urgent %.3f other %.3f served %d timely %d cap %d returns %d max/20ms %d counts %s limited %d%n",
+            "| n=%d active=%s urgent %.3f other %.3f served %d timely %d cap %d returns %d max/20ms %d counts %s limited %d turned %d%n",
             n,
             active,
             s.servedShare(c -> c.priority == 0 && c.startMs >= 1000),
@@ -48,7 +48,8 @@
             s.returnsMs.size(),
             IntStream.of(buckets).max().getAsInt(),
             s.counts(),
-            s.limitedInstanceCount());
+            s.limitedInstanceCount(),
+            s.turnedAwayCount);
       }
     }
   }
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/admission/AdmissionSimulation.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/admission/AdmissionSimulation.java
@@ -59,6 +59,7 @@
   final List<Long> returnsMs = new ArrayList<>();
   final List<Upstream> upstreams = new ArrayList<>();
   private final List<Instance> instances = new ArrayList<>();
+  int turnedAwayCount;
   private final Random random;
   private final boolean isActive;
   private final PublishedValue<UpstreamList> list;
@@ -201,6 +202,7 @@
         return;
       }
       load.onRequestEnded();
+      turnedAwayCount++;
       report(upstream, load);
       load.avoidFor(nowMs, AVOID_FULL_MS);
       Optional<Rejection> rejection = admission.onTurnedAway();
