Admission: limits of full services, shares of teams, times to retry

A plain service with twice its demand served all teams alike, so one team with seven times its usual requests displaced the others. ServiceAdmission limits the requests in flight at a full service, MaxMinShares divides the limit among teams, RetryAfterPolicy spreads the returns of refused callers.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/admission/DecayingSum.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/admission/DecayingSum.java
@@ -1,10 +1,13 @@
 package io.mothrill.core.forward.admission;
 
-/** A sum over about the last second: each part decays exponentially with its age. */
+/** A sum over about the last half second: each part decays exponentially with its age. */
 final class DecayingSum {
 
-  /** Time constant: a part counts as 37 percent after this time. */
-  static final double TIME_CONSTANT_MS = 1_000;
+  /**
+   * A part counts as 37 percent after this time. With 1,000 ms, teams were still held to their
+   * shares for a second after the demand of others had ended.
+   */
+  static final double TIME_CONSTANT_MS = 500;
 
   private double sum;
   private long atMs;
@@ -14,7 +17,6 @@
     atMs = Math.max(atMs, nowMs);
   }
 
-  /** Returns the sum, which is also the rate per second. */
   double at(long nowMs) {
     return nowMs <= atMs ? sum : sum * Math.exp(-(nowMs - atMs) / TIME_CONSTANT_MS);
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/admission/InFlightAverage.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/admission/InFlightAverage.java
@@ -1,7 +1,7 @@
 package io.mothrill.core.forward.admission;
 
 /**
- * A number of requests in flight and its average over about the last second.
+ * A number of requests in flight and its average over about the last half second.
  *
  * <p>An instance of a large fleet has less than one request in flight at a small service, so the
  * number alone would not distinguish a team that sends seven times as much as another.
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/admission/InFlightLimit.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/admission/InFlightLimit.java
@@ -16,15 +16,24 @@
   private static final double SHRINK_FACTOR = 0.9;
 
   /**
-   * Maximum growth per step. One per answered request alone would double the limit of short
-   * requests within one step, so upstreams would turn requests away in nine of ten steps.
+   * Growth for each answered request and at most for each step, as parts of the limit. One request
+   * per answer would double the limit of short requests within one step, so upstreams would turn
+   * requests away in nine of ten steps.
    */
+  private static final double GROWTH_PER_ANSWER = 0.02;
+
   private static final double MAX_GROWTH_PER_STEP = 0.05;
 
-  private static final double GROWTH_PER_ANSWER = 0.02;
+  /** Growth while the service is not full any more; quadruples the limit within 1.5 s. */
+  private static final double RECOVERY_GROWTH = 0.1;
 
-  /** Lets every instance learn from a request now and then that a service is free again. */
-  private static final double MIN_LIMIT = 0.05;
+  private static final long RECOVERY_AFTER_MS = 2 * STEP_MS;
+
+  /**
+   * The limit does not shrink below this part of its start. Below, an instance learned too late
+   * that all upstreams had recovered: 8 percent of the requests were still refused 2 s later.
+   */
+  private static final double MIN_OF_START = 0.25;
 
   /** A limit beyond the requests in flight limits nothing, and would take long to shrink. */
   private static final double MAX_OF_AVERAGE = 1.5;
@@ -33,6 +42,7 @@
 
   private boolean exists;
   private double limit;
+  private double minLimit;
   private long startedMs;
   private long lastFullMs;
   private long lastShrunkMs;
@@ -58,7 +68,8 @@
     lastFullMs = nowMs;
     if (!exists) {
       exists = true;
-      limit = Math.max(MIN_LIMIT, inFlight);
+      limit = inFlight;
+      minLimit = inFlight * MIN_OF_START;
       startedMs = nowMs;
       lastShrunkMs = nowMs;
       growthStepMs = nowMs;
@@ -77,7 +88,7 @@
     onFull(inFlight, nowMs);
     if (nowMs - lastShrunkMs >= STEP_MS) {
       lastShrunkMs = nowMs;
-      limit = Math.max(MIN_LIMIT, limit * SHRINK_FACTOR);
+      limit = Math.max(minLimit, limit * SHRINK_FACTOR);
     }
   }
 
@@ -95,8 +106,10 @@
       growthStepMs = nowMs;
       growthInStep = 0;
     }
-    double growth =
-        Math.min(1, limit * Math.min(GROWTH_PER_ANSWER, MAX_GROWTH_PER_STEP - growthInStep));
+    boolean recovers = nowMs - lastFullMs >= RECOVERY_AFTER_MS;
+    double perAnswer = recovers ? RECOVERY_GROWTH : GROWTH_PER_ANSWER;
+    double perStep = recovers ? RECOVERY_GROWTH : MAX_GROWTH_PER_STEP;
+    double growth = Math.min(1, limit * Math.min(perAnswer, perStep - growthInStep));
     if (growth > 0) {
       growthInStep += growth / limit;
       limit += growth;
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/admission/Occupancy.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/admission/Occupancy.java
@@ -15,6 +15,12 @@
    */
   private static final double FULL_FREE_SHARE = 0.1;
 
+  /**
+   * A single upstream of four that turns everything away does not look like a full service up to
+   * two thirds of the slots of the others.
+   */
+  private static final double CROWDED_SHARE = 0.75;
+
   /** Below this share of taken slots, rejections have a cause other than too much demand. */
   private static final double BUSY_SHARE = 0.5;
 
@@ -27,6 +33,15 @@
     return slots > 0 && taken >= BUSY_SHARE * slots;
   }
 
+  /**
+   * Checks whether so few slots are free that upstreams turn requests away for lack of them.
+   *
+   * @return true if at least three quarters of the slots are known to be taken
+   */
+  public boolean isCrowded() {
+    return slots > 0 && taken >= CROWDED_SHARE * slots;
+  }
+
   /**
    * Checks whether load reports show that the service is full.
    *
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/admission/RetryAfterPolicy.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/admission/RetryAfterPolicy.java
@@ -15,7 +15,7 @@
   /** Shorter waits would return callers before the load reports have changed. */
   private static final long MIN_MS = 100;
 
-  /** Rates are averages over a second, so they do not predict more. */
+  /** Rates are averages over half a second; they predict little beyond the next one. */
   private static final long MAX_MS = 1_000;
 
   /** Callers ignore longer waits than this part of their remaining time. */
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/admission/ServiceAdmission.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/admission/ServiceAdmission.java
@@ -32,8 +32,11 @@
   /** A request that waits at an upstream for more than this part of its target is probably late. */
   private static final double MAX_WAIT_OF_TARGET = 0.5;
 
-  /** Up to this wait, queued requests only keep all slots in use. */
-  private static final double GROWTH_WAIT_OF_TARGET = 0.25;
+  /**
+   * Up to this wait, queued requests only keep all slots in use. Limits that started without a wait
+   * refused 1 to 4 percent of a demand of four fifths of the slots.
+   */
+  private static final double GROWTH_WAIT_OF_TARGET = 0.125;
 
   private final String service;
   private final OccupancySource occupancySource;
@@ -45,6 +48,7 @@
   private final PriorityUse priorities = new PriorityUse();
   private final InFlightAverage inFlight = new InFlightAverage();
   private final DecayingSum answers = new DecayingSum();
+  private final DecayingSum overLimit = new DecayingSum();
   private Occupancy occupancy = new Occupancy(0, 0, 0);
   private long occupancyAtMs = Long.MIN_VALUE / 2;
   private AdmissionCounts counts = AdmissionCounts.NONE;
@@ -99,52 +103,48 @@
       return Optional.empty();
     }
     TeamUse team = teams.of(request.team());
-    double share = teams.largestShare(limit.value(), holdMs(nowMs), nowMs);
+    double open = limit.value() * (priorities.isUrgent(request.priority()) ? 1 : OPEN_TO_ALL);
+    double share = teams.largestShare(open, holdMs(nowMs), nowMs);
     if (ownCount == 0 && !team.isWithin(share, nowMs)) {
       counts = counts.plus(new AdmissionCounts(0, 0, 1, 0));
-      return Optional.of(refuse(Cause.OVER_SHARE, request, team, nowMs));
+      double ahead = team.refusalsAt(nowMs);
+      team.onRefused(nowMs);
+      return Optional.of(refuse(Cause.OVER_SHARE, request, ahead, share / limit.value()));
     }
-    double open = limit.value() * (priorities.isUrgent(request.priority()) ? 1 : OPEN_TO_ALL);
-    if (!isWithin(open, ownCount, nowMs)) {
+    // A limit of few requests would leave slots unused if it bounded the number at each moment; the
+    // shares bound the average. The fraction of a limit is open to that fraction of the requests.
+    double mostNow = open + Math.sqrt(open) + random.nextDouble();
+    if (inFlight.count() - ownCount + 1 > mostNow) {
       counts = counts.plus(new AdmissionCounts(0, 1, 0, 0));
-      return Optional.of(refuse(Cause.OVER_LIMIT, request, team, nowMs));
+      team.onRefused(nowMs);
+      double ahead = overLimit.at(nowMs);
+      overLimit.add(1, nowMs);
+      return Optional.of(refuse(Cause.OVER_LIMIT, request, ahead, 1));
     }
     return Optional.empty();
   }
 
-  /**
-   * The average over a second stays within the limit; the number at one moment may exceed it by its
-   * standard deviation, as a limit of few requests would otherwise leave slots unused. The fraction
-   * of a limit is open to the same fraction of the requests.
-   */
-  private boolean isWithin(double open, int ownCount, long nowMs) {
-    double otherCount = inFlight.count() - ownCount;
-    return otherCount + 1 <= open + Math.sqrt(open) + random.nextDouble()
-        && (ownCount > 0 || inFlight.averageAt(nowMs) < open);
-  }
-
-  private Rejection refuse(Cause cause, AdmissionRequest request, TeamUse team, long nowMs) {
-    Rejection rejection = new Rejection(cause, untilSlotFreeMs(request));
-    team.onRefused(nowMs);
-    return rejection;
+  private Rejection refuse(
+      Cause cause, AdmissionRequest request, double refusedBefore, double partOfAnswers) {
+    return new Rejection(cause, untilSlotFreeMs(request, refusedBefore, partOfAnswers));
   }
 
   /**
-   * Returns the time until a slot is probably free for the caller of a refused request.
+   * Returns the time until a slot is probably free for a request that upstreams have turned away.
    *
    * @param request the request
    * @return the time
    */
   public synchronized long untilSlotFreeMs(AdmissionRequest request) {
+    return untilSlotFreeMs(request, overLimit.at(timers.nowMs()), 1);
+  }
+
+  private long untilSlotFreeMs(
+      AdmissionRequest request, double refusedBefore, double partOfAnswers) {
     long nowMs = timers.nowMs();
-    double teamPart =
-        limit.exists()
-            ? teams.largestShare(limit.value(), holdMs(nowMs), nowMs) / limit.value()
-            : 1;
-    double answersPerMs = answers.at(nowMs) / DecayingSum.TIME_CONSTANT_MS;
     return retryAfter.untilSlotFreeMs(
-        1 + teams.of(request.team()).refusalsAt(nowMs),
-        answersPerMs * Math.min(1, teamPart),
+        1 + refusedBefore,
+        partOfAnswers * answers.at(nowMs) / DecayingSum.TIME_CONSTANT_MS,
         request.callerDeadlineMs() - nowMs);
   }
 
@@ -192,14 +192,14 @@
   /**
    * Called when an upstream has turned a request away because it is full.
    *
-   * <p>Turned-away requests say nothing about a service that is known to be less than half taken: a
-   * single upstream may be broken.
+   * <p>Turned-away requests say nothing about a service that is known to have free slots: a single
+   * upstream may be broken.
    */
   public synchronized void onTurnedAway() {
     long nowMs = timers.nowMs();
     counts = counts.plus(new AdmissionCounts(0, 0, 0, 1));
     readOccupancy(nowMs);
-    if (occupancy.isBusy()) {
+    if (occupancy.isCrowded()) {
       boolean existed = limit.exists();
       limit.onRejected(startValue(nowMs), nowMs);
       logStart(existed, "turned away");
@@ -219,7 +219,7 @@
   private void updateLimit(long targetLatencyMs, long nowMs) {
     readOccupancy(nowMs);
     boolean existed = limit.exists();
-    if (occupancy.isFull()) {
+    if (occupancy.isFull() && waitMs(nowMs) > GROWTH_WAIT_OF_TARGET * targetLatencyMs) {
       limit.onFull(startValue(nowMs), nowMs);
       if (waitMs(nowMs) > MAX_WAIT_OF_TARGET * targetLatencyMs) {
         limit.shrink(startValue(nowMs), nowMs);
@@ -237,7 +237,7 @@
   }
 
   private double startValue(long nowMs) {
-    return Math.max(inFlight.count(), inFlight.averageAt(nowMs));
+    return Math.max(1, Math.max(inFlight.count(), inFlight.averageAt(nowMs)));
   }
 
   /** Estimates by Little's law how long a request is in flight. */
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/admission/TeamShares.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/admission/TeamShares.java
@@ -6,11 +6,11 @@
 /** Divides the limit of a full service among the teams that use it at this instance. */
 final class TeamShares {
 
-  /** How long a computed share is used, so that its cost does not grow with the request rate. */
+  /** How long computed demands are used, so that their cost does not grow with the request rate. */
   private static final long RECOMPUTE_MS = 20;
 
   private final Map<String, TeamUse> useByTeam = new HashMap<>();
-  private double largestShare;
+  private double[] demands = {};
   private long computedAtMs = Long.MIN_VALUE / 2;
 
   TeamUse of(String team) {
@@ -27,10 +27,8 @@
     if (nowMs - computedAtMs >= RECOMPUTE_MS) {
       computedAtMs = nowMs;
       useByTeam.values().removeIf(use -> use.isIdle(nowMs));
-      double[] demands =
-          useByTeam.values().stream().mapToDouble(use -> use.demand(holdMs, nowMs)).toArray();
-      largestShare = MaxMinShares.largestShare(demands, limit);
+      demands = useByTeam.values().stream().mapToDouble(use -> use.demand(holdMs, nowMs)).toArray();
     }
-    return largestShare;
+    return MaxMinShares.largestShare(demands, limit);
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/admission/TeamUse.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/admission/TeamUse.java
@@ -21,7 +21,7 @@
     refusals.add(1, nowMs);
   }
 
-  /** Returns the number of refusals in about the last second. */
+  /** Returns the number of refusals recently. */
   double refusalsAt(long nowMs) {
     return refusals.at(nowMs);
   }
