--- a/mothrill-core/src/main/java/io/mothrill/core/forward/admission/InFlightLimit.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/admission/InFlightLimit.java
@@ -36,9 +36,9 @@
   private static final double MIN_OF_START = 0.25;
 
   /** A limit beyond the requests in flight limits nothing, and would take long to shrink. */
-  private static final double MAX_OF_AVERAGE = 1.5;
+  private static final double MAX_OF_AVERAGE = 2;
 
-  private static final double MAX_BEYOND_AVERAGE = 0.5;
+  private static final double MAX_BEYOND_AVERAGE = 1;
 
   private boolean exists;
   private double limit;
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/admission/ServiceAdmission.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/admission/ServiceAdmission.java
@@ -26,8 +26,14 @@
   /** The part of the limit that is open to all priorities. */
   private static final double OPEN_TO_ALL = 0.8;
 
+  /**
+   * Shares apply while this part of the limit is in use. Without this condition, teams were refused
+   * for short bursts while the service as a whole had room.
+   */
+  private static final double SCARCE_PART = 0.8;
+
   /** How long an estimate of the occupancy is used; it reads the loads of all upstreams. */
-  private static final long OCCUPANCY_MS = 10;
+  private static final long OCCUPANCY_MS = 20;
 
   /** A request that waits at an upstream for more than this part of its target is probably late. */
   private static final double MAX_WAIT_OF_TARGET = 0.5;
@@ -105,7 +111,8 @@
     TeamUse team = teams.of(request.team());
     double open = limit.value() * (priorities.isUrgent(request.priority()) ? 1 : OPEN_TO_ALL);
     double share = teams.largestShare(open, holdMs(nowMs), nowMs);
-    if (ownCount == 0 && !team.isWithin(share, nowMs)) {
+    boolean isScarce = inFlight.averageAt(nowMs) >= SCARCE_PART * open;
+    if (ownCount == 0 && isScarce && !team.isWithin(share, nowMs)) {
       counts = counts.plus(new AdmissionCounts(0, 0, 1, 0));
       double ahead = team.refusalsAt(nowMs);
       team.onRefused(nowMs);
@@ -237,7 +244,7 @@
   }
 
   private double startValue(long nowMs) {
-    return Math.max(1, Math.max(inFlight.count(), inFlight.averageAt(nowMs)));
+    return Math.max(1, Math.max(inFlight.count(), inFlight.averageAt(nowMs))) / OPEN_TO_ALL;
   }
 
   /** Estimates by Little's law how long a request is in flight. */
