Merge admission

Cause: a full service turned requests away one by one, refused callers were told a constant time and returned together, and a team with many times its usual load displaced the others. Change: a limit on this instance's requests in flight while a service is full, shares of teams by max-min fairness, the last part for urgent priorities, and times to retry that follow the load and are spread.

--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -2,6 +2,9 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.mothrill.core.board.PublishedValue;
+import io.mothrill.core.forward.admission.ReportedOccupancy;
+import io.mothrill.core.forward.admission.RetryAfterPolicy;
+import io.mothrill.core.forward.admission.ServiceAdmissions;
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.crash.CrashMessage;
 import io.mothrill.core.forward.limit.RateLimitReport;
@@ -171,6 +174,13 @@
                 choice.limits()::onReport,
                 reach::onMessageFromHost),
             ports.work());
+    ServiceAdmissions admissions =
+        new ServiceAdmissions(
+            loadFeatures,
+            new ReportedOccupancy(upstreams, evacuatedDomains, choice.loads()),
+            new RetryAfterPolicy(random),
+            timers,
+            random);
     ForwardDependencies parts =
         new ForwardDependencies(
             ports.dialect(),
@@ -192,6 +202,7 @@
             choice.selfReports(),
             reach::onMessageFromDomain,
             loadFeatures,
+            admissions,
             timers,
             ports.work(),
             random);
@@ -215,6 +226,7 @@
     gauges.registerUpstreams(evacuatedDomains, choice);
     gauges.registerPromptPools(choice.prompts().pools(), choice.prompts().tracker());
     gauges.registerHoldings(choice.holdings(), timers);
+    gauges.registerAdmissions(admissions);
     gauges.registerLog();
     gauges.registerWork(ports.work());
     timers.every(PRUNE_INTERVAL_MS, () -> choice.retain(upstreams.read()));
