--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/CallerListener.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/CallerListener.java
@@ -3,6 +3,7 @@
 import io.mothrill.wire.http.Address;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
 
@@ -23,9 +24,11 @@
   /** Size of the accept queue; covers one second of heavy load on one instance. */
   private static final int BACKLOG = 1_024;
 
+  private final Address address;
   private final ServerSocketChannel channel;
 
-  private CallerListener(ServerSocketChannel channel) {
+  private CallerListener(Address address, ServerSocketChannel channel) {
+    this.address = address;
     this.channel = channel;
   }
 
@@ -40,12 +43,18 @@
       ServerSocketChannel channel = ServerSocketChannel.open();
       channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
       channel.bind(address.toSocketAddress(), BACKLOG);
-      return new CallerListener(channel);
+      int port = ((InetSocketAddress) channel.getLocalAddress()).getPort();
+      return new CallerListener(new Address(address.host(), port), channel);
     } catch (IOException ex) {
       throw new UncheckedIOException("cannot listen for callers on " + address, ex);
     }
   }
 
+  /** Opens a listening socket on the same port, after this one was closed. */
+  CallerListener reopen() {
+    return open(address);
+  }
+
   /** Returns the socket for the event loops. */
   ServerSocketChannel channel() {
     return channel;
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardServer.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardServer.java
@@ -5,7 +5,6 @@
 import io.mothrill.wire.work.WorkMeter;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -15,9 +14,7 @@
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
-import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -47,7 +44,7 @@
   private final ForwardServerState state;
   private final Map<EventLoop, UpstreamPool> pools = new ConcurrentHashMap<>();
   private final Map<EventLoop, RequestStarter> starters = new ConcurrentHashMap<>();
-  private final Channel listener;
+  private final CallerAcceptor acceptor;
 
   /**
    * Creates the server and starts accepting callers.
@@ -66,25 +63,24 @@
     this.state = new ForwardServerState(maxBufferedBytes);
     Timers timers = dependencies.timers();
     timers.every(IDLE_CHECK_INTERVAL_MS, () -> closeIdleConnections(timers.nowMs()));
-    this.listener =
-        new ServerBootstrap()
-            .group(group)
-            .channelFactory(() -> new NioServerSocketChannel(socket.channel()))
-            .option(
-                ChannelOption.RECVBUF_ALLOCATOR,
-                new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(MAX_ACCEPTS_PER_TURN))
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childOption(ChannelOption.RECVBUF_ALLOCATOR, readingUntilEmpty())
-            .childHandler(
-                new ChannelInitializer<SocketChannel>() {
-                  @Override
-                  protected void initChannel(SocketChannel channel) {
-                    initCaller(channel);
-                  }
-                })
-            .register()
-            .syncUninterruptibly()
-            .channel();
+    this.acceptor = new CallerAcceptor(newBootstrap(group), socket);
+  }
+
+  private ServerBootstrap newBootstrap(EventLoopGroup group) {
+    return new ServerBootstrap()
+        .group(group)
+        .option(
+            ChannelOption.RECVBUF_ALLOCATOR,
+            new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(MAX_ACCEPTS_PER_TURN))
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, readingUntilEmpty())
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                initCaller(channel);
+              }
+            });
   }
 
   /**
@@ -143,7 +139,7 @@
    * @return the port
    */
   public int port() {
-    return ((InetSocketAddress) listener.localAddress()).getPort();
+    return acceptor.port();
   }
 
   /**
@@ -162,7 +158,17 @@
    */
   public void refuseNew() {
     state.refuseNew();
-    listener.close();
+    acceptor.close();
+  }
+
+  /**
+   * Accepts new connections or refuses them for a while, so that callers try another instance.
+   * Connections that are open are not affected.
+   *
+   * @param accepting whether new connections are accepted
+   */
+  public void setAccepting(boolean accepting) {
+    acceptor.setAccepting(accepting);
   }
 
   /**
@@ -194,7 +200,7 @@
 
   /** Stops listening and closes all connections. */
   public void close() {
-    listener.close();
+    acceptor.close();
     state.connections().forEach(CallerConnection::close);
   }
 }
