Shared load: slowness of upstreams observed, reported between instances and used for plain requests

An instance learned of a slow engine only from its own late responses and forgot it within 1.5 s, so all instances kept choosing it. Plain requests waited up to 500 ms for a connection although their target is 145 ms.

UpstreamContention keeps the announced slowdown and the observed wait of each incarnation. ContentionMonitor observes responses and requests that are still waiting, ContentionBroadcast bounds the reports, LoadNotice (field 7 of notice.proto) carries them. PlainLatencyCost selects for plain requests by expected time, and the connect timeout is half of the target latency. All of it is active only where LoadFeatures.isActive. UpstreamCost.select lets a cost draw among the permitted upstreams. The instance's random generator is no longer the thread-local one of the constructing thread, which is unseeded in other threads.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamList.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamList.java
@@ -105,9 +105,18 @@
    * @return true if that process is in the list
    */
   public boolean containsIncarnation(String incarnation) {
+    return findIncarnation(incarnation).isPresent();
+  }
+
+  /**
+   * Finds an incarnation of an upstream.
+   *
+   * @param incarnation a result of {@link RegisteredUpstream#incarnation()}
+   * @return the upstream, if that process is in the list
+   */
+  public Optional<RegisteredUpstream> findIncarnation(String incarnation) {
     return find(RegisteredUpstream.idOf(incarnation))
-        .filter(upstream -> upstream.incarnation().equals(incarnation))
-        .isPresent();
+        .filter(upstream -> upstream.incarnation().equals(incarnation));
   }
 
   /**
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamPicker.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamPicker.java
@@ -2,7 +2,6 @@
 
 import io.mothrill.core.board.PublishedValue;
 import io.mothrill.core.time.Timers;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Predicate;
@@ -10,7 +9,7 @@
 import java.util.stream.Stream;
 
 /**
- * Selects the upstream with the lowest cost among those that accept requests.
+ * Selects an upstream by its cost among those that accept requests.
  *
  * <pre>{@code
  * Optional<RegisteredUpstream> upstream = picker.pick(new UpstreamQuery("sira", prompt, tried));
@@ -83,7 +82,7 @@
             upstream -> true)
         .map(preferred -> untried.stream().filter(preferred))
         .map(matching -> matching.filter(upstream -> filter.permits(upstream, query, nowMs)))
-        .map(matching -> cheapest(matching, costOf))
+        .map(matching -> cost.select(query, matching.toList(), costOf))
         .flatMap(Optional::stream)
         .findFirst();
   }
@@ -95,14 +94,4 @@
   private boolean isReachable(RegisteredUpstream upstream) {
     return isDomainReachable.test(upstream.domain());
   }
-
-  private static Optional<RegisteredUpstream> cheapest(
-      Stream<RegisteredUpstream> candidates, ToDoubleFunction<RegisteredUpstream> costOf) {
-    record Priced(RegisteredUpstream upstream, double cost) {}
-
-    return candidates
-        .map(upstream -> new Priced(upstream, costOf.applyAsDouble(upstream)))
-        .min(Comparator.comparingDouble(Priced::cost))
-        .map(Priced::upstream);
-  }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/peer/ReportRateLimiter.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/peer/ReportRateLimiter.java
@@ -24,11 +24,26 @@
    * @param nowMs the current time of the timer service, in milliseconds
    * @return true when the report may be sent
    */
-  public synchronized boolean tryAcquire(long nowMs) {
+  public boolean tryAcquire(long nowMs) {
+    return tryAcquire(nowMs, 1);
+  }
+
+  /**
+   * Acquires permission to send a report that counts several times.
+   *
+   * @param nowMs the current time of the timer service, in milliseconds
+   * @param count how often it counts, for example once for each recipient
+   * @return true when the report may be sent; otherwise it does not count
+   */
+  public synchronized boolean tryAcquire(long nowMs, int count) {
     if (nowMs - windowStartMs >= SECOND_MS) {
       windowStartMs = nowMs;
       sentInWindow = 0;
     }
-    return sentInWindow++ < maxPerS;
+    if (sentInWindow + count > maxPerS) {
+      return false;
+    }
+    sentInWindow += count;
+    return true;
   }
 }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.mothrill.core.board.PublishedValue;
+import io.mothrill.core.forward.contention.ContentionMonitor;
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.plan.TeamPlan;
@@ -82,6 +83,15 @@
     metrics.gauge("upstreams.reportsHeardCount", () -> choice.statusBroadcast()::receivedCount);
   }
 
+  /** Registers gauges for slow upstreams and the reports exchanged about them. */
+  void registerContention(ContentionMonitor contention) {
+    metrics.gauge("load.waitingUpstreamCount", () -> () -> contention.counts().waitingUpstreams());
+    metrics.gauge("load.reportsSentCount", () -> () -> contention.counts().sent());
+    metrics.gauge("load.reportsDroppedCount", () -> () -> contention.counts().dropped());
+    metrics.gauge("load.reportsHeardCount", () -> () -> contention.counts().received());
+    metrics.gauge("load.reportsIgnoredCount", () -> () -> contention.counts().ignored());
+  }
+
   /** Registers gauges for requests suspected of crashing upstreams and the messages about them. */
   void registerCrashes(CrashGuard crashes) {
     metrics.gauge("crashes.suspectCount", () -> () -> crashes.counts().suspects());
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -2,6 +2,8 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.mothrill.core.board.PublishedValue;
+import io.mothrill.core.forward.contention.ConnectTimeouts;
+import io.mothrill.core.forward.contention.ContentionReport;
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.crash.CrashMessage;
 import io.mothrill.core.forward.limit.RateLimitReport;
@@ -102,7 +104,8 @@
       ForwardSettings settings, ForwardPorts ports, EventLoopGroup group, Timers timers) {
     this.settings = settings;
     this.timers = timers;
-    RandomGenerator random = ThreadLocalRandom.current()::nextLong;
+    // The generator of a thread is seeded by current(), so it is not kept for use by other threads.
+    RandomGenerator random = () -> ThreadLocalRandom.current().nextLong();
     PeerDispatcher dispatcher = new PeerDispatcher();
     this.peers = newPeers(settings, dispatcher, group, ports.work());
     InstanceRecord self =
@@ -139,6 +142,8 @@
             fleetView(),
             this::sendStatusReport,
             this::sendRateLimitReport,
+            this::sendContentionReport,
+            loadFeatures,
             reach::isReachable,
             timers,
             random);
@@ -168,6 +173,7 @@
                 crashes::onMessage,
                 choice.statusBroadcast()::onReport,
                 choice.limits()::onReport,
+                choice.contention()::onReport,
                 reach::onMessageFromHost),
             ports.work());
     ForwardDependencies parts =
@@ -189,6 +195,8 @@
             choice.selfReports(),
             reach::onMessageFromDomain,
             loadFeatures,
+            choice.contention(),
+            new ConnectTimeouts(loadFeatures),
             timers,
             ports.work(),
             random);
@@ -210,6 +218,7 @@
     gauges.registerSpending(plan, spending);
     gauges.registerCrashes(crashes);
     gauges.registerUpstreams(evacuatedDomains, choice);
+    gauges.registerContention(choice.contention());
     gauges.registerLog();
     gauges.registerWork(ports.work());
     timers.every(PRUNE_INTERVAL_MS, () -> choice.loads().retain(upstreams.read()));
@@ -241,6 +250,10 @@
     notices.send(report, to);
   }
 
+  private void sendContentionReport(ContentionReport report, List<InstanceRecord> to) {
+    notices.send(report, to);
+  }
+
   private void sendCrashMessage(CrashMessage message, List<InstanceRecord> to) {
     notices.send(message, to);
   }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamSelection.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamSelection.java
@@ -3,9 +3,17 @@
 import io.mothrill.core.board.PublishedValue;
 import io.mothrill.core.forward.answer.SelfReportDispatcher;
 import io.mothrill.core.forward.check.SendChecks;
+import io.mothrill.core.forward.contention.ContentionBroadcast;
+import io.mothrill.core.forward.contention.ContentionMonitor;
+import io.mothrill.core.forward.contention.ContentionReportSender;
+import io.mothrill.core.forward.contention.PlainLatencyCost;
+import io.mothrill.core.forward.contention.SwitchedCost;
+import io.mothrill.core.forward.contention.UpstreamContention;
+import io.mothrill.core.forward.contention.WorkTimes;
 import io.mothrill.core.forward.crash.TerminationProbe;
 import io.mothrill.core.forward.limit.AnnouncedRateLimits;
 import io.mothrill.core.forward.limit.RateLimitReportSender;
+import io.mothrill.core.forward.load.LoadFeatures;
 import io.mothrill.core.forward.permit.FleetView;
 import io.mothrill.core.forward.permit.SendPermits;
 import io.mothrill.core.forward.plan.ForwardingPlan;
@@ -45,6 +53,7 @@
   private final UpstreamBackoffs resting;
   private final SelfReportDispatcher selfReports;
   private final UpstreamStatusBroadcast statusBroadcast;
+  private final ContentionMonitor contention;
   private final SendChecks checks;
   private final UpstreamPicker picker;
 
@@ -72,6 +81,8 @@
       FleetView fleet,
       UpstreamStatusReportSender reports,
       RateLimitReportSender limitReports,
+      ContentionReportSender contentionReports,
+      LoadFeatures loadFeatures,
       Predicate<String> reachedDomains,
       Timers timers,
       RandomGenerator random) {
@@ -105,11 +116,26 @@
             warmUps,
             limitPermits,
             timers);
+    UpstreamContention slowness = new UpstreamContention(random);
+    WorkTimes workTimes = new WorkTimes();
+    this.contention =
+        new ContentionMonitor(
+            slowness,
+            loads,
+            loadFeatures,
+            view.upstreams(),
+            new ContentionBroadcast(self, fleet::others, contentionReports, timers),
+            workTimes,
+            tokens -> tokens / speed.tokensPerMs(),
+            timers);
     this.picker =
         new UpstreamPicker(
             view.upstreams(),
             loads,
-            new PlainCost(settings.domain(), loads, random),
+            new SwitchedCost(
+                loadFeatures,
+                new PlainLatencyCost(settings.domain(), loads, slowness, workTimes, random),
+                new PlainCost(settings.domain(), loads, random)),
             new PromptCost(settings.domain(), loads, memory, speed),
             checks,
             warming::isWarming,
@@ -171,6 +197,10 @@
     return statusBroadcast;
   }
 
+  ContentionMonitor contention() {
+    return contention;
+  }
+
   SendChecks checks() {
     return checks;
   }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -1,5 +1,6 @@
 package io.mothrill.wire.forward;
 
+import io.mothrill.core.forward.contention.RequestObservation;
 import io.mothrill.core.forward.crash.RequestCrashGuard;
 import io.mothrill.core.forward.request.ForwardRefusal;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
@@ -83,6 +84,7 @@
   private final IdleTimer idleTimer;
   private UpstreamConnection connection;
   private Subscription replacement = () -> {};
+  private RequestObservation observation = RequestObservation.NONE;
   private boolean finished;
   private boolean sent;
   private boolean prefillDone;
@@ -147,6 +149,12 @@
         .acquire(
             upstream,
             !admitted.route().kind().isRetryable(),
+            dependencies
+                .connectTimeouts()
+                .timeoutMs(
+                    upstream.service(),
+                    admitted.route().targetLatencyMs(),
+                    progress.attempts.size()),
             this::onConnected,
             this::onConnectFailed);
   }
@@ -184,6 +192,7 @@
     progress.runCount++;
     sentMs = dependencies.timers().nowMs();
     load.onSent(promptTokens);
+    observation = observe();
     dependencies.selfReports().onSent(upstream);
     admitted
         .call()
@@ -205,6 +214,21 @@
     idleTimer.start();
   }
 
+  /**
+   * Starts observing the wait at the upstream. The time that a response takes can be expected only
+   * for plain requests and for streams that begin when a prompt has been read.
+   */
+  private RequestObservation observe() {
+    boolean hasPrompt = admitted.call().prompt().isPresent();
+    long targetLatencyMs = admitted.route().targetLatencyMs();
+    if (admitted.route().kind().isStream() != hasPrompt) {
+      return RequestObservation.NONE;
+    }
+    return hasPrompt
+        ? dependencies.contention().onPromptSent(upstream, targetLatencyMs, promptTokens)
+        : dependencies.contention().onPlainSent(upstream, targetLatencyMs);
+  }
+
   private static long idleTimeoutMs(AdmittedRequest admitted) {
     return Math.max(MIN_IDLE_TIMEOUT_MS, IDLE_TIMEOUT_TARGETS * admitted.route().targetLatencyMs());
   }
@@ -241,6 +265,7 @@
     finished = true;
     idleTimer.stop();
     replacement.cancel();
+    observation.stop();
     if (sent) {
       recordPrefillDone();
       load.onRequestEnded();
@@ -294,6 +319,7 @@
     if (metadata.slowdown().isPresent()) {
       dependencies.loadFeatures().onContentionAnnounced(upstream.service());
     }
+    observation.onHead(metadata.runningCount(), metadata.queuedCount(), metadata.slowdown());
     dependencies.selfReports().onAnswer(upstream, sentMs, metadata.selfReport());
   }
 
@@ -302,6 +328,7 @@
       dependencies.statusBroadcast().onDetected(upstream, UpstreamStatus.REPLACED);
     } else {
       load.avoidFor(dependencies.timers().nowMs(), FULL_AVOID_MS);
+      observation.onNotRun();
     }
     recordFailure("not run, status " + status);
     progress.runCount--;
@@ -330,6 +357,7 @@
 
   private void relayEvent(EventSplitter.Event event) {
     if (!prefillDone) {
+      observation.onAnswered();
       dependencies.prefillSpeed().onPrefill(promptTokens, idleTimer.lastReceivedMs() - sentMs);
     }
     recordPrefillDone();
@@ -380,6 +408,9 @@
 
   private void onBodyEnd() {
     int status = response.status().code();
+    if (status < FIRST_ERROR) {
+      observation.onAnswered();
+    }
     ByteBuf bytes = body;
     body = null;
     finish();
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
@@ -3,6 +3,8 @@
 import io.mothrill.core.board.PublishedValue;
 import io.mothrill.core.forward.answer.SelfReportDispatcher;
 import io.mothrill.core.forward.check.SendChecks;
+import io.mothrill.core.forward.contention.ConnectTimeouts;
+import io.mothrill.core.forward.contention.ContentionMonitor;
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.load.LoadFeatures;
 import io.mothrill.core.forward.plan.ForwardingPlan;
@@ -40,6 +42,8 @@
  * @param selfReports receives what upstreams report about themselves in responses
  * @param domainContacts receives the failure domain of each upstream from which data arrives
  * @param loadFeatures determines where decisions under load are active
+ * @param contention observes how long requests wait at upstreams
+ * @param connectTimeouts determines how long requests wait for connections
  * @param timers the clock and timers
  * @param workStats counts the work of connections
  * @param random selects among the services of a split route
@@ -62,6 +66,8 @@
     SelfReportDispatcher selfReports,
     Consumer<String> domainContacts,
     LoadFeatures loadFeatures,
+    ContentionMonitor contention,
+    ConnectTimeouts connectTimeouts,
     Timers timers,
     WorkStats workStats,
     RandomGenerator random) {}
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamPool.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamPool.java
@@ -26,12 +26,6 @@
   private static final int MAX_HEADER_BYTES = 32_768;
   private static final int MAX_CHUNK_BYTES = 16_384;
 
-  /**
-   * Longer than any round trip between failure domains, but short enough to detect a dead upstream
-   * soon.
-   */
-  private static final int CONNECT_TIMEOUT_MS = 500;
-
   /**
    * Share of the keep-alive time for which an idle connection is reused. The upstream closes idle
    * connections on its own schedule, and the margin covers the network delay.
@@ -64,6 +58,7 @@
    * @param upstream the upstream to connect to
    * @param nonIdempotent true for a request that cannot be retried if the connection turns out to
    *     be dead
+   * @param connectTimeoutMs how long a new connection may take
    * @param onConnected receives the connection
    * @param onFailed receives the error when no connection could be established; nothing has reached
    *     the upstream then
@@ -71,6 +66,7 @@
   void acquire(
       RegisteredUpstream upstream,
       boolean nonIdempotent,
+      int connectTimeoutMs,
       Consumer<UpstreamConnection> onConnected,
       Consumer<Throwable> onFailed) {
     double share = nonIdempotent ? MAX_KEEP_ALIVE_SHARE_NON_IDEMPOTENT : MAX_KEEP_ALIVE_SHARE;
@@ -84,11 +80,12 @@
     if (newest != null) {
       newest.close();
     }
-    connect(upstream, onConnected, onFailed);
+    connect(upstream, connectTimeoutMs, onConnected, onFailed);
   }
 
   private void connect(
       RegisteredUpstream upstream,
+      int connectTimeoutMs,
       Consumer<UpstreamConnection> onConnected,
       Consumer<Throwable> onFailed) {
     UpstreamConnection connection = new UpstreamConnection(dialect, this, upstream.incarnation());
@@ -96,7 +93,7 @@
         .group(loop)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
         .handler(
             new ChannelInitializer<SocketChannel>() {
               @Override
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
@@ -1,6 +1,8 @@
 package io.mothrill.wire.peer;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import io.mothrill.core.forward.contention.ContentionReport;
+import io.mothrill.core.forward.contention.ContentionReportSender;
 import io.mothrill.core.forward.crash.CrashMessage;
 import io.mothrill.core.forward.crash.CrashMessageSender;
 import io.mothrill.core.forward.limit.RateLimitReport;
@@ -8,6 +10,7 @@
 import io.mothrill.core.forward.upstream.PromptNoticeSender;
 import io.mothrill.core.forward.upstream.UpstreamStatusReport;
 import io.mothrill.core.forward.upstream.UpstreamStatusReportSender;
+import io.mothrill.core.peer.NoticeRecipients;
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.work.WorkKind;
 import io.mothrill.core.work.WorkStats;
@@ -27,7 +30,6 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.function.Supplier;
-import java.util.stream.IntStream;
 import org.tinylog.Logger;
 
 /**
@@ -38,7 +40,8 @@
     implements PromptNoticeSender,
         CrashMessageSender,
         UpstreamStatusReportSender,
-        RateLimitReportSender {
+        RateLimitReportSender,
+        ContentionReportSender {
 
   /**
    * Upstreams process shorter prompts before a notice could influence the choice of an upstream.
@@ -55,12 +58,6 @@
    */
   private static final long TOKENS_PER_RECIPIENT = 100;
 
-  /**
-   * The maximum number of recipients of a notice. With more, sending the notices would cost each
-   * instance more than a long prompt does.
-   */
-  private static final int MAX_RECIPIENTS = 80;
-
   /** More tokens than the memory of any upstream can hold. */
   private static final long MAX_TOKENS = 10_000_000;
 
@@ -132,6 +129,11 @@
     send(Notice.newBuilder().setLimit(LimitNoticeCodec.write(report)).build(), to);
   }
 
+  @Override
+  public void send(ContentionReport report, List<InstanceRecord> to) {
+    send(Notice.newBuilder().setLoad(LoadNoticeCodec.write(report)).build(), to);
+  }
+
   private void send(Notice notice, List<InstanceRecord> peers) {
     byte[] bytes = notice.toByteArray();
     peers.stream()
@@ -140,19 +142,8 @@
     channel.flush();
   }
 
-  /**
-   * Selects the recipients: consecutive instances, starting at a position that depends on the
-   * sender.
-   *
-   * <p>If all senders started at the first instance, the last instances of a fleet with more than
-   * the maximum number of recipients would never get a notice, and would send their prompts to busy
-   * engines.
-   */
   static List<InstanceRecord> recipients(List<InstanceRecord> peers, String host) {
-    int first = peers.isEmpty() ? 0 : Math.floorMod(host.hashCode(), peers.size());
-    return IntStream.range(first, first + Math.min(MAX_RECIPIENTS, peers.size()))
-        .mapToObj(place -> peers.get(place % peers.size()))
-        .toList();
+    return NoticeRecipients.select(peers, host);
   }
 
   /** Stops listening. */
@@ -182,6 +173,8 @@
           UpstreamNoticeCodec.read(notice.getUpstream()).ifPresent(listeners.statusReports());
         } else if (notice.hasLimit()) {
           LimitNoticeCodec.read(notice.getLimit()).ifPresent(listeners.limits());
+        } else if (notice.hasLoad()) {
+          LoadNoticeCodec.read(notice.getLoad()).ifPresent(listeners.contention());
         }
       } catch (InvalidProtocolBufferException ex) {
         Logger.debug("malformed notice ignored: {}", ex.getMessage());
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/NoticeListeners.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/NoticeListeners.java
@@ -1,5 +1,6 @@
 package io.mothrill.wire.peer;
 
+import io.mothrill.core.forward.contention.ContentionReport;
 import io.mothrill.core.forward.crash.CrashMessage;
 import io.mothrill.core.forward.limit.RateLimitReport;
 import io.mothrill.core.forward.upstream.PromptNoticeSender;
@@ -15,6 +16,7 @@
  * @param crashes receives notices about requests that crash upstreams, with the sender to reply to
  * @param statusReports receives reports about upstreams that have ended or are unreachable
  * @param limits receives reports about rate limits announced by upstreams
+ * @param contention receives reports about slow upstreams
  * @param hosts receives the IP address of the sender of each notice
  */
 public record NoticeListeners(
@@ -22,6 +24,7 @@
     BiConsumer<CrashMessage, InstanceRecord> crashes,
     Consumer<UpstreamStatusReport> statusReports,
     Consumer<RateLimitReport> limits,
+    Consumer<ContentionReport> contention,
     Consumer<String> hosts) {
 
   /**
@@ -32,6 +35,6 @@
    */
   public static NoticeListeners ofCrashes(BiConsumer<CrashMessage, InstanceRecord> crashes) {
     return new NoticeListeners(
-        (incarnation, tokens) -> {}, crashes, report -> {}, limit -> {}, host -> {});
+        (incarnation, tokens) -> {}, crashes, report -> {}, limit -> {}, report -> {}, host -> {});
   }
 }
--- a/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.mothrill.core.forward.contention.ContentionReport;
 import io.mothrill.core.forward.limit.RateLimitReport;
 import io.mothrill.core.forward.upstream.UpstreamStatus;
 import io.mothrill.core.forward.upstream.UpstreamStatusReport;
@@ -16,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -35,6 +37,7 @@
   private final BlockingQueue<UpstreamStatusReport> receivedStatusReports =
       new LinkedBlockingQueue<>();
   private final BlockingQueue<RateLimitReport> receivedLimits = new LinkedBlockingQueue<>();
+  private final BlockingQueue<ContentionReport> receivedContention = new LinkedBlockingQueue<>();
 
   @AfterEach
   void stop() {
@@ -52,6 +55,7 @@
             (message, sender) -> {},
             receivedStatusReports::add,
             receivedLimits::add,
+            receivedContention::add,
             host -> {}),
         new WorkStats());
   }
@@ -156,4 +160,29 @@
     assertThat(first).isEqualTo(announced);
     assertThat(second).isEqualTo(removed);
   }
+
+  // An upstream that announces no numbers of requests must not appear idle to the others.
+  @Test
+  void transfersContentionWithAndWithoutAnnouncedValues() throws Exception {
+    int port = freePort();
+    ContentionReport full =
+        new ContentionReport(
+            "i-1@0", 820, OptionalDouble.of(2.5), OptionalInt.of(24), OptionalInt.of(0));
+    ContentionReport waitOnly =
+        new ContentionReport(
+            "i-1@0", 820, OptionalDouble.empty(), OptionalInt.empty(), OptionalInt.empty());
+    InstanceRecord peer = new InstanceRecord("konya-1", "konya-1", "konya", HOST, port, false);
+    DatagramNotices listener = listener(port);
+    DatagramNotices sender = sender(port, 1);
+
+    sender.send(full, List.of(peer));
+    final ContentionReport first = receivedContention.poll(WAIT_S, TimeUnit.SECONDS);
+    sender.send(waitOnly, List.of(peer));
+    final ContentionReport second = receivedContention.poll(WAIT_S, TimeUnit.SECONDS);
+    listener.close();
+    sender.close();
+
+    assertThat(first).isEqualTo(full);
+    assertThat(second).isEqualTo(waitOnly);
+  }
 }
--- a/mothrill-wire/src/test/java/io/mothrill/wire/peer/MalformedNoticesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/peer/MalformedNoticesTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.mothrill.core.forward.contention.ContentionReport;
 import io.mothrill.core.forward.crash.CrashMessage;
 import io.mothrill.core.forward.limit.RateLimitReport;
 import io.mothrill.core.forward.upstream.UpstreamStatus;
@@ -10,6 +11,7 @@
 import io.mothrill.wire.peer.generated.CrashReport;
 import io.mothrill.wire.peer.generated.CrashedRequest;
 import io.mothrill.wire.peer.generated.LimitNotice;
+import io.mothrill.wire.peer.generated.LoadNotice;
 import io.mothrill.wire.peer.generated.Notice;
 import io.mothrill.wire.peer.generated.PromptNotice;
 import io.mothrill.wire.peer.generated.UpstreamNotice;
@@ -34,6 +36,7 @@
   private final List<CrashMessage> receivedCrashes = new ArrayList<>();
   private final List<UpstreamStatusReport> receivedStatusReports = new ArrayList<>();
   private final List<RateLimitReport> receivedLimits = new ArrayList<>();
+  private final List<ContentionReport> receivedContention = new ArrayList<>();
   private final EmbeddedChannel channel =
       new EmbeddedChannel(
           new DatagramNotices.NoticeHandler(
@@ -42,6 +45,7 @@
                   (message, sender) -> receivedCrashes.add(message),
                   receivedStatusReports::add,
                   receivedLimits::add,
+                  receivedContention::add,
                   host -> {})));
 
   private void receive(byte[] bytes) {
@@ -53,6 +57,10 @@
     receive(Notice.newBuilder().setUpstream(report).build().toByteArray());
   }
 
+  private void receive(LoadNotice.Builder load) {
+    receive(Notice.newBuilder().setLoad(load).build().toByteArray());
+  }
+
   private static byte[] notice(long tokens) {
     PromptNotice prompt =
         PromptNotice.newBuilder().setUpstreamId("i-1@0").setUnreadTokens(tokens).build();
@@ -144,4 +152,23 @@
 
     assertThat(receivedLimits).isEmpty();
   }
+
+  // An impossible wait or slowdown would keep all requests away from an upstream.
+  @Test
+  void ignoresInvalidContention() {
+    LoadNotice valid = LoadNotice.newBuilder().setIncarnation("i-1@0").setWaitMs(500).build();
+    receive(valid.toBuilder().setWaitMs(-1));
+    receive(valid.toBuilder().setWaitMs(Long.MAX_VALUE));
+    receive(valid.toBuilder().setIncarnation("i".repeat(500)));
+    receive(valid.toBuilder().setSlowdownPercent(0));
+    receive(valid.toBuilder().setSlowdownPercent(-100));
+    receive(valid.toBuilder().setSlowdownPercent(10_001));
+    receive(valid.toBuilder().setRunning(-1));
+    receive(valid.toBuilder().setQueued(Integer.MAX_VALUE));
+    assertThat(receivedContention).isEmpty();
+
+    receive(valid.toBuilder());
+
+    assertThat(receivedContention).hasSize(1);
+  }
 }
