Shared load: a busy link of an instance is not taken for slow upstreams

A full link delays every response of an instance, which would have reported all upstreams as slow to all others. Reports that are not news are dropped before their recipients are selected.

Run: mvn -pl platform -am verify -DskipTests passed; tests of forward/contention, UpstreamPickerTest, UpstreamStatusBroadcastTest, *Notice*Test, SharedLoadTest and ForwardingTest passed.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/contention/ContentionBroadcast.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/contention/ContentionBroadcast.java
@@ -90,24 +90,31 @@
 
   /** Sends a report unless it tells little new or the maximum rate is reached. */
   void offer(ContentionReport report) {
+    long nowMs = timers.nowMs();
+    if (!isNews(report, nowMs)) {
+      return;
+    }
     List<InstanceRecord> recipients = NoticeRecipients.select(others.get(), self.host());
-    if (!recipients.isEmpty() && tryClaim(report, recipients.size())) {
+    if (!recipients.isEmpty() && tryClaim(report, recipients.size(), nowMs)) {
       sentCount.incrementAndGet();
       sender.send(report, recipients);
     }
   }
 
-  private synchronized boolean tryClaim(ContentionReport report, int recipientCount) {
-    long nowMs = timers.nowMs();
+  private boolean isNews(ContentionReport report, long nowMs) {
     LastReport last = lastReports.get(report.incarnation());
-    if (last != null && !last.isOutdatedBy(report, nowMs)) {
+    return last == null || last.isOutdatedBy(report, nowMs);
+  }
+
+  private synchronized boolean tryClaim(ContentionReport report, int recipientCount, long nowMs) {
+    if (!isNews(report, nowMs)) {
       return false;
     }
     if (!rate.tryAcquire(nowMs, recipientCount)) {
       droppedCount.incrementAndGet();
       return false;
     }
-    lastReports.put(report.incarnation(), new LastReport(report.waitMs(), nowMs));
+    LastReport last = lastReports.put(report.incarnation(), new LastReport(report.waitMs(), nowMs));
     if (last == null || nowMs - last.atMs() >= LOG_INTERVAL_MS) {
       Logger.info(
           "upstream slow upstream={} waitMs={} slowdown={} running={} queued={}",
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/contention/ContentionMonitor.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/contention/ContentionMonitor.java
@@ -48,6 +48,7 @@
   private final LongToDoubleFunction prefillMs;
   private final Timers timers;
   private final OwnDelay ownDelay;
+  private final CommonDelay commonDelay = new CommonDelay();
   private final Set<Active> waiting = ConcurrentHashMap.newKeySet();
   private final AtomicLong receivedCount = new AtomicLong();
   private final AtomicLong ignoredCount = new AtomicLong();
@@ -116,12 +117,13 @@
     }
 
     /**
-     * Returns the time since sending, without the time for which this instance did not run; that is
-     * known up to one interval of the tick.
+     * Returns the time since sending, without what delays all responses and the time for which this
+     * instance did not run; the latter is known up to one interval of the tick.
      */
     private double elapsedMs(long nowMs) {
       long lostMs = ownLostMs();
-      return Math.max(0, nowMs - sentMs - (lostMs == 0 ? 0 : lostMs + OwnDelay.INTERVAL_MS));
+      double ownMs = lostMs == 0 ? 0 : lostMs + OwnDelay.INTERVAL_MS;
+      return Math.max(0, nowMs - sentMs - ownMs - commonDelay.ms(nowMs));
     }
 
     private long ownLostMs() {
@@ -142,6 +144,8 @@
       long nowMs = timers.nowMs();
       double elapsedMs = elapsedMs(nowMs);
       double waitMs = waitMs(elapsedMs, nowMs);
+      commonDelay.onResponse(
+          upstream.incarnation(), nowMs - sentMs - ownLostMs() - expectedMs, nowMs);
       contention.onObservedWait(upstream.incarnation(), waitMs, sentMs, nowMs);
       if (plain && ownLostMs() == 0) {
         workTimes.onAnswered(upstream.service(), elapsedMs / slowdown.orElse(1));
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/contention/SharedLoadFailuresTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/contention/SharedLoadFailuresTest.java
@@ -17,6 +17,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.Random;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** Guards against wrong waits when notices, upstreams or the instance itself fail. */
@@ -158,4 +159,29 @@
     manual.advanceMs(150);
     assertThat(waitMs(EARLIER)).isGreaterThan(100.0);
   }
+
+  // The link of one instance is full, and each of its responses takes 300 ms longer.
+  @Test
+  void busyOwnLinkIsNotTakenForSlowUpstreams() {
+    // GIVEN
+    features.onContentionAnnounced(EARLIER.service());
+    List<RegisteredUpstream> upstreams =
+        IntStream.range(0, 6)
+            .mapToObj(number -> TestUpstreams.started("i-" + number, "konya", 0))
+            .toList();
+    list.publish(new UpstreamList(upstreams));
+    // WHEN each upstream receives a request every 60 ms
+    for (int number = 0; number < 120; number++) {
+      RequestObservation request =
+          monitor.onPromptSent(upstreams.get(number % upstreams.size()), TARGET_MS, 400);
+      manual.after(310, request::onAnswered);
+      manual.advanceMs(10);
+      if (manual.nowMs() == 600) {
+        sent.clear();
+      }
+    }
+    // THEN nothing is reported once the delay is known to be common to all
+    assertThat(sent).isEmpty();
+    assertThat(monitor.counts().waitingUpstreams()).isEqualTo(0);
+  }
 }
