Merge shared load; connections are refused for short spans while the instance's link is saturated

Cause: an instance learned about an upstream only from its own responses, and all instances kept choosing one that was slow. Change: waits and announced slowdowns are observed, told to the other instances and used by the costs; plain requests choose by them, connect timeouts follow the target latency.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/FirstEventCost.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/FirstEventCost.java
@@ -4,6 +4,7 @@
 import io.mothrill.core.forward.upstream.PrefixCacheEstimator;
 import io.mothrill.core.forward.upstream.PrefixCacheEstimator.PreferredUpstreams;
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
+import io.mothrill.core.forward.upstream.UpstreamCondition;
 import io.mothrill.core.forward.upstream.UpstreamCost;
 import io.mothrill.core.forward.upstream.UpstreamLoad;
 import io.mothrill.core.forward.upstream.UpstreamLoads;
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PromptTracker.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PromptTracker.java
@@ -6,6 +6,7 @@
 import io.mothrill.core.forward.upstream.PrefillBacklog;
 import io.mothrill.core.forward.upstream.PrefixCacheEstimator;
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
+import io.mothrill.core.forward.upstream.UpstreamCondition;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.upstream.UpstreamLoads;
 import io.mothrill.core.time.Timers;
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/UpstreamCondition.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamCondition.java
@@ -1,4 +1,4 @@
-package io.mothrill.core.forward.prompt;
+package io.mothrill.core.forward.upstream;
 
 /** What is known about the machine and the queue of an upstream beyond this instance's requests. */
 public interface UpstreamCondition {
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/prompt/SimulatedFleet.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/prompt/SimulatedFleet.java
@@ -16,6 +16,7 @@
 import io.mothrill.core.forward.upstream.PromptCost;
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
 import io.mothrill.core.forward.upstream.RegistrationVersion;
+import io.mothrill.core.forward.upstream.UpstreamCondition;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.upstream.UpstreamLoad;
 import io.mothrill.core.forward.upstream.UpstreamLoads;
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -4,7 +4,9 @@
 import io.mothrill.core.board.PublishedValue;
 import io.mothrill.core.forward.admission.ServiceAdmissions;
 import io.mothrill.core.forward.capacity.EngineHoldings;
+import io.mothrill.core.forward.contention.ContentionMonitor;
 import io.mothrill.core.forward.crash.CrashGuard;
+import io.mothrill.core.forward.overload.ConnectionThrottle;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.plan.TeamPlan;
 import io.mothrill.core.forward.prompt.EnginePools;
@@ -48,6 +50,11 @@
     metrics.gauge("edge.connectionCount", () -> edge::connectionCount);
   }
 
+  /** Registers the gauge for spans in which new connections were refused. */
+  void registerThrottle(ConnectionThrottle throttle) {
+    metrics.gauge("load.closedToCallersCount", () -> throttle::closedCount);
+  }
+
   /** Registers the budget gauges of each team, including teams that are added later. */
   void registerSpending(PublishedValue<ForwardingPlan> plan, SpendingController spending) {
     metrics.gauge("spending.instanceCount", () -> spending::instanceCount);
@@ -96,6 +103,15 @@
     metrics.gauge("load.heldMaxTokens", () -> () -> holdings.maxTokens(timers.nowMs()));
   }
 
+  /** Registers gauges for slow upstreams and the reports exchanged about them. */
+  void registerContention(ContentionMonitor contention) {
+    metrics.gauge("load.waitingUpstreamCount", () -> () -> contention.counts().waitingUpstreams());
+    metrics.gauge("load.reportsSentCount", () -> () -> contention.counts().sent());
+    metrics.gauge("load.reportsDroppedCount", () -> () -> contention.counts().dropped());
+    metrics.gauge("load.reportsHeardCount", () -> () -> contention.counts().received());
+    metrics.gauge("load.reportsIgnoredCount", () -> () -> contention.counts().ignored());
+  }
+
   /** Registers gauges for requests suspected of crashing upstreams and the messages about them. */
   void registerCrashes(CrashGuard crashes) {
     metrics.gauge("crashes.suspectCount", () -> () -> crashes.counts().suspects());
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -5,10 +5,13 @@
 import io.mothrill.core.forward.admission.ReportedOccupancy;
 import io.mothrill.core.forward.admission.RetryAfterPolicy;
 import io.mothrill.core.forward.admission.ServiceAdmissions;
+import io.mothrill.core.forward.contention.ConnectTimeouts;
+import io.mothrill.core.forward.contention.ContentionReport;
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.crash.CrashMessage;
 import io.mothrill.core.forward.limit.RateLimitReport;
 import io.mothrill.core.forward.load.LoadFeatures;
+import io.mothrill.core.forward.overload.ConnectionThrottle;
 import io.mothrill.core.forward.permit.FleetView;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.retry.SharedRetryBudget;
@@ -73,6 +76,9 @@
    */
   private static final long WORK_LOG_INTERVAL_MS = 10_000;
 
+  /** Several responses of a busy instance arrive within this time. */
+  private static final long THROTTLE_INTERVAL_MS = 50;
+
   /** The time limit for returning unspent tokens after the last request. */
   private static final long HAND_BACK_TIMEOUT_MS = 300;
 
@@ -105,7 +111,8 @@
       ForwardSettings settings, ForwardPorts ports, EventLoopGroup group, Timers timers) {
     this.settings = settings;
     this.timers = timers;
-    RandomGenerator random = ThreadLocalRandom.current()::nextLong;
+    // The generator of a thread is seeded by current(), so it is not kept for use by other threads.
+    RandomGenerator random = () -> ThreadLocalRandom.current().nextLong();
     PeerDispatcher dispatcher = new PeerDispatcher();
     this.peers = newPeers(settings, dispatcher, group, ports.work());
     InstanceRecord self =
@@ -143,6 +150,7 @@
             fleetView(),
             this::sendStatusReport,
             this::sendRateLimitReport,
+            this::sendContentionReport,
             reach::isReachable,
             timers,
             random);
@@ -172,6 +180,7 @@
                 crashes::onMessage,
                 choice.statusBroadcast()::onReport,
                 choice.limits()::onReport,
+                choice::onContentionReport,
                 reach::onMessageFromHost),
             ports.work());
     ServiceAdmissions admissions =
@@ -203,6 +212,8 @@
             reach::onMessageFromDomain,
             loadFeatures,
             admissions,
+            choice.contention(),
+            new ConnectTimeouts(loadFeatures),
             timers,
             ports.work(),
             random);
@@ -219,7 +230,16 @@
             settings.probes().host(),
             settings.metricsPort(),
             new ProbeService(this::unreadyReason, metrics));
+    ConnectionThrottle throttle = new ConnectionThrottle();
+    if (settings.underPressure()) {
+      timers.every(
+          THROTTLE_INTERVAL_MS,
+          () ->
+              edge.setAccepting(
+                  throttle.isOpen(choice.contention().commonDelayMs(), timers.nowMs())));
+    }
     ForwardGauges gauges = new ForwardGauges(metrics);
+    gauges.registerThrottle(throttle);
     gauges.registerServer(edge);
     gauges.registerSpending(plan, spending);
     gauges.registerCrashes(crashes);
@@ -227,6 +247,7 @@
     gauges.registerPromptPools(choice.prompts().pools(), choice.prompts().tracker());
     gauges.registerHoldings(choice.holdings(), timers);
     gauges.registerAdmissions(admissions);
+    gauges.registerContention(choice.contention());
     gauges.registerLog();
     gauges.registerWork(ports.work());
     timers.every(PRUNE_INTERVAL_MS, () -> choice.retain(upstreams.read()));
@@ -258,6 +279,10 @@
     notices.send(report, to);
   }
 
+  private void sendContentionReport(ContentionReport report, List<InstanceRecord> to) {
+    notices.send(report, to);
+  }
+
   private void sendCrashMessage(CrashMessage message, List<InstanceRecord> to) {
     notices.send(message, to);
   }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/PromptSelection.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/PromptSelection.java
@@ -7,8 +7,8 @@
 import io.mothrill.core.forward.prompt.PrefillTimeModel;
 import io.mothrill.core.forward.prompt.PromptClassifier;
 import io.mothrill.core.forward.prompt.PromptTracker;
-import io.mothrill.core.forward.prompt.UpstreamCondition;
 import io.mothrill.core.forward.upstream.PrefixCacheEstimator;
+import io.mothrill.core.forward.upstream.UpstreamCondition;
 import io.mothrill.core.forward.upstream.UpstreamCost;
 import io.mothrill.core.forward.upstream.UpstreamLoads;
 import io.mothrill.core.time.Timers;
@@ -20,6 +20,7 @@
   /** The maximum number of recipients of a prompt notice, and so of the senders heard from. */
   private static final int MAX_NOTICE_SENDERS = 80;
 
+  private final PrefillTimeModel model;
   private final EnginePools pools;
   private final UpstreamCost cost;
   private final PromptTracker tracker;
@@ -34,7 +35,7 @@
       UpstreamCondition condition,
       Timers timers,
       RandomGenerator random) {
-    PrefillTimeModel model = new PrefillTimeModel();
+    this.model = new PrefillTimeModel();
     PromptClassifier classifier = new PromptClassifier(view.plan(), model);
     this.pools =
         new EnginePools(
@@ -55,6 +56,10 @@
             timers);
   }
 
+  PrefillTimeModel model() {
+    return model;
+  }
+
   EnginePools pools() {
     return pools;
   }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamSelection.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamSelection.java
@@ -5,6 +5,13 @@
 import io.mothrill.core.forward.capacity.EngineHoldings;
 import io.mothrill.core.forward.check.HeldTokensCheck;
 import io.mothrill.core.forward.check.SendChecks;
+import io.mothrill.core.forward.contention.ContentionBroadcast;
+import io.mothrill.core.forward.contention.ContentionMonitor;
+import io.mothrill.core.forward.contention.ContentionReport;
+import io.mothrill.core.forward.contention.ContentionReportSender;
+import io.mothrill.core.forward.contention.PlainLatencyCost;
+import io.mothrill.core.forward.contention.UpstreamContention;
+import io.mothrill.core.forward.contention.WorkTimes;
 import io.mothrill.core.forward.crash.TerminationProbe;
 import io.mothrill.core.forward.limit.AnnouncedRateLimits;
 import io.mothrill.core.forward.limit.RateLimitReportSender;
@@ -15,7 +22,6 @@
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.plan.ServicePlan;
 import io.mothrill.core.forward.plan.WarmUpPlan;
-import io.mothrill.core.forward.prompt.UpstreamCondition;
 import io.mothrill.core.forward.upstream.LeavingUpstreams;
 import io.mothrill.core.forward.upstream.PlainCost;
 import io.mothrill.core.forward.upstream.PrefillSpeed;
@@ -42,6 +48,7 @@
 final class UpstreamSelection {
 
   private final Timers timers;
+  private final PublishedValue<UpstreamList> upstreams;
   private final UpstreamLoads loads = new UpstreamLoads();
   private final PrefillSpeed speed = new PrefillSpeed();
   private final PrefixCacheEstimator memory = new PrefixCacheEstimator();
@@ -52,6 +59,7 @@
   private final UpstreamBackoffs resting;
   private final SelfReportDispatcher selfReports;
   private final UpstreamStatusBroadcast statusBroadcast;
+  private final ContentionMonitor contention;
   private final SendChecks checks;
   private final PromptSelection prompts;
   private final UpstreamPicker picker;
@@ -81,10 +89,12 @@
       FleetView fleet,
       UpstreamStatusReportSender reports,
       RateLimitReportSender limitReports,
+      ContentionReportSender contentionReports,
       Predicate<String> reachedDomains,
       Timers timers,
       RandomGenerator random) {
     this.timers = timers;
+    this.upstreams = view.upstreams();
     view.upstreams().subscribe(loads::retain);
     view.upstreams().subscribe(memory::retain);
     this.holdings = new EngineHoldings(features);
@@ -117,22 +127,29 @@
             warmUps,
             limitPermits,
             timers);
+    UpstreamContention slowness = new UpstreamContention(random);
     this.prompts =
         new PromptSelection(
-            settings.domain(),
-            features,
-            view,
-            fleet,
+            settings.domain(), features, view, fleet, loads, memory, slowness, timers, random);
+    WorkTimes workTimes = new WorkTimes();
+    this.contention =
+        new ContentionMonitor(
+            slowness,
             loads,
-            memory,
-            UpstreamCondition.neutral(),
-            timers,
-            random);
+            features,
+            view.upstreams(),
+            new ContentionBroadcast(self, fleet::others, contentionReports, timers),
+            workTimes,
+            prompts.model()::firstEventMs,
+            timers);
     this.picker =
         new UpstreamPicker(
             view.upstreams(),
             loads,
-            new PlainCost(settings.domain(), loads, random),
+            new SwitchedCost(
+                features,
+                new PlainLatencyCost(settings.domain(), loads, slowness, workTimes, random),
+                new PlainCost(settings.domain(), loads, random)),
             new SwitchedCost(
                 features, prompts.cost(), new PromptCost(settings.domain(), loads, memory, speed)),
             checks,
@@ -141,6 +158,22 @@
             timers);
   }
 
+  /** Records what another instance has reported about a slow upstream. */
+  void onContentionReport(ContentionReport report) {
+    contention.onReport(report);
+    upstreams
+        .read()
+        .findIncarnation(report.incarnation())
+        .ifPresent(
+            upstream ->
+                report
+                    .running()
+                    .ifPresent(
+                        running ->
+                            holdings.onReport(
+                                upstream, running, report.queued().orElse(0), timers.nowMs())));
+  }
+
   /** Records a prompt that another instance has sent to an upstream. */
   void onNotice(RegisteredUpstream upstream, long promptTokens) {
     long nowMs = timers.nowMs();
@@ -208,6 +241,10 @@
     return statusBroadcast;
   }
 
+  ContentionMonitor contention() {
+    return contention;
+  }
+
   SendChecks checks() {
     return checks;
   }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -2,6 +2,7 @@
 
 import io.mothrill.core.forward.capacity.HeldTokens;
 import io.mothrill.core.forward.check.Rejection;
+import io.mothrill.core.forward.contention.RequestObservation;
 import io.mothrill.core.forward.crash.RequestCrashGuard;
 import io.mothrill.core.forward.prompt.SentPrompt;
 import io.mothrill.core.forward.request.ForwardRefusal;
@@ -99,6 +100,7 @@
   private SentPrompt sentPrompt = SentPrompt.UNTRACKED;
   private Subscription replacement = () -> {};
   private HeldTokens held = HeldTokens.NONE;
+  private RequestObservation observation = RequestObservation.NONE;
   private boolean finished;
   private boolean sent;
   private boolean prefillDone;
@@ -163,6 +165,12 @@
         .acquire(
             upstream,
             !admitted.route().kind().isRetryable(),
+            dependencies
+                .connectTimeouts()
+                .timeoutMs(
+                    upstream.service(),
+                    admitted.route().targetLatencyMs(),
+                    progress.attempts.size()),
             this::onConnected,
             this::onConnectFailed);
   }
@@ -210,6 +218,7 @@
     sentMs = dependencies.timers().nowMs();
     load.onSent(promptTokens);
     held = holdTokens();
+    observation = observe();
     dependencies.selfReports().onSent(upstream);
     admitted
         .call()
@@ -255,6 +264,21 @@
     owner.tryNextUpstream();
   }
 
+  /**
+   * Starts observing the wait at the upstream. The time that a response takes can be expected only
+   * for plain requests and for streams that begin when a prompt has been read.
+   */
+  private RequestObservation observe() {
+    boolean hasPrompt = admitted.call().prompt().isPresent();
+    long targetLatencyMs = admitted.route().targetLatencyMs();
+    if (admitted.route().kind().isStream() != hasPrompt) {
+      return RequestObservation.NONE;
+    }
+    return hasPrompt
+        ? dependencies.contention().onPromptSent(upstream, targetLatencyMs, promptTokens)
+        : dependencies.contention().onPlainSent(upstream, targetLatencyMs);
+  }
+
   private static long idleTimeoutMs(AdmittedRequest admitted) {
     return Math.max(MIN_IDLE_TIMEOUT_MS, IDLE_TIMEOUT_TARGETS * admitted.route().targetLatencyMs());
   }
@@ -291,6 +315,7 @@
     finished = true;
     idleTimer.stop();
     replacement.cancel();
+    observation.stop();
     if (sent) {
       recordPrefillDone();
       load.onRequestEnded();
@@ -348,6 +373,7 @@
     if (metadata.slowdown().isPresent()) {
       dependencies.loadFeatures().onContentionAnnounced(upstream.service());
     }
+    observation.onHead(metadata.runningCount(), metadata.queuedCount(), metadata.slowdown());
     dependencies.selfReports().onAnswer(upstream, sentMs, metadata.selfReport());
   }
 
@@ -356,6 +382,7 @@
       dependencies.statusBroadcast().onDetected(upstream, UpstreamStatus.REPLACED);
     } else {
       load.avoidFor(dependencies.timers().nowMs(), FULL_AVOID_MS);
+      observation.onNotRun();
     }
     recordFailure("not run, status " + status);
     held.release();
@@ -390,6 +417,8 @@
       long tookMs = idleTimer.lastReceivedMs() - sentMs;
       dependencies.prefillSpeed().onPrefill(promptTokens, tookMs);
       sentPrompt.onFirstEvent(tookMs);
+      observation.onAnswered();
+      dependencies.prefillSpeed().onPrefill(promptTokens, idleTimer.lastReceivedMs() - sentMs);
     }
     recordPrefillDone();
     relay.relay(event).ifPresent(detail -> onFailure(ResponseFailure.PROTOCOL_ERROR, detail));
@@ -439,6 +468,9 @@
 
   private void onBodyEnd() {
     int status = response.status().code();
+    if (status < FIRST_ERROR) {
+      observation.onAnswered();
+    }
     ByteBuf bytes = body;
     body = null;
     finish();
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
@@ -5,6 +5,8 @@
 import io.mothrill.core.forward.answer.SelfReportDispatcher;
 import io.mothrill.core.forward.capacity.EngineHoldings;
 import io.mothrill.core.forward.check.SendChecks;
+import io.mothrill.core.forward.contention.ConnectTimeouts;
+import io.mothrill.core.forward.contention.ContentionMonitor;
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.load.LoadFeatures;
 import io.mothrill.core.forward.plan.ForwardingPlan;
@@ -46,6 +48,8 @@
  * @param domainContacts receives the failure domain of each upstream from which data arrives
  * @param loadFeatures determines where decisions under load are active
  * @param admissions decides who is admitted to full services
+ * @param contention observes how long requests wait at upstreams
+ * @param connectTimeouts determines how long requests wait for connections
  * @param timers the clock and timers
  * @param workStats counts the work of connections
  * @param random selects among the services of a split route
@@ -71,6 +75,8 @@
     Consumer<String> domainContacts,
     LoadFeatures loadFeatures,
     ServiceAdmissions admissions,
+    ContentionMonitor contention,
+    ConnectTimeouts connectTimeouts,
     Timers timers,
     WorkStats workStats,
     RandomGenerator random) {}
