Limit the memory held for callers and upstreams that read slowly

Cause: a plain response was collected without limit and held until its caller disconnected (31 unread responses of 8 MB took 238 MB of direct memory, of which the process has 32 MB). A resumable stream whose caller paused was taken for a dead upstream after the idle timeout and sent to a second one. A long request body was copied into direct memory as a whole. An event without an end was collected without limit.

Change: BufferBudget (core) counts what is held and limits it per connection and in total; SourcePause aborts sources that stay paused for 5 s, or 2.5 s while others need the memory. Plain responses beyond the limit are relayed in chunks. RequestWriter writes long bodies in slices. LimitedReads keeps single reads within the limit. The idle timeout of an upstream does not count while it is paused. Unsent bytes keep a connection from being closed as idle, and an instance from ending while it drains.

--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.mothrill.core.board.PublishedValue;
+import io.mothrill.core.forward.buffer.BufferBudget;
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.plan.TeamPlan;
@@ -105,6 +106,14 @@
     metrics.gauge(name + ".sentBytes", () -> () -> work.totals(kind).sentBytes());
   }
 
+  /** Registers gauges for the memory held for slow readers. */
+  void registerBuffers(BufferBudget buffers) {
+    metrics.gauge("load.bodyBytes", () -> buffers::bodyBytes);
+    metrics.gauge("load.heldBytes", () -> buffers::heldBytes);
+    metrics.gauge("load.pausedCount", () -> buffers::pausedCount);
+    metrics.gauge("load.slowReaderCount", () -> buffers::abortedCount);
+  }
+
   void registerLog() {
     metrics.gauge("log.droppedCount", () -> JsonLinesWriter::droppedCount);
   }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.mothrill.core.board.PublishedValue;
+import io.mothrill.core.forward.buffer.BufferBudget;
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.crash.CrashMessage;
 import io.mothrill.core.forward.limit.RateLimitReport;
@@ -21,6 +22,7 @@
 import io.mothrill.core.time.Subscription;
 import io.mothrill.core.time.Timers;
 import io.mothrill.core.work.WorkStats;
+import io.mothrill.wire.forward.DirectMemory;
 import io.mothrill.wire.forward.ForwardDependencies;
 import io.mothrill.wire.forward.ForwardServer;
 import io.mothrill.wire.forward.UpstreamProbe;
@@ -84,6 +86,7 @@
   private final DatagramNotices notices;
   private final SpendingController spending;
   private final Readiness readiness;
+  private final BufferBudget buffers;
   private final ForwardServer edge;
   private final HttpServer probeServer;
   private final HttpServer metricsServer;
@@ -125,7 +128,10 @@
             random,
             peers,
             dispatcher);
-    LoadFeatures loadFeatures = LoadFeatures.of(settings.underPressure());
+    this.buffers =
+        new BufferBudget(
+            settings.maxBufferedBytes(), DirectMemory.limit(settings.maxResponseBytes()), timers);
+    final LoadFeatures loadFeatures = LoadFeatures.of(settings.underPressure());
     this.readiness = new Readiness(plan, upstreams, spending, timers);
     dispatcher.on(
         PeerMessage.Heartbeat.class,
@@ -189,10 +195,11 @@
             choice.selfReports(),
             reach::onMessageFromDomain,
             loadFeatures,
+            buffers,
             timers,
             ports.work(),
             random);
-    this.edge = new ForwardServer(group, parts, ports.callers(), settings.maxBufferedBytes());
+    this.edge = new ForwardServer(group, parts, ports.callers());
     this.probeServer =
         HttpServer.ofService(
             group,
@@ -210,6 +217,7 @@
     gauges.registerSpending(plan, spending);
     gauges.registerCrashes(crashes);
     gauges.registerUpstreams(evacuatedDomains, choice);
+    gauges.registerBuffers(buffers);
     gauges.registerLog();
     gauges.registerWork(ports.work());
     timers.every(PRUNE_INTERVAL_MS, () -> choice.loads().retain(upstreams.read()));
@@ -288,7 +296,7 @@
     if (sinceMs >= MIN_DRAIN_MS) {
       edge.refuseNew();
     }
-    boolean idle = sinceMs >= MIN_DRAIN_MS && edge.inFlightCount() == 0;
+    boolean idle = sinceMs >= MIN_DRAIN_MS && edge.inFlightCount() == 0 && buffers.heldBytes() == 0;
     if (sinceMs < settings.drainTimeoutMs() && !idle) {
       return;
     }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardSettings.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardSettings.java
@@ -19,6 +19,8 @@
  * @param metricsPort the port for metrics, on the host of the probes
  * @param threadCount the number of event loop threads
  * @param maxBufferedBytes the maximum bytes of bodies buffered at a time
+ * @param maxResponseBytes the maximum bytes held at a time for callers and upstreams that read
+ *     slowly
  * @param view how plan and upstreams are polled
  * @param retries the limits of retries
  * @param warmUp how far the load on warming upstreams may exceed their capacity
@@ -37,6 +39,7 @@
     int metricsPort,
     int threadCount,
     long maxBufferedBytes,
+    long maxResponseBytes,
     ViewSettings view,
     RetryBounds retries,
     WarmUpBounds warmUp,
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/CallerConnection.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/CallerConnection.java
@@ -1,12 +1,14 @@
 package io.mothrill.wire.forward;
 
 import io.mothrill.core.error.InvalidInputException;
+import io.mothrill.core.forward.buffer.ConnectionBuffer;
 import io.mothrill.core.forward.plan.CallerBounds;
 import io.mothrill.core.forward.request.ForwardCall;
 import io.mothrill.core.forward.request.ForwardRefusal;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -29,6 +31,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import org.tinylog.Logger;
 
 /** The connection of one caller: reads its requests one after the other and responds to each. */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements CallerResponse {
@@ -42,6 +45,7 @@
   private final ForwardDependencies dependencies;
   private final UpstreamPool pool;
   private final ForwardServerState serverState;
+  private final ConnectionBuffer unsent;
   private final Deque<HttpObject> pipelined = new ArrayDeque<>();
   private ChannelHandlerContext context;
   private HttpRequest head;
@@ -59,6 +63,7 @@
     this.dependencies = dependencies;
     this.pool = pool;
     this.serverState = serverState;
+    this.unsent = dependencies.buffers().newBuffer();
   }
 
   @Override
@@ -205,17 +210,35 @@
   }
 
   private void write(HttpResponseStatus status, HttpHeaders headers, ByteBuf content) {
-    headers.set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+    int bytes = content.readableBytes();
+    headers.set(HttpHeaderNames.CONTENT_LENGTH, bytes);
     setConnectionHeader(headers);
     DefaultFullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1, status, content, headers, new DefaultHttpHeaders());
-    var written = context.writeAndFlush(response);
+    var written = track(context.writeAndFlush(response), bytes);
     if (!staysOpen()) {
       written.addListener(ChannelFutureListener.CLOSE);
     }
   }
 
+  private ChannelFuture track(ChannelFuture written, int bytes) {
+    unsent.add(bytes);
+    return written.addListener(sent -> onSent(bytes, sent.cause()));
+  }
+
+  private void onSent(int bytes, Throwable failure) {
+    unsent.remove(bytes);
+    if (failure != null && context.channel().isActive()) {
+      Logger.warn("caller connection closed bytes={} reason={}", bytes, failure.getMessage());
+      context.close();
+    } else if (exchange == null) {
+      idleSinceMs = dependencies.timers().nowMs();
+    } else if (isReadyForMore()) {
+      exchange.onWritabilityChanged(true);
+    }
+  }
+
   private boolean staysOpen() {
     return keepAlive && !serverState.isDraining();
   }
@@ -237,7 +260,7 @@
 
   @Override
   public void sendChunk(byte[] bytes) {
-    context.write(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+    track(context.write(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes))), bytes.length);
   }
 
   @Override
@@ -263,7 +286,16 @@
 
   @Override
   public boolean isWritable() {
-    return context.channel().isWritable();
+    return context.channel().isWritable() && !unsent.isFull();
+  }
+
+  @Override
+  public ConnectionBuffer unsent() {
+    return unsent;
+  }
+
+  private boolean isReadyForMore() {
+    return context.channel().isWritable() && unsent.isDrained();
   }
 
   private void onResponseEnd(boolean keepOpen) {
@@ -292,7 +324,7 @@
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
     if (exchange != null) {
-      exchange.onWritabilityChanged(ctx.channel().isWritable());
+      exchange.onWritabilityChanged(isReadyForMore());
     }
     ctx.fireChannelWritabilityChanged();
   }
@@ -333,7 +365,7 @@
                 refuseIfBodyIsSlow(nowMs - headMs);
               } else if (headStarted) {
                 refuseIfHeadIsSlow(idleMs);
-              } else if (idleMs > idleTimeoutMs()) {
+              } else if (unsent.heldBytes() == 0 && idleMs > idleTimeoutMs()) {
                 context.close();
               }
             });
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/CallerResponse.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/CallerResponse.java
@@ -1,5 +1,6 @@
 package io.mothrill.wire.forward;
 
+import io.mothrill.core.forward.buffer.ConnectionBuffer;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -27,4 +28,7 @@
 
   /** Checks whether the caller reads fast enough. */
   boolean isWritable();
+
+  /** Returns the bytes that are written to the caller but not sent. */
+  ConnectionBuffer unsent();
 }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/EventSplitter.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/EventSplitter.java
@@ -46,6 +46,11 @@
     return events;
   }
 
+  /** Returns the length of the incomplete event. */
+  int partialBytes() {
+    return partial.size();
+  }
+
   /** Checks whether bytes of an incomplete event remain. */
   boolean hasPartial() {
     return partial.size() > 0;
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -1,5 +1,6 @@
 package io.mothrill.wire.forward;
 
+import io.mothrill.core.forward.buffer.ConnectionBuffer;
 import io.mothrill.core.forward.crash.RequestCrashGuard;
 import io.mothrill.core.forward.request.ForwardRefusal;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
@@ -8,9 +9,10 @@
 import io.mothrill.core.forward.upstream.UpstreamStatus;
 import io.mothrill.core.time.Subscription;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
+import java.util.Optional;
 
 /** Sends a request to one upstream and relays its response. */
 final class ForwardAttempt implements UpstreamSink {
@@ -62,6 +64,9 @@
 
     void end(String outcome, int status);
 
+    /** Ends the request, as its caller has not read for too long while the upstream was paused. */
+    void abortSlowCaller();
+
     /** Checks whether the request may be sent to an upstream now. */
     boolean mayBeSentTo(RegisteredUpstream upstream);
 
@@ -81,6 +86,8 @@
   private final long promptTokens;
   private final AttemptRecorder recorder;
   private final IdleTimer idleTimer;
+  private final ConnectionBuffer collected;
+  private final ResponseFlow flow;
   private UpstreamConnection connection;
   private Subscription replacement = () -> {};
   private boolean finished;
@@ -88,7 +95,7 @@
   private boolean prefillDone;
   private long sentMs;
   private HttpResponse response;
-  private ByteBuf body;
+  private PlainBody body;
   private EventSplitter splitter;
   private EventRelay relay;
 
@@ -110,6 +117,17 @@
             admitted.received().loop(),
             idleTimeoutMs(admitted),
             this::onIdle);
+    this.collected = dependencies.buffers().newBuffer();
+    this.flow =
+        new ResponseFlow(
+            admitted.response(),
+            dependencies
+                .buffers()
+                .newPause(
+                    admitted.response().unsent(),
+                    admitted.received().loop(),
+                    owner::abortSlowCaller),
+            idleTimer::onReceived);
     long nowMs = dependencies.timers().nowMs();
     this.promptTokens =
         admitted
@@ -125,9 +143,7 @@
 
   /** Pauses or resumes reading from the upstream, as backpressure from the caller. */
   void setReading(boolean reading) {
-    if (connection != null) {
-      connection.setReading(reading);
-    }
+    flow.setReading(reading);
   }
 
   /** Records that this upstream did not answer the request. */
@@ -179,6 +195,7 @@
       return;
     }
     connection = connected;
+    flow.attach(connected);
     sent = true;
     progress.mayHaveRun = true;
     progress.runCount++;
@@ -215,7 +232,7 @@
    * an idle connection does not show that the request has not run.
    */
   private void onIdle(long idleMs) {
-    if (finished || owner.hasEnded()) {
+    if (finished || owner.hasEnded() || flow.isPaused()) {
       return;
     }
     load.onFailure(dependencies.timers().nowMs());
@@ -240,11 +257,13 @@
   private void finish() {
     finished = true;
     idleTimer.stop();
+    flow.stop();
     replacement.cancel();
     if (sent) {
       recordPrefillDone();
       load.onRequestEnded();
     }
+    collected.remove(collected.heldBytes());
     if (body != null) {
       body.release();
       body = null;
@@ -280,7 +299,7 @@
       splitter = new EventSplitter();
       relay = new EventRelay(admitted, progress, response);
     } else {
-      body = Unpooled.buffer();
+      body = new PlainBody(collected);
     }
   }
 
@@ -317,15 +336,56 @@
   @Override
   public void onContent(ByteBuf content) {
     onReceived();
-    if (body != null) {
-      body.writeBytes(content);
+    if (splitter == null) {
+      onPlainContent(content);
       return;
     }
+    int heldBytes = splitter.partialBytes();
     for (EventSplitter.Event event : splitter.split(content)) {
       if (!finished) {
         relayEvent(event);
       }
     }
+    if (!finished) {
+      onPartialEvent(splitter.partialBytes() - heldBytes);
+    }
+  }
+
+  /** An incomplete event is not relayed, so one that does not end would fill the memory. */
+  private void onPartialEvent(int addedBytes) {
+    collected.add(addedBytes);
+    if (splitter.partialBytes() > dependencies.buffers().maxConnectionBytes()) {
+      onFailure(ResponseFailure.PROTOCOL_ERROR, "event is too long to be held");
+    }
+  }
+
+  /**
+   * Collects a plain response, so that another upstream can be tried if it breaks off. A response
+   * that is too long to be held is relayed to the caller from then on.
+   */
+  private void onPlainContent(ByteBuf content) {
+    if (body == null) {
+      admitted.response().sendChunk(ByteBufUtil.getBytes(content));
+      return;
+    }
+    body.add(content);
+    if (body.isFull() || !admitted.response().isWritable()) {
+      relayPlainResponse();
+    }
+  }
+
+  private void relayPlainResponse() {
+    Optional<Runnable> substitute = findSubstitute(response.status().code());
+    if (substitute.isPresent()) {
+      cancel();
+      substitute.get().run();
+      return;
+    }
+    progress.firstByteMs = admitted.elapsedMs();
+    progress.plainStarted = true;
+    new EventRelay(admitted, progress, response).startStream();
+    admitted.response().sendChunk(body.takeBytes());
+    body = null;
   }
 
   private void relayEvent(EventSplitter.Event event) {
@@ -340,16 +400,28 @@
   public void onReadComplete() {
     if (progress.streamStarted) {
       admitted.response().flush();
-      if (!admitted.response().isWritable() && connection != null) {
-        connection.setReading(false);
-      }
+      flow.pauseIfCallerIsSlow();
     }
   }
 
+  @Override
+  public int maxReadBytes() {
+    return progress.streamStarted
+        ? admitted.response().unsent().maxReadBytes(UpstreamPool.WATER_MARK.high())
+        : collected.maxReadBytes(Integer.MAX_VALUE);
+  }
+
+  @Override
+  public void onRequestProgress() {
+    idleTimer.onReceived();
+  }
+
   @Override
   public void onEnd() {
     if (splitter != null) {
       onStreamEnd();
+    } else if (body == null) {
+      onRelayedPlainEnd();
     } else {
       onBodyEnd();
     }
@@ -378,37 +450,62 @@
     }
   }
 
-  private void onBodyEnd() {
+  private void recordPlainEnd() {
     int status = response.status().code();
-    ByteBuf bytes = body;
-    body = null;
-    finish();
-    if (status >= FIRST_SERVER_ERROR) {
-      if (owner.tryAcquireRerun()) {
-        recordFailure("status " + status);
-        bytes.release();
-        owner.tryNextUpstream();
-        return;
-      }
-    } else {
+    if (status < FIRST_SERVER_ERROR) {
       load.onSuccess();
     }
     if (status < FIRST_ERROR) {
       recordCompletedRun();
     }
+  }
+
+  private static String outcome(int status) {
+    return status < FIRST_ERROR ? "served" : "upstream_error";
+  }
+
+  private void onRelayedPlainEnd() {
+    int status = response.status().code();
+    finish();
+    recordPlainEnd();
+    owner.end(outcome(status), status);
+    admitted.response().endStream();
+  }
+
+  /** Returns what happens in place of a plain response that the caller must not receive. */
+  private Optional<Runnable> findSubstitute(int status) {
+    if (status >= FIRST_SERVER_ERROR && owner.tryAcquireRerun()) {
+      recordFailure("status " + status);
+      return Optional.of(owner::tryNextUpstream);
+    }
     if (progress.streamStarted) {
-      bytes.release();
-      owner.end("broken", 0);
-      admitted.response().abort();
-      return;
+      return Optional.of(
+          () -> {
+            owner.end("broken", 0);
+            admitted.response().abort();
+          });
     }
-    progress.firstByteMs = admitted.elapsedMs();
     if (impliesNotRun(status)) {
+      progress.firstByteMs = admitted.elapsedMs();
+      return Optional.of(() -> owner.refuse(ForwardRefusal.of(Cause.UPSTREAM_FAILED)));
+    }
+    return Optional.empty();
+  }
+
+  private void onBodyEnd() {
+    final int status = response.status().code();
+    final ByteBuf bytes = body.take();
+    body = null;
+    finish();
+    recordPlainEnd();
+    Optional<Runnable> substitute = findSubstitute(status);
+    if (substitute.isPresent()) {
       bytes.release();
-      owner.refuse(ForwardRefusal.of(Cause.UPSTREAM_FAILED));
+      substitute.get().run();
       return;
     }
-    owner.end(status < FIRST_ERROR ? "served" : "upstream_error", status);
+    progress.firstByteMs = admitted.elapsedMs();
+    owner.end(outcome(status), status);
     admitted
         .response()
         .sendFull(
@@ -428,6 +525,9 @@
   private void reportToCrashGuard(ResponseFailure cause) {
     switch (cause) {
       case CLOSED -> owner.requestCrashGuard().onConnectionLost(upstream);
+      case STALLED -> {
+        // An upstream that does not read keeps running, and sent no answer.
+      }
       case REPLACED -> owner.requestCrashGuard().onUpstreamReplaced(upstream);
       default -> owner.requestCrashGuard().onInvalidAnswer();
     }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
@@ -2,6 +2,7 @@
 
 import io.mothrill.core.board.PublishedValue;
 import io.mothrill.core.forward.answer.SelfReportDispatcher;
+import io.mothrill.core.forward.buffer.BufferBudget;
 import io.mothrill.core.forward.check.SendChecks;
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.load.LoadFeatures;
@@ -40,6 +41,7 @@
  * @param selfReports receives what upstreams report about themselves in responses
  * @param domainContacts receives the failure domain of each upstream from which data arrives
  * @param loadFeatures determines where decisions under load are active
+ * @param buffers limits the memory held for slow readers
  * @param timers the clock and timers
  * @param workStats counts the work of connections
  * @param random selects among the services of a split route
@@ -62,6 +64,7 @@
     SelfReportDispatcher selfReports,
     Consumer<String> domainContacts,
     LoadFeatures loadFeatures,
+    BufferBudget buffers,
     Timers timers,
     WorkStats workStats,
     RandomGenerator random) {}
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
@@ -295,6 +295,16 @@
     }
   }
 
+  @Override
+  public void abortSlowCaller() {
+    if (!ended) {
+      cancelAttempt();
+      reason = "caller reads too slowly";
+      end("slow_caller", 0);
+      received.response().abort();
+    }
+  }
+
   private void cancelAttempt() {
     if (attempt != null) {
       attempt.cancel();
@@ -347,7 +357,7 @@
 
   @Override
   public boolean tryAcquireRerun() {
-    return admitted.route().kind().isRetryable() && tryAcquireRetry();
+    return admitted.route().kind().isRetryable() && !progress.plainStarted && tryAcquireRetry();
   }
 
   @Override
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardProgress.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardProgress.java
@@ -17,6 +17,9 @@
 
   boolean streamStarted;
 
+  /** True once a part of a plain response has been sent, which no other upstream can continue. */
+  boolean plainStarted;
+
   /** The id of the last event that was relayed to the caller. */
   OptionalLong lastEventId = OptionalLong.empty();
 
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardServer.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardServer.java
@@ -22,7 +22,7 @@
  * The HTTP server for callers whose requests are forwarded.
  *
  * <pre>{@code
- * ForwardServer server = new ForwardServer(group, dependencies, listener, 32 << 20);
+ * ForwardServer server = new ForwardServer(group, dependencies, listener);
  * server.startDraining();
  * }</pre>
  */
@@ -42,15 +42,11 @@
    * @param group the event loops
    * @param dependencies the dependencies of requests
    * @param socket the listening socket
-   * @param maxBufferedBytes the maximum number of body bytes buffered at a time
    */
   public ForwardServer(
-      EventLoopGroup group,
-      ForwardDependencies dependencies,
-      CallerListener socket,
-      long maxBufferedBytes) {
+      EventLoopGroup group, ForwardDependencies dependencies, CallerListener socket) {
     this.dependencies = dependencies;
-    this.state = new ForwardServerState(maxBufferedBytes);
+    this.state = new ForwardServerState(dependencies.buffers());
     Timers timers = dependencies.timers();
     timers.every(IDLE_CHECK_INTERVAL_MS, () -> closeIdleConnections(timers.nowMs()));
     this.listener =
@@ -58,6 +54,7 @@
             .group(group)
             .channelFactory(() -> new NioServerSocketChannel(socket.channel()))
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, UpstreamPool.WATER_MARK)
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
@@ -76,7 +73,11 @@
             channel.eventLoop(),
             loop ->
                 new UpstreamPool(
-                    loop, dependencies.dialect(), dependencies.timers(), dependencies.workStats()));
+                    loop,
+                    dependencies.dialect(),
+                    dependencies.buffers(),
+                    dependencies.timers(),
+                    dependencies.workStats()));
     CallerConnection connection = new CallerConnection(dependencies, pool, state);
     int headerBytes = dependencies.plan().read().bounds().headerBytes();
     channel
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardServerState.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardServerState.java
@@ -1,10 +1,10 @@
 package io.mothrill.wire.forward;
 
+import io.mothrill.core.forward.buffer.BufferBudget;
 import java.util.Collection;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 
 /** State shared by all caller connections; thread-safe. */
 final class ForwardServerState {
@@ -26,27 +26,22 @@
    */
   static final long DRAINING_IDLE_TIMEOUT_MS = 1_500;
 
-  private final long maxBufferedBytes;
-  private final AtomicLong bufferedBytes = new AtomicLong();
+  private final BufferBudget buffers;
   private final AtomicInteger inFlightCount = new AtomicInteger();
   private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
   private volatile boolean draining;
   private volatile boolean refusing;
 
-  ForwardServerState(long maxBufferedBytes) {
-    this.maxBufferedBytes = maxBufferedBytes;
+  ForwardServerState(BufferBudget buffers) {
+    this.buffers = buffers;
   }
 
   boolean tryReserveBytes(int bytes) {
-    if (bufferedBytes.addAndGet(bytes) <= maxBufferedBytes) {
-      return true;
-    }
-    bufferedBytes.addAndGet(-bytes);
-    return false;
+    return buffers.tryReserveBody(bytes);
   }
 
   void releaseBytes(int bytes) {
-    bufferedBytes.addAndGet(-bytes);
+    buffers.releaseBody(bytes);
   }
 
   void onConnectionOpened(CallerConnection connection) {
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ResponseFailure.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ResponseFailure.java
@@ -7,5 +7,7 @@
   /** The received data is not a response to the request; the upstream keeps running. */
   PROTOCOL_ERROR,
   /** The process of the upstream was replaced by another one, so it has certainly ended. */
-  REPLACED
+  REPLACED,
+  /** The upstream does not read the request; it keeps running. */
+  STALLED
 }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
@@ -1,7 +1,9 @@
 package io.mothrill.wire.forward;
 
+import io.mothrill.core.forward.buffer.BufferBudget;
+import io.mothrill.core.forward.buffer.ConnectionBuffer;
+import io.mothrill.core.forward.buffer.SourcePause;
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -31,19 +33,21 @@
 
   private final Dialect dialect;
   private final UpstreamPool pool;
+  private final BufferBudget buffers;
   private final String incarnation;
   private ChannelHandlerContext context;
   private UpstreamSink sink;
   private String requestId = "";
-  private ChannelFuture written;
+  private RequestWriter writer;
   private boolean skippingResponse;
   private boolean reusable;
   private long idleSinceMs;
   private long keepAliveMs = DEFAULT_KEEP_ALIVE_MS;
 
-  UpstreamConnection(Dialect dialect, UpstreamPool pool, String incarnation) {
+  UpstreamConnection(Dialect dialect, UpstreamPool pool, BufferBudget buffers, String incarnation) {
     this.dialect = dialect;
     this.pool = pool;
+    this.buffers = buffers;
     this.incarnation = incarnation;
   }
 
@@ -62,7 +66,14 @@
     this.requestId = newRequestId;
     this.skippingResponse = false;
     this.reusable = true;
-    this.written = context.writeAndFlush(request);
+    ConnectionBuffer unsent = buffers.newBuffer();
+    SourcePause pause = buffers.newPause(unsent, context.executor(), this::onStalled);
+    this.writer = new RequestWriter(context, request, unsent, pause, newSink::onRequestProgress);
+    writer.start();
+  }
+
+  private void onStalled() {
+    failResponse(ResponseFailure.STALLED, "upstream reads too slowly");
   }
 
   /** Pauses or resumes reading from the upstream, as backpressure from the caller. */
@@ -70,6 +81,11 @@
     context.channel().config().setAutoRead(reading);
   }
 
+  /** Returns how many bytes may be read at once. */
+  int maxReadBytes() {
+    return sink == null ? Integer.MAX_VALUE : sink.maxReadBytes();
+  }
+
   /** Cancels the request by closing the connection, which the upstream notices. */
   void cancel() {
     sink = null;
@@ -147,7 +163,7 @@
     sink = null;
     // An upstream may respond before it has read the body; the rest of the body must not be cut off
     // or mixed into the next request.
-    if (reusable && written.isSuccess()) {
+    if (reusable && writer.isComplete()) {
       idleSinceMs = pool.nowMs();
       setReading(true);
       pool.release(this);
@@ -174,9 +190,20 @@
     ctx.fireChannelReadComplete();
   }
 
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    if (writer != null) {
+      writer.continueWriting();
+    }
+    ctx.fireChannelWritabilityChanged();
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     pool.remove(this);
+    if (writer != null) {
+      writer.cancel();
+    }
     failResponse(ResponseFailure.CLOSED, "connection closed before the response was complete");
   }
 
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamPool.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamPool.java
@@ -1,5 +1,6 @@
 package io.mothrill.wire.forward;
 
+import io.mothrill.core.forward.buffer.BufferBudget;
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
 import io.mothrill.core.time.Timers;
 import io.mothrill.core.work.WorkKind;
@@ -10,6 +11,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -22,6 +24,12 @@
 /** The connections to upstreams of one event loop; all methods are called on that loop. */
 final class UpstreamPool {
 
+  /**
+   * The unsent bytes of a connection at which its source is resumed and paused; the defaults of
+   * Netty.
+   */
+  static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 << 10, 64 << 10);
+
   private static final int MAX_LINE_BYTES = 8_192;
   private static final int MAX_HEADER_BYTES = 32_768;
   private static final int MAX_CHUNK_BYTES = 16_384;
@@ -43,13 +51,16 @@
 
   private final EventLoop loop;
   private final Dialect dialect;
+  private final BufferBudget buffers;
   private final Timers timers;
   private final WorkStats workStats;
   private final Map<String, Deque<UpstreamConnection>> idleConnections = new HashMap<>();
 
-  UpstreamPool(EventLoop loop, Dialect dialect, Timers timers, WorkStats workStats) {
+  UpstreamPool(
+      EventLoop loop, Dialect dialect, BufferBudget buffers, Timers timers, WorkStats workStats) {
     this.loop = loop;
     this.dialect = dialect;
+    this.buffers = buffers;
     this.timers = timers;
     this.workStats = workStats;
   }
@@ -91,11 +102,14 @@
       RegisteredUpstream upstream,
       Consumer<UpstreamConnection> onConnected,
       Consumer<Throwable> onFailed) {
-    UpstreamConnection connection = new UpstreamConnection(dialect, this, upstream.incarnation());
+    UpstreamConnection connection =
+        new UpstreamConnection(dialect, this, buffers, upstream.incarnation());
     new Bootstrap()
         .group(loop)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+        .option(ChannelOption.RECVBUF_ALLOCATOR, new LimitedReads(connection::maxReadBytes))
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
         .handler(
             new ChannelInitializer<SocketChannel>() {
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamSink.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamSink.java
@@ -14,6 +14,12 @@
    */
   void onHead(HttpResponse head, ResponseMetadata metadata);
 
+  /** Returns how many bytes of the response may be read at once. */
+  int maxReadBytes();
+
+  /** Called when the upstream has read a part of the request, but not all of it. */
+  void onRequestProgress();
+
   /**
    * Called when bytes of the body have arrived.
    *
