--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.mothrill.core.board.PublishedValue;
 import io.mothrill.core.forward.admission.ServiceAdmissions;
+import io.mothrill.core.forward.buffer.BufferBudget;
 import io.mothrill.core.forward.capacity.EngineHoldings;
 import io.mothrill.core.forward.contention.ContentionMonitor;
 import io.mothrill.core.forward.crash.CrashGuard;
@@ -152,6 +153,14 @@
     metrics.gauge("load.turnedAwayCount", () -> () -> admissions.counts().turnedAway());
   }
 
+  /** Registers gauges for the memory held for slow readers. */
+  void registerBuffers(BufferBudget buffers) {
+    metrics.gauge("load.bodyBytes", () -> buffers::bodyBytes);
+    metrics.gauge("load.heldBytes", () -> buffers::heldBytes);
+    metrics.gauge("load.pausedCount", () -> buffers::pausedCount);
+    metrics.gauge("load.slowReaderCount", () -> buffers::abortedCount);
+  }
+
   void registerLog() {
     metrics.gauge("log.droppedCount", () -> JsonLinesWriter::droppedCount);
   }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -5,6 +5,7 @@
 import io.mothrill.core.forward.admission.ReportedOccupancy;
 import io.mothrill.core.forward.admission.RetryAfterPolicy;
 import io.mothrill.core.forward.admission.ServiceAdmissions;
+import io.mothrill.core.forward.buffer.BufferBudget;
 import io.mothrill.core.forward.contention.ConnectTimeouts;
 import io.mothrill.core.forward.contention.ContentionReport;
 import io.mothrill.core.forward.crash.CrashGuard;
@@ -27,6 +28,7 @@
 import io.mothrill.core.time.Subscription;
 import io.mothrill.core.time.Timers;
 import io.mothrill.core.work.WorkStats;
+import io.mothrill.wire.forward.DirectMemory;
 import io.mothrill.wire.forward.ForwardDependencies;
 import io.mothrill.wire.forward.ForwardServer;
 import io.mothrill.wire.forward.UpstreamProbe;
@@ -93,6 +95,7 @@
   private final DatagramNotices notices;
   private final SpendingController spending;
   private final Readiness readiness;
+  private final BufferBudget buffers;
   private final ForwardServer edge;
   private final HttpServer probeServer;
   private final HttpServer metricsServer;
@@ -135,7 +138,10 @@
             random,
             peers,
             dispatcher);
-    LoadFeatures loadFeatures = LoadFeatures.of(settings.underPressure());
+    this.buffers =
+        new BufferBudget(
+            settings.maxBufferedBytes(), DirectMemory.limit(settings.maxResponseBytes()), timers);
+    final LoadFeatures loadFeatures = LoadFeatures.of(settings.underPressure());
     this.readiness = new Readiness(plan, upstreams, spending, timers);
     dispatcher.on(
         PeerMessage.Heartbeat.class,
@@ -214,10 +220,11 @@
             admissions,
             choice.contention(),
             new ConnectTimeouts(loadFeatures),
+            buffers,
             timers,
             ports.work(),
             random);
-    this.edge = new ForwardServer(group, parts, ports.callers(), settings.maxBufferedBytes());
+    this.edge = new ForwardServer(group, parts, ports.callers());
     this.probeServer =
         HttpServer.ofService(
             group,
@@ -248,6 +255,7 @@
     gauges.registerHoldings(choice.holdings(), timers);
     gauges.registerAdmissions(admissions);
     gauges.registerContention(choice.contention());
+    gauges.registerBuffers(buffers);
     gauges.registerLog();
     gauges.registerWork(ports.work());
     timers.every(PRUNE_INTERVAL_MS, () -> choice.retain(upstreams.read()));
@@ -330,7 +338,7 @@
     if (sinceMs >= MIN_DRAIN_MS) {
       edge.refuseNew();
     }
-    boolean idle = sinceMs >= MIN_DRAIN_MS && edge.inFlightCount() == 0;
+    boolean idle = sinceMs >= MIN_DRAIN_MS && edge.inFlightCount() == 0 && buffers.heldBytes() == 0;
     if (sinceMs < settings.drainTimeoutMs() && !idle) {
       return;
     }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
@@ -3,6 +3,7 @@
 import io.mothrill.core.board.PublishedValue;
 import io.mothrill.core.forward.admission.ServiceAdmissions;
 import io.mothrill.core.forward.answer.SelfReportDispatcher;
+import io.mothrill.core.forward.buffer.BufferBudget;
 import io.mothrill.core.forward.capacity.EngineHoldings;
 import io.mothrill.core.forward.check.SendChecks;
 import io.mothrill.core.forward.contention.ConnectTimeouts;
@@ -50,6 +51,7 @@
  * @param admissions decides who is admitted to full services
  * @param contention observes how long requests wait at upstreams
  * @param connectTimeouts determines how long requests wait for connections
+ * @param buffers limits the memory held for slow readers
  * @param timers the clock and timers
  * @param workStats counts the work of connections
  * @param random selects among the services of a split route
@@ -77,6 +79,7 @@
     ServiceAdmissions admissions,
     ContentionMonitor contention,
     ConnectTimeouts connectTimeouts,
+    BufferBudget buffers,
     Timers timers,
     WorkStats workStats,
     RandomGenerator random) {}
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardServer.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardServer.java
@@ -22,7 +22,7 @@
  * The HTTP server for callers whose requests are forwarded.
  *
  * <pre>{@code
- * ForwardServer server = new ForwardServer(group, dependencies, listener, 32 << 20);
+ * ForwardServer server = new ForwardServer(group, dependencies, listener);
  * server.startDraining();
  * }</pre>
  */
@@ -52,15 +52,11 @@
    * @param group the event loops
    * @param dependencies the dependencies of requests
    * @param socket the listening socket
-   * @param maxBufferedBytes the maximum number of body bytes buffered at a time
    */
   public ForwardServer(
-      EventLoopGroup group,
-      ForwardDependencies dependencies,
-      CallerListener socket,
-      long maxBufferedBytes) {
+      EventLoopGroup group, ForwardDependencies dependencies, CallerListener socket) {
     this.dependencies = dependencies;
-    this.state = new ForwardServerState(maxBufferedBytes);
+    this.state = new ForwardServerState(dependencies.buffers());
     Timers timers = dependencies.timers();
     timers.every(IDLE_CHECK_INTERVAL_MS, () -> closeIdleConnections(timers.nowMs()));
     this.acceptor = new CallerAcceptor(newBootstrap(group), socket);
@@ -73,6 +69,7 @@
             ChannelOption.RECVBUF_ALLOCATOR,
             new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(MAX_ACCEPTS_PER_TURN))
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, UpstreamPool.WATER_MARK)
         .childOption(ChannelOption.RECVBUF_ALLOCATOR, readingUntilEmpty())
         .childHandler(
             new ChannelInitializer<SocketChannel>() {
@@ -99,7 +96,11 @@
             channel.eventLoop(),
             loop ->
                 new UpstreamPool(
-                    loop, dependencies.dialect(), dependencies.timers(), dependencies.workStats()));
+                    loop,
+                    dependencies.dialect(),
+                    dependencies.buffers(),
+                    dependencies.timers(),
+                    dependencies.workStats()));
     RequestStarter starter =
         starters.computeIfAbsent(
             channel.eventLoop(), loop -> new RequestStarter(loop, dependencies.timers()));
