Short connect timeouts are not reported to other instances

Cause: a connect timeout of 60 ms may be due to one lost packet or to a busy link of this instance, and was reported to the whole failure domain as an unreachable upstream. Change: only a timeout of 500 ms is; shorter ones make this instance avoid the upstream.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/contention/ConnectTimeouts.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/contention/ConnectTimeouts.java
@@ -9,7 +9,7 @@
    * Longer than any round trip between failure domains, but short enough to detect a dead upstream
    * soon.
    */
-  private static final int MAX_MS = 500;
+  public static final int MAX_MS = 500;
 
   /** Several times the round trip between failure domains while links are busy. */
   private static final int MIN_MS = 60;
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -3,6 +3,7 @@
 import io.mothrill.core.forward.buffer.ConnectionBuffer;
 import io.mothrill.core.forward.capacity.HeldTokens;
 import io.mothrill.core.forward.check.Rejection;
+import io.mothrill.core.forward.contention.ConnectTimeouts;
 import io.mothrill.core.forward.contention.RequestObservation;
 import io.mothrill.core.forward.crash.RequestCrashGuard;
 import io.mothrill.core.forward.prompt.SentPrompt;
@@ -103,6 +104,7 @@
   private final ConnectionBuffer collected;
   private final ResponseFlow flow;
   private UpstreamConnection connection;
+  private int connectTimeoutMs;
   private SentPrompt sentPrompt = SentPrompt.UNTRACKED;
   private Subscription replacement = () -> {};
   private HeldTokens held = HeldTokens.NONE;
@@ -174,30 +176,31 @@
   }
 
   void connect() {
+    connectTimeoutMs =
+        dependencies
+            .connectTimeouts()
+            .timeoutMs(
+                upstream.service(), admitted.route().targetLatencyMs(), progress.attempts.size());
     admitted
         .received()
         .pool()
         .acquire(
             upstream,
             !admitted.route().kind().isRetryable(),
-            dependencies
-                .connectTimeouts()
-                .timeoutMs(
-                    upstream.service(),
-                    admitted.route().targetLatencyMs(),
-                    progress.attempts.size()),
+            connectTimeoutMs,
             this::onConnected,
             this::onConnectFailed);
   }
 
   private void onConnectFailed(Throwable cause) {
-    dependencies
-        .statusBroadcast()
-        .onDetected(
-            upstream,
-            ConnectErrors.isConnectionRefused(cause)
-                ? UpstreamStatus.ENDED
-                : UpstreamStatus.UNREACHABLE);
+    if (ConnectErrors.isConnectionRefused(cause)) {
+      dependencies.statusBroadcast().onDetected(upstream, UpstreamStatus.ENDED);
+    } else if (connectTimeoutMs >= ConnectTimeouts.MAX_MS) {
+      dependencies.statusBroadcast().onDetected(upstream, UpstreamStatus.UNREACHABLE);
+    } else {
+      // A short timeout may be due to one lost packet, which other instances need not hear of.
+      load.onFailure(dependencies.timers().nowMs());
+    }
     if (finished || owner.hasEnded()) {
       return;
     }
