Pools of engines follow slots as well as prefill time

Cause: pools were divided by prefill time alone, of which short prompts take little; their engines had more requests than slots. Change: each class gets the average of its share in prefill time and in the time that its requests hold slots.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/DemandShares.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/DemandShares.java
@@ -1,8 +1,9 @@
 package io.mothrill.core.forward.prompt;
 
 import java.util.Arrays;
+import java.util.stream.IntStream;
 
-/** The share of each class of prompts in the prefill time of a service; immutable. */
+/** The share of each class of prompts in the demand for a service; immutable. */
 final class DemandShares {
 
   private final double[] shares;
@@ -10,18 +11,27 @@
   /**
    * Computes the shares.
    *
-   * @param prefillMs the prefill time of each class; 0 for a class without demand
+   * @param demand the demand of each class; 0 for a class without demand
    */
-  DemandShares(double[] prefillMs) {
-    double totalMs = Arrays.stream(prefillMs).sum();
+  DemandShares(double[] demand) {
+    double total = Arrays.stream(demand).sum();
     this.shares =
-        Arrays.stream(prefillMs).map(timeMs -> totalMs == 0 ? 0 : timeMs / totalMs).toArray();
+        Arrays.stream(demand).map(part -> total == 0 ? 0 : part / total).toArray();
   }
 
   static DemandShares none() {
     return new DemandShares(new double[PromptClass.COUNT]);
   }
 
+  /** Averages these shares with others; empty ones do not count. */
+  DemandShares averagedWith(DemandShares other) {
+    if (isEmpty() || other.isEmpty()) {
+      return isEmpty() ? other : this;
+    }
+    return new DemandShares(
+        IntStream.range(0, shares.length).mapToDouble(i -> shares[i] + other.shares[i]).toArray());
+  }
+
   boolean isEmpty() {
     return Arrays.stream(shares).sum() == 0;
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/EnginePools.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/EnginePools.java
@@ -69,6 +69,17 @@
     divisionOf(service).demand().onSent(promptClass, uncachedTokens, prefillMs);
   }
 
+  /**
+   * Called when a prompt of this instance has ended at its engine.
+   *
+   * @param service the service
+   * @param promptClass the class of the prompt
+   * @param heldMs for how long it held a slot
+   */
+  public void onEnded(String service, PromptClass promptClass, double heldMs) {
+    divisionOf(service).demand().onEnded(promptClass, heldMs);
+  }
+
   /**
    * Called when another instance has sent a prompt.
    *
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PromptDemand.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PromptDemand.java
@@ -1,5 +1,6 @@
 package io.mothrill.core.forward.prompt;
 
+import java.util.Arrays;
 import java.util.stream.DoubleStream;
 import java.util.stream.IntStream;
 
@@ -31,6 +32,7 @@
 
   private final Table own = new Table();
   private final Table noticed = new Table();
+  private final double[] heldMs = new double[PromptClass.COUNT];
   private long decayedAtMs;
 
   PromptDemand(long nowMs) {
@@ -69,26 +71,40 @@
     noticed.add(promptClass, uncachedTokens, prefillMs);
   }
 
+  /** Records for how long an own prompt held a slot of its engine. */
+  synchronized void onEnded(PromptClass promptClass, double slotMs) {
+    heldMs[promptClass.ordinal()] += slotMs;
+  }
+
   synchronized void decay(long nowMs) {
     double factor = Math.pow(0.5, (nowMs - decayedAtMs) / HALF_LIFE_MS);
     own.scale(factor);
     noticed.scale(factor);
+    Arrays.setAll(heldMs, one -> heldMs[one] * factor);
     decayedAtMs = nowMs;
   }
 
   /**
    * Estimates the shares of the classes.
    *
+   * <p>An engine is full when it has no time left to prefill or no slot. Short prompts take little
+   * prefill time and many slots, so by prefill time alone their engines would have more requests
+   * than slots. Each class therefore gets the average of both shares.
+   *
    * @param instanceCount the number of instances whose notices reach this one, including itself
-   * @return the shares in the prefill time
+   * @return the shares
    */
   synchronized DemandShares shares(int instanceCount) {
     double[] totalsMs = new double[PromptClass.COUNT];
     for (int length = 0; length < PrefillCurve.POINT_COUNT; length++) {
       addLength(totalsMs, length, instanceCount);
     }
-    return new DemandShares(
-        DoubleStream.of(totalsMs).map(timeMs -> timeMs < MIN_DEMAND_MS ? 0 : timeMs).toArray());
+    return new DemandShares(withoutTraces(totalsMs))
+        .averagedWith(new DemandShares(withoutTraces(heldMs)));
+  }
+
+  private static double[] withoutTraces(double[] timesMs) {
+    return DoubleStream.of(timesMs).map(timeMs -> timeMs < MIN_DEMAND_MS ? 0 : timeMs).toArray();
   }
 
   private void addLength(double[] totalsMs, int length, int instanceCount) {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PromptTracker.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PromptTracker.java
@@ -105,6 +105,11 @@
       public void onPrefillDone() {
         backlog.onPrefillDone(pendingMs);
       }
+
+      @Override
+      public void onEnded(long heldMs) {
+        pools.onEnded(service, promptClass, heldMs);
+      }
     };
   }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/SentPrompt.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/SentPrompt.java
@@ -11,6 +11,9 @@
 
         @Override
         public void onPrefillDone() {}
+
+        @Override
+        public void onEnded(long heldMs) {}
       };
 
   /**
@@ -22,4 +25,11 @@
 
   /** Called once when the engine no longer reads the prompt, whether it has read it or not. */
   void onPrefillDone();
+
+  /**
+   * Called once when the request has ended at the engine.
+   *
+   * @param heldMs for how long it held a slot there, or waited for one
+   */
+  void onEnded(long heldMs);
 }
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/prompt/EnginePoolsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/prompt/EnginePoolsTest.java
@@ -77,4 +77,21 @@
     timers.advanceMs(1_000);
     assertThat(pools.engineCount(PromptClass.SHORT)).isGreaterThan(10);
   }
+
+  // Guards against a pool whose engines have more requests than slots: short prompts take little
+  // prefill time, but most of the slots.
+  @Test
+  void slotsCountAsMuchAsPrefillTime() {
+    // GIVEN
+    request(2_000, 5_000, 3_000);
+    pools.onEnded(SERVICE, PromptClass.SHORT, 60_000);
+    pools.onEnded(SERVICE, PromptClass.LONG, 30_000);
+    pools.onEnded(SERVICE, PromptClass.BULK, 10_000);
+
+    // WHEN
+    timers.advanceMs(6_000);
+
+    // THEN
+    assertThat(sizes()).containsExactly(8, 8, 4).inOrder();
+  }
 }
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/prompt/SimulatedFleet.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/prompt/SimulatedFleet.java
@@ -204,7 +204,12 @@
             sent.onFirstEvent(tookMs);
             sent.onPrefillDone();
           });
-      timers.after(tookMs + 300, load::onRequestEnded);
+      timers.after(
+          tookMs + 300,
+          () -> {
+            load.onRequestEnded();
+            sent.onEnded(tookMs + 300);
+          });
     }
 
     private void onNotice(String incarnation, long tokens) {
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -340,6 +340,7 @@
       recordPrefillDone();
       load.onRequestEnded();
       held.end(dependencies.timers().nowMs());
+      sentPrompt.onEnded(dependencies.timers().nowMs() - sentMs);
     }
     collected.remove(collected.heldBytes());
     if (body != null) {
