Admission: limits start after 200 ms of a full service and follow what was served

At a demand of four fifths of the slots, bursts started limits that made up to 5 percent of the requests late, and a limit that had shrunk in an outage stayed below what was in flight. A limit starts only when the signs last for 200 ms, and is never below the average in flight that upstreams answer.

Run: Admission*Test in mothrill-core, passed.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/admission/InFlightLimit.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/admission/InFlightLimit.java
@@ -10,6 +10,12 @@
   /** The limit ends when the service was not full for this time. */
   static final long END_AFTER_MS = 2_000;
 
+  /** Signs for a shorter time are a burst; limits that started at once refused requests for it. */
+  private static final long START_AFTER_MS = 200;
+
+  /** Small instances see a response of a service only a few times per second. */
+  private static final long MAX_SIGN_GAP_MS = 300;
+
   /** A step of the limit; several responses of a service arrive in this time. */
   private static final long STEP_MS = 100;
 
@@ -44,7 +50,8 @@
   private double limit;
   private double minLimit;
   private long startedMs;
-  private long lastFullMs;
+  private long firstFullMs;
+  private long lastFullMs = Long.MIN_VALUE / 2;
   private long lastShrunkMs;
   private long lastRejectedMs = Long.MIN_VALUE / 2;
   private long growthStepMs;
@@ -63,10 +70,13 @@
     return startedMs;
   }
 
-  /** Called when the service is full; starts the limit with the number of requests in flight. */
+  /** Called when the service is full; if it stays so, starts the limit with those in flight. */
   void onFull(double inFlight, long nowMs) {
+    if (nowMs - lastFullMs > MAX_SIGN_GAP_MS) {
+      firstFullMs = nowMs;
+    }
     lastFullMs = nowMs;
-    if (!exists) {
+    if (!exists && nowMs - firstFullMs >= START_AFTER_MS) {
       exists = true;
       limit = inFlight;
       minLimit = inFlight * MIN_OF_START;
@@ -86,20 +96,24 @@
   /** Called when the service is too full for the requests in flight. */
   void shrink(double inFlight, long nowMs) {
     onFull(inFlight, nowMs);
-    if (nowMs - lastShrunkMs >= STEP_MS) {
+    if (exists && nowMs - lastShrunkMs >= STEP_MS) {
       lastShrunkMs = nowMs;
       limit = Math.max(minLimit, limit * SHRINK_FACTOR);
     }
   }
 
   /**
-   * Called when a request was answered while the service has free slots.
+   * Called when a request was answered while the service has free slots. More requests than the
+   * limit are in flight when it did not apply for a time; they show that the limit is too low.
    *
    * @param averageInFlight the average number of requests in flight
    */
   void onAnswered(double averageInFlight, long nowMs) {
-    boolean isUsed = limit < MAX_OF_AVERAGE * averageInFlight + MAX_BEYOND_AVERAGE;
-    if (!exists || !isUsed || nowMs - lastRejectedMs < STEP_MS) {
+    if (!exists || nowMs - lastRejectedMs < STEP_MS) {
+      return;
+    }
+    limit = Math.max(limit, averageInFlight);
+    if (limit >= MAX_OF_AVERAGE * averageInFlight + MAX_BEYOND_AVERAGE) {
       return;
     }
     if (nowMs - growthStepMs >= STEP_MS) {
