Admission: waits of a quarter of the target are no sign of a full service

With an eighth, bursts at four fifths of the slots still started limits, and queues that keep slots in use were too short.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/admission/ServiceAdmission.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/admission/ServiceAdmission.java
@@ -42,7 +42,7 @@
    * Up to this wait, queued requests only keep all slots in use. Limits that started without a wait
    * refused 1 to 4 percent of a demand of four fifths of the slots.
    */
-  private static final double GROWTH_WAIT_OF_TARGET = 0.125;
+  private static final double GROWTH_WAIT_OF_TARGET = 0.25;
 
   private final String service;
   private final OccupancySource occupancySource;
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/admission/AdmissionFailureTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/admission/AdmissionFailureTest.java
@@ -80,7 +80,7 @@
   }
 
   @Test
-  void oneBrokenUpstreamDoesNotCloseAServiceWithFreeSlots() {
+  void oneBrokenUpstreamDoesNotCloseServiceWithFreeSlots() {
     // GIVEN
     simulation.upstreams.get(0).rejectsAll = true;
     // WHEN
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/admission/AdmissionRulesTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/admission/AdmissionRulesTest.java
@@ -24,7 +24,7 @@
   }
 
   @Test
-  void retryTimeIsWithinAThirdOfTheRemainingTime() {
+  void retryTimeIsWithinThirdOfRemainingTime() {
     IntStream.range(0, 1_000)
         .forEach(
             ahead ->
