--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -128,7 +128,6 @@
             random,
             peers,
             dispatcher);
-    LoadFeatures loadFeatures = LoadFeatures.of(settings.underPressure());
     this.readiness = new Readiness(plan, upstreams, spending, timers);
     dispatcher.on(
         PeerMessage.Heartbeat.class,
@@ -173,6 +172,7 @@
                 choice.limits()::onReport,
                 reach::onMessageFromHost),
             ports.work());
+    LoadFeatures loadFeatures = LoadFeatures.of(settings.underPressure());
     ServiceAdmissions admissions =
         new ServiceAdmissions(
             loadFeatures,
