--- a/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/DemandShares.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/DemandShares.java
@@ -15,8 +15,7 @@
    */
   DemandShares(double[] demand) {
     double total = Arrays.stream(demand).sum();
-    this.shares =
-        Arrays.stream(demand).map(part -> total == 0 ? 0 : part / total).toArray();
+    this.shares = Arrays.stream(demand).map(part -> total == 0 ? 0 : part / total).toArray();
   }
 
   static DemandShares none() {
