Plain requests shift between upstreams in proportion; prefixes outweigh running requests

Change: an upstream is drawn with a weight that falls with its cost; a running request weighs 0.2 ms.

Run: tests of contention, prompt, EngineMemoryTest, SharedLoadTest pass.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/contention/PlainLatencyCost.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/contention/PlainLatencyCost.java
@@ -4,7 +4,7 @@
 import io.mothrill.core.forward.upstream.UpstreamCost;
 import io.mothrill.core.forward.upstream.UpstreamLoads;
 import io.mothrill.core.forward.upstream.UpstreamQuery;
-import java.util.Comparator;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.ToDoubleFunction;
@@ -16,8 +16,13 @@
   /** A round trip to another failure domain. */
   private static final double OTHER_DOMAIN_MS = 2.4;
 
-  /** Upstreams within this factor of the lowest cost are considered equal. */
-  private static final double EQUAL_FACTOR = 1.2;
+  /**
+   * Part of the target latency by which an upstream is more expensive that gets a third of the
+   * requests of another one: a response from it is still on time.
+   */
+  private static final double SCALE_OF_TARGET = 0.25;
+
+  private static final double MIN_SCALE_MS = 10;
 
   private final String ownDomain;
   private final UpstreamLoads loads;
@@ -64,9 +69,12 @@
   }
 
   /**
-   * Draws two of the upstreams of about the lowest cost and selects the cheaper one, so that
-   * instances that have received the same reports do not all select the same upstream. The same one
-   * may be drawn twice: of two upstreams, the more expensive one is still selected at times.
+   * Draws an upstream; the cheaper it is, the more likely.
+   *
+   * <p>All instances receive the same reports within milliseconds. If all of them selected the
+   * cheapest upstream, or one of the cheapest, it would be overloaded until the next reports and
+   * another one idle, and so in turn. Drawn by weight, requests shift between upstreams only as far
+   * as their costs differ.
    */
   @Override
   public Optional<RegisteredUpstream> select(
@@ -77,15 +85,17 @@
         candidates.stream()
             .map(upstream -> new Priced(upstream, costOf.applyAsDouble(upstream)))
             .toList();
-    double maxMs =
-        EQUAL_FACTOR * priced.stream().mapToDouble(Priced::costMs).min().orElse(Double.MAX_VALUE);
-    List<Priced> equal = priced.stream().filter(one -> one.costMs() <= maxMs).toList();
-    return equal.isEmpty()
-        ? Optional.empty()
-        : random
-            .ints(2, 0, equal.size())
-            .mapToObj(equal::get)
-            .min(Comparator.comparingDouble(Priced::costMs))
-            .map(Priced::upstream);
+    double minMs = priced.stream().mapToDouble(Priced::costMs).min().orElse(0);
+    double scaleMs = Math.max(MIN_SCALE_MS, SCALE_OF_TARGET * query.targetLatencyMs());
+    double[] weights =
+        priced.stream().mapToDouble(one -> Math.exp((minMs - one.costMs()) / scaleMs)).toArray();
+    double remaining = random.nextDouble() * Arrays.stream(weights).sum();
+    for (int index = 0; index < weights.length; index++) {
+      remaining -= weights[index];
+      if (remaining <= 0) {
+        return Optional.of(priced.get(index).upstream());
+      }
+    }
+    return priced.stream().map(Priced::upstream).findFirst();
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/FirstEventCost.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/FirstEventCost.java
@@ -31,8 +31,11 @@
   /** Part of the target latency that may pass before the first event, as estimates are rough. */
   private static final double TARGET_SHARE = 0.5;
 
-  /** Each running request lengthens the steps of the others slightly. */
-  private static final double RUNNING_MS = 1;
+  /**
+   * Each running request lengthens the steps of the others slightly; ten of them must not outweigh
+   * the few hundred tokens of a prefix that an engine has cached.
+   */
+  private static final double RUNNING_MS = 0.2;
 
   /**
    * For each request beyond the slots, which waits until another one has ended. More than the cost
@@ -44,7 +47,7 @@
   private static final double OTHER_POOL_MS = 100;
 
   /** Keeps instances that have received the same notices from all selecting the same engine. */
-  private static final double JITTER_MS = 2;
+  private static final double JITTER_MS = 0.5;
 
   private final String ownDomain;
   private final UpstreamLoads loads;
