Only prompts that stall an engine for twice the longest pause have a pool of their own

Cause: a prompt in another pool than its prefix is prefilled with the prefix once more. Change: the limit of the largest class is twice the longest pause instead of three quarters.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PromptClass.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PromptClass.java
@@ -4,9 +4,9 @@
 public enum PromptClass {
   /** Takes a small part of the target latency of any request. */
   SHORT,
-  /** Delays the events of others by less than the longest pause that callers accept. */
+  /** Delays the events of others by less than twice the longest pause that callers accept. */
   LONG,
-  /** Makes the responses of others late. */
+  /** Stalls all other responses for longer. */
   BULK;
 
   /** Number of classes. */
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PromptClassLimits.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PromptClassLimits.java
@@ -17,8 +17,12 @@
   /** Of the smallest target latency: several short prompts at one engine still are in time. */
   private static final double SHORT_TARGET_SHARE = 0.125;
 
-  /** Of the longest pause: the steps of the engine and the network take the rest. */
-  private static final double LONG_PAUSE_SHARE = 0.75;
+  /**
+   * As a multiple of the longest pause. A prompt in another pool than its prefix is prefilled with
+   * the prefix once more; with a limit of 0.75, engines prefilled twice as many shared tokens, and
+   * fewer long prompts were on time than without pools.
+   */
+  private static final double LONG_PAUSE_SHARE = 2;
 
   /**
    * Derives the limits from what callers of a service need.
