--- a/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PromptClassLimits.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PromptClassLimits.java
@@ -17,6 +17,8 @@
   /** Of the smallest target latency: several short prompts at one engine still are in time. */
   private static final double SHORT_TARGET_SHARE = 0.125;
 
+  private static final double STALL_PAUSE_SHARE = 0.75;
+
   /**
    * As a multiple of the longest pause. A prompt in another pool than its prefix is prefilled with
    * the prefix once more; with a limit of 0.75, engines prefilled twice as many shared tokens, and
@@ -57,6 +59,14 @@
     return minMs.isPresent() ? minMs.getAsLong() : Double.POSITIVE_INFINITY;
   }
 
+  /**
+   * Returns the prefill time ahead of an event that makes it late for its caller: a part of the
+   * longest pause, as the steps of the engine and the network take the rest.
+   */
+  double stallMs() {
+    return STALL_PAUSE_SHARE * longMs / LONG_PAUSE_SHARE;
+  }
+
   PromptClass classOf(double prefillMs) {
     if (prefillMs < shortMs) {
       return PromptClass.SHORT;
