--- a/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/FirstEventCost.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/FirstEventCost.java
@@ -17,7 +17,8 @@
  * Cost of prompts where decisions under load are active, in ms until the first event.
  *
  * <p>Waits have a low weight as long as the prompt meets its target latency behind them and a high
- * one once it would be late, as in {@code PromptCost}. Engines of another pool are possible but
+ * one once it would be late, as in {@code PromptCost}, or once the prefill at the engine takes so
+ * long that the events of its running requests are late. Engines of another pool are possible but
  * expensive, so a prompt leaves its pool when the engines there are gone, avoided or full.
  */
 public final class FirstEventCost implements UpstreamCost {
@@ -97,7 +98,7 @@
     ServicePools pools = enginePools.poolsOf(service, upstreams);
     PromptClass pool = pools.poolFor(classifier.classOf(service, prompt.inputTokens()));
     PreferredUpstreams preferred = pools.preferredFor(prompt, pool);
-    double timelyMs = TARGET_SHARE * query.targetLatencyMs();
+    double timelyMs = Math.min(TARGET_SHARE * query.targetLatencyMs(), classifier.stallMs(service));
     return upstream -> {
       double uncached = prefixCache.uncachedTokens(prompt, upstream, preferred, nowMs);
       return firstEventMs(upstream, model.prefillMs(service, uncached), timelyMs, nowMs)
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PromptClassifier.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PromptClassifier.java
@@ -47,12 +47,21 @@
    * @return the class
    */
   public PromptClass classOf(String service, double tokens) {
+    return limitsOf(service).classOf(model.prefillMs(service, tokens));
+  }
+
+  /** Returns the prefill time at an engine that makes the events of its requests late. */
+  double stallMs(String service) {
+    return limitsOf(service).stallMs();
+  }
+
+  private PromptClassLimits limitsOf(String service) {
     ForwardingPlan newest = plan.read();
     PlanLimits current = limits;
     if (current.plan() != newest) {
       current = new PlanLimits(newest);
       limits = current;
     }
-    return current.of(service).classOf(model.prefillMs(service, tokens));
+    return current.of(service);
   }
 }
