Pools count prefill time three times as much as slots

Cause: counted alike, engines of long prompts prefilled several in a row. Change: the weight.

Run: tests of prompt pass.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/DemandShares.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/DemandShares.java
@@ -22,13 +22,20 @@
     return new DemandShares(new double[PromptClass.COUNT]);
   }
 
-  /** Averages these shares with others; empty ones do not count. */
-  DemandShares averagedWith(DemandShares other) {
+  /**
+   * Averages these shares with others; empty ones do not count.
+   *
+   * @param other the other shares
+   * @param weight how much these shares count if the others count once
+   */
+  DemandShares averagedWith(DemandShares other, double weight) {
     if (isEmpty() || other.isEmpty()) {
       return isEmpty() ? other : this;
     }
     return new DemandShares(
-        IntStream.range(0, shares.length).mapToDouble(i -> shares[i] + other.shares[i]).toArray());
+        IntStream.range(0, shares.length)
+            .mapToDouble(i -> weight * shares[i] + other.shares[i])
+            .toArray());
   }
 
   boolean isEmpty() {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PromptDemand.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PromptDemand.java
@@ -15,6 +15,12 @@
 
   private static final double HALF_LIFE_MS = 20_000;
 
+  /**
+   * How much prefill time counts if the time in slots counts once. Counted alike, engines of long
+   * prompts prefilled several of them in a row, which pauses the streams there.
+   */
+  private static final double PREFILL_WEIGHT = 3;
+
   /** Less than this is left of a single long prompt after about three minutes. */
   private static final double MIN_DEMAND_MS = 1;
 
@@ -89,7 +95,7 @@
    *
    * <p>An engine is full when it has no time left to prefill or no slot. Short prompts take little
    * prefill time and many slots, so by prefill time alone their engines would have more requests
-   * than slots. Each class therefore gets the average of both shares.
+   * than slots. Both shares therefore count.
    *
    * @param instanceCount the number of instances whose notices reach this one, including itself
    * @return the shares
@@ -100,7 +106,7 @@
       addLength(totalsMs, length, instanceCount);
     }
     return new DemandShares(withoutTraces(totalsMs))
-        .averagedWith(new DemandShares(withoutTraces(heldMs)));
+        .averagedWith(new DemandShares(withoutTraces(heldMs)), PREFILL_WEIGHT);
   }
 
   private static double[] withoutTraces(double[] timesMs) {
