Boundaries of pools move for a whole engine only

Cause: PromptPoolsLoadTest failed after the change of weights: a boundary moved 7 times in a minute, 6 are allowed. Change: a boundary moves when a pool is wrong by 0.95 engines instead of 0.75. Run: tests of prompt pass.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PoolSizes.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/prompt/PoolSizes.java
@@ -23,7 +23,7 @@
    * Less than one engine, and more than the rounding of a wanted size, so that a size between two
    * numbers does not change back and forth.
    */
-  private static final double TOLERATED_ENGINES = 0.75;
+  private static final double TOLERATED_ENGINES = 0.95;
 
   /**
    * Divides engines in proportion to the shares; each class with demand gets at least one.
