One constant for the recipients of notices; no condition of engines that nothing uses

Cause: read again as a newcomer, the maximum of 80 recipients stood in NoticeRecipients and in PromptSelection, and UpstreamCondition.neutral was used by nothing since shared load was merged. Change: PromptSelection uses the constant of NoticeRecipients; the method is removed. Checked: formatter, linter and the tests of prompt, contention, notices and SharedLoadTest pass. Conclusion: no decision changed.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamCondition.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamCondition.java
@@ -20,23 +20,4 @@
    * @return the observed wait; 0 if nothing is known
    */
   double waitMs(String incarnation, long nowMs);
-
-  /**
-   * Returns a condition for upstreams of which nothing is known.
-   *
-   * @return no slowdown and no wait
-   */
-  static UpstreamCondition neutral() {
-    return new UpstreamCondition() {
-      @Override
-      public double slowdown(String incarnation, long nowMs) {
-        return 1;
-      }
-
-      @Override
-      public double waitMs(String incarnation, long nowMs) {
-        return 0;
-      }
-    };
-  }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/peer/NoticeRecipients.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/peer/NoticeRecipients.java
@@ -11,7 +11,7 @@
    * The maximum number of recipients of a notice. With more, sending the notices would cost each
    * instance more than a long prompt does.
    */
-  private static final int MAX_RECIPIENTS = 80;
+  public static final int MAX_COUNT = 80;
 
   private NoticeRecipients() {}
 
@@ -29,7 +29,7 @@
    */
   public static List<InstanceRecord> select(List<InstanceRecord> peers, String host) {
     int first = peers.isEmpty() ? 0 : Math.floorMod(host.hashCode(), peers.size());
-    return IntStream.range(first, first + Math.min(MAX_RECIPIENTS, peers.size()))
+    return IntStream.range(first, first + Math.min(MAX_COUNT, peers.size()))
         .mapToObj(place -> peers.get(place % peers.size()))
         .toList();
   }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/PromptSelection.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/PromptSelection.java
@@ -11,15 +11,13 @@
 import io.mothrill.core.forward.upstream.UpstreamCondition;
 import io.mothrill.core.forward.upstream.UpstreamCost;
 import io.mothrill.core.forward.upstream.UpstreamLoads;
+import io.mothrill.core.peer.NoticeRecipients;
 import io.mothrill.core.time.Timers;
 import java.util.random.RandomGenerator;
 
 /** Assembles the components that choose the engine of a prompt where decisions under load apply. */
 final class PromptSelection {
 
-  /** The maximum number of recipients of a prompt notice, and so of the senders heard from. */
-  private static final int MAX_NOTICE_SENDERS = 80;
-
   private final PrefillTimeModel model;
   private final EnginePools pools;
   private final UpstreamCost cost;
@@ -39,7 +37,9 @@
     PromptClassifier classifier = new PromptClassifier(view.plan(), model);
     this.pools =
         new EnginePools(
-            prefixCache, () -> 1 + Math.min(MAX_NOTICE_SENDERS, fleet.others().size()), timers);
+            prefixCache,
+            () -> 1 + Math.min(NoticeRecipients.MAX_COUNT, fleet.others().size()),
+            timers);
     this.cost =
         new FirstEventCost(
             ownDomain, loads, prefixCache, model, classifier, pools, condition, random);
