--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardServer.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardServer.java
@@ -107,7 +107,8 @@
                     dependencies.workStats()));
     RequestStarter starter =
         starters.computeIfAbsent(
-            channel.eventLoop(), loop -> new RequestStarter(loop, dependencies.timers()));
+            channel.eventLoop(),
+            loop -> new RequestStarter(loop, dependencies.timers(), dependencies.workStats()));
     CallerConnection connection = new CallerConnection(dependencies, pool, starter, state);
     int headerBytes = dependencies.plan().read().bounds().headerBytes();
     channel
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/RequestStarter.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/RequestStarter.java
@@ -4,6 +4,8 @@
 import io.mothrill.core.forward.overload.StartQueue;
 import io.mothrill.core.forward.overload.StartSlice;
 import io.mothrill.core.time.Timers;
+import io.mothrill.core.work.WorkKind;
+import io.mothrill.core.work.WorkStats;
 import io.netty.channel.EventLoop;
 import java.util.List;
 
@@ -27,6 +29,7 @@
 
   private final EventLoop loop;
   private final Timers timers;
+  private final WorkStats workStats;
   private final StartQueue<Request> queue = new StartQueue<>();
   private boolean scheduled;
 
@@ -39,16 +42,17 @@
     void rejectOverloaded(long retryAfterMs);
   }
 
-  RequestStarter(EventLoop loop, Timers timers) {
+  RequestStarter(EventLoop loop, Timers timers, WorkStats workStats) {
     this.loop = loop;
     this.timers = timers;
+    this.workStats = workStats;
   }
 
   void submit(Request request) {
     queue.add(request, timers.nowMs());
     if (!scheduled) {
       scheduled = true;
-      loop.execute(this::runSlice);
+      loop.execute(this::runMetered);
     }
   }
 
@@ -57,6 +61,13 @@
     return queue.size();
   }
 
+  /** Counts the starts as work for callers: they are no part of what the connections measure. */
+  private void runMetered() {
+    long startNanos = System.nanoTime();
+    runSlice();
+    workStats.onTurn(WorkKind.CALLER, System.nanoTime() - startNanos);
+  }
+
   private void runSlice() {
     long beginMs = timers.nowMs();
     StartSlice<Request> slice = queue.take(beginMs);
@@ -70,7 +81,7 @@
     queue.putBack(starts.subList(started, starts.size()));
     scheduled = queue.size() > 0;
     if (scheduled) {
-      timers.after(AFTER_READS_MS, () -> loop.execute(this::runSlice));
+      timers.after(AFTER_READS_MS, () -> loop.execute(this::runMetered));
     }
   }
 
