Paths to upstreams that fail are counted by kind, logged and shown as metrics

Change: UpstreamPaths records contact, connect timeouts, refusals, lost connections and silence of each path; gauges paths.failingCount and one by kind; one log line a second at most when the number changes. No decision uses it.

--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -7,6 +7,8 @@
 import io.mothrill.core.forward.capacity.EngineHoldings;
 import io.mothrill.core.forward.contention.ContentionMonitor;
 import io.mothrill.core.forward.crash.CrashGuard;
+import io.mothrill.core.forward.path.PathFailure;
+import io.mothrill.core.forward.path.UpstreamPaths;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.plan.TeamPlan;
 import io.mothrill.core.forward.prompt.EnginePools;
@@ -91,6 +93,17 @@
     metrics.gauge("upstreams.reportsHeardCount", () -> choice.statusBroadcast()::receivedCount);
   }
 
+  /** Registers gauges for the paths on which this instance has no contact to upstreams. */
+  void registerPaths(UpstreamPaths paths) {
+    metrics.gauge("paths.failingCount", () -> () -> paths.counts().failing());
+    Arrays.stream(PathFailure.values())
+        .forEach(
+            failure ->
+                metrics.gauge(
+                    "paths.failingCount." + failure,
+                    () -> () -> paths.counts().byFailure().getOrDefault(failure, 0L)));
+  }
+
   /** Registers gauges for the tokens that engines are asked to hold. */
   void registerHoldings(EngineHoldings holdings, Timers timers) {
     metrics.gauge("load.heldOwnTokens", () -> holdings::ownTokens);
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -10,14 +10,18 @@
 import io.mothrill.core.forward.contention.ContentionReport;
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.crash.CrashMessage;
+import io.mothrill.core.forward.crash.TerminationProbe;
 import io.mothrill.core.forward.limit.RateLimitReport;
 import io.mothrill.core.forward.load.LoadFeatures;
+import io.mothrill.core.forward.path.PathFailure;
+import io.mothrill.core.forward.path.UpstreamPaths;
 import io.mothrill.core.forward.permit.FleetView;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.retry.SharedRetryBudget;
 import io.mothrill.core.forward.spending.DemandSharePolicy;
 import io.mothrill.core.forward.spending.SpendingController;
 import io.mothrill.core.forward.upstream.DomainReachability;
+import io.mothrill.core.forward.upstream.RegisteredUpstream;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.upstream.UpstreamStatusReport;
 import io.mothrill.core.forward.view.StatePoller;
@@ -156,6 +160,7 @@
             reach::isReachable,
             timers,
             random);
+    UpstreamPaths paths = new UpstreamPaths(upstreams, choice.loads(), timers);
     CrashGuard crashes =
         new CrashGuard(
             self,
@@ -163,7 +168,7 @@
             this::sendCrashMessage,
             ports.table(),
             ports.storeClock(),
-            choice.reportingEnds(new UpstreamProbe(group, timers)),
+            recordingLosses(paths, choice.reportingEnds(new UpstreamProbe(group, timers))),
             upstream -> upstreams.read().isAccepting(upstream),
             timers,
             random);
@@ -211,7 +216,8 @@
             crashes,
             choice.statusBroadcast(),
             choice.selfReports(),
-            reach::onMessageFromDomain,
+            upstream -> onContact(upstream, reach, paths),
+            paths,
             loadFeatures,
             admissions,
             choice.contention(),
@@ -238,6 +244,7 @@
     gauges.registerSpending(plan, spending);
     gauges.registerCrashes(crashes);
     gauges.registerUpstreams(evacuatedDomains, choice);
+    gauges.registerPaths(paths);
     gauges.registerPromptPools(choice.prompts().pools(), choice.prompts().tracker());
     gauges.registerHoldings(choice.holdings(), timers);
     gauges.registerAdmissions(admissions);
@@ -252,6 +259,19 @@
     gauges.registerView(plan, upstreams, follower);
   }
 
+  private static TerminationProbe recordingLosses(UpstreamPaths paths, TerminationProbe probe) {
+    return upstream -> {
+      paths.onFailure(upstream, PathFailure.LOST);
+      return probe.hasTerminated(upstream);
+    };
+  }
+
+  private static void onContact(
+      RegisteredUpstream upstream, DomainReachability reach, UpstreamPaths paths) {
+    reach.onMessageFromDomain(upstream.domain());
+    paths.onContact(upstream);
+  }
+
   private FleetView fleetView() {
     return new FleetView() {
       @Override
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -359,7 +359,7 @@
 
   private void onReceived() {
     idleTimer.onReceived();
-    dependencies.domainContacts().accept(upstream.domain());
+    dependencies.contacts().accept(upstream);
   }
 
   @Override
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
@@ -10,6 +10,7 @@
 import io.mothrill.core.forward.contention.ContentionMonitor;
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.load.LoadFeatures;
+import io.mothrill.core.forward.path.UpstreamPaths;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.prompt.PromptTracker;
 import io.mothrill.core.forward.retry.SharedRetryBudget;
@@ -17,6 +18,7 @@
 import io.mothrill.core.forward.upstream.PrefillSpeed;
 import io.mothrill.core.forward.upstream.PrefixCacheEstimator;
 import io.mothrill.core.forward.upstream.PromptNoticeSender;
+import io.mothrill.core.forward.upstream.RegisteredUpstream;
 import io.mothrill.core.forward.upstream.UpstreamLoads;
 import io.mothrill.core.forward.upstream.UpstreamPicker;
 import io.mothrill.core.forward.upstream.UpstreamStatusBroadcast;
@@ -46,7 +48,8 @@
  * @param crashGuard quarantines requests that crash upstreams
  * @param statusBroadcast receives status changes of upstreams that were detected here
  * @param selfReports receives what upstreams report about themselves in responses
- * @param domainContacts receives the failure domain of each upstream from which data arrives
+ * @param contacts receives each upstream from which data arrives
+ * @param paths records on which paths upstreams are reached
  * @param loadFeatures determines where decisions under load are active
  * @param admissions decides who is admitted to full services
  * @param contention observes how long requests wait at upstreams
@@ -74,7 +77,8 @@
     CrashGuard crashGuard,
     UpstreamStatusBroadcast statusBroadcast,
     SelfReportDispatcher selfReports,
-    Consumer<String> domainContacts,
+    Consumer<RegisteredUpstream> contacts,
+    UpstreamPaths paths,
     LoadFeatures loadFeatures,
     ServiceAdmissions admissions,
     ContentionMonitor contention,
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardServer.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardServer.java
@@ -103,6 +103,7 @@
                     loop,
                     dependencies.dialect(),
                     dependencies.buffers(),
+                    dependencies.paths(),
                     dependencies.timers(),
                     dependencies.workStats()));
     RequestStarter starter =
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamPool.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamPool.java
@@ -1,6 +1,8 @@
 package io.mothrill.wire.forward;
 
 import io.mothrill.core.forward.buffer.BufferBudget;
+import io.mothrill.core.forward.path.PathFailure;
+import io.mothrill.core.forward.path.UpstreamPaths;
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
 import io.mothrill.core.time.Timers;
 import io.mothrill.core.work.WorkKind;
@@ -46,15 +48,22 @@
   private final EventLoop loop;
   private final Dialect dialect;
   private final BufferBudget buffers;
+  private final UpstreamPaths paths;
   private final Timers timers;
   private final WorkStats workStats;
   private final Map<String, Deque<UpstreamConnection>> idleConnections = new HashMap<>();
 
   UpstreamPool(
-      EventLoop loop, Dialect dialect, BufferBudget buffers, Timers timers, WorkStats workStats) {
+      EventLoop loop,
+      Dialect dialect,
+      BufferBudget buffers,
+      UpstreamPaths paths,
+      Timers timers,
+      WorkStats workStats) {
     this.loop = loop;
     this.dialect = dialect;
     this.buffers = buffers;
+    this.paths = paths;
     this.timers = timers;
     this.workStats = workStats;
   }
@@ -126,6 +135,11 @@
                 // Runs after the reads of this turn, in which the caller's close may be found.
                 loop.execute(() -> onConnected.accept(connection));
               } else {
+                paths.onFailure(
+                    upstream,
+                    ConnectErrors.isConnectionRefused(connected.cause())
+                        ? PathFailure.REFUSED
+                        : PathFailure.TIMED_OUT);
                 onFailed.accept(connected.cause());
               }
             });
