Instances without a path to an upstream connect through another instance

What callers saw: with all paths of their instance cut, 12 of 61 and 39 of 166 first tries were served, the others 570 of 575 and 358 of 359. Cause: an instance tries its own connections only, 500 ms each, one upstream after the other, and stores what fails on its path as a failure of the upstream (avoidance, reports to all). Change: PathConnector tries the direct path and, after 100 ms or a refusal, a connection that another instance relays byte by byte; UpstreamPaths marks a path broken when others reach its upstream, finds further broken paths by probes, and restores them; ENDED and UNREACHABLE are reported only when other instances agree; a broken path does not make its upstream avoided. Why it works: the instance keeps the request, so payment, limits, retries and checks stay where they were; only the path differs.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/path/UpstreamPaths.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/path/UpstreamPaths.java
@@ -5,12 +5,21 @@
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.upstream.UpstreamLoads;
 import io.mothrill.core.time.Timers;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
 import org.tinylog.Logger;
 
-/** Records on which paths this instance has contact to upstreams; thread-safe. */
+/**
+ * Tells apart whether an upstream has failed or the path to it from this instance; thread-safe.
+ *
+ * <p>A path is broken if another instance reaches the upstream while this one does not. Connections
+ * then go through other instances, and nothing is held against the upstream. One broken path is
+ * reason to check all others, since a cut mostly concerns many; one that works again as well.
+ */
 public final class UpstreamPaths {
 
   private static final long CHECK_INTERVAL_MS = 200;
@@ -18,13 +27,23 @@
   /** Longer than the pauses of most streams, but too short for a caller to give up. */
   private static final long SILENCE_MS = 400;
 
+  /** Many upstreams are silent at once when all are busy, which no probe has to confirm. */
+  private static final long SILENCE_PROBE_INTERVAL_MS = 500;
+
+  private static final long BROKEN_PROBE_INTERVAL_MS = 500;
   private static final long LOG_INTERVAL_MS = 1_000;
 
   private final PublishedValue<UpstreamList> list;
   private final UpstreamLoads loads;
+  private final BrokenPaths broken;
+  private final PathProbe direct;
+  private final PathWitnesses witnesses;
+  private final PathListener listener;
   private final Timers timers;
   private final Map<String, Path> paths = new ConcurrentHashMap<>();
-  private volatile int loggedCount;
+  private final Map<String, CompletableFuture<PathOutcome>> diagnoses = new ConcurrentHashMap<>();
+  private volatile long silenceProbedMs = Long.MIN_VALUE / 2;
+  private volatile String loggedCounts = "";
   private volatile long loggedMs = Long.MIN_VALUE / 2;
 
   /** The path to one upstream. */
@@ -42,15 +61,34 @@
    *
    * @param list the registered upstreams
    * @param loads the requests in flight at each of them
+   * @param broken receives the broken paths
+   * @param direct connects to upstreams from this instance
+   * @param witnesses the other instances
+   * @param listener receives failures of upstreams
    * @param timers the clock and timers
    */
-  public UpstreamPaths(PublishedValue<UpstreamList> list, UpstreamLoads loads, Timers timers) {
+  public UpstreamPaths(
+      PublishedValue<UpstreamList> list,
+      UpstreamLoads loads,
+      BrokenPaths broken,
+      PathProbe direct,
+      PathWitnesses witnesses,
+      PathListener listener,
+      Timers timers) {
     this.list = list;
     this.loads = loads;
+    this.broken = broken;
+    this.direct = direct;
+    this.witnesses = witnesses;
+    this.listener = listener;
     this.timers = timers;
     list.subscribe(
-        newest -> paths.keySet().removeIf(incarnation -> !newest.containsIncarnation(incarnation)));
+        newest -> {
+          paths.keySet().removeIf(incarnation -> !newest.containsIncarnation(incarnation));
+          broken.retain(newest);
+        });
     timers.every(CHECK_INTERVAL_MS, this::check);
+    timers.every(BROKEN_PROBE_INTERVAL_MS, this::probeOneBrokenPath);
   }
 
   /**
@@ -65,13 +103,129 @@
   }
 
   /**
-   * Called when a connection to an upstream has failed.
+   * Called when a connection of this instance to an upstream has failed; finds out why.
    *
    * @param upstream the upstream
    * @param failure what was observed
    */
   public void onFailure(RegisteredUpstream upstream, PathFailure failure) {
     pathTo(upstream).failure = failure;
+    switch (failure) {
+      case REFUSED -> diagnose(upstream, Optional.of(PathOutcome.REFUSED));
+      case TIMED_OUT -> diagnose(upstream, Optional.of(PathOutcome.UNREACHABLE));
+      default -> diagnose(upstream);
+    }
+  }
+
+  /**
+   * Called when a request has failed at an upstream, which is avoided for a time unless the path
+   * from here is the cause.
+   *
+   * @param upstream the upstream
+   */
+  public void onRequestFailed(RegisteredUpstream upstream) {
+    if (!broken.contains(upstream)) {
+      loads.of(upstream.incarnation()).onFailure(timers.nowMs());
+    }
+  }
+
+  /**
+   * Called when a connection through another instance was established while this instance got none
+   * of its own.
+   *
+   * @param upstream the upstream
+   * @param failure what happened to its own connection
+   */
+  public void onReachedByOthers(RegisteredUpstream upstream, PathFailure failure) {
+    boolean first = broken.isEmpty();
+    if (!broken.add(upstream, failure)) {
+      return;
+    }
+    loads.of(upstream.incarnation()).clearFailures();
+    if (first) {
+      list.read().all().stream().filter(other -> !broken.contains(other)).forEach(this::diagnose);
+    }
+  }
+
+  /**
+   * Called when this instance has established a connection of its own.
+   *
+   * @param upstream the upstream
+   */
+  public void onReached(RegisteredUpstream upstream) {
+    onContact(upstream);
+    if (broken.remove(upstream)) {
+      broken.all(list.read()).forEach(this::probeBrokenPath);
+    }
+  }
+
+  /**
+   * Finds out whether an upstream or the path to it has failed.
+   *
+   * @param upstream the upstream
+   * @return what this instance and others together have found out; never fails
+   */
+  public CompletableFuture<PathOutcome> diagnose(RegisteredUpstream upstream) {
+    return diagnose(
+        upstream,
+        broken.contains(upstream) ? Optional.of(PathOutcome.UNREACHABLE) : Optional.empty());
+  }
+
+  private CompletableFuture<PathOutcome> diagnose(
+      RegisteredUpstream upstream, Optional<PathOutcome> observed) {
+    CompletableFuture<PathOutcome> result = new CompletableFuture<>();
+    CompletableFuture<PathOutcome> pending = diagnoses.putIfAbsent(upstream.incarnation(), result);
+    if (pending != null) {
+      return pending;
+    }
+    result.whenComplete((outcome, error) -> diagnoses.remove(upstream.incarnation(), result));
+    observed
+        .map(CompletableFuture::completedFuture)
+        .orElseGet(() -> direct.probe(upstream))
+        .thenCompose(outcome -> askUnlessReached(upstream, outcome))
+        .thenAccept(result::complete);
+    return result;
+  }
+
+  private CompletableFuture<PathOutcome> askUnlessReached(
+      RegisteredUpstream upstream, PathOutcome own) {
+    if (own == PathOutcome.REACHED) {
+      onReached(upstream);
+      return CompletableFuture.completedFuture(own);
+    }
+    return witnesses
+        .ask(upstream, own)
+        .thenApply(
+            verdict -> {
+              apply(upstream, own, verdict);
+              return verdict;
+            });
+  }
+
+  private void apply(RegisteredUpstream upstream, PathOutcome own, PathOutcome verdict) {
+    switch (verdict) {
+      case REACHED ->
+          onReachedByOthers(
+              upstream, own == PathOutcome.REFUSED ? PathFailure.REFUSED : PathFailure.TIMED_OUT);
+      case REFUSED -> listener.onEnded(upstream);
+      case UNREACHABLE -> listener.onUnreachable(upstream);
+      default -> onRequestFailed(upstream);
+    }
+  }
+
+  private void probeOneBrokenPath() {
+    broken.all(list.read()).stream().findAny().ifPresent(this::probeBrokenPath);
+  }
+
+  private void probeBrokenPath(RegisteredUpstream upstream) {
+    direct
+        .probe(upstream)
+        .thenAccept(
+            outcome -> {
+              if (outcome == PathOutcome.REACHED) {
+                onReached(upstream);
+              }
+            });
   }
 
   private Path pathTo(RegisteredUpstream upstream) {
@@ -80,26 +234,38 @@
 
   private void check() {
     long nowMs = timers.nowMs();
-    list.read().all().forEach(upstream -> checkSilence(upstream, nowMs));
-    PathCounts counts = counts();
-    if (counts.failing() != loggedCount && nowMs - loggedMs >= LOG_INTERVAL_MS) {
-      loggedCount = counts.failing();
-      loggedMs = nowMs;
-      Logger.info(
-          "paths to upstreams failing={} registered={} failures={}",
-          counts.failing(),
-          counts.registered(),
-          counts.byFailure());
+    List<RegisteredUpstream> silent =
+        list.read().all().stream().filter(upstream -> isSilent(upstream, nowMs)).toList();
+    if (!silent.isEmpty() && nowMs - silenceProbedMs >= SILENCE_PROBE_INTERVAL_MS) {
+      silenceProbedMs = nowMs;
+      diagnose(silent.get((int) (nowMs / CHECK_INTERVAL_MS % silent.size())));
     }
+    log(nowMs);
   }
 
-  private void checkSilence(RegisteredUpstream upstream, long nowMs) {
+  private boolean isSilent(RegisteredUpstream upstream, long nowMs) {
     Path path = pathTo(upstream);
     if (loads.of(upstream.incarnation()).inFlightCount() == 0) {
       path.lastContactMs = nowMs;
     } else if (path.failure == null && nowMs - path.lastContactMs > SILENCE_MS) {
       path.failure = PathFailure.SILENT;
     }
+    return path.failure == PathFailure.SILENT && !broken.contains(upstream);
+  }
+
+  private void log(long nowMs) {
+    PathCounts counts = counts();
+    String text = counts.toString();
+    if (!text.equals(loggedCounts) && nowMs - loggedMs >= LOG_INTERVAL_MS) {
+      loggedCounts = text;
+      loggedMs = nowMs;
+      Logger.info(
+          "paths to upstreams broken={} failing={} registered={} failures={}",
+          counts.broken(),
+          counts.failing(),
+          counts.registered(),
+          counts.byFailure());
+    }
   }
 
   /**
@@ -114,6 +280,7 @@
             .filter(failure -> failure != null)
             .collect(Collectors.groupingBy(failure -> failure, Collectors.counting()));
     return new PathCounts(
+        broken.size(),
         byFailure.values().stream().mapToInt(Long::intValue).sum(),
         list.read().all().size(),
         byFailure);
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamLoad.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamLoad.java
@@ -25,6 +25,7 @@
   private final PrefillBacklog prefillBacklog = new PrefillBacklog();
   private final AtomicInteger failureStreak = new AtomicInteger();
   private volatile long avoidUntilMs = Long.MIN_VALUE;
+  private volatile long failedUntilMs = Long.MIN_VALUE;
   private volatile LoadReport report = new LoadReport(0, 0, Long.MIN_VALUE / 2);
 
   private final Set<Runnable> replacementListeners = ConcurrentHashMap.newKeySet();
@@ -137,7 +138,13 @@
   public void onFailure(long nowMs) {
     int streak = failureStreak.incrementAndGet();
     long avoidMs = INITIAL_AVOID_MS << Math.min(MAX_DOUBLINGS, streak - 1);
-    avoidUntilMs = Math.max(avoidUntilMs, nowMs + Math.min(MAX_AVOID_MS, avoidMs));
+    failedUntilMs = Math.max(failedUntilMs, nowMs + Math.min(MAX_AVOID_MS, avoidMs));
+  }
+
+  /** Called when failures turn out not to be the upstream's; it is not avoided for them. */
+  public void clearFailures() {
+    failureStreak.set(0);
+    failedUntilMs = Long.MIN_VALUE;
   }
 
   /**
@@ -157,7 +164,7 @@
    * @return true if it is to be avoided
    */
   public boolean isAvoided(long nowMs) {
-    return nowMs < avoidUntilMs;
+    return nowMs < Math.max(avoidUntilMs, failedUntilMs);
   }
 
   /**
--- a/mothrill-core/src/main/java/io/mothrill/core/peer/PeerMessage.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/peer/PeerMessage.java
@@ -3,6 +3,7 @@
 import io.mothrill.core.budget.AllotmentId;
 import io.mothrill.core.budget.LedgerEntry;
 import io.mothrill.core.config.Change;
+import io.mothrill.core.forward.path.PathOutcome;
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.range.RangeContent;
 import io.mothrill.core.range.SoleClaim;
@@ -24,6 +25,29 @@
    */
   record Heartbeat(InstanceRecord self, long configRevision) implements PeerMessage {}
 
+  /**
+   * Asks whether the receiver reaches an upstream. The reply is a {@link PathReply}.
+   *
+   * @param incarnation the incarnation of the upstream
+   */
+  record CheckPath(String incarnation) implements PeerMessage {}
+
+  /**
+   * Asks the receiver to connect to an upstream and to relay the bytes that follow on this
+   * connection. The reply is a {@link PathReply}.
+   *
+   * @param incarnation the incarnation of the upstream
+   * @param requestId the request for which the connection is opened, for the log
+   */
+  record OpenPath(String incarnation, String requestId) implements PeerMessage {}
+
+  /**
+   * Tells what the sender has found out about its path to an upstream.
+   *
+   * @param outcome the outcome; bytes are relayed only after {@link PathOutcome#REACHED}
+   */
+  record PathReply(PathOutcome outcome) implements PeerMessage {}
+
   /**
    * Requests configuration changes.
    *
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/EntryInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/EntryInstance.java
@@ -11,6 +11,7 @@
 import io.mothrill.core.work.WorkStats;
 import io.mothrill.daemon.settings.InstanceSettings;
 import io.mothrill.wire.caller.CallerServer;
+import io.mothrill.wire.forward.TcpPathProbe;
 import io.mothrill.wire.forward.UpstreamProbe;
 import io.mothrill.wire.http.HttpClient;
 import io.mothrill.wire.http.HttpServer;
@@ -21,6 +22,8 @@
 import io.mothrill.wire.peer.DatagramNotices;
 import io.mothrill.wire.peer.NettyPeers;
 import io.mothrill.wire.peer.NoticeListeners;
+import io.mothrill.wire.peer.PathOpener;
+import io.mothrill.wire.peer.PeerCodec;
 import io.mothrill.wire.peer.PeerDecoder;
 import io.mothrill.wire.peer.PeerEncoder;
 import io.mothrill.wire.platform.HttpInstanceList;
@@ -78,7 +81,7 @@
             peers,
             dispatcher,
             new HttpUpstreamClient(http, timers),
-            new UpstreamProbe(group, timers),
+            new UpstreamProbe(new TcpPathProbe(group), timers),
             this::sendCrashMessage,
             new JsonResources(),
             timers,
@@ -122,9 +125,9 @@
     JsonResources codec = new JsonResources();
     return new NettyPeers(
         group,
-        new PeerEncoder(codec),
-        new PeerDecoder(codec),
+        new PeerCodec(new PeerEncoder(codec), new PeerDecoder(codec)),
         dispatcher,
+        PathOpener.NONE,
         settings.host(),
         settings.ports().peer(),
         new WorkStats());
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -8,6 +8,7 @@
 import io.mothrill.core.forward.contention.ContentionMonitor;
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.path.PathFailure;
+import io.mothrill.core.forward.path.RelayCandidates;
 import io.mothrill.core.forward.path.UpstreamPaths;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.plan.TeamPlan;
@@ -22,6 +23,7 @@
 import io.mothrill.core.work.WorkStats;
 import io.mothrill.daemon.log.JsonLinesWriter;
 import io.mothrill.wire.forward.ForwardServer;
+import io.mothrill.wire.relay.RelayAcceptor;
 import java.util.Arrays;
 import java.util.Set;
 
@@ -94,7 +96,11 @@
   }
 
   /** Registers gauges for the paths on which this instance has no contact to upstreams. */
-  void registerPaths(UpstreamPaths paths) {
+  void registerPaths(UpstreamPaths paths, RelayCandidates relayedBy, RelayAcceptor relayedFor) {
+    metrics.gauge("paths.brokenCount", () -> () -> paths.counts().broken());
+    metrics.gauge("paths.relayedByOthersCount", () -> relayedBy::openCount);
+    metrics.gauge("paths.relayedForOthersCount", () -> relayedFor::openCount);
+    metrics.gauge("paths.relayedForOthersTotal", () -> relayedFor::acceptedCount);
     metrics.gauge("paths.failingCount", () -> () -> paths.counts().failing());
     Arrays.stream(PathFailure.values())
         .forEach(
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -10,10 +10,9 @@
 import io.mothrill.core.forward.contention.ContentionReport;
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.crash.CrashMessage;
-import io.mothrill.core.forward.crash.TerminationProbe;
 import io.mothrill.core.forward.limit.RateLimitReport;
 import io.mothrill.core.forward.load.LoadFeatures;
-import io.mothrill.core.forward.path.PathFailure;
+import io.mothrill.core.forward.path.RelayCandidates;
 import io.mothrill.core.forward.path.UpstreamPaths;
 import io.mothrill.core.forward.permit.FleetView;
 import io.mothrill.core.forward.plan.ForwardingPlan;
@@ -30,10 +29,10 @@
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.time.Subscription;
 import io.mothrill.core.time.Timers;
-import io.mothrill.core.work.WorkStats;
 import io.mothrill.wire.forward.DirectMemory;
 import io.mothrill.wire.forward.ForwardDependencies;
 import io.mothrill.wire.forward.ForwardServer;
+import io.mothrill.wire.forward.TcpPathProbe;
 import io.mothrill.wire.forward.UpstreamProbe;
 import io.mothrill.wire.http.HttpServer;
 import io.mothrill.wire.json.JsonResources;
@@ -41,8 +40,10 @@
 import io.mothrill.wire.peer.DatagramNotices;
 import io.mothrill.wire.peer.NettyPeers;
 import io.mothrill.wire.peer.NoticeListeners;
+import io.mothrill.wire.peer.PeerCodec;
 import io.mothrill.wire.peer.PeerDecoder;
 import io.mothrill.wire.peer.PeerEncoder;
+import io.mothrill.wire.relay.RelayAcceptor;
 import io.netty.channel.EventLoopGroup;
 import java.util.List;
 import java.util.Set;
@@ -91,6 +92,7 @@
   private final PublishedValue<Set<String>> evacuatedDomains = new PublishedValue<>(Set.of());
   private final PublishedValue<UpstreamList> upstreams = new PublishedValue<>(UpstreamList.empty());
   private final MetricRegistry metrics = new MetricRegistry();
+  private final RelayAcceptor relays;
   private final NettyPeers peers;
   private final DatagramNotices notices;
   private final SpendingController spending;
@@ -117,7 +119,20 @@
     // The generator of a thread is seeded by current(), so it is not kept for use by other threads.
     RandomGenerator random = () -> ThreadLocalRandom.current().nextLong();
     PeerDispatcher dispatcher = new PeerDispatcher();
-    this.peers = newPeers(settings, dispatcher, group, ports.work());
+    JsonResources resources = new JsonResources();
+    PeerCodec codec = new PeerCodec(new PeerEncoder(resources), new PeerDecoder(resources));
+    PathSetup pathSetup =
+        new PathSetup(upstreams, () -> leaving, new TcpPathProbe(group), codec, ports.work());
+    this.relays = pathSetup.acceptor();
+    this.peers =
+        new NettyPeers(
+            group,
+            codec,
+            dispatcher,
+            relays,
+            settings.peers().host(),
+            settings.peers().port(),
+            ports.work());
     InstanceRecord self =
         new InstanceRecord(
             settings.id(),
@@ -160,7 +175,17 @@
             reach::isReachable,
             timers,
             random);
-    UpstreamPaths paths = new UpstreamPaths(upstreams, choice.loads(), timers);
+    UpstreamPaths paths =
+        pathSetup.watchPaths(
+            self,
+            spending::peers,
+            peers,
+            dispatcher,
+            choice.loads(),
+            choice.statusBroadcast(),
+            timers);
+    RelayCandidates relayCandidates =
+        new RelayCandidates(self, spending::peers, reach::isReachable, timers, random);
     CrashGuard crashes =
         new CrashGuard(
             self,
@@ -168,7 +193,7 @@
             this::sendCrashMessage,
             ports.table(),
             ports.storeClock(),
-            recordingLosses(paths, choice.reportingEnds(new UpstreamProbe(group, timers))),
+            choice.reportingEnds(new UpstreamProbe(new TcpPathProbe(group), timers)),
             upstream -> upstreams.read().isAccepting(upstream),
             timers,
             random);
@@ -218,6 +243,9 @@
             choice.selfReports(),
             upstream -> onContact(upstream, reach, paths),
             paths,
+            pathSetup.broken(),
+            pathSetup.relayClient(),
+            relayCandidates,
             loadFeatures,
             admissions,
             choice.contention(),
@@ -244,7 +272,7 @@
     gauges.registerSpending(plan, spending);
     gauges.registerCrashes(crashes);
     gauges.registerUpstreams(evacuatedDomains, choice);
-    gauges.registerPaths(paths);
+    gauges.registerPaths(paths, relayCandidates, relays);
     gauges.registerPromptPools(choice.prompts().pools(), choice.prompts().tracker());
     gauges.registerHoldings(choice.holdings(), timers);
     gauges.registerAdmissions(admissions);
@@ -259,13 +287,6 @@
     gauges.registerView(plan, upstreams, follower);
   }
 
-  private static TerminationProbe recordingLosses(UpstreamPaths paths, TerminationProbe probe) {
-    return upstream -> {
-      paths.onFailure(upstream, PathFailure.LOST);
-      return probe.hasTerminated(upstream);
-    };
-  }
-
   private static void onContact(
       RegisteredUpstream upstream, DomainReachability reach, UpstreamPaths paths) {
     reach.onMessageFromDomain(upstream.domain());
@@ -302,19 +323,6 @@
     notices.send(message, to);
   }
 
-  private static NettyPeers newPeers(
-      ForwardSettings settings, PeerDispatcher dispatcher, EventLoopGroup group, WorkStats work) {
-    JsonResources codec = new JsonResources();
-    return new NettyPeers(
-        group,
-        new PeerEncoder(codec),
-        new PeerDecoder(codec),
-        dispatcher,
-        settings.peers().host(),
-        settings.peers().port(),
-        work);
-  }
-
   private String unreadyReason() {
     return leaving ? "leaving" : readiness.unreadyReason();
   }
@@ -345,7 +353,11 @@
     if (sinceMs >= MIN_DRAIN_MS) {
       edge.refuseNew();
     }
-    boolean idle = sinceMs >= MIN_DRAIN_MS && edge.inFlightCount() == 0 && buffers.heldBytes() == 0;
+    boolean idle =
+        sinceMs >= MIN_DRAIN_MS
+            && edge.inFlightCount() == 0
+            && relays.openCount() == 0
+            && buffers.heldBytes() == 0;
     if (sinceMs < settings.drainTimeoutMs() && !idle) {
       return;
     }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/AttemptRecorder.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/AttemptRecorder.java
@@ -14,6 +14,7 @@
   private final int inFlightCount;
   private final long pendingPrefillTokens;
   private final long estimatedCount;
+  private String suffix = "";
   private boolean recorded;
 
   AttemptRecorder(AdmittedRequest admitted, RegisteredUpstream upstream, UpstreamLoad load) {
@@ -27,6 +28,11 @@
     this.estimatedCount = Math.round(load.estimatedCount(nowMs));
   }
 
+  /** Sets the instance through which the request is sent. */
+  void setRelay(String instanceId) {
+    suffix = " through " + instanceId;
+  }
+
   /** Records the result of the attempt; only the first call counts. */
   void recordAttempt(ForwardProgress progress, String result) {
     if (!recorded) {
@@ -38,7 +44,7 @@
               inFlightCount,
               pendingPrefillTokens,
               estimatedCount,
-              result));
+              result + suffix));
     }
   }
 }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -3,9 +3,9 @@
 import io.mothrill.core.forward.buffer.ConnectionBuffer;
 import io.mothrill.core.forward.capacity.HeldTokens;
 import io.mothrill.core.forward.check.Rejection;
-import io.mothrill.core.forward.contention.ConnectTimeouts;
 import io.mothrill.core.forward.contention.RequestObservation;
 import io.mothrill.core.forward.crash.RequestCrashGuard;
+import io.mothrill.core.forward.path.PathOutcome;
 import io.mothrill.core.forward.prompt.SentPrompt;
 import io.mothrill.core.forward.request.ForwardRefusal;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
@@ -104,7 +104,6 @@
   private final ConnectionBuffer collected;
   private final ResponseFlow flow;
   private UpstreamConnection connection;
-  private int connectTimeoutMs;
   private SentPrompt sentPrompt = SentPrompt.UNTRACKED;
   private Subscription replacement = () -> {};
   private HeldTokens held = HeldTokens.NONE;
@@ -176,7 +175,7 @@
   }
 
   void connect() {
-    connectTimeoutMs =
+    int timeoutMs =
         dependencies
             .connectTimeouts()
             .timeoutMs(
@@ -185,27 +184,18 @@
         .received()
         .pool()
         .acquire(
-            upstream,
+            new UpstreamConnector.Target(upstream, admitted.call().id(), timeoutMs),
             !admitted.route().kind().isRetryable(),
-            connectTimeoutMs,
-            this::onConnected,
-            this::onConnectFailed);
+            UpstreamConnector.Listener.of(this::onConnected, this::onConnectFailed));
   }
 
-  private void onConnectFailed(Throwable cause) {
-    if (ConnectErrors.isConnectionRefused(cause)) {
-      dependencies.statusBroadcast().onDetected(upstream, UpstreamStatus.ENDED);
-    } else if (connectTimeoutMs >= ConnectTimeouts.MAX_MS) {
-      dependencies.statusBroadcast().onDetected(upstream, UpstreamStatus.UNREACHABLE);
-    } else {
-      // A short timeout may be due to one lost packet, which other instances need not hear of.
-      load.onFailure(dependencies.timers().nowMs());
-    }
+  private void onConnectFailed(PathOutcome outcome, String detail) {
+    dependencies.paths().onRequestFailed(upstream);
     if (finished || owner.hasEnded()) {
       return;
     }
     finished = true;
-    recordFailure(String.valueOf(cause.getMessage()));
+    recordFailure(detail);
     owner.tryNextUpstream();
   }
 
@@ -230,6 +220,7 @@
       return;
     }
     connection = connected;
+    connected.relay().ifPresent(recorder::setRelay);
     flow.attach(connected);
     sent = true;
     progress.mayHaveRun = true;
@@ -311,7 +302,7 @@
     if (finished || owner.hasEnded() || flow.isPaused()) {
       return;
     }
-    load.onFailure(dependencies.timers().nowMs());
+    dependencies.paths().onRequestFailed(upstream);
     if (owner.tryAcquireRerun()) {
       recordFailure("nothing received for " + idleMs + " ms");
       cancel();
@@ -637,7 +628,7 @@
       return;
     }
     reportToCrashGuard(cause);
-    load.onFailure(dependencies.timers().nowMs());
+    dependencies.paths().onRequestFailed(upstream);
     recordFailure(detail);
     held.release();
     cancel();
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
@@ -10,6 +10,8 @@
 import io.mothrill.core.forward.contention.ContentionMonitor;
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.load.LoadFeatures;
+import io.mothrill.core.forward.path.BrokenPaths;
+import io.mothrill.core.forward.path.RelayCandidates;
 import io.mothrill.core.forward.path.UpstreamPaths;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.prompt.PromptTracker;
@@ -24,6 +26,7 @@
 import io.mothrill.core.forward.upstream.UpstreamStatusBroadcast;
 import io.mothrill.core.time.Timers;
 import io.mothrill.core.work.WorkStats;
+import io.mothrill.wire.relay.RelayClient;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -49,7 +52,10 @@
  * @param statusBroadcast receives status changes of upstreams that were detected here
  * @param selfReports receives what upstreams report about themselves in responses
  * @param contacts receives each upstream from which data arrives
- * @param paths records on which paths upstreams are reached
+ * @param paths tells apart failures of upstreams and of the paths to them
+ * @param brokenPaths the upstreams that need connections through other instances
+ * @param relayClient opens connections through other instances
+ * @param relayCandidates the instances through which connections can be opened
  * @param loadFeatures determines where decisions under load are active
  * @param admissions decides who is admitted to full services
  * @param contention observes how long requests wait at upstreams
@@ -79,6 +85,9 @@
     SelfReportDispatcher selfReports,
     Consumer<RegisteredUpstream> contacts,
     UpstreamPaths paths,
+    BrokenPaths brokenPaths,
+    RelayClient relayClient,
+    RelayCandidates relayCandidates,
     LoadFeatures loadFeatures,
     ServiceAdmissions admissions,
     ContentionMonitor contention,
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardServer.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardServer.java
@@ -96,16 +96,7 @@
 
   private void initCaller(SocketChannel channel) {
     UpstreamPool pool =
-        pools.computeIfAbsent(
-            channel.eventLoop(),
-            loop ->
-                new UpstreamPool(
-                    loop,
-                    dependencies.dialect(),
-                    dependencies.buffers(),
-                    dependencies.paths(),
-                    dependencies.timers(),
-                    dependencies.workStats()));
+        pools.computeIfAbsent(channel.eventLoop(), loop -> new UpstreamPool(loop, dependencies));
     RequestStarter starter =
         starters.computeIfAbsent(
             channel.eventLoop(),
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
@@ -5,8 +5,10 @@
 import io.mothrill.core.forward.buffer.SourcePause;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -30,6 +32,9 @@
   private static final long DEFAULT_KEEP_ALIVE_MS = 4_000;
 
   private static final int FIRST_ERROR_STATUS = 400;
+  private static final int MAX_LINE_BYTES = 8_192;
+  private static final int MAX_HEADER_BYTES = 32_768;
+  private static final int MAX_CHUNK_BYTES = 16_384;
 
   private final Dialect dialect;
   private final UpstreamPool pool;
@@ -41,6 +46,7 @@
   private RequestWriter writer;
   private boolean skippingResponse;
   private boolean reusable;
+  private Optional<String> relay = Optional.empty();
   private long idleSinceMs;
   private long keepAliveMs = DEFAULT_KEEP_ALIVE_MS;
 
@@ -51,6 +57,23 @@
     this.incarnation = incarnation;
   }
 
+  /** Adds this connection and what it needs to a pipeline that reads bytes of the upstream. */
+  void addTo(ChannelPipeline pipeline) {
+    pipeline
+        .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+        .addLast(this);
+  }
+
+  /** Sets the instance through which the connection passes; it then carries one request only. */
+  void setRelay(String instanceId) {
+    relay = Optional.of(instanceId);
+  }
+
+  /** Returns the instance through which the connection passes, if any. */
+  Optional<String> relay() {
+    return relay;
+  }
+
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     this.context = ctx;
@@ -65,7 +88,7 @@
     this.sink = newSink;
     this.requestId = newRequestId;
     this.skippingResponse = false;
-    this.reusable = true;
+    this.reusable = relay.isEmpty();
     ConnectionBuffer unsent = buffers.newBuffer();
     SourcePause pause = buffers.newPause(unsent, context.executor(), this::onStalled);
     this.writer = new RequestWriter(context, request, unsent, pause, newSink::onRequestProgress);
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamProbe.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamProbe.java
@@ -1,14 +1,10 @@
 package io.mothrill.wire.forward;
 
 import io.mothrill.core.forward.crash.TerminationProbe;
+import io.mothrill.core.forward.path.PathOutcome;
+import io.mothrill.core.forward.path.PathProbe;
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
 import io.mothrill.core.time.Timers;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -30,9 +26,6 @@
    */
   private static final long SETTLE_MS = 25;
 
-  /** Tens of round trips between failure domains. */
-  private static final int CONNECT_TIMEOUT_MS = 500;
-
   /**
    * Maximum number of probes of an upstream that does not respond, one second apart including the
    * timeout. A terminated upstream has restarted after a few seconds, and then a probe shows
@@ -44,18 +37,18 @@
 
   private static final long PROBE_INTERVAL_MS = 500;
 
-  private final EventLoopGroup group;
+  private final PathProbe pathProbe;
   private final Timers timers;
   private final Map<String, CompletableFuture<Boolean>> pendingProbes = new ConcurrentHashMap<>();
 
   /**
    * Creates the probe.
    *
-   * @param group the event loops
+   * @param pathProbe connects to upstreams
    * @param timers the clock and timers
    */
-  public UpstreamProbe(EventLoopGroup group, Timers timers) {
-    this.group = group;
+  public UpstreamProbe(PathProbe pathProbe, Timers timers) {
+    this.pathProbe = pathProbe;
     this.timers = timers;
   }
 
@@ -75,19 +68,12 @@
 
   private void probe(
       RegisteredUpstream upstream, CompletableFuture<Boolean> terminated, int attempt) {
-    new Bootstrap()
-        .group(group)
-        .channel(NioSocketChannel.class)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-        .handler(new ChannelInboundHandlerAdapter())
-        .connect(upstream.host(), upstream.port())
-        .addListener(
-            (ChannelFuture connected) -> {
-              boolean accepted = connected.isSuccess();
-              if (accepted) {
-                connected.channel().close();
-              }
-              if (!accepted && ConnectErrors.isConnectionRefused(connected.cause())) {
+    pathProbe
+        .probe(upstream)
+        .thenAccept(
+            outcome -> {
+              boolean accepted = outcome == PathOutcome.REACHED;
+              if (outcome == PathOutcome.REFUSED) {
                 terminated.complete(true);
               } else if (attempt >= (accepted ? MAX_PROBES_IF_ACCEPTED : MAX_PROBES)) {
                 terminated.complete(false);
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/NettyPeers.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/NettyPeers.java
@@ -25,10 +25,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.protobuf.ProtobufDecoder;
-import io.netty.handler.codec.protobuf.ProtobufEncoder;
-import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
-import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
@@ -37,6 +33,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.tinylog.Logger;
 
 /**
@@ -51,9 +48,9 @@
   private static final int CONNECT_TIMEOUT_MS = 500;
 
   private final EventLoopGroup group;
-  private final PeerEncoder encoder;
-  private final PeerDecoder decoder;
+  private final PeerCodec codec;
   private final PeerDispatcher dispatcher;
+  private final PathOpener pathOpener;
   private final WorkStats work;
   private final Bootstrap bootstrap;
   private final Channel listener;
@@ -67,25 +64,25 @@
    * Starts listening for peers.
    *
    * @param group the event loops
-   * @param encoder serializes messages
-   * @param decoder parses messages
+   * @param codec serializes and parses messages
    * @param dispatcher handles requests from peers
+   * @param pathOpener takes over connections that are to be relayed to upstreams
    * @param host an IP address
    * @param port a TCP port; 0 for any
    * @param work records the work spent on messages
    */
   public NettyPeers(
       EventLoopGroup group,
-      PeerEncoder encoder,
-      PeerDecoder decoder,
+      PeerCodec codec,
       PeerDispatcher dispatcher,
+      PathOpener pathOpener,
       String host,
       int port,
       WorkStats work) {
     this.group = group;
-    this.encoder = encoder;
-    this.decoder = decoder;
+    this.codec = codec;
     this.dispatcher = dispatcher;
+    this.pathOpener = pathOpener;
     this.work = work;
     this.bootstrap =
         new Bootstrap()
@@ -111,14 +108,9 @@
       @Override
       protected void initChannel(SocketChannel channel) {
         channels.add(channel);
-        channel
-            .pipeline()
-            .addLast(new WorkMeter(work, WorkKind.PEER))
-            .addLast(new ProtobufVarint32FrameDecoder())
-            .addLast(new ProtobufDecoder(Envelope.getDefaultInstance()))
-            .addLast(new ProtobufVarint32LengthFieldPrepender())
-            .addLast(new ProtobufEncoder())
-            .addLast(new EnvelopeHandler());
+        channel.pipeline().addLast(new WorkMeter(work, WorkKind.PEER));
+        codec.addTo(channel.pipeline());
+        channel.pipeline().addLast(new EnvelopeHandler());
       }
     };
   }
@@ -139,7 +131,7 @@
     long id = nextId.incrementAndGet();
     CompletableFuture<PeerMessage> reply = new CompletableFuture<>();
     pendingReplies.put(id, reply);
-    Envelope envelope = encoder.encode(request).setCorrelationId(id).build();
+    Envelope envelope = codec.encodeRequest(request, id);
     var timeout =
         group.schedule(() -> fail(id, peer, to, "timeout"), timeoutMs, TimeUnit.MILLISECONDS);
     connection(to)
@@ -211,20 +203,27 @@
       if (envelope.getReply()) {
         CompletableFuture<PeerMessage> reply = pendingReplies.remove(envelope.getCorrelationId());
         if (reply != null) {
-          reply.complete(decoder.decode(envelope));
+          reply.complete(codec.decode(envelope));
         }
         return;
       }
-      dispatcher
-          .dispatch(decoder.decode(envelope))
-          .thenAccept(
-              message ->
-                  ctx.writeAndFlush(
-                      encoder
-                          .encode(message)
-                          .setCorrelationId(envelope.getCorrelationId())
-                          .setReply(true)
-                          .build()));
+      PeerMessage request = codec.decode(envelope);
+      Consumer<PeerMessage> sender =
+          reply -> ctx.writeAndFlush(codec.encodeReply(reply, envelope.getCorrelationId()));
+      if (request instanceof PeerMessage.OpenPath open) {
+        pathOpener.open(
+            open,
+            ctx.channel(),
+            outcome -> sender.accept(new PeerMessage.PathReply(outcome)),
+            () -> stopReadingMessages(ctx));
+      } else {
+        dispatcher.dispatch(request).thenAccept(sender);
+      }
+    }
+
+    private void stopReadingMessages(ChannelHandlerContext ctx) {
+      ctx.pipeline().remove(this);
+      codec.removeFrom(ctx.pipeline());
     }
 
     @Override
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerDecoder.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerDecoder.java
@@ -4,6 +4,7 @@
 import io.mothrill.core.budget.BillPart;
 import io.mothrill.core.budget.LedgerEntry;
 import io.mothrill.core.config.Change;
+import io.mothrill.core.forward.path.PathOutcome;
 import io.mothrill.core.peer.PeerMessage;
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.range.RangeContent;
@@ -54,6 +55,12 @@
               envelope.getChangesReply().getChangesList().stream().map(this::change).toList());
       case DONE -> new PeerMessage.Done();
       case REFUSED -> new PeerMessage.Refused(envelope.getRefused().getReason());
+      case CHECK_PATH -> new PeerMessage.CheckPath(envelope.getCheckPath().getIncarnation());
+      case OPEN_PATH ->
+          new PeerMessage.OpenPath(
+              envelope.getOpenPath().getIncarnation(), envelope.getOpenPath().getRequestId());
+      case PATH_REPLY ->
+          new PeerMessage.PathReply(PathOutcome.valueOf(envelope.getPathReply().getOutcome()));
       case BORROW_REQUEST, BORROW_REPLY, HAND_BACK, POST_BILLS -> decodeBudget(envelope);
       case SOLE_CLAIM, SOLE_REPLY, SOLE_RELEASE, COPY_RANGE, FENCE_RANGE, FENCE_REPLY, KEEP_COPY ->
           decodeSole(envelope);
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerEncoder.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerEncoder.java
@@ -52,6 +52,15 @@
       envelope.getDoneBuilder();
     } else if (message instanceof PeerMessage.Refused refused) {
       envelope.getRefusedBuilder().setReason(refused.reason());
+    } else if (message instanceof PeerMessage.CheckPath check) {
+      envelope.getCheckPathBuilder().setIncarnation(check.incarnation());
+    } else if (message instanceof PeerMessage.OpenPath open) {
+      envelope
+          .getOpenPathBuilder()
+          .setIncarnation(open.incarnation())
+          .setRequestId(open.requestId());
+    } else if (message instanceof PeerMessage.PathReply reply) {
+      envelope.getPathReplyBuilder().setOutcome(reply.outcome().name());
     } else {
       encodeBudget(envelope, message);
     }
