Lost links are no crashes: terminations are confirmed by other instances

What callers saw: an instance whose connections are reset records a crash for each request in flight; three of them quarantine the request at all instances for ten minutes. Cause: the termination probe runs on the same broken path, and a refused connection there counted as the end of the upstream. Class: one observer's view of a path stored as a property of the far end. Change: the probe asks up to three other instances, those of the upstream's domain first; one that reaches the upstream clears it and marks the path broken; a refusal counts if it comes from instances that do not share a cut. A request whose third crash awaits confirmation after a refusal waits 400 ms instead of 100 for it. Why it works: a crash is seen from everywhere, a lost link from one side; real crashes behind broken paths are found too (crashingRequestIsStoppedAlsoBehindBrokenPaths). Ruled out while at it: waiting for all three answers let a fourth upstream crash in CrashingRequestTest (a cold link to an instance took over 100 ms), so a refusal waits 20 ms for a contradiction only.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/crash/CrashGuard.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/crash/CrashGuard.java
@@ -45,6 +45,12 @@
    */
   private static final long MAX_PROBE_WAIT_MS = 100;
 
+  /**
+   * Maximum time if an upstream refuses connections, which only other instances have to confirm.
+   * Sending the request then would most likely crash one more upstream.
+   */
+  private static final long MAX_CONFIRMATION_WAIT_MS = 400;
+
   private final InstanceRecord self;
   private final TerminationProbe terminationProbe;
   private final Predicate<RegisteredUpstream> isServing;
@@ -52,8 +58,9 @@
   private final CrashGossip gossip;
   private final QuarantineTable table;
   private final Timers timers;
-  private final Map<Fingerprint, List<CompletableFuture<Void>>> pendingProbes =
-      new ConcurrentHashMap<>();
+  private final Map<Fingerprint, List<PendingProbe>> pendingProbes = new ConcurrentHashMap<>();
+
+  private record PendingProbe(RegisteredUpstream upstream, CompletableFuture<Void> done) {}
 
   /**
    * Creates the guard.
@@ -128,18 +135,30 @@
    *     maximum wait is over
    */
   public CompletableFuture<Void> awaitProbes(Fingerprint fingerprint, int limit) {
-    List<CompletableFuture<Void>> pending = pendingProbes.getOrDefault(fingerprint, List.of());
+    List<PendingProbe> pending = pendingProbes.getOrDefault(fingerprint, List.of());
     boolean decided = pending.isEmpty() || crashCount(fingerprint) + pending.size() < limit;
     if (decided) {
       return CompletableFuture.completedFuture(null);
     }
     CompletableFuture<Void> completion = new CompletableFuture<>();
-    CompletableFuture.allOf(pending.toArray(CompletableFuture[]::new))
+    CompletableFuture.allOf(
+            pending.stream().map(PendingProbe::done).toArray(CompletableFuture[]::new))
         .thenRun(() -> completion.complete(null));
-    timers.after(MAX_PROBE_WAIT_MS, () -> completion.complete(null));
+    timers.after(
+        MAX_PROBE_WAIT_MS,
+        () -> {
+          if (pending.stream().noneMatch(this::awaitsConfirmation)) {
+            completion.complete(null);
+          }
+        });
+    timers.after(MAX_CONFIRMATION_WAIT_MS, () -> completion.complete(null));
     return completion;
   }
 
+  private boolean awaitsConfirmation(PendingProbe probe) {
+    return !probe.done().isDone() && terminationProbe.refusesConnections(probe.upstream());
+  }
+
   /**
    * Called when the connection to an upstream was closed or reset while it was running a request.
    *
@@ -154,7 +173,7 @@
       return;
     }
     long lostMs = timers.nowMs();
-    CompletableFuture<Void> probe = new CompletableFuture<>();
+    PendingProbe probe = new PendingProbe(upstream, new CompletableFuture<>());
     pendingProbes.merge(
         fingerprint,
         List.of(probe),
@@ -169,14 +188,12 @@
               }
               pendingProbes.computeIfPresent(
                   fingerprint, (key, pending) -> without(pending, probe));
-              probe.complete(null);
+              probe.done().complete(null);
             });
   }
 
-  private static List<CompletableFuture<Void>> without(
-      List<CompletableFuture<Void>> pending, CompletableFuture<Void> probe) {
-    List<CompletableFuture<Void>> remaining =
-        pending.stream().filter(other -> other != probe).toList();
+  private static List<PendingProbe> without(List<PendingProbe> pending, PendingProbe probe) {
+    List<PendingProbe> remaining = pending.stream().filter(other -> other != probe).toList();
     return remaining.isEmpty() ? null : remaining;
   }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/crash/TerminationProbe.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/crash/TerminationProbe.java
@@ -14,4 +14,15 @@
    * @return true if its process has terminated; false if it still answers or the state is unknown
    */
   CompletableFuture<Boolean> hasTerminated(RegisteredUpstream upstream);
+
+  /**
+   * Checks whether this instance already knows that connections are refused, while other instances
+   * have not confirmed it yet.
+   *
+   * @param upstream the upstream
+   * @return true if it has most likely terminated
+   */
+  default boolean refusesConnections(RegisteredUpstream upstream) {
+    return false;
+  }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/path/PathWitnesses.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/path/PathWitnesses.java
@@ -7,6 +7,7 @@
 import io.mothrill.core.peer.RendezvousHash;
 import io.mothrill.core.peer.error.PeerException;
 import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.time.Timers;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -29,9 +30,16 @@
   /** Longer than the probe of the instance that is asked. */
   private static final long REPLY_TIMEOUT_MS = 350;
 
+  /**
+   * Time for which a refusal waits for an instance that reaches the upstream; both answer within a
+   * few round trips.
+   */
+  private static final long REFUSED_GRACE_MS = 20;
+
   private final InstanceRecord self;
   private final Supplier<List<InstanceRecord>> others;
   private final PeerLinks links;
+  private final Timers timers;
 
   /**
    * Creates the witnesses.
@@ -39,12 +47,14 @@
    * @param self this instance
    * @param others the other running instances
    * @param links the connections to them
+   * @param timers the timers
    */
   public PathWitnesses(
-      InstanceRecord self, Supplier<List<InstanceRecord>> others, PeerLinks links) {
+      InstanceRecord self, Supplier<List<InstanceRecord>> others, PeerLinks links, Timers timers) {
     this.self = self;
     this.others = others;
     this.links = links;
+    this.timers = timers;
   }
 
   /** The answer of one instance; empty if it no longer runs. */
@@ -66,8 +76,11 @@
         reply ->
             reply.thenAccept(
                 testimony -> {
-                  if (testimony.outcome().equals(Optional.of(PathOutcome.REACHED))) {
-                    verdict.complete(PathOutcome.REACHED);
+                  PathOutcome shown = weigh(testimony, upstream);
+                  if (shown == PathOutcome.REACHED) {
+                    verdict.complete(shown);
+                  } else if (shown == PathOutcome.REFUSED) {
+                    timers.after(REFUSED_GRACE_MS, () -> verdict.complete(shown));
                   }
                 }));
     CompletableFuture.allOf(asked.toArray(CompletableFuture[]::new))
@@ -138,7 +151,7 @@
         testimony.witness().domain().equals(self.domain())
             && !upstream.domain().equals(self.domain())
             && others.get().stream().anyMatch(other -> !other.domain().equals(self.domain()));
-    PathOutcome outcome = testimony.outcome().orElseThrow();
+    PathOutcome outcome = testimony.outcome().orElse(PathOutcome.UNKNOWN);
     return sharesCuts && outcome == PathOutcome.REFUSED ? PathOutcome.UNKNOWN : outcome;
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/path/UpstreamPaths.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/path/UpstreamPaths.java
@@ -159,6 +159,16 @@
     }
   }
 
+  /**
+   * Checks whether the last connection of this instance was refused.
+   *
+   * @param upstream the upstream
+   * @return true until the upstream is heard again
+   */
+  public boolean isRefused(RegisteredUpstream upstream) {
+    return pathTo(upstream).failure == PathFailure.REFUSED;
+  }
+
   /**
    * Finds out whether an upstream or the path to it has failed.
    *
@@ -193,6 +203,9 @@
       onReached(upstream);
       return CompletableFuture.completedFuture(own);
     }
+    if (own == PathOutcome.REFUSED) {
+      pathTo(upstream).failure = PathFailure.REFUSED;
+    }
     return witnesses
         .ask(upstream, own)
         .thenApply(
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/path/UpstreamPathsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/path/UpstreamPathsTest.java
@@ -65,7 +65,7 @@
           broken,
           upstream ->
               CompletableFuture.completedFuture(direct.getOrDefault(upstream, PathOutcome.REACHED)),
-          new PathWitnesses(SELF, () -> others, this::ask),
+          new PathWitnesses(SELF, () -> others, this::ask, timers),
           listener,
           timers);
 
@@ -117,9 +117,20 @@
     paths.onFailure(ONE, PathFailure.TIMED_OUT);
     replyWith(PathOutcome.REFUSED, PathOutcome.UNKNOWN);
 
-    PathOutcome verdict = paths.diagnose(ONE).join();
+    assertThat(paths.diagnose(ONE).join()).isEqualTo(PathOutcome.REFUSED);
+    assertThat(heard).containsExactly("ended i-0");
+  }
+
+  // An instance that was asked does not answer. A request that may have crashed the upstream waits
+  // for the verdict, so it must not wait for that instance as well.
+  @Test
+  void refusalDoesNotWaitForSilentInstance() {
+    direct.put(ONE, PathOutcome.REFUSED);
+    replies.put(others.get(0).id(), PathOutcome.REFUSED);
+
+    paths.onFailure(ONE, PathFailure.LOST);
+    timers.advanceMs(50);
 
-    assertThat(verdict).isEqualTo(PathOutcome.REFUSED);
     assertThat(heard).containsExactly("ended i-0");
   }
 
@@ -133,6 +144,7 @@
 
     assertThat(heard).isEmpty();
     assertThat(broken.contains(ONE)).isFalse();
+    assertThat(paths.isRefused(ONE)).isTrue();
   }
 
   // A whole failure domain is cut off with resets. Its instances agree on what they see, which says
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -33,7 +33,6 @@
 import io.mothrill.wire.forward.ForwardDependencies;
 import io.mothrill.wire.forward.ForwardServer;
 import io.mothrill.wire.forward.TcpPathProbe;
-import io.mothrill.wire.forward.UpstreamProbe;
 import io.mothrill.wire.http.HttpServer;
 import io.mothrill.wire.json.JsonResources;
 import io.mothrill.wire.operator.ProbeService;
@@ -193,7 +192,7 @@
             this::sendCrashMessage,
             ports.table(),
             ports.storeClock(),
-            choice.reportingEnds(new UpstreamProbe(new TcpPathProbe(group), timers)),
+            PathSetup.terminationProbe(paths, timers),
             upstream -> upstreams.read().isAccepting(upstream),
             timers,
             random);
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/PathSetup.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/PathSetup.java
@@ -1,7 +1,9 @@
 package io.mothrill.daemon.forward;
 
 import io.mothrill.core.board.PublishedValue;
+import io.mothrill.core.forward.crash.TerminationProbe;
 import io.mothrill.core.forward.path.BrokenPaths;
+import io.mothrill.core.forward.path.PathFailure;
 import io.mothrill.core.forward.path.PathListener;
 import io.mothrill.core.forward.path.PathProbe;
 import io.mothrill.core.forward.path.PathService;
@@ -18,10 +20,12 @@
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.time.Timers;
 import io.mothrill.core.work.WorkStats;
+import io.mothrill.wire.forward.UpstreamProbe;
 import io.mothrill.wire.peer.PeerCodec;
 import io.mothrill.wire.relay.RelayAcceptor;
 import io.mothrill.wire.relay.RelayClient;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
@@ -65,7 +69,7 @@
         loads,
         broken,
         direct,
-        new PathWitnesses(self, others, links),
+        new PathWitnesses(self, others, links, timers),
         broadcasting(statusBroadcast),
         timers);
   }
@@ -84,6 +88,23 @@
     };
   }
 
+  /** Creates a probe that takes upstreams behind broken paths for running. */
+  static TerminationProbe terminationProbe(UpstreamPaths paths, Timers timers) {
+    UpstreamProbe probe = new UpstreamProbe(paths::diagnose, timers);
+    return new TerminationProbe() {
+      @Override
+      public CompletableFuture<Boolean> hasTerminated(RegisteredUpstream upstream) {
+        paths.onFailure(upstream, PathFailure.LOST);
+        return probe.hasTerminated(upstream);
+      }
+
+      @Override
+      public boolean refusesConnections(RegisteredUpstream upstream) {
+        return paths.isRefused(upstream);
+      }
+    };
+  }
+
   BrokenPaths broken() {
     return broken;
   }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamSelection.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamSelection.java
@@ -12,7 +12,6 @@
 import io.mothrill.core.forward.contention.PlainLatencyCost;
 import io.mothrill.core.forward.contention.UpstreamContention;
 import io.mothrill.core.forward.contention.WorkTimes;
-import io.mothrill.core.forward.crash.TerminationProbe;
 import io.mothrill.core.forward.limit.AnnouncedRateLimits;
 import io.mothrill.core.forward.limit.RateLimitReportSender;
 import io.mothrill.core.forward.load.LoadFeatures;
@@ -32,7 +31,6 @@
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.upstream.UpstreamLoads;
 import io.mothrill.core.forward.upstream.UpstreamPicker;
-import io.mothrill.core.forward.upstream.UpstreamStatus;
 import io.mothrill.core.forward.upstream.UpstreamStatusBroadcast;
 import io.mothrill.core.forward.upstream.UpstreamStatusReportSender;
 import io.mothrill.core.forward.warmup.WarmUpRateLimits;
@@ -188,19 +186,6 @@
     holdings.retain(list);
   }
 
-  /** Wraps a probe so that terminated upstreams are reported to all instances. */
-  TerminationProbe reportingEnds(TerminationProbe ends) {
-    return upstream ->
-        ends.hasTerminated(upstream)
-            .thenApply(
-                ended -> {
-                  if (ended) {
-                    statusBroadcast.onDetected(upstream, UpstreamStatus.ENDED);
-                  }
-                  return ended;
-                });
-  }
-
   UpstreamLoads loads() {
     return loads;
   }
