Brittle upstreams turn away no more requests than they announce to bear

Upstreams that announce how many rejections per second they bear fall over beyond that, and take the requests that they run along. Cause: the announcement was read nowhere, and a full upstream was avoided by preference only: one that bears 4 turned 71 away in a second (BrittleUpstreamTest before). Change: RejectionBudgets, a check of SendChecks: each instance may cause its share of the rejections; a request that was just sent counts for 100 ms, as its rejection may be on the way; a share that is used up is back after a second. Gauges upstreams.brittleCount and brittleRejectionCount. Why it works: the bound is split among all instances before anything is sent, so that no instance needs to hear of the others' rejections.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/answer/SelfReportDispatcher.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/answer/SelfReportDispatcher.java
@@ -1,6 +1,7 @@
 package io.mothrill.core.forward.answer;
 
 import io.mothrill.core.forward.limit.AnnouncedRateLimits;
+import io.mothrill.core.forward.limit.RejectionBudgets;
 import io.mothrill.core.forward.upstream.LeavingUpstreams;
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
 import io.mothrill.core.forward.upstream.UpstreamBackoffs;
@@ -22,6 +23,7 @@
   private final LeavingUpstreams leaving;
   private final UpstreamStatusBroadcast statusBroadcast;
   private final UpstreamBackoffs backoffs;
+  private final RejectionBudgets rejectionBudgets;
 
   /**
    * Creates a dispatcher.
@@ -32,18 +34,21 @@
    * @param statusBroadcast notified of upstreams that are leaving, and reports them to other
    *     instances
    * @param backoffs notified of requested backoffs
+   * @param rejectionBudgets notified of brittle upstreams and what they turn away
    */
   public SelfReportDispatcher(
       WarmUpListener warmUpListener,
       AnnouncedRateLimits limits,
       LeavingUpstreams leaving,
       UpstreamStatusBroadcast statusBroadcast,
-      UpstreamBackoffs backoffs) {
+      UpstreamBackoffs backoffs,
+      RejectionBudgets rejectionBudgets) {
     this.warmUpListener = warmUpListener;
     this.limits = limits;
     this.leaving = leaving;
     this.statusBroadcast = statusBroadcast;
     this.backoffs = backoffs;
+    this.rejectionBudgets = rejectionBudgets;
   }
 
   /**
@@ -58,6 +63,7 @@
         .warmUpRemainingMs()
         .ifPresent(remainingMs -> warmUpListener.onWarmUpReported(upstream, remainingMs));
     limits.onAnswer(upstream, sentMs, report.limitPerS());
+    rejectionBudgets.onAnswer(upstream, sentMs, report.maxRejectionsPerS(), report.turnedAway());
     if (report.leaving()) {
       statusBroadcast.onDetected(upstream, UpstreamStatus.LEAVING);
     }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/check/SendChecks.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/check/SendChecks.java
@@ -1,6 +1,7 @@
 package io.mothrill.core.forward.check;
 
 import io.mothrill.core.board.PublishedValue;
+import io.mothrill.core.forward.limit.RejectionBudgets;
 import io.mothrill.core.forward.permit.SendPermits;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
 import io.mothrill.core.forward.upstream.LeavingUpstreams;
@@ -39,6 +40,7 @@
   private static final Rejection NO_UPSTREAM = new Rejection(Cause.NO_UPSTREAM, 700);
 
   private final PublishedValue<UpstreamList> list;
+  private final RejectionBudgets rejectionBudgets;
   private final SendPermits warmUpPermits;
   private final SendPermits limitPermits;
   private final Timers timers;
@@ -53,6 +55,7 @@
    * @param leaving the upstreams that have announced that they are leaving
    * @param backoffs the upstreams that have requested a backoff from this instance
    * @param heldTokens rejects engines without enough memory for the request
+   * @param rejectionBudgets bounds what brittle upstreams turn away
    * @param warmUpPermits the permits for upstreams that are warming up
    * @param limitPermits the permits for upstreams that announce a rate limit
    * @param timers the clock
@@ -64,10 +67,12 @@
       LeavingUpstreams leaving,
       UpstreamBackoffs backoffs,
       HeldTokensCheck heldTokens,
+      RejectionBudgets rejectionBudgets,
       SendPermits warmUpPermits,
       SendPermits limitPermits,
       Timers timers) {
     this.list = list;
+    this.rejectionBudgets = rejectionBudgets;
     this.warmUpPermits = warmUpPermits;
     this.limitPermits = limitPermits;
     this.timers = timers;
@@ -81,6 +86,7 @@
             new AvailabilityCheck(list, leaving),
             new BackoffCheck(backoffs),
             heldTokens,
+            new RejectionBudgetCheck(rejectionBudgets),
             new PermitCheck(warmUpPermits, Cause.WARMING_UP),
             new PermitCheck(limitPermits, Cause.LIMITED));
   }
@@ -104,7 +110,8 @@
   public boolean admit(RegisteredUpstream upstream, UpstreamQuery query) {
     return permits(upstream, query, timers.nowMs())
         && warmUpPermits.tryAcquire(upstream)
-        && limitPermits.tryAcquire(upstream);
+        && limitPermits.tryAcquire(upstream)
+        && rejectionBudgets.tryAcquire(upstream);
   }
 
   /**
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/path/PathWitnesses.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/path/PathWitnesses.java
@@ -91,6 +91,12 @@
     return verdict;
   }
 
+  private CompletableFuture<Testimony> ask(InstanceRecord witness, RegisteredUpstream upstream) {
+    return links
+        .request(witness, new PeerMessage.CheckPath(upstream.incarnation()), REPLY_TIMEOUT_MS)
+        .handle((reply, error) -> new Testimony(witness, outcomeOf(reply, error)));
+  }
+
   /** Prefers instances in the failure domain of the upstream, then those of further ones. */
   private List<InstanceRecord> selectFor(
       RegisteredUpstream upstream, List<InstanceRecord> running) {
@@ -107,12 +113,6 @@
     return other.domain().equals(self.domain()) ? 2 : 1;
   }
 
-  private CompletableFuture<Testimony> ask(InstanceRecord witness, RegisteredUpstream upstream) {
-    return links
-        .request(witness, new PeerMessage.CheckPath(upstream.incarnation()), REPLY_TIMEOUT_MS)
-        .handle((reply, error) -> new Testimony(witness, outcomeOf(reply, error)));
-  }
-
   private static Optional<PathOutcome> outcomeOf(PeerMessage reply, Throwable error) {
     if (error != null) {
       return Failures.unwrap(error) instanceof PeerException peer && peer.isGone()
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/check/SendChecksTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/check/SendChecksTest.java
@@ -6,6 +6,7 @@
 import io.mothrill.core.fake.ManualTimers;
 import io.mothrill.core.forward.capacity.EngineHoldings;
 import io.mothrill.core.forward.limit.AnnouncedRateLimits;
+import io.mothrill.core.forward.limit.RejectionBudgets;
 import io.mothrill.core.forward.load.LoadFeatures;
 import io.mothrill.core.forward.permit.FleetView;
 import io.mothrill.core.forward.permit.SendPermits;
@@ -18,6 +19,7 @@
 import io.mothrill.core.forward.upstream.RegistrationVersion;
 import io.mothrill.core.forward.upstream.UpstreamBackoffs;
 import io.mothrill.core.forward.upstream.UpstreamList;
+import io.mothrill.core.forward.upstream.UpstreamLoads;
 import io.mothrill.core.forward.upstream.UpstreamQuery;
 import io.mothrill.core.forward.upstream.UpstreamQuery.Eligibility;
 import io.mothrill.core.forward.warmup.WarmUpBounds;
@@ -59,6 +61,7 @@
               LoadFeatures.onDemand(),
               new PublishedValue<>(ForwardingPlan.unknown()),
               new EngineHoldings(LoadFeatures.onDemand())),
+          new RejectionBudgets(self, alone(), list, new UpstreamLoads(), timers),
           new SendPermits(
               self,
               alone(),
--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/limit/RejectionBudgetsTest.java
@@ -0,0 +1,150 @@
+package io.mothrill.core.forward.limit;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.mothrill.core.board.PublishedValue;
+import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.forward.permit.FleetView;
+import io.mothrill.core.forward.upstream.RegisteredUpstream;
+import io.mothrill.core.forward.upstream.TestUpstreams;
+import io.mothrill.core.forward.upstream.UpstreamList;
+import io.mothrill.core.forward.upstream.UpstreamLoads;
+import io.mothrill.core.platform.InstanceRecord;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+// Guards against brittle upstreams that fall over: they bear a number of rejections per second from
+// all instances together, and each instance sees only its own.
+class RejectionBudgetsTest {
+
+  private static final int HISTORIES = 60;
+  private static final int STEPS = 4_000;
+  private static final int STEP_MS = 5;
+  private static final long SECOND_MS = 1_000;
+  private static final RegisteredUpstream UPSTREAM = TestUpstreams.started("i-1", "konya", 1_000);
+
+  private final ManualTimers timers = new ManualTimers();
+  private final PublishedValue<UpstreamList> list =
+      new PublishedValue<>(new UpstreamList(List.of(UPSTREAM)));
+
+  private List<RejectionBudgets> newFleet(int instances) {
+    List<InstanceRecord> records =
+        IntStream.range(0, instances)
+            .mapToObj(
+                number -> new InstanceRecord("e" + number, "e" + number, "a", "::1", 1, false))
+            .toList();
+    return records.stream()
+        .map(
+            self ->
+                new RejectionBudgets(
+                    self,
+                    fleetOf(records.stream().filter(other -> !other.equals(self)).toList()),
+                    list,
+                    new UpstreamLoads(),
+                    timers))
+        .toList();
+  }
+
+  private static FleetView fleetOf(List<InstanceRecord> others) {
+    return new FleetView() {
+      @Override
+      public List<InstanceRecord> others() {
+        return others;
+      }
+
+      @Override
+      public boolean isCurrent() {
+        return true;
+      }
+    };
+  }
+
+  private void announce(RejectionBudgets budgets, int maxPerS) {
+    budgets.onAnswer(UPSTREAM, timers.nowMs(), OptionalInt.of(maxPerS), false);
+  }
+
+  /** A request that was written, and when its answer arrives. */
+  private record Sent(RejectionBudgets by, long sentMs, long answeredMs, boolean rejected) {}
+
+  // Random fleets send as much as they may to an upstream that is full most of the time.
+  @Test
+  void allInstancesTogetherStayWithinTheBound() {
+    for (int seed = 0; seed < HISTORIES; seed++) {
+      Random random = new Random(seed);
+      int maxPerS = 1 + random.nextInt(30);
+      List<RejectionBudgets> fleet = newFleet(1 + random.nextInt(maxPerS));
+      fleet.forEach(budgets -> announce(budgets, maxPerS));
+      List<Sent> pending = new ArrayList<>();
+      List<Long> rejectedMs = new ArrayList<>();
+      for (int step = 0; step < STEPS; step++) {
+        timers.advanceMs(STEP_MS);
+        answerDue(pending, maxPerS);
+        boolean full = step / 400 % 5 != 0;
+        for (RejectionBudgets budgets : fleet) {
+          while (budgets.hasRoom(UPSTREAM) && budgets.tryAcquire(UPSTREAM)) {
+            boolean rejected = full && random.nextInt(10) > 0;
+            if (rejected) {
+              rejectedMs.add(timers.nowMs());
+            }
+            long answeredMs = timers.nowMs() + (rejected ? random.nextInt(50) : 500);
+            pending.add(new Sent(budgets, timers.nowMs(), answeredMs, rejected));
+          }
+        }
+      }
+      assertWithMessage("seed %s", seed).that(mostInOneSecond(rejectedMs)).isAtMost(maxPerS);
+    }
+  }
+
+  private void answerDue(List<Sent> pending, int maxPerS) {
+    pending.removeIf(
+        sent -> {
+          boolean due = sent.answeredMs() <= timers.nowMs();
+          if (due) {
+            sent.by().onAnswer(UPSTREAM, sent.sentMs(), OptionalInt.of(maxPerS), sent.rejected());
+          }
+          return due;
+        });
+  }
+
+  private static int mostInOneSecond(List<Long> timesMs) {
+    int most = 0;
+    int first = 0;
+    for (int last = 0; last < timesMs.size(); last++) {
+      while (timesMs.get(last) - timesMs.get(first) >= SECOND_MS) {
+        first++;
+      }
+      most = Math.max(most, last - first + 1);
+    }
+    return most;
+  }
+
+  // There are more instances than rejections to share, and this one has a share nowhere. It still
+  // sends single requests to an upstream that is nearly empty.
+  @Test
+  void instanceWithoutAnyShareIsNotLockedOut() {
+    List<RejectionBudgets> fleet = newFleet(5);
+    fleet.forEach(budgets -> announce(budgets, 2));
+    timers.advanceMs(SECOND_MS);
+
+    fleet.forEach(budgets -> assertThat(budgets.tryAcquire(UPSTREAM)).isTrue());
+  }
+
+  @Test
+  void upstreamThatNoLongerAnnouncesTheBoundGetsRequestsAgain() {
+    RejectionBudgets budgets = newFleet(1).get(0);
+    announce(budgets, 1);
+    assertThat(budgets.tryAcquire(UPSTREAM)).isTrue();
+    assertThat(budgets.hasRoom(UPSTREAM)).isFalse();
+    timers.advanceMs(1);
+
+    budgets.onAnswer(UPSTREAM, timers.nowMs(), OptionalInt.empty(), false);
+
+    assertThat(budgets.hasRoom(UPSTREAM)).isTrue();
+    assertThat(budgets.brittleCount()).isEqualTo(0);
+  }
+}
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -91,6 +91,9 @@
     metrics.gauge("upstreams.saidLeavingSentCount", () -> choice.leaving()::sentCount);
     metrics.gauge("upstreams.restingCount", () -> choice.resting()::backoffCount);
     metrics.gauge("upstreams.restingSentCount", () -> choice.resting()::sentCount);
+    metrics.gauge("upstreams.brittleCount", () -> choice.rejectionBudgets()::brittleCount);
+    metrics.gauge(
+        "upstreams.brittleRejectionCount", () -> choice.rejectionBudgets()::rejectionCount);
     metrics.gauge("upstreams.reportsSentCount", () -> choice.statusBroadcast()::sentCount);
     metrics.gauge("upstreams.reportsHeardCount", () -> choice.statusBroadcast()::receivedCount);
   }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamSelection.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamSelection.java
@@ -14,6 +14,7 @@
 import io.mothrill.core.forward.contention.WorkTimes;
 import io.mothrill.core.forward.limit.AnnouncedRateLimits;
 import io.mothrill.core.forward.limit.RateLimitReportSender;
+import io.mothrill.core.forward.limit.RejectionBudgets;
 import io.mothrill.core.forward.load.LoadFeatures;
 import io.mothrill.core.forward.load.SwitchedCost;
 import io.mothrill.core.forward.permit.FleetView;
@@ -55,6 +56,7 @@
   private final AnnouncedRateLimits limits;
   private final LeavingUpstreams leaving;
   private final UpstreamBackoffs resting;
+  private final RejectionBudgets rejectionBudgets;
   private final SelfReportDispatcher selfReports;
   private final UpstreamStatusBroadcast statusBroadcast;
   private final ContentionMonitor contention;
@@ -113,7 +115,10 @@
     this.statusBroadcast =
         new UpstreamStatusBroadcast(
             self, fleet::others, reports, view.upstreams(), loads, warming, leaving, timers);
-    this.selfReports = new SelfReportDispatcher(warming, limits, leaving, statusBroadcast, resting);
+    this.rejectionBudgets = new RejectionBudgets(self, fleet, view.upstreams(), loads, timers);
+    this.selfReports =
+        new SelfReportDispatcher(
+            warming, limits, leaving, statusBroadcast, resting, rejectionBudgets);
     this.checks =
         new SendChecks(
             view.upstreams(),
@@ -122,6 +127,7 @@
             leaving,
             resting,
             new HeldTokensCheck(features, view.plan(), holdings),
+            rejectionBudgets,
             warmUps,
             limitPermits,
             timers);
@@ -218,6 +224,10 @@
     return resting;
   }
 
+  RejectionBudgets rejectionBudgets() {
+    return rejectionBudgets;
+  }
+
   SelfReportDispatcher selfReports() {
     return selfReports;
   }
