A request on a broken path is not reported as waiting at its upstream

What callers saw: with decisions under load active, an instance that has lost some of its paths tells all others that the upstreams behind them are slow, and they avoid them. Cause: the same class of fault, found by looking for it elsewhere: an overdue request counted as a wait at the upstream as soon as any other upstream answered. Evidence: SharedLoadFailuresTest#requestOnBrokenPathIsNotReportedAsWaiting fails without the check (a wait is recorded and sent, as withoutNoticesAnInstanceStillAvoidsWhereItsOwnRequestWaits shows for the same request). Change: ContentionMonitor leaves out requests whose path is known to be broken. Until that is found, half a second or so, a wait may still be reported.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/contention/ContentionMonitor.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/contention/ContentionMonitor.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
 import org.tinylog.Logger;
 
 /**
@@ -52,6 +53,7 @@
   private final ContentionBroadcast broadcast;
   private final WorkTimes workTimes;
   private final FirstEventEstimate firstEvents;
+  private final Predicate<RegisteredUpstream> isPathBroken;
   private final Timers timers;
   private final OwnDelay ownDelay;
   private final CommonDelay commonDelay = new CommonDelay();
@@ -71,6 +73,7 @@
    * @param broadcast reports to other instances
    * @param workTimes the expected times of plain requests
    * @param firstEvents estimates when the first event of a stream arrives
+   * @param isPathBroken checks whether this instance has lost its path to an upstream
    * @param timers the clock and timers
    */
   public ContentionMonitor(
@@ -81,6 +84,7 @@
       ContentionBroadcast broadcast,
       WorkTimes workTimes,
       FirstEventEstimate firstEvents,
+      Predicate<RegisteredUpstream> isPathBroken,
       Timers timers) {
     this.contention = contention;
     this.loads = loads;
@@ -89,6 +93,7 @@
     this.broadcast = broadcast;
     this.workTimes = workTimes;
     this.firstEvents = firstEvents;
+    this.isPathBroken = isPathBroken;
     this.timers = timers;
     this.ownDelay = new OwnDelay(timers);
     list.subscribe(contention::retain);
@@ -255,12 +260,17 @@
 
   /**
    * Checks the requests that are still waiting. If no response arrives from any of several
-   * upstreams, the connection of this instance has failed rather than all of them.
+   * upstreams, the connection of this instance has failed rather than all of them. A request that
+   * was sent on a path that is broken now says nothing about its upstream either.
    */
   private void check() {
     ownDelay.onTick();
     long nowMs = timers.nowMs();
-    List<Active> overdue = waiting.stream().filter(request -> request.isOverdue(nowMs)).toList();
+    List<Active> overdue =
+        waiting.stream()
+            .filter(request -> request.isOverdue(nowMs))
+            .filter(request -> !isPathBroken.test(request.upstream))
+            .toList();
     long upstreamCount = overdue.stream().map(request -> request.upstream).distinct().count();
     overdue.stream()
         .filter(request -> request.isOvertaken() || upstreamCount < MIN_STALLED_UPSTREAMS)
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/contention/SharedLoadFailuresTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/contention/SharedLoadFailuresTest.java
@@ -13,10 +13,12 @@
 import io.mothrill.core.time.Subscription;
 import io.mothrill.core.time.Timers;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.Random;
+import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
@@ -35,6 +37,7 @@
       new PublishedValue<>(new UpstreamList(List.of(EARLIER)));
   private final UpstreamLoads loads = new UpstreamLoads();
   private final UpstreamContention contention = new UpstreamContention(new Random(1));
+  private final Set<RegisteredUpstream> brokenPaths = new HashSet<>();
   private final ContentionMonitor monitor = monitor();
 
   /** The clock goes on while the instance is suspended, and no timer fires. */
@@ -72,6 +75,7 @@
             self, () -> List.of(self), (report, to) -> sent.add(report), timers),
         new WorkTimes(),
         (service, tokens) -> tokens / 40.0,
+        brokenPaths::contains,
         timers);
   }
 
@@ -112,6 +116,21 @@
     assertThat(sent).isNotEmpty();
   }
 
+  // A request hangs on a path that only this instance has lost. Others must not hear that its
+  // upstream is slow.
+  @Test
+  void requestOnBrokenPathIsNotReportedAsWaiting() {
+    // GIVEN
+    features.onContentionAnnounced(EARLIER.service());
+    brokenPaths.add(EARLIER);
+    // WHEN
+    monitor.onPromptSent(EARLIER, TARGET_MS, 400);
+    manual.advanceMs(2_000);
+    // THEN
+    assertThat(waitMs(EARLIER)).isEqualTo(0);
+    assertThat(sent).isEmpty();
+  }
+
   @Test
   void reportsAboutUnknownUpstreamsAreIgnored() {
     // GIVEN
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/contention/SlowEngineSimulation.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/contention/SlowEngineSimulation.java
@@ -85,6 +85,7 @@
               new ContentionBroadcast(record, this::others, this::deliver, timers),
               new WorkTimes(),
               (service, tokens) -> tokens / speed.tokensPerMs(),
+              upstream -> false,
               timers);
       PromptCost tokens = new PromptCost("konya", loads, prefixCache, speed);
       UpstreamCost cost =
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -168,6 +168,7 @@
             loadFeatures,
             new UpstreamSelection.View(plan, evacuatedDomains, upstreams),
             fleetView(),
+            pathSetup.broken(),
             this::sendStatusReport,
             this::sendRateLimitReport,
             this::sendContentionReport,
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamSelection.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamSelection.java
@@ -17,6 +17,7 @@
 import io.mothrill.core.forward.limit.RejectionBudgets;
 import io.mothrill.core.forward.load.LoadFeatures;
 import io.mothrill.core.forward.load.SwitchedCost;
+import io.mothrill.core.forward.path.BrokenPaths;
 import io.mothrill.core.forward.permit.FleetView;
 import io.mothrill.core.forward.permit.SendPermits;
 import io.mothrill.core.forward.plan.ForwardingPlan;
@@ -87,6 +88,7 @@
       LoadFeatures features,
       View view,
       FleetView fleet,
+      BrokenPaths brokenPaths,
       UpstreamStatusReportSender reports,
       RateLimitReportSender limitReports,
       ContentionReportSender contentionReports,
@@ -145,6 +147,7 @@
             new ContentionBroadcast(self, fleet::others, contentionReports, timers),
             workTimes,
             prompts.model()::firstEventMs,
+            brokenPaths::contains,
             timers);
     this.picker =
         new UpstreamPicker(
