Paths: a failed diagnosis ends, an end behind a broken path is seen at once, failures count once

Cause: found by reading the change. An unexpected error left a diagnosis pending for ever, and with it the guard of requests; after a refusal through another instance a request still waited for its own hopeless connection; a failed connection counted twice for the time that an upstream is avoided when nobody could tell more; an instance that relayed a refusal was avoided itself. Change: UpstreamPaths#diagnose ends as unknown; PathConnector fails at once when another instance is refused on a broken path; unknown verdicts add no failure; only instances that could not tell are avoided.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/path/UpstreamPaths.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/path/UpstreamPaths.java
@@ -193,7 +193,8 @@
         .map(CompletableFuture::completedFuture)
         .orElseGet(() -> direct.probe(upstream))
         .thenCompose(outcome -> askUnlessReached(upstream, outcome))
-        .thenAccept(result::complete);
+        .whenComplete(
+            (verdict, error) -> result.complete(error == null ? verdict : PathOutcome.UNKNOWN));
     return result;
   }
 
@@ -222,7 +223,9 @@
               upstream, own == PathOutcome.REFUSED ? PathFailure.REFUSED : PathFailure.TIMED_OUT);
       case REFUSED -> listener.onEnded(upstream);
       case UNREACHABLE -> listener.onUnreachable(upstream);
-      default -> onRequestFailed(upstream);
+      default -> {
+        // Nothing is known about the upstream beyond what the failed request has shown already.
+      }
     }
   }
 
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/path/UpstreamPathsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/path/UpstreamPathsTest.java
@@ -162,6 +162,19 @@
     assertThat(heard).isEmpty();
   }
 
+  // The connections to other instances fail in an unexpected way. Later diagnoses of the same
+  // upstream must not wait for the failed one.
+  @Test
+  void failedDiagnosisDoesNotBlockLaterOnes() {
+    direct.put(ONE, PathOutcome.REFUSED);
+    others = null;
+    assertThat(paths.diagnose(ONE).join()).isEqualTo(PathOutcome.UNKNOWN);
+
+    others = List.of();
+
+    assertThat(paths.diagnose(ONE).join()).isEqualTo(PathOutcome.REFUSED);
+  }
+
   @Test
   void onlyInstanceTrustsItsOwnObservation() {
     others = List.of();
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/PathConnector.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/PathConnector.java
@@ -115,7 +115,9 @@
       if (detail.isEmpty()) {
         detail = newDetail;
       }
-      if (!directStarted) {
+      if (!directStarted && outcome == PathOutcome.REFUSED) {
+        directOutcome = Optional.of(PathOutcome.UNREACHABLE);
+      } else if (!directStarted) {
         startDirect();
       }
       failIfBothFailed();
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/RelayConnector.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/RelayConnector.java
@@ -63,7 +63,9 @@
         channel -> onOpened(channel, relay, connection, listener),
         outcome -> {
           candidates.onClosed(relay);
-          candidates.onFailed(relay);
+          if (outcome != PathOutcome.REFUSED) {
+            candidates.onFailed(relay);
+          }
           tryNext(target, remaining, moreTelling(last, outcome), listener);
         });
   }
