A run that succeeds clears crashes that are confirmed only later

Cause: a success cleared the crashes on record, and the crash before it was still waiting for confirmation; confirmed afterwards, it counted as if nothing had succeeded since, and two more crashes made three. The time between a lost connection and its confirmation has grown with the questions to other instances, so an old gap became wide enough to be hit. Evidence: CrashGuardTest#successClearsCrashesThatAreConfirmedLater, a confirmation that comes after the success, fails before (1 crash) without any load. Change: a success is recorded also while a crash of the request is being probed; crashes from before it do not count, whenever they are confirmed.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/crash/CrashGuard.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/crash/CrashGuard.java
@@ -248,13 +248,18 @@
 
   /**
    * Called when a run of a request has succeeded, which shows that it did not cause the earlier
-   * crashes.
+   * crashes, including those that are still being probed.
    *
    * @param fingerprint the request
    */
   public void onSuccess(Fingerprint fingerprint) {
+    Optional<CrashRecord> probed =
+        pendingProbes.containsKey(fingerprint)
+            ? Optional.of(CrashRecord.of(fingerprint))
+            : Optional.empty();
     find(fingerprint)
         .filter(record -> !record.crashes().isEmpty())
+        .or(() -> probed)
         .ifPresent(
             record -> {
               add(record.cleared(timers.nowMs()));
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/crash/CrashGuardTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/crash/CrashGuardTest.java
@@ -93,17 +93,7 @@
   // its own deadline, and an unknown result does not count as a crash.
   @Test
   void repeatedRequestDoesNotWaitForPartitionedUpstreams() {
-    CrashGuard blind =
-        new CrashGuard(
-            CrashSimulation.instance(0),
-            List::of,
-            (message, to) -> {},
-            simulation.table,
-            simulation.storeClock,
-            upstream -> new CompletableFuture<>(),
-            upstream -> listOfAll().read().isAccepting(upstream),
-            simulation.timers,
-            new SplittableRandom(1));
+    CrashGuard blind = guardWithProbe(upstream -> new CompletableFuture<>());
     IntStream.range(0, 3)
         .forEach(
             number ->
@@ -116,6 +106,34 @@
     assertThat(blind.crashCount(CrashSimulation.REQUEST)).isEqualTo(0);
   }
 
+  // A run of the request succeeds while it is not decided yet whether an earlier upstream has
+  // crashed. The crash does not count, although it is confirmed later.
+  @Test
+  void successClearsCrashesThatAreConfirmedLater() {
+    CompletableFuture<Boolean> confirmation = new CompletableFuture<>();
+    CrashGuard waiting = guardWithProbe(upstream -> confirmation);
+    waiting.onConnectionLost(CrashSimulation.REQUEST, CrashSimulation.upstream(1));
+    simulation.timers.advanceMs(10);
+
+    waiting.onSuccess(CrashSimulation.REQUEST);
+    confirmation.complete(true);
+
+    assertThat(waiting.crashCount(CrashSimulation.REQUEST)).isEqualTo(0);
+  }
+
+  private CrashGuard guardWithProbe(TerminationProbe probe) {
+    return new CrashGuard(
+        CrashSimulation.instance(0),
+        List::of,
+        (message, to) -> {},
+        simulation.table,
+        simulation.storeClock,
+        probe,
+        upstream -> listOfAll().read().isAccepting(upstream),
+        simulation.timers,
+        new SplittableRandom(1));
+  }
+
   private static PublishedValue<UpstreamList> listOfAll() {
     return new PublishedValue<>(
         new UpstreamList(IntStream.range(0, 9).mapToObj(CrashSimulation::upstream).toList()));
