A brittle upstream makes the others of its service count as brittle

Cause: upstreams of a service become brittle together, and an instance knew only of those that it had met. It sent the others whatever came until their first answer. Class as before: what concerns a service was kept for a single upstream. RejectionBudgetsTest#announcementHoldsForTheOtherUpstreamsOfTheService fails before. Change: the last announcement of a service holds for its upstreams that have not answered since. An upstream's own answer goes before it in both directions. The state of one upstream and the share of an instance are classes of their own.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/limit/RejectionBudgets.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/limit/RejectionBudgets.java
@@ -4,12 +4,11 @@
 import io.mothrill.core.forward.permit.FleetView;
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
 import io.mothrill.core.forward.upstream.UpstreamList;
+import io.mothrill.core.forward.upstream.UpstreamLoad;
 import io.mothrill.core.forward.upstream.UpstreamLoads;
 import io.mothrill.core.peer.RendezvousHash;
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.time.Timers;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.concurrent.ConcurrentHashMap;
@@ -20,28 +19,15 @@
  * Bounds how many requests brittle upstreams have to turn away.
  *
  * <p>Such an upstream announces how many requests per second it can turn away for want of room; one
- * more and it falls over. Each instance may cause its share of them. A request that was just sent
- * counts as well until it is answered or has most likely been admitted, because its rejection may
- * be on the way.
+ * more and it falls over. Each instance may cause its share of them. A request counts as well while
+ * its rejection may be on the way. What one upstream announces holds for the others of its service
+ * until they have answered themselves, since they become brittle together and an instance meets
+ * each of them only now and then.
  */
 public final class RejectionBudgets {
 
-  /** A second at the upstream, and the variation of the network delay. */
-  private static final long WINDOW_MS = 1_150;
-
-  /** A rejection is sent at once, so a request without one for this time was admitted. */
-  private static final long UNCERTAIN_MS = 100;
-
-  private static final long MIN_RETRY_MS = 250;
-
   private static final long SHARE_INTERVAL_MS = 500;
 
-  /**
-   * The share of an instance that would have none at any upstream of a service: it sends single
-   * requests while an upstream is sparsely occupied.
-   */
-  private static final int LAST_RESORT = -1;
-
   private static final double MAX_SPARSE_OCCUPANCY = 0.5;
 
   private final InstanceRecord self;
@@ -49,9 +35,14 @@
   private final PublishedValue<UpstreamList> list;
   private final UpstreamLoads loads;
   private final Timers timers;
-  private final Map<String, Budget> budgets = new ConcurrentHashMap<>();
+  private final Map<String, RejectionBudget> budgets = new ConcurrentHashMap<>();
+  private final Map<String, FleetShare> shares = new ConcurrentHashMap<>();
+  private final Map<String, Announcement> announcements = new ConcurrentHashMap<>();
   private final AtomicLong rejectionCount = new AtomicLong();
 
+  /** The last announcement of any upstream of a service. */
+  private record Announcement(int maxPerS, long announcedMs) {}
+
   /**
    * Creates the budgets; initially no upstream is brittle.
    *
@@ -73,48 +64,10 @@
     this.loads = loads;
     this.timers = timers;
     list.subscribe(
-        newest ->
-            budgets.keySet().removeIf(incarnation -> !newest.containsIncarnation(incarnation)));
-  }
-
-  /** The recent requests and rejections at one brittle upstream. */
-  private static final class Budget {
-    private final Deque<Long> rejectedMs = new ArrayDeque<>();
-    private final Deque<Long> uncertainSinceMs = new ArrayDeque<>();
-    private volatile int maxPerS;
-    private volatile long announcedMs;
-    private volatile int share;
-    private volatile long shareMs = Long.MIN_VALUE / 2;
-
-    private synchronized int usedAt(long nowMs) {
-      while (!rejectedMs.isEmpty() && nowMs - rejectedMs.peekFirst() >= WINDOW_MS) {
-        rejectedMs.pollFirst();
-      }
-      while (!uncertainSinceMs.isEmpty() && nowMs - uncertainSinceMs.peekFirst() >= UNCERTAIN_MS) {
-        uncertainSinceMs.pollFirst();
-      }
-      return rejectedMs.size() + uncertainSinceMs.size();
-    }
-
-    private synchronized boolean tryAcquire(int max, long nowMs) {
-      if (usedAt(nowMs) >= max) {
-        return false;
-      }
-      uncertainSinceMs.addLast(nowMs);
-      return true;
-    }
-
-    private synchronized void onAnswer(long sentMs, boolean turnedAway, long nowMs) {
-      uncertainSinceMs.removeFirstOccurrence(sentMs);
-      if (turnedAway) {
-        rejectedMs.addLast(nowMs);
-      }
-    }
-
-    private synchronized long retryAfterMs(long nowMs) {
-      Long oldest = rejectedMs.peekFirst();
-      return oldest == null ? MIN_RETRY_MS : Math.max(MIN_RETRY_MS, oldest + WINDOW_MS - nowMs);
-    }
+        newest -> {
+          budgets.keySet().removeIf(incarnation -> !newest.containsIncarnation(incarnation));
+          shares.keySet().retainAll(budgets.keySet());
+        });
   }
 
   /**
@@ -128,26 +81,49 @@
    */
   public void onAnswer(
       RegisteredUpstream upstream, long sentMs, OptionalInt maxRejectionsPerS, boolean turnedAway) {
-    Budget known = budgets.get(upstream.incarnation());
-    if (maxRejectionsPerS.isEmpty()) {
-      if (known != null && sentMs > known.announcedMs) {
-        budgets.remove(upstream.incarnation());
-        Logger.info("upstream is no longer brittle upstream={}", upstream.incarnation());
-      }
+    if (maxRejectionsPerS.isEmpty() && announcements.isEmpty() && budgets.isEmpty()) {
       return;
     }
-    Budget budget = budgets.computeIfAbsent(upstream.incarnation(), this::newBudget);
-    budget.maxPerS = maxRejectionsPerS.getAsInt();
-    budget.announcedMs = timers.nowMs();
-    budget.onAnswer(sentMs, turnedAway, timers.nowMs());
-    if (turnedAway) {
+    long nowMs = timers.nowMs();
+    recordAnnouncement(upstream.service(), sentMs, maxRejectionsPerS, nowMs);
+    RejectionBudget budget = budgetOf(upstream);
+    boolean wasBrittle = budget.maxPerS().isPresent();
+    budget.onAnswer(sentMs, maxRejectionsPerS, turnedAway, nowMs);
+    boolean isBrittle = budget.maxPerS().isPresent();
+    if (isBrittle && !wasBrittle) {
+      Logger.info("upstream announces that it is brittle upstream={}", upstream.incarnation());
+    } else if (wasBrittle && !isBrittle) {
+      Logger.info("upstream is no longer brittle upstream={}", upstream.incarnation());
+    }
+    if (isBrittle && turnedAway) {
       rejectionCount.incrementAndGet();
     }
   }
 
-  private Budget newBudget(String incarnation) {
-    Logger.info("upstream announces that it is brittle upstream={}", incarnation);
-    return new Budget();
+  private void recordAnnouncement(
+      String service, long sentMs, OptionalInt maxRejectionsPerS, long nowMs) {
+    if (maxRejectionsPerS.isPresent()) {
+      announcements.put(service, new Announcement(maxRejectionsPerS.getAsInt(), nowMs));
+    } else {
+      announcements.computeIfPresent(
+          service, (name, last) -> sentMs > last.announcedMs() ? null : last);
+    }
+  }
+
+  private RejectionBudget budgetOf(RegisteredUpstream upstream) {
+    return budgets.computeIfAbsent(upstream.incarnation(), incarnation -> new RejectionBudget());
+  }
+
+  /** Returns how many requests per second an upstream can turn away; empty if it is not brittle. */
+  private OptionalInt maxRejectionsPerS(RegisteredUpstream upstream) {
+    RejectionBudget budget = budgets.get(upstream.incarnation());
+    if (budget != null && budget.maxPerS().isPresent()) {
+      return budget.maxPerS();
+    }
+    Announcement ofService = announcements.get(upstream.service());
+    return ofService == null || budget != null && budget.hasAnsweredSince(ofService.announcedMs())
+        ? OptionalInt.empty()
+        : OptionalInt.of(ofService.maxPerS());
   }
 
   /**
@@ -157,8 +133,10 @@
    * @return false if a rejection might exceed the share of this instance
    */
   public boolean hasRoom(RegisteredUpstream upstream) {
-    Budget budget = budgets.get(upstream.incarnation());
-    return budget == null || budget.usedAt(timers.nowMs()) < share(upstream, budget);
+    OptionalInt maxPerS = maxRejectionsPerS(upstream);
+    long nowMs = timers.nowMs();
+    return maxPerS.isEmpty()
+        || budgetOf(upstream).hasRoom(allowance(upstream, maxPerS.getAsInt(), nowMs), nowMs);
   }
 
   /**
@@ -168,40 +146,51 @@
    * @return false if it may not be sent now
    */
   public boolean tryAcquire(RegisteredUpstream upstream) {
-    Budget budget = budgets.get(upstream.incarnation());
-    return budget == null || budget.tryAcquire(share(upstream, budget), timers.nowMs());
+    OptionalInt maxPerS = maxRejectionsPerS(upstream);
+    long nowMs = timers.nowMs();
+    return maxPerS.isEmpty()
+        || budgetOf(upstream).tryAcquire(allowance(upstream, maxPerS.getAsInt(), nowMs), nowMs);
   }
 
-  /** The share of this instance, which changes only with the instances and the upstreams. */
-  private int share(RegisteredUpstream upstream, Budget budget) {
-    long nowMs = timers.nowMs();
-    if (nowMs - budget.shareMs >= SHARE_INTERVAL_MS) {
-      int share = shareOf(upstream, budget.maxPerS);
-      budget.share = share == 0 && hasNoShare(upstream.service()) ? LAST_RESORT : share;
-      budget.shareMs = nowMs;
-    }
-    return budget.share == LAST_RESORT ? (isSparse(upstream, nowMs) ? 1 : 0) : budget.share;
+  private RejectionBudget.Allowance allowance(
+      RegisteredUpstream upstream, int maxPerS, long nowMs) {
+    int rejections = shareAt(upstream, nowMs).of(maxPerS);
+    return new RejectionBudget.Allowance(
+        rejections, sparseAllowance(upstream, rejections == 0, nowMs));
   }
 
-  /** Splits what is announced among all instances; the first ones get what is left over. */
-  private int shareOf(RegisteredUpstream upstream, int maxPerS) {
-    int instances = fleet.others().size() + 1;
-    int rank = RendezvousHash.rankOf(upstream.incarnation(), self, fleet.others());
-    return maxPerS / instances + (rank < maxPerS % instances ? 1 : 0);
+  /** Lets an instance without any share send single requests to a sparsely occupied upstream. */
+  private int sparseAllowance(RegisteredUpstream upstream, boolean withoutShare, long nowMs) {
+    UpstreamLoad load = loads.of(upstream.incarnation());
+    int free = (int) (MAX_SPARSE_OCCUPANCY * upstream.slots() - load.estimatedCount(nowMs));
+    if (free <= 0) {
+      return 0;
+    }
+    return withoutShare && hasNoShare(upstream.service(), nowMs) ? 1 : 0;
   }
 
-  private boolean hasNoShare(String service) {
+  /** With more instances than rejections to share, some have no share at any upstream. */
+  private boolean hasNoShare(String service, long nowMs) {
     return list.read().acceptingFor(service).stream()
         .allMatch(
             upstream -> {
-              Budget budget = budgets.get(upstream.incarnation());
-              return budget != null && shareOf(upstream, budget.maxPerS) == 0;
+              OptionalInt maxPerS = maxRejectionsPerS(upstream);
+              return maxPerS.isPresent() && shareAt(upstream, nowMs).of(maxPerS.getAsInt()) == 0;
             });
   }
 
-  private boolean isSparse(RegisteredUpstream upstream, long nowMs) {
-    return loads.of(upstream.incarnation()).estimatedCount(nowMs)
-        < MAX_SPARSE_OCCUPANCY * upstream.slots();
+  private FleetShare shareAt(RegisteredUpstream upstream, long nowMs) {
+    return shares.compute(
+        upstream.incarnation(),
+        (incarnation, known) ->
+            known == null || nowMs - known.calculatedMs() >= SHARE_INTERVAL_MS
+                ? newShare(incarnation, nowMs)
+                : known);
+  }
+
+  private FleetShare newShare(String incarnation, long nowMs) {
+    return new FleetShare(
+        fleet.others().size() + 1, RendezvousHash.rankOf(incarnation, self, fleet.others()), nowMs);
   }
 
   /**
@@ -211,8 +200,7 @@
    * @return milliseconds from now
    */
   public long retryAfterMs(RegisteredUpstream upstream) {
-    Budget budget = budgets.get(upstream.incarnation());
-    return budget == null ? MIN_RETRY_MS : budget.retryAfterMs(timers.nowMs());
+    return budgetOf(upstream).retryAfterMs(timers.nowMs());
   }
 
   /**
@@ -221,7 +209,7 @@
    * @return a count
    */
   public int brittleCount() {
-    return budgets.size();
+    return (int) budgets.values().stream().filter(budget -> budget.maxPerS().isPresent()).count();
   }
 
   /**
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/limit/RejectionBudgetsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/limit/RejectionBudgetsTest.java
@@ -17,6 +17,8 @@
 import java.util.Random;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 // Guards against brittle upstreams that fall over: they bear a number of rejections per second from
 // all instances together, and each instance sees only its own.
@@ -28,9 +30,12 @@
   private static final long SECOND_MS = 1_000;
   private static final RegisteredUpstream UPSTREAM = TestUpstreams.started("i-1", "konya", 1_000);
 
+  private static final RegisteredUpstream NOT_MET = TestUpstreams.started("i-2", "konya", 1_000);
+
   private final ManualTimers timers = new ManualTimers();
+  private final UpstreamLoads loads = new UpstreamLoads();
   private final PublishedValue<UpstreamList> list =
-      new PublishedValue<>(new UpstreamList(List.of(UPSTREAM)));
+      new PublishedValue<>(new UpstreamList(List.of(UPSTREAM, NOT_MET)));
 
   private List<RejectionBudgets> newFleet(int instances) {
     List<InstanceRecord> records =
@@ -45,7 +50,7 @@
                     self,
                     fleetOf(records.stream().filter(other -> !other.equals(self)).toList()),
                     list,
-                    new UpstreamLoads(),
+                    loads,
                     timers))
         .toList();
   }
@@ -72,8 +77,9 @@
   private record Sent(RejectionBudgets by, long sentMs, long answeredMs, boolean rejected) {}
 
   // Random fleets send as much as they may to an upstream that is full most of the time.
-  @Test
-  void allInstancesTogetherStayWithinTheBound() {
+  @ParameterizedTest
+  @ValueSource(ints = 50)
+  void allInstancesTogetherStayWithinTheBound(int maxDelayMs) {
     for (int seed = 0; seed < HISTORIES; seed++) {
       Random random = new Random(seed);
       int maxPerS = 1 + random.nextInt(30);
@@ -91,7 +97,7 @@
             if (rejected) {
               rejectedMs.add(timers.nowMs());
             }
-            long answeredMs = timers.nowMs() + (rejected ? random.nextInt(50) : 500);
+            long answeredMs = timers.nowMs() + (rejected ? random.nextInt(maxDelayMs) : 500);
             pending.add(new Sent(budgets, timers.nowMs(), answeredMs, rejected));
           }
         }
@@ -134,6 +140,23 @@
     fleet.forEach(budgets -> assertThat(budgets.tryAcquire(UPSTREAM)).isTrue());
   }
 
+  // This instance has met one upstream of the service. The others of it become brittle together.
+  @Test
+  void announcementHoldsForTheOtherUpstreamsOfTheService() {
+    RejectionBudgets budgets = newFleet(1).get(0);
+    announce(budgets, 1);
+
+    assertThat(budgets.tryAcquire(NOT_MET)).isTrue();
+    assertThat(budgets.tryAcquire(NOT_MET)).isFalse();
+
+    timers.advanceMs(1);
+    budgets.onAnswer(NOT_MET, timers.nowMs(), OptionalInt.empty(), false);
+    assertThat(budgets.hasRoom(NOT_MET)).isTrue();
+    assertThat(budgets.hasRoom(UPSTREAM)).isTrue();
+    assertThat(budgets.tryAcquire(UPSTREAM)).isTrue();
+    assertThat(budgets.hasRoom(UPSTREAM)).isFalse();
+  }
+
   @Test
   void upstreamThatNoLongerAnnouncesTheBoundGetsRequestsAgain() {
     RejectionBudgets budgets = newFleet(1).get(0);
