A request counts as possibly turned away until its answer has come

Cause: a request without an answer for 100 ms counted as admitted. A rejection that takes longer, on a busy instance or upstream, was counted after other requests had taken its place. Change: the place is held until the answer, for the length of the window at most. So that a small share does not leave upstreams idle, the free half of an upstream that has reported its load within 500 ms is split among all instances as well, until one of its requests is turned away.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/limit/RejectionBudget.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/limit/RejectionBudget.java
@@ -11,9 +11,6 @@
   /** A second at the upstream, and the variation of the network delay. */
   private static final long WINDOW_MS = 1_150;
 
-  /** A rejection is sent at once, so a request without one for this time was admitted. */
-  private static final long UNCERTAIN_MS = 100;
-
   private static final long MIN_RETRY_MS = 250;
 
   private final Deque<Long> rejectedMs = new ArrayDeque<>();
@@ -81,12 +78,12 @@
   }
 
   private void removeExpired(long nowMs) {
-    removeExpired(rejectedMs, WINDOW_MS, nowMs);
-    removeExpired(unansweredSinceMs, UNCERTAIN_MS, nowMs);
+    removeExpired(rejectedMs, nowMs);
+    removeExpired(unansweredSinceMs, nowMs);
   }
 
-  private static void removeExpired(Deque<Long> timesMs, long maxAgeMs, long nowMs) {
-    while (!timesMs.isEmpty() && nowMs - timesMs.peekFirst() >= maxAgeMs) {
+  private static void removeExpired(Deque<Long> timesMs, long nowMs) {
+    while (!timesMs.isEmpty() && nowMs - timesMs.peekFirst() >= WINDOW_MS) {
       timesMs.pollFirst();
     }
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/limit/RejectionBudgets.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/limit/RejectionBudgets.java
@@ -19,15 +19,19 @@
  * Bounds how many requests brittle upstreams have to turn away.
  *
  * <p>Such an upstream announces how many requests per second it can turn away for want of room; one
- * more and it falls over. Each instance may cause its share of them. A request counts as well while
- * its rejection may be on the way. What one upstream announces holds for the others of its service
- * until they have answered themselves, since they become brittle together and an instance meets
- * each of them only now and then.
+ * more and it falls over. Each instance may cause its share of them. A request counts as well until
+ * it is answered, because its rejection may be on the way. What one upstream announces holds for
+ * the others of its service until they have answered themselves, since they become brittle together
+ * and an instance meets each of them only now and then.
  */
 public final class RejectionBudgets {
 
   private static final long SHARE_INTERVAL_MS = 500;
 
+  /**
+   * Upstreams turn requests away only when they are full, so up to this occupancy an instance may
+   * have more unanswered requests than its share of rejections.
+   */
   private static final double MAX_SPARSE_OCCUPANCY = 0.5;
 
   private final InstanceRecord self;
@@ -159,14 +163,15 @@
         rejections, sparseAllowance(upstream, rejections == 0, nowMs));
   }
 
-  /** Lets an instance without any share send single requests to a sparsely occupied upstream. */
+  /** Splits the free places of a sparsely occupied upstream among all instances. */
   private int sparseAllowance(RegisteredUpstream upstream, boolean withoutShare, long nowMs) {
     UpstreamLoad load = loads.of(upstream.incarnation());
     int free = (int) (MAX_SPARSE_OCCUPANCY * upstream.slots() - load.estimatedCount(nowMs));
     if (free <= 0) {
       return 0;
     }
-    return withoutShare && hasNoShare(upstream.service(), nowMs) ? 1 : 0;
+    int split = load.hasRecentReport(nowMs) ? shareAt(upstream, nowMs).of(free) : 0;
+    return Math.max(split, withoutShare && hasNoShare(upstream.service(), nowMs) ? 1 : 0);
   }
 
   /** With more instances than rejections to share, some have no share at any upstream. */
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamLoad.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamLoad.java
@@ -12,6 +12,9 @@
   /** How long a load report counts; reports are some hundred milliseconds old when they arrive. */
   private static final long REPORT_DECAY_MS = 1_500;
 
+  /** A report of this age still tells how full the upstream is. */
+  private static final long RECENT_REPORT_MS = 500;
+
   /** Time for which an upstream is avoided after a failure; doubles with each further one. */
   private static final long INITIAL_AVOID_MS = 500;
 
@@ -121,6 +124,16 @@
     report = new LoadReport(running, queued, nowMs);
   }
 
+  /**
+   * Checks whether the last load report is recent.
+   *
+   * @param nowMs the current time
+   * @return false if the upstream has not reported its load for a while
+   */
+  public boolean hasRecentReport(long nowMs) {
+    return nowMs - report.atMs() <= RECENT_REPORT_MS;
+  }
+
   /** Called after a complete answer; resets earlier failures. */
   public void onSuccess() {
     failureStreak.set(0);
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/limit/RejectionBudgetsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/limit/RejectionBudgetsTest.java
@@ -28,6 +28,10 @@
   private static final int STEPS = 4_000;
   private static final int STEP_MS = 5;
   private static final long SECOND_MS = 1_000;
+
+  /** Rejections are late when the instance or the upstream is busy. */
+  private static final int MAX_REJECTION_DELAY_MS = 900;
+
   private static final RegisteredUpstream UPSTREAM = TestUpstreams.started("i-1", "konya", 1_000);
 
   private static final RegisteredUpstream NOT_MET = TestUpstreams.started("i-2", "konya", 1_000);
@@ -78,7 +82,7 @@
 
   // Random fleets send as much as they may to an upstream that is full most of the time.
   @ParameterizedTest
-  @ValueSource(ints = 50)
+  @ValueSource(ints = {50, MAX_REJECTION_DELAY_MS})
   void allInstancesTogetherStayWithinTheBound(int maxDelayMs) {
     for (int seed = 0; seed < HISTORIES; seed++) {
       Random random = new Random(seed);
@@ -157,6 +161,30 @@
     assertThat(budgets.hasRoom(UPSTREAM)).isFalse();
   }
 
+  // A place is held until the answer, so a share of one request would leave an upstream idle.
+  @Test
+  void upstreamThatReportsFreePlacesGetsMoreThanTheShare() {
+    RejectionBudgets budgets = newFleet(2).get(0);
+    announce(budgets, 2);
+    assertThat(countAcquired(budgets)).isEqualTo(1);
+
+    timers.advanceMs(SECOND_MS);
+    loads.of(UPSTREAM.incarnation()).onReport(2, 0, timers.nowMs());
+    int free = UPSTREAM.slots() / 2 - 2;
+    assertThat(countAcquired(budgets)).isEqualTo(free / 2 - 1);
+
+    budgets.onAnswer(UPSTREAM, timers.nowMs(), OptionalInt.of(2), true);
+    assertThat(budgets.hasRoom(UPSTREAM)).isFalse();
+  }
+
+  private static int countAcquired(RejectionBudgets budgets) {
+    int acquired = 0;
+    while (budgets.tryAcquire(UPSTREAM)) {
+      acquired++;
+    }
+    return acquired;
+  }
+
   @Test
   void upstreamThatNoLongerAnnouncesTheBoundGetsRequestsAgain() {
     RejectionBudgets budgets = newFleet(1).get(0);
