Instances tell each other what brittle upstreams turn away, and use the places kept for them

Cause: whether an upstream is full was known to each instance alone, and the bound is one of all instances together. Where a share was left, it also held back requests for which there was room. Who hears of a rejection tries seldom for a while. A quarter of the rejections is shared then. At an upstream that reports its load each instance may always use its share of the places, which all together cannot fill it. The senders of reports are one parameter.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/limit/RejectionBudget.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/limit/RejectionBudget.java
@@ -9,7 +9,10 @@
 final class RejectionBudget {
 
   /** A second at the upstream, and the variation of the network delay. */
-  private static final long WINDOW_MS = 1_150;
+  static final long WINDOW_MS = 1_150;
+
+  /** While it stays full, instances with a share of the rejections are turned away more often. */
+  private static final long PRESSED_MS = 5_000;
 
   private static final long MIN_RETRY_MS = 250;
 
@@ -18,14 +21,18 @@
   private OptionalInt maxPerS = OptionalInt.empty();
   private long announcedMs = Long.MIN_VALUE / 2;
   private long answeredMs = Long.MIN_VALUE / 2;
+  private long turnedAwayMs = Long.MIN_VALUE / 2;
+  private long closedUntilMs = Long.MIN_VALUE / 2;
 
   /**
    * What this instance may send.
    *
    * @param rejections requests that are unanswered or were turned away within a second
    * @param unanswered unanswered requests while none was turned away
+   * @param inFlight requests in flight while none was turned away
+   * @param inFlightCount the current number of requests in flight
    */
-  record Allowance(int rejections, int unanswered) {}
+  record Allowance(int rejections, int unanswered, int inFlight, int inFlightCount) {}
 
   synchronized OptionalInt maxPerS() {
     return maxPerS;
@@ -38,8 +45,29 @@
 
   synchronized boolean hasRoom(Allowance allowance, long nowMs) {
     removeExpired(nowMs);
-    return rejectedMs.size() + unansweredSinceMs.size() < allowance.rejections()
-        || (rejectedMs.isEmpty() && unansweredSinceMs.size() < allowance.unanswered());
+    int unanswered = unansweredSinceMs.size();
+    return rejectedMs.size() + unanswered < allowance.rejections()
+        || (rejectedMs.isEmpty()
+            && (unanswered < allowance.unanswered()
+                || Math.max(unanswered, allowance.inFlightCount()) < allowance.inFlight()
+                || (unanswered == 0 && !isClosed(nowMs))));
+  }
+
+  /** Checks whether single requests may not be sent because others were turned away. */
+  private boolean isClosed(long nowMs) {
+    return nowMs < closedUntilMs && nowMs - turnedAwayMs < PRESSED_MS;
+  }
+
+  /**
+   * Called when the upstream has turned a request away, here or at another instance.
+   *
+   * @param durationMs the time in which this instance sends no single requests to find out whether
+   *     the upstream has room, unless none is turned away for a while
+   * @param nowMs the current time
+   */
+  synchronized void close(long durationMs, long nowMs) {
+    turnedAwayMs = nowMs;
+    closedUntilMs = nowMs + durationMs;
   }
 
   synchronized boolean tryAcquire(Allowance allowance, long nowMs) {
@@ -90,6 +118,7 @@
 
   synchronized long retryAfterMs(long nowMs) {
     Long oldest = rejectedMs.peekFirst();
-    return oldest == null ? MIN_RETRY_MS : Math.max(MIN_RETRY_MS, oldest + WINDOW_MS - nowMs);
+    long untilMs = oldest == null ? Math.min(closedUntilMs, nowMs + WINDOW_MS) : oldest + WINDOW_MS;
+    return Math.max(MIN_RETRY_MS, untilMs - nowMs);
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/limit/RejectionBudgets.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/limit/RejectionBudgets.java
@@ -13,6 +13,7 @@
 import java.util.OptionalInt;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.random.RandomGenerator;
 import org.tinylog.Logger;
 
 /**
@@ -23,22 +24,30 @@
  * it is answered, because its rejection may be on the way. What one upstream announces holds for
  * the others of its service until they have answered themselves, since they become brittle together
  * and an instance meets each of them only now and then.
+ *
+ * <p>With more instances than rejections, some instances have no share. They send single requests
+ * until they hear that one was turned away anywhere, and then seldom until the upstream has room.
  */
 public final class RejectionBudgets {
 
   private static final long SHARE_INTERVAL_MS = 500;
 
+  /** Up to this occupancy an upstream has spare places beyond those kept for each instance. */
+  private static final double SPARE_OCCUPANCY = 0.75;
+
   /**
-   * Upstreams turn requests away only when they are full, so up to this occupancy an instance may
-   * have more unanswered requests than its share of rejections.
+   * With more instances than rejections, one in this many is shared and another one is left to
+   * instances without a share; the others are kept for the variation of what happens at once.
    */
-  private static final double MAX_SPARSE_OCCUPANCY = 0.5;
+  private static final int SHARED_PART_IF_SCARCE = 4;
 
   private final InstanceRecord self;
   private final FleetView fleet;
   private final PublishedValue<UpstreamList> list;
   private final UpstreamLoads loads;
+  private final RejectionBroadcast broadcast;
   private final Timers timers;
+  private final RandomGenerator random;
   private final Map<String, RejectionBudget> budgets = new ConcurrentHashMap<>();
   private final Map<String, FleetShare> shares = new ConcurrentHashMap<>();
   private final Map<String, Announcement> announcements = new ConcurrentHashMap<>();
@@ -54,23 +63,30 @@
    * @param fleet the other instances
    * @param list the registered upstreams
    * @param loads their loads
+   * @param sender sends reports to other instances
    * @param timers the clock
+   * @param random spreads the times at which instances try a full upstream again
    */
   public RejectionBudgets(
       InstanceRecord self,
       FleetView fleet,
       PublishedValue<UpstreamList> list,
       UpstreamLoads loads,
-      Timers timers) {
+      RejectionReportSender sender,
+      Timers timers,
+      RandomGenerator random) {
     this.self = self;
     this.fleet = fleet;
     this.list = list;
     this.loads = loads;
+    this.broadcast = new RejectionBroadcast(fleet::others, sender, timers);
     this.timers = timers;
+    this.random = random;
     list.subscribe(
         newest -> {
           budgets.keySet().removeIf(incarnation -> !newest.containsIncarnation(incarnation));
           shares.keySet().retainAll(budgets.keySet());
+          broadcast.retain(newest::containsIncarnation);
         });
   }
 
@@ -99,11 +115,54 @@
     } else if (wasBrittle && !isBrittle) {
       Logger.info("upstream is no longer brittle upstream={}", upstream.incarnation());
     }
-    if (isBrittle && turnedAway) {
+    if (isBrittle) {
+      onBrittleAnswer(upstream, budget, turnedAway, nowMs);
+    }
+  }
+
+  private void onBrittleAnswer(
+      RegisteredUpstream upstream, RejectionBudget budget, boolean turnedAway, long nowMs) {
+    int maxPerS = budget.maxPerS().getAsInt();
+    UpstreamLoad load = loads.of(upstream.incarnation());
+    if (turnedAway) {
       rejectionCount.incrementAndGet();
+      budget.close(closedMs(maxPerS), nowMs);
+      broadcast.onTurnedAway(upstream, maxPerS);
+    } else if (load.hasRecentReport(nowMs) && load.estimatedCount(nowMs) < upstream.slots()) {
+      broadcast.onRoom(upstream, maxPerS, (int) load.estimatedCount(nowMs));
+    }
+  }
+
+  /**
+   * Called when a report of another instance arrives.
+   *
+   * @param report the report
+   */
+  public void onReport(RejectionReport report) {
+    list.read()
+        .findIncarnation(report.incarnation())
+        .ifPresent(upstream -> onReport(upstream, report, timers.nowMs()));
+  }
+
+  private void onReport(RegisteredUpstream upstream, RejectionReport report, long nowMs) {
+    announcements.put(upstream.service(), new Announcement(report.maxPerS(), nowMs));
+    if (report.turnedAway()) {
+      budgetOf(upstream).close(closedMs(report.maxPerS()), nowMs);
+    } else {
+      report
+          .requestCount()
+          .ifPresent(count -> loads.of(upstream.incarnation()).onReport(count, 0, nowMs));
     }
   }
 
+  /** Spreads the instances that try again over a time in which the upstream bears them all. */
+  private long closedMs(int maxPerS) {
+    int instances = fleet.others().size() + 1;
+    double spreadMs =
+        2.0 * SHARED_PART_IF_SCARCE * RejectionBudget.WINDOW_MS * instances / Math.max(1, maxPerS);
+    return RejectionBudget.WINDOW_MS + (long) (random.nextDouble() * spreadMs);
+  }
+
   private void recordAnnouncement(
       String service, long sentMs, OptionalInt maxRejectionsPerS, long nowMs) {
     if (maxRejectionsPerS.isPresent()) {
@@ -158,30 +217,18 @@
 
   private RejectionBudget.Allowance allowance(
       RegisteredUpstream upstream, int maxPerS, long nowMs) {
-    int rejections = shareAt(upstream, nowMs).of(maxPerS);
-    return new RejectionBudget.Allowance(
-        rejections, sparseAllowance(upstream, rejections == 0, nowMs));
-  }
-
-  /** Splits the free places of a sparsely occupied upstream among all instances. */
-  private int sparseAllowance(RegisteredUpstream upstream, boolean withoutShare, long nowMs) {
+    FleetShare share = shareAt(upstream, nowMs);
+    int shared =
+        maxPerS >= share.instances() ? maxPerS : Math.max(1, maxPerS / SHARED_PART_IF_SCARCE);
     UpstreamLoad load = loads.of(upstream.incarnation());
-    int free = (int) (MAX_SPARSE_OCCUPANCY * upstream.slots() - load.estimatedCount(nowMs));
-    if (free <= 0) {
-      return 0;
-    }
-    int split = load.hasRecentReport(nowMs) ? shareAt(upstream, nowMs).of(free) : 0;
-    return Math.max(split, withoutShare && hasNoShare(upstream.service(), nowMs) ? 1 : 0);
-  }
-
-  /** With more instances than rejections to share, some have no share at any upstream. */
-  private boolean hasNoShare(String service, long nowMs) {
-    return list.read().acceptingFor(service).stream()
-        .allMatch(
-            upstream -> {
-              OptionalInt maxPerS = maxRejectionsPerS(upstream);
-              return maxPerS.isPresent() && shareAt(upstream, nowMs).of(maxPerS.getAsInt()) == 0;
-            });
+    boolean isReported = load.hasRecentReport(nowMs);
+    double occupied = load.estimatedCount(nowMs);
+    int sparePlaces = Math.max(0, (int) (SPARE_OCCUPANCY * upstream.slots() - occupied));
+    return new RejectionBudget.Allowance(
+        share.of(shared),
+        isReported ? share.of(sparePlaces) : 0,
+        isReported && occupied <= upstream.slots() ? share.of(upstream.slots()) : 0,
+        load.inFlightCount());
   }
 
   private FleetShare shareAt(RegisteredUpstream upstream, long nowMs) {
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -7,10 +7,8 @@
 import io.mothrill.core.forward.admission.ServiceAdmissions;
 import io.mothrill.core.forward.buffer.BufferBudget;
 import io.mothrill.core.forward.contention.ConnectTimeouts;
-import io.mothrill.core.forward.contention.ContentionReport;
 import io.mothrill.core.forward.crash.CrashGuard;
 import io.mothrill.core.forward.crash.CrashMessage;
-import io.mothrill.core.forward.limit.RateLimitReport;
 import io.mothrill.core.forward.load.LoadFeatures;
 import io.mothrill.core.forward.path.RelayCandidates;
 import io.mothrill.core.forward.path.UpstreamPaths;
@@ -22,7 +20,6 @@
 import io.mothrill.core.forward.upstream.DomainReachability;
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
 import io.mothrill.core.forward.upstream.UpstreamList;
-import io.mothrill.core.forward.upstream.UpstreamStatusReport;
 import io.mothrill.core.forward.view.StatePoller;
 import io.mothrill.core.peer.PeerDispatcher;
 import io.mothrill.core.peer.PeerMessage;
@@ -169,9 +166,7 @@
             new UpstreamSelection.View(plan, evacuatedDomains, upstreams),
             fleetView(),
             pathSetup.broken(),
-            this::sendStatusReport,
-            this::sendRateLimitReport,
-            this::sendContentionReport,
+            reportSenders(),
             reach::isReachable,
             timers,
             random);
@@ -212,6 +207,7 @@
                 crashes::onMessage,
                 choice.statusBroadcast()::onReport,
                 choice.limits()::onReport,
+                choice.rejectionBudgets()::onReport,
                 choice::onContentionReport,
                 reach::onMessageFromHost),
             ports.work());
@@ -307,16 +303,13 @@
     };
   }
 
-  private void sendStatusReport(UpstreamStatusReport report, List<InstanceRecord> to) {
-    notices.send(report, to);
-  }
-
-  private void sendRateLimitReport(RateLimitReport report, List<InstanceRecord> to) {
-    notices.send(report, to);
-  }
-
-  private void sendContentionReport(ContentionReport report, List<InstanceRecord> to) {
-    notices.send(report, to);
+  /** The notices are started later, since they deliver to the components that send. */
+  private ReportSenders reportSenders() {
+    return new ReportSenders(
+        (report, to) -> notices.send(report, to),
+        (report, to) -> notices.send(report, to),
+        (report, to) -> notices.send(report, to),
+        (report, to) -> notices.send(report, to));
   }
 
   private void sendCrashMessage(CrashMessage message, List<InstanceRecord> to) {
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamSelection.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/UpstreamSelection.java
@@ -8,12 +8,10 @@
 import io.mothrill.core.forward.contention.ContentionBroadcast;
 import io.mothrill.core.forward.contention.ContentionMonitor;
 import io.mothrill.core.forward.contention.ContentionReport;
-import io.mothrill.core.forward.contention.ContentionReportSender;
 import io.mothrill.core.forward.contention.PlainLatencyCost;
 import io.mothrill.core.forward.contention.UpstreamContention;
 import io.mothrill.core.forward.contention.WorkTimes;
 import io.mothrill.core.forward.limit.AnnouncedRateLimits;
-import io.mothrill.core.forward.limit.RateLimitReportSender;
 import io.mothrill.core.forward.limit.RejectionBudgets;
 import io.mothrill.core.forward.load.LoadFeatures;
 import io.mothrill.core.forward.load.SwitchedCost;
@@ -34,7 +32,6 @@
 import io.mothrill.core.forward.upstream.UpstreamLoads;
 import io.mothrill.core.forward.upstream.UpstreamPicker;
 import io.mothrill.core.forward.upstream.UpstreamStatusBroadcast;
-import io.mothrill.core.forward.upstream.UpstreamStatusReportSender;
 import io.mothrill.core.forward.warmup.WarmUpRateLimits;
 import io.mothrill.core.forward.warmup.WarmingUpstreams;
 import io.mothrill.core.platform.InstanceRecord;
@@ -89,9 +86,7 @@
       View view,
       FleetView fleet,
       BrokenPaths brokenPaths,
-      UpstreamStatusReportSender reports,
-      RateLimitReportSender limitReports,
-      ContentionReportSender contentionReports,
+      ReportSenders reports,
       Predicate<String> reachedDomains,
       Timers timers,
       RandomGenerator random) {
@@ -107,7 +102,8 @@
         new SendPermits(
             self, fleet, new WarmUpRateLimits(warming, view::warmUpOf, settings.warmUp()), timers);
     view.upstreams().subscribe(warmUps::retain);
-    this.limits = new AnnouncedRateLimits(fleet::others, limitReports, view.upstreams(), timers);
+    this.limits =
+        new AnnouncedRateLimits(fleet::others, reports.limits(), view.upstreams(), timers);
     SendPermits limitPermits = new SendPermits(self, fleet, limits, timers);
     view.upstreams().subscribe(limitPermits::retain);
     this.leaving = new LeavingUpstreams(timers);
@@ -116,8 +112,17 @@
     view.upstreams().subscribe(resting::retain);
     this.statusBroadcast =
         new UpstreamStatusBroadcast(
-            self, fleet::others, reports, view.upstreams(), loads, warming, leaving, timers);
-    this.rejectionBudgets = new RejectionBudgets(self, fleet, view.upstreams(), loads, timers);
+            self,
+            fleet::others,
+            reports.status(),
+            view.upstreams(),
+            loads,
+            warming,
+            leaving,
+            timers);
+    this.rejectionBudgets =
+        new RejectionBudgets(
+            self, fleet, view.upstreams(), loads, reports.rejections(), timers, random);
     this.selfReports =
         new SelfReportDispatcher(
             warming, limits, leaving, statusBroadcast, resting, rejectionBudgets);
@@ -144,7 +149,7 @@
             loads,
             features,
             view.upstreams(),
-            new ContentionBroadcast(self, fleet::others, contentionReports, timers),
+            new ContentionBroadcast(self, fleet::others, reports.contention(), timers),
             workTimes,
             prompts.model()::firstEventMs,
             brokenPaths::contains,
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
@@ -7,6 +7,8 @@
 import io.mothrill.core.forward.crash.CrashMessageSender;
 import io.mothrill.core.forward.limit.RateLimitReport;
 import io.mothrill.core.forward.limit.RateLimitReportSender;
+import io.mothrill.core.forward.limit.RejectionReport;
+import io.mothrill.core.forward.limit.RejectionReportSender;
 import io.mothrill.core.forward.upstream.PromptNoticeSender;
 import io.mothrill.core.forward.upstream.UpstreamStatusReport;
 import io.mothrill.core.forward.upstream.UpstreamStatusReportSender;
@@ -41,6 +43,7 @@
         CrashMessageSender,
         UpstreamStatusReportSender,
         RateLimitReportSender,
+        RejectionReportSender,
         ContentionReportSender {
 
   /**
@@ -129,6 +132,11 @@
     send(Notice.newBuilder().setLimit(LimitNoticeCodec.write(report)).build(), to);
   }
 
+  @Override
+  public void send(RejectionReport report, List<InstanceRecord> to) {
+    send(Notice.newBuilder().setRejection(RejectionNoticeCodec.write(report)).build(), to);
+  }
+
   @Override
   public void send(ContentionReport report, List<InstanceRecord> to) {
     send(Notice.newBuilder().setLoad(LoadNoticeCodec.write(report)).build(), to);
@@ -173,6 +181,8 @@
           UpstreamNoticeCodec.read(notice.getUpstream()).ifPresent(listeners.statusReports());
         } else if (notice.hasLimit()) {
           LimitNoticeCodec.read(notice.getLimit()).ifPresent(listeners.limits());
+        } else if (notice.hasRejection()) {
+          RejectionNoticeCodec.read(notice.getRejection()).ifPresent(listeners.rejections());
         } else if (notice.hasLoad()) {
           LoadNoticeCodec.read(notice.getLoad()).ifPresent(listeners.contention());
         }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/LoadNoticeCodec.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/LoadNoticeCodec.java
@@ -61,7 +61,7 @@
         && isCount(notice.getQueued());
   }
 
-  private static boolean isCount(int count) {
+  static boolean isCount(int count) {
     return count >= 0 && count <= MAX_COUNT;
   }
 }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/NoticeListeners.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/NoticeListeners.java
@@ -3,6 +3,7 @@
 import io.mothrill.core.forward.contention.ContentionReport;
 import io.mothrill.core.forward.crash.CrashMessage;
 import io.mothrill.core.forward.limit.RateLimitReport;
+import io.mothrill.core.forward.limit.RejectionReport;
 import io.mothrill.core.forward.upstream.PromptNoticeSender;
 import io.mothrill.core.forward.upstream.UpstreamStatusReport;
 import io.mothrill.core.platform.InstanceRecord;
@@ -16,6 +17,7 @@
  * @param crashes receives notices about requests that crash upstreams, with the sender to reply to
  * @param statusReports receives reports about upstreams that have ended or are unreachable
  * @param limits receives reports about rate limits announced by upstreams
+ * @param rejections receives reports about brittle upstreams
  * @param contention receives reports about slow upstreams
  * @param hosts receives the IP address of the sender of each notice
  */
@@ -24,6 +26,7 @@
     BiConsumer<CrashMessage, InstanceRecord> crashes,
     Consumer<UpstreamStatusReport> statusReports,
     Consumer<RateLimitReport> limits,
+    Consumer<RejectionReport> rejections,
     Consumer<ContentionReport> contention,
     Consumer<String> hosts) {
 
@@ -35,6 +38,12 @@
    */
   public static NoticeListeners ofCrashes(BiConsumer<CrashMessage, InstanceRecord> crashes) {
     return new NoticeListeners(
-        (incarnation, tokens) -> {}, crashes, report -> {}, limit -> {}, report -> {}, host -> {});
+        (incarnation, tokens) -> {},
+        crashes,
+        report -> {},
+        limit -> {},
+        report -> {},
+        report -> {},
+        host -> {});
   }
 }
--- a/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
@@ -4,6 +4,7 @@
 
 import io.mothrill.core.forward.contention.ContentionReport;
 import io.mothrill.core.forward.limit.RateLimitReport;
+import io.mothrill.core.forward.limit.RejectionReport;
 import io.mothrill.core.forward.upstream.UpstreamStatus;
 import io.mothrill.core.forward.upstream.UpstreamStatusReport;
 import io.mothrill.core.platform.InstanceRecord;
@@ -37,6 +38,7 @@
   private final BlockingQueue<UpstreamStatusReport> receivedStatusReports =
       new LinkedBlockingQueue<>();
   private final BlockingQueue<RateLimitReport> receivedLimits = new LinkedBlockingQueue<>();
+  private final BlockingQueue<RejectionReport> receivedRejections = new LinkedBlockingQueue<>();
   private final BlockingQueue<ContentionReport> receivedContention = new LinkedBlockingQueue<>();
 
   @AfterEach
@@ -55,6 +57,7 @@
             (message, sender) -> {},
             receivedStatusReports::add,
             receivedLimits::add,
+            receivedRejections::add,
             receivedContention::add,
             host -> {}),
         new WorkStats());
@@ -161,6 +164,26 @@
     assertThat(second).isEqualTo(removed);
   }
 
+  @Test
+  void transfersRejectionsAndRoom() throws Exception {
+    int port = freePort();
+    RejectionReport turnedAway = new RejectionReport("i-1@0", 4, true, OptionalInt.empty());
+    RejectionReport room = new RejectionReport("i-1@0", 4, false, OptionalInt.of(0));
+    InstanceRecord peer = new InstanceRecord("konya-1", "konya-1", "konya", HOST, port, false);
+    DatagramNotices listener = listener(port);
+    DatagramNotices sender = sender(port, 1);
+
+    sender.send(turnedAway, List.of(peer));
+    final RejectionReport first = receivedRejections.poll(WAIT_S, TimeUnit.SECONDS);
+    sender.send(room, List.of(peer));
+    final RejectionReport second = receivedRejections.poll(WAIT_S, TimeUnit.SECONDS);
+    listener.close();
+    sender.close();
+
+    assertThat(first).isEqualTo(turnedAway);
+    assertThat(second).isEqualTo(room);
+  }
+
   // An upstream that announces no numbers of requests must not appear idle to the others.
   @Test
   void transfersContentionWithAndWithoutAnnouncedValues() throws Exception {
--- a/mothrill-wire/src/test/java/io/mothrill/wire/peer/MalformedNoticesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/peer/MalformedNoticesTest.java
@@ -5,6 +5,7 @@
 import io.mothrill.core.forward.contention.ContentionReport;
 import io.mothrill.core.forward.crash.CrashMessage;
 import io.mothrill.core.forward.limit.RateLimitReport;
+import io.mothrill.core.forward.limit.RejectionReport;
 import io.mothrill.core.forward.upstream.UpstreamStatus;
 import io.mothrill.core.forward.upstream.UpstreamStatusReport;
 import io.mothrill.wire.peer.generated.CrashNotice;
@@ -14,6 +15,7 @@
 import io.mothrill.wire.peer.generated.LoadNotice;
 import io.mothrill.wire.peer.generated.Notice;
 import io.mothrill.wire.peer.generated.PromptNotice;
+import io.mothrill.wire.peer.generated.RejectionNotice;
 import io.mothrill.wire.peer.generated.UpstreamNotice;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -36,6 +38,7 @@
   private final List<CrashMessage> receivedCrashes = new ArrayList<>();
   private final List<UpstreamStatusReport> receivedStatusReports = new ArrayList<>();
   private final List<RateLimitReport> receivedLimits = new ArrayList<>();
+  private final List<RejectionReport> receivedRejections = new ArrayList<>();
   private final List<ContentionReport> receivedContention = new ArrayList<>();
   private final EmbeddedChannel channel =
       new EmbeddedChannel(
@@ -45,6 +48,7 @@
                   (message, sender) -> receivedCrashes.add(message),
                   receivedStatusReports::add,
                   receivedLimits::add,
+                  receivedRejections::add,
                   receivedContention::add,
                   host -> {})));
 
@@ -57,6 +61,10 @@
     receive(Notice.newBuilder().setUpstream(report).build().toByteArray());
   }
 
+  private void receive(RejectionNotice.Builder rejection) {
+    receive(Notice.newBuilder().setRejection(rejection).build().toByteArray());
+  }
+
   private void receive(LoadNotice.Builder load) {
     receive(Notice.newBuilder().setLoad(load).build().toByteArray());
   }
@@ -153,6 +161,21 @@
     assertThat(receivedLimits).isEmpty();
   }
 
+  // A negative bound or count would block or admit all requests to a brittle upstream.
+  @Test
+  void ignoresInvalidRejections() {
+    RejectionNotice valid =
+        RejectionNotice.newBuilder().setIncarnation("i-1@0").setMaxPerS(4).build();
+    receive(valid.toBuilder().setMaxPerS(-1));
+    receive(valid.toBuilder().setRequestCount(-1));
+    receive(valid.toBuilder().setIncarnation("i".repeat(500)));
+    assertThat(receivedRejections).isEmpty();
+
+    receive(valid.toBuilder());
+
+    assertThat(receivedRejections).hasSize(1);
+  }
+
   // An impossible wait or slowdown would keep all requests away from an upstream.
   @Test
   void ignoresInvalidContention() {
