mothrill's own interface asks other instances before it blames a call for a crash

The termination probe of the own interface ran on its own path only, and a refused connection there counted as the end of the upstream. Evidence: CrashingCallTest#callIsServedAfterItsInstanceHasLostItsPaths fails with the probe on its own path: refused as crashes_upstreams for 595 s at an instance that reaches all upstreams. Change: WitnessedPathProbe asks other instances about upstreams that this one does not reach; nodes answer CheckPath for upstreams of their configuration. UpstreamProbe decides without a network, so it moves to the core. In-memory fleets can reset the paths of one instance. Why it works: a crash is seen from everywhere, a lost link from one side; isSentToNoUpstreamAfterThreeCrashes holds beside it.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamProbe.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/crash/UpstreamProbe.java
@@ -1,6 +1,5 @@
-package io.mothrill.wire.forward;
+package io.mothrill.core.forward.crash;
 
-import io.mothrill.core.forward.crash.TerminationProbe;
 import io.mothrill.core.forward.path.PathOutcome;
 import io.mothrill.core.forward.path.PathProbe;
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
--- a/mothrill-core/src/main/java/io/mothrill/core/node/Node.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/node/Node.java
@@ -12,9 +12,15 @@
 import io.mothrill.core.drain.DrainController;
 import io.mothrill.core.drain.DrainStage;
 import io.mothrill.core.forward.crash.CrashGuard;
+import io.mothrill.core.forward.crash.TerminationProbe;
+import io.mothrill.core.forward.crash.UpstreamProbe;
+import io.mothrill.core.forward.path.PathOutcome;
+import io.mothrill.core.forward.path.PathWitnesses;
+import io.mothrill.core.forward.path.WitnessedPathProbe;
 import io.mothrill.core.peer.FleetPacing;
 import io.mothrill.core.peer.Membership;
 import io.mothrill.core.peer.MembershipController;
+import io.mothrill.core.peer.PeerMessage;
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.platform.WallClockStoreClock;
 import io.mothrill.core.range.RangeCoordinator;
@@ -107,6 +113,7 @@
     this.upstreams = new UpstreamRegistry(config);
     this.router = newRouter(self.domain());
     this.crashes = newCrashGuard(self);
+    ports.dispatcher().on(PeerMessage.CheckPath.class, this::checkPath);
     this.requests = newRequests(self.incarnation());
     this.drain =
         new DrainController(
@@ -205,12 +212,28 @@
         ports.crashReports(),
         ports.table(),
         new WallClockStoreClock(ports.timers()),
-        ports.upstreamEnds(),
+        newTerminationProbe(self),
         upstreams::isServing,
         ports.timers(),
         ports.random());
   }
 
+  /** An upstream counts as terminated only if other instances do not reach it either. */
+  private TerminationProbe newTerminationProbe(InstanceRecord self) {
+    PathWitnesses witnesses =
+        new PathWitnesses(self, () -> members.read().others(), ports.links(), ports.timers());
+    return new UpstreamProbe(
+        new WitnessedPathProbe(ports.upstreamPaths(), witnesses), ports.timers());
+  }
+
+  private CompletableFuture<PeerMessage> checkPath(PeerMessage.CheckPath check) {
+    return upstreams
+        .findIncarnation(check.incarnation())
+        .map(ports.upstreamPaths()::probe)
+        .orElse(CompletableFuture.completedFuture(PathOutcome.UNKNOWN))
+        .thenApply(PeerMessage.PathReply::new);
+  }
+
   private RequestService newRequests(String incarnation) {
     ExchangeContext context =
         new ExchangeContext(
--- a/mothrill-core/src/main/java/io/mothrill/core/node/NodePorts.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/node/NodePorts.java
@@ -1,7 +1,7 @@
 package io.mothrill.core.node;
 
 import io.mothrill.core.forward.crash.CrashMessageSender;
-import io.mothrill.core.forward.crash.TerminationProbe;
+import io.mothrill.core.forward.path.PathProbe;
 import io.mothrill.core.peer.PeerDispatcher;
 import io.mothrill.core.peer.PeerLinks;
 import io.mothrill.core.platform.InstanceList;
@@ -19,7 +19,7 @@
  * @param links sends requests to peers
  * @param dispatcher dispatches requests from peers
  * @param upstreams sends calls to upstreams
- * @param upstreamEnds detects whether an upstream has ended
+ * @param upstreamPaths probes whether this node reaches an upstream
  * @param crashReports reports requests that crashed upstreams to other instances
  * @param codec encodes and decodes resources
  * @param timers the clock and timer service
@@ -31,7 +31,7 @@
     PeerLinks links,
     PeerDispatcher dispatcher,
     UpstreamClient upstreams,
-    TerminationProbe upstreamEnds,
+    PathProbe upstreamPaths,
     CrashMessageSender crashReports,
     ResourceCodec codec,
     Timers timers,
--- a/mothrill-core/src/main/java/io/mothrill/core/routing/UpstreamRegistry.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/routing/UpstreamRegistry.java
@@ -88,6 +88,19 @@
     return Optional.ofNullable(states.get(name));
   }
 
+  /**
+   * Returns an incarnation of an upstream.
+   *
+   * @param incarnation the name of the incarnation
+   * @return the upstream as it is registered, or empty
+   */
+  public Optional<RegisteredUpstream> findIncarnation(String incarnation) {
+    return states.values().stream()
+        .map(UpstreamState::asRegistered)
+        .filter(upstream -> upstream.incarnation().equals(incarnation))
+        .findFirst();
+  }
+
   /**
    * Checks whether an upstream is still registered at its address and accepts requests.
    *
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/EntryInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/EntryInstance.java
@@ -12,7 +12,6 @@
 import io.mothrill.daemon.settings.InstanceSettings;
 import io.mothrill.wire.caller.CallerServer;
 import io.mothrill.wire.forward.TcpPathProbe;
-import io.mothrill.wire.forward.UpstreamProbe;
 import io.mothrill.wire.http.HttpClient;
 import io.mothrill.wire.http.HttpServer;
 import io.mothrill.wire.json.JsonResources;
@@ -81,7 +80,7 @@
             peers,
             dispatcher,
             new HttpUpstreamClient(http, timers),
-            new UpstreamProbe(new TcpPathProbe(group), timers),
+            new TcpPathProbe(group),
             this::sendCrashMessage,
             new JsonResources(),
             timers,
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/PathSetup.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/PathSetup.java
@@ -2,6 +2,7 @@
 
 import io.mothrill.core.board.PublishedValue;
 import io.mothrill.core.forward.crash.TerminationProbe;
+import io.mothrill.core.forward.crash.UpstreamProbe;
 import io.mothrill.core.forward.path.BrokenPaths;
 import io.mothrill.core.forward.path.PathFailure;
 import io.mothrill.core.forward.path.PathListener;
@@ -20,7 +21,6 @@
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.time.Timers;
 import io.mothrill.core.work.WorkStats;
-import io.mothrill.wire.forward.UpstreamProbe;
 import io.mothrill.wire.peer.PeerCodec;
 import io.mothrill.wire.relay.RelayAcceptor;
 import io.mothrill.wire.relay.RelayClient;
--- a/mothrill-lab/src/main/java/io/mothrill/lab/fleet/Fleet.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/fleet/Fleet.java
@@ -11,6 +11,7 @@
 import io.mothrill.core.fake.FaultInjector;
 import io.mothrill.core.fake.ManualTimers;
 import io.mothrill.core.forward.crash.CrashMessage;
+import io.mothrill.core.forward.path.PathOutcome;
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
 import io.mothrill.core.node.Node;
 import io.mothrill.core.node.NodePorts;
@@ -25,11 +26,13 @@
 import io.mothrill.core.resource.Spec;
 import io.mothrill.core.upstream.UpstreamClient;
 import io.mothrill.wire.json.JsonResources;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 
@@ -59,6 +62,7 @@
   private final MemoryLinks links = new MemoryLinks(timers, network);
   private final Map<String, FleetNode> nodes = new TreeMap<>();
   private final Map<String, MemoryUpstream> upstreams = new TreeMap<>();
+  private final Set<String> withoutPaths = new HashSet<>();
 
   /**
    * Creates a fleet without nodes.
@@ -95,8 +99,8 @@
             platform.list(instances),
             links.linksFrom(location, clock),
             dispatcher,
-            upstreamClient(location, clock),
-            upstream -> probeEnd(location, upstream),
+            upstreamClient(id, location, clock),
+            upstream -> CompletableFuture.completedFuture(probe(id, location, upstream)),
             (message, to) -> to.forEach(peer -> deliverCrashMessage(record, message, peer)),
             new JsonResources(),
             clock,
@@ -108,22 +112,45 @@
     return node;
   }
 
-  private UpstreamClient upstreamClient(Network.Location location, NodeClock clock) {
+  private UpstreamClient upstreamClient(String id, Network.Location location, NodeClock clock) {
     return (call, listener) -> {
       MemoryUpstream target = upstream(call.target().host());
       Network.Location upstreamLocation =
           Network.Location.of(call.target().host(), call.target().domain());
-      return network.reaches(location, upstreamLocation)
+      return network.reaches(location, upstreamLocation) && !withoutPaths.contains(id)
           ? target.start(call, listener, clock)
           : MemoryUpstream.unreachable(call, listener, clock);
     };
   }
 
-  /** The end of an upstream beyond a network partition is not detected. */
-  private CompletableFuture<Boolean> probeEnd(Network.Location from, RegisteredUpstream upstream) {
+  private PathOutcome probe(String id, Network.Location from, RegisteredUpstream upstream) {
     Network.Location upstreamLocation = Network.Location.of(upstream.host(), upstream.domain());
-    return CompletableFuture.completedFuture(
-        network.reaches(from, upstreamLocation) && upstream(upstream.host()).isDown());
+    if (!network.reaches(from, upstreamLocation)) {
+      return PathOutcome.UNREACHABLE;
+    }
+    return withoutPaths.contains(id) || upstream(upstream.host()).isDown()
+        ? PathOutcome.REFUSED
+        : PathOutcome.REACHED;
+  }
+
+  /**
+   * Resets all connections to upstreams, and refuses new ones of a node, whose network has lost its
+   * paths to them.
+   *
+   * @param id the id of the instance
+   */
+  public void resetPaths(String id) {
+    withoutPaths.add(id);
+    upstreams.values().forEach(MemoryUpstream::resetConnections);
+  }
+
+  /**
+   * Restores the paths of a node to upstreams.
+   *
+   * @param id the id of the instance
+   */
+  public void restorePaths(String id) {
+    withoutPaths.remove(id);
   }
 
   /** Delivers a crash message, which is neither acknowledged nor retransmitted. */
--- a/mothrill-lab/src/main/java/io/mothrill/lab/fleet/MemoryUpstream.java
+++ b/mothrill-lab/src/main/java/io/mothrill/lab/fleet/MemoryUpstream.java
@@ -41,6 +41,11 @@
   /** Crashes: calls in flight fail and new connections are refused. */
   public void kill() {
     down = true;
+    resetConnections();
+  }
+
+  /** Resets the connections of all calls in flight, and runs on. */
+  void resetConnections() {
     List.copyOf(running).forEach(run -> run.fail(Kind.BROKEN, "connection reset"));
   }
 
--- a/mothrill-lab/src/test/java/io/mothrill/lab/fleet/CrashingCallTest.java
+++ b/mothrill-lab/src/test/java/io/mothrill/lab/fleet/CrashingCallTest.java
@@ -33,6 +33,9 @@
   /** After this time a crashed upstream has restarted and the caller retries. */
   private static final long RETRY_PAUSE_MS = 5_000;
 
+  /** Less than the time that an upstream takes to answer. */
+  private static final long UNTIL_SENT_MS = 100;
+
   private final Fleet fleet = new Fleet(NodeSettings.standard(), 1);
 
   private void startFleet() {
@@ -106,4 +109,26 @@
 
     assertThat(again.refusal()).isEqualTo(Optional.empty());
   }
+
+  // Guards against taking lost paths for crashes: the connections of one instance are reset under
+  // the same call at several upstreams, and new ones are refused there, while all upstreams run on.
+  @Test
+  void callIsServedAfterItsInstanceHasLostItsPaths() {
+    startFleet();
+    CallRequest innocent = PlainCalls.to("asistan", "innocent");
+    for (int call = 0; call < 3 * UPSTREAMS; call++) {
+      fleet.call("konya-1", innocent);
+    }
+    fleet.advanceMs(UNTIL_SENT_MS);
+    assertThat(fleet.upstreams().stream().filter(upstream -> upstream.runningCount() > 0).count())
+        .isAtLeast(CRASHES);
+
+    fleet.resetPaths("konya-1");
+    fleet.advanceMs(RETRY_PAUSE_MS);
+    fleet.restorePaths("konya-1");
+    MemoryCaller again = fleet.call("konya-2", innocent);
+    fleet.advanceMs(RETRY_PAUSE_MS);
+
+    assertThat(again.refusal()).isEqualTo(Optional.empty());
+  }
 }
--- a/mothrill-wire/src/test/java/io/mothrill/wire/caller/CallerServerTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/caller/CallerServerTest.java
@@ -7,6 +7,7 @@
 import io.mothrill.core.fake.FakeInstanceList;
 import io.mothrill.core.fake.FakeTable;
 import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.forward.path.PathOutcome;
 import io.mothrill.core.node.Node;
 import io.mothrill.core.node.NodePorts;
 import io.mothrill.core.node.NodeSettings;
@@ -57,7 +58,7 @@
             (peer, request, timeoutMs) -> new CompletableFuture<>(),
             new PeerDispatcher(),
             (call, listener) -> null,
-            upstream -> CompletableFuture.completedFuture(false),
+            upstream -> CompletableFuture.completedFuture(PathOutcome.REACHED),
             (message, to) -> {},
             new JsonResources(),
             timers,
