Relayed connections are probed by the operating system

What was seen: nothing; listed as open from reading RelayAcceptor. An instance that loses power closes nothing, and the instance that relays for it waits for the upstream; 256 such connections stop its relaying, and they hold up its drain. Cause: nothing is sent to the other instance while a response is awaited, so nothing can fail. Change: both ends of a relayed connection use keep-alive probes, after 5 s of silence, four of them a second apart. Measured: KeepAliveTest holds (9 s at most until the end is noticed); the loss itself has no test, as loopback always answers.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/relay/RelayAcceptor.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/relay/RelayAcceptor.java
@@ -61,6 +61,7 @@
       return;
     }
     openCount.incrementAndGet();
+    KeepAlive.enable(from);
     from.closeFuture().addListener(closed -> openCount.decrementAndGet());
     connect(upstream.get(), from)
         .addListener(
--- a/mothrill-wire/src/main/java/io/mothrill/wire/relay/RelayClient.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/relay/RelayClient.java
@@ -142,6 +142,7 @@
         return;
       }
       done = true;
+      KeepAlive.enable(ctx.channel());
       ChannelPipeline pipeline = ctx.pipeline();
       RelayFrames.addDecoder(pipeline);
       target.install().accept(pipeline);
