Read-through of brittle upstreams: a constant says what it bounds, allowances are explained

Cause: PRESSED_MS and the parameters of an allowance stopped a reader who does not know how they came about. Change: names and comments only. Measured: RejectionBudgetsTest, BrittleOverloadTest, SendChecksTest pass.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/limit/RejectionBudget.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/limit/RejectionBudget.java
@@ -11,8 +11,11 @@
   /** A second at the upstream, and the variation of the network delay. */
   static final long WINDOW_MS = 1_150;
 
-  /** While it stays full, instances with a share of the rejections are turned away more often. */
-  private static final long PRESSED_MS = 5_000;
+  /**
+   * Time without a known rejection after which single requests are sent again. A full upstream
+   * turns requests of instances with a share of the rejections away more often than that.
+   */
+  private static final long MAX_CLOSED_MS = 5_000;
 
   private static final long MIN_RETRY_MS = 250;
 
@@ -55,7 +58,7 @@
 
   /** Checks whether single requests may not be sent because others were turned away. */
   private boolean isClosed(long nowMs) {
-    return nowMs < closedUntilMs && nowMs - turnedAwayMs < PRESSED_MS;
+    return nowMs < closedUntilMs && nowMs - turnedAwayMs < MAX_CLOSED_MS;
   }
 
   /**
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/limit/RejectionBudgets.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/limit/RejectionBudgets.java
@@ -215,6 +215,10 @@
         || budgetOf(upstream).tryAcquire(allowance(upstream, maxPerS.getAsInt(), nowMs), nowMs);
   }
 
+  /**
+   * Calculates what this instance may send: its share of the rejections, and its shares of the
+   * spare places and of all places of an upstream that has reported its load.
+   */
   private RejectionBudget.Allowance allowance(
       RegisteredUpstream upstream, int maxPerS, long nowMs) {
     FleetShare share = shareAt(upstream, nowMs);
