Copies of the store's tables move from the platform's folder into the product

Change of structure only: what an instance keeps of the store's tables, and how reads move it forward, is the product's state. TableCopy replaces TableCache; StoreState reads and decodes rows; StatePoller is divided into TableReader (when to read), OutageDetector (which registrations may only have expired), ViewPublisher (decodes and publishes) and ViewController. Rows hold decoded bytes, and a row is decoded only when the table has changed.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/StateSource.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/StateSource.java
@@ -1,28 +1,32 @@
 package io.mothrill.core.forward.view;
 
-import io.mothrill.core.forward.upstream.UpstreamList;
+import io.mothrill.core.forward.view.table.TableRead;
+import io.mothrill.core.forward.view.table.ViewTable;
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Reads the declared configuration and the registered upstreams from the platform's store.
+ * Reads tables of the platform's store.
  *
  * <p>Every future may fail with {@link io.mothrill.core.platform.error.PlatformException}.
  */
 public interface StateSource {
 
   /**
-   * Reads the declared configuration.
+   * Reads all rows of a table.
    *
-   * @param mode whether to read all rows or only changes
-   * @return a consistent snapshot of the configuration
+   * @param table the table
+   * @param onProgress called whenever a part of the response arrives
+   * @return the rows as of one moment after the call
    */
-  CompletableFuture<DeclaredConfig> readConfig(ReadMode mode);
+  CompletableFuture<TableRead> readWhole(ViewTable table, Runnable onProgress);
 
   /**
-   * Reads the registered upstreams.
+   * Reads the changes of a table. Changes that the store does not show yet are missing.
    *
-   * @param mode whether to read all rows or only changes
-   * @return the upstreams
+   * @param table the table
+   * @param afterVersion the version of the store after which changes are requested
+   * @param onProgress called whenever a part of the response arrives
+   * @return the changes; all rows if the store no longer has these changes
    */
-  CompletableFuture<UpstreamList> readUpstreams(ReadMode mode);
+  CompletableFuture<TableRead> readChanges(ViewTable table, long afterVersion, Runnable onProgress);
 }
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/ViewController.java
@@ -0,0 +1,127 @@
+package io.mothrill.core.forward.view;
+
+import io.mothrill.core.board.PublishedValue;
+import io.mothrill.core.forward.plan.ForwardingPlan;
+import io.mothrill.core.forward.upstream.UpstreamList;
+import io.mothrill.core.forward.view.table.TableCopy;
+import io.mothrill.core.forward.view.table.TableRead;
+import io.mothrill.core.forward.view.table.ViewTable;
+import io.mothrill.core.platform.StoreClock;
+import io.mothrill.core.time.Timers;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Keeps copies of the platform's tables up to date and publishes the plan and the upstreams in
+ * them.
+ *
+ * <pre>{@code
+ * ViewController view = new ViewController(source, decoder, plan, evacuated, upstreams, ...);
+ * view.start();
+ * }</pre>
+ */
+public final class ViewController {
+
+  private static final String FROM_STORE = "store";
+
+  private final Map<ViewTable, TableCopy> copies = new EnumMap<>(ViewTable.class);
+  private final Map<ViewTable, TableReader> readers = new EnumMap<>(ViewTable.class);
+  private final ViewPublisher publisher;
+  private final OutageDetector outages;
+
+  /**
+   * Creates the controller.
+   *
+   * @param source reads from the store
+   * @param decoder decodes rows
+   * @param plan the plan in force; its version only increases
+   * @param evacuatedDomains the failure domains that operators are evacuating
+   * @param upstreams the registered upstreams
+   * @param storeClock the clock of the store
+   * @param timers the clock and timers
+   * @param settings the intervals
+   */
+  public ViewController(
+      StateSource source,
+      StateDecoder decoder,
+      PublishedValue<ForwardingPlan> plan,
+      PublishedValue<Set<String>> evacuatedDomains,
+      PublishedValue<UpstreamList> upstreams,
+      StoreClock storeClock,
+      Timers timers,
+      ViewSettings settings) {
+    this.publisher = new ViewPublisher(decoder, plan, evacuatedDomains, upstreams, timers);
+    this.outages =
+        new OutageDetector(settings.recoveryGraceMs(), timers, this::onRecoveryGraceEnded);
+    Arrays.stream(ViewTable.values())
+        .forEach(
+            table -> {
+              copies.put(table, new TableCopy(table));
+              readers.put(
+                  table,
+                  new TableReader(
+                      table,
+                      source,
+                      copies.get(table),
+                      table == ViewTable.CONFIG ? settings.planPollMs() : settings.upstreamPollMs(),
+                      storeClock,
+                      timers,
+                      new StoreReads(table)));
+            });
+  }
+
+  /** Starts to read. */
+  public void start() {
+    readers.values().forEach(TableReader::start);
+  }
+
+  private final class StoreReads implements TableReader.Listener {
+    private final ViewTable table;
+
+    StoreReads(ViewTable table) {
+      this.table = table;
+    }
+
+    @Override
+    public void onAnswered(TableRead read, long startedMs) {
+      boolean wasKnown = copies.get(table).isKnown();
+      boolean recovering = outages.isRecovering();
+      boolean changed = copies.get(table).apply(read);
+      if (changed || !wasKnown) {
+        publish(table, FROM_STORE, startedMs, recovering);
+      }
+      outages.onAnswered(startedMs);
+    }
+
+    @Override
+    public void onFailed(Throwable error, long startedMs) {
+      outages.onFailed(error, startedMs);
+    }
+  }
+
+  private void publish(ViewTable table, String from, long startedMs, boolean recovering) {
+    TableCopy copy = copies.get(table);
+    switch (table) {
+      case CONFIG -> publisher.publishConfig(copy, from, startedMs);
+      case UPSTREAMS -> publisher.publishUpstreams(copy, recovering);
+      default -> throw new IllegalStateException("no such table: " + table);
+    }
+  }
+
+  private void onRecoveryGraceEnded() {
+    publisher.publishUpstreams(copies.get(ViewTable.UPSTREAMS), outages.isRecovering());
+    readers.get(ViewTable.UPSTREAMS).read();
+  }
+
+  /**
+   * Returns the time since the copy of a table was known to be complete.
+   *
+   * @param table the table
+   * @return milliseconds; very many if it has never been read
+   */
+  public long confirmedAgeMs(ViewTable table) {
+    return readers.get(table).confirmedAgeMs();
+  }
+}
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -17,7 +17,8 @@
 import io.mothrill.core.forward.prompt.PromptTracker;
 import io.mothrill.core.forward.spending.SpendingController;
 import io.mothrill.core.forward.upstream.UpstreamList;
-import io.mothrill.core.forward.view.StatePoller;
+import io.mothrill.core.forward.view.ViewController;
+import io.mothrill.core.forward.view.table.ViewTable;
 import io.mothrill.core.time.Timers;
 import io.mothrill.core.work.WorkKind;
 import io.mothrill.core.work.WorkStats;
@@ -41,11 +42,11 @@
   void registerView(
       PublishedValue<ForwardingPlan> plan,
       PublishedValue<UpstreamList> upstreams,
-      StatePoller follower) {
+      ViewController view) {
     metrics.gauge("view.planVersion", () -> () -> plan.read().version());
-    metrics.gauge("view.planAgeMs", () -> follower::planAgeMs);
+    metrics.gauge("view.planAgeMs", () -> () -> view.confirmedAgeMs(ViewTable.CONFIG));
     metrics.gauge("view.upstreamCount", () -> () -> upstreams.read().all().size());
-    metrics.gauge("view.upstreamsAgeMs", () -> follower::upstreamsAgeMs);
+    metrics.gauge("view.upstreamsAgeMs", () -> () -> view.confirmedAgeMs(ViewTable.UPSTREAMS));
   }
 
   void registerServer(ForwardServer edge) {
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -20,7 +20,7 @@
 import io.mothrill.core.forward.upstream.DomainReachability;
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
 import io.mothrill.core.forward.upstream.UpstreamList;
-import io.mothrill.core.forward.view.StatePoller;
+import io.mothrill.core.forward.view.ViewController;
 import io.mothrill.core.peer.PeerDispatcher;
 import io.mothrill.core.peer.PeerMessage;
 import io.mothrill.core.platform.InstanceRecord;
@@ -192,6 +192,16 @@
             upstream -> upstreams.read().isAccepting(upstream),
             timers,
             random);
+    final ViewController view =
+        new ViewController(
+            ports.state(),
+            ports.decoder(),
+            plan,
+            evacuatedDomains,
+            upstreams,
+            ports.storeClock(),
+            timers,
+            settings.view());
     this.notices =
         new DatagramNotices(
             group,
@@ -278,9 +288,8 @@
     gauges.registerWork(ports.work());
     timers.every(PRUNE_INTERVAL_MS, () -> choice.retain(upstreams.read()));
     timers.every(WORK_LOG_INTERVAL_MS, () -> WorkLog.write(ports.work()));
-    StatePoller follower =
-        new StatePoller(ports.state(), plan, evacuatedDomains, upstreams, timers, settings.view());
-    gauges.registerView(plan, upstreams, follower);
+    gauges.registerView(plan, upstreams, view);
+    view.start();
   }
 
   private static void onContact(
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardPorts.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardPorts.java
@@ -1,5 +1,6 @@
 package io.mothrill.daemon.forward;
 
+import io.mothrill.core.forward.view.StateDecoder;
 import io.mothrill.core.forward.view.StateSource;
 import io.mothrill.core.platform.StoreClock;
 import io.mothrill.core.platform.TableService;
@@ -13,6 +14,7 @@
  * @param table the platform's table
  * @param storeClock the clock of the platform's store
  * @param state the source of declared configuration and registered upstreams
+ * @param decoder decodes what the source returns
  * @param dialect the wire names of headers and paths
  * @param callers the listening socket for callers
  * @param work records the work of the event loops
@@ -22,6 +24,7 @@
     TableService table,
     StoreClock storeClock,
     StateSource state,
+    StateDecoder decoder,
     Dialect dialect,
     CallerListener callers,
     WorkStats work,
--- a/mothrill-wire/src/main/java/io/mothrill/wire/http/ResponseAggregator.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/http/ResponseAggregator.java
@@ -13,6 +13,7 @@
 
   private static final int MAX_BYTES = 64 * 1024 * 1024;
 
+  private final Runnable onProgress;
   private final CompletableFuture<HttpReply> reply = new CompletableFuture<>();
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private int status;
@@ -38,14 +39,41 @@
       HttpHeaders headers,
       byte[] requestBody,
       long timeoutMs) {
-    ResponseAggregator aggregator = new ResponseAggregator();
+    return of(client, to, method, path, headers, requestBody, timeoutMs, () -> {});
+  }
+
+  /**
+   * Sends a call and aggregates its response.
+   *
+   * @param client the client
+   * @param to the server
+   * @param method the method
+   * @param path the path with its query
+   * @param headers the headers
+   * @param requestBody the body; must not be modified
+   * @param timeoutMs how long the server may send nothing before the call fails
+   * @param onProgress called whenever a part of the body arrives
+   * @return the response; fails with {@link HttpException}
+   */
+  public static CompletableFuture<HttpReply> of(
+      HttpClient client,
+      Address to,
+      HttpMethod method,
+      String path,
+      HttpHeaders headers,
+      byte[] requestBody,
+      long timeoutMs,
+      Runnable onProgress) {
+    ResponseAggregator aggregator = new ResponseAggregator(onProgress);
     var unused =
         client.send(
             new HttpCall(to, "", method, path, headers, requestBody, false, timeoutMs), aggregator);
     return aggregator.reply;
   }
 
-  private ResponseAggregator() {}
+  private ResponseAggregator(Runnable onProgress) {
+    this.onProgress = onProgress;
+  }
 
   @Override
   public boolean onHead(HttpResponse head) {
@@ -56,6 +84,7 @@
 
   @Override
   public void onBody(byte[] bytes) {
+    onProgress.run();
     if (body.size() + bytes.length <= MAX_BYTES) {
       body.writeBytes(bytes);
     }
