--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/TableReader.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/TableReader.java
@@ -52,6 +52,7 @@
   private final long intervalMs;
   private final StoreClock storeClock;
   private final Timers timers;
+  private final ReadStats stats;
   private final Listener listener;
   private final AtomicInteger readCount = new AtomicInteger();
 
@@ -62,6 +63,7 @@
       long intervalMs,
       StoreClock storeClock,
       Timers timers,
+      ReadStats stats,
       Listener listener) {
     this.table = table;
     this.source = source;
@@ -69,6 +71,7 @@
     this.intervalMs = intervalMs;
     this.storeClock = storeClock;
     this.timers = timers;
+    this.stats = stats;
     this.listener = listener;
   }
 
@@ -80,6 +83,7 @@
   /** Reads now. */
   void read() {
     long startedMs = timers.nowMs();
+    stats.onStarted();
     boolean isWholeDue = readCount.getAndIncrement() % WHOLE_READ_EVERY == 0;
     CompletableFuture<TableRead> response =
         isWholeDue || !copy.isKnown()
@@ -88,6 +92,11 @@
     var unused =
         response.whenComplete(
             (result, error) -> {
+              stats.onEnded(
+                  startedMs,
+                  timers.nowMs(),
+                  error == null ? "answered" : String.valueOf(error.getMessage()),
+                  error == null);
               if (error == null) {
                 listener.onAnswered(result, startedMs);
               } else {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/ViewController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/ViewController.java
@@ -27,6 +27,7 @@
   private static final String FROM_STORE = "store";
 
   private final Map<ViewTable, TableCopy> copies = new EnumMap<>(ViewTable.class);
+  private final Map<ViewTable, ReadStats> stats = new EnumMap<>(ViewTable.class);
   private final Map<ViewTable, TableReader> readers = new EnumMap<>(ViewTable.class);
   private final ViewPublisher publisher;
   private final OutageDetector outages;
@@ -58,16 +59,20 @@
     Arrays.stream(ViewTable.values())
         .forEach(
             table -> {
+              long intervalMs =
+                  table == ViewTable.CONFIG ? settings.planPollMs() : settings.upstreamPollMs();
               copies.put(table, new TableCopy(table));
+              stats.put(table, new ReadStats(table, intervalMs));
               readers.put(
                   table,
                   new TableReader(
                       table,
                       source,
                       copies.get(table),
-                      table == ViewTable.CONFIG ? settings.planPollMs() : settings.upstreamPollMs(),
+                      intervalMs,
                       storeClock,
                       timers,
+                      stats.get(table),
                       new StoreReads(table)));
             });
   }
@@ -124,4 +129,14 @@
   public long confirmedAgeMs(ViewTable table) {
     return readers.get(table).confirmedAgeMs();
   }
+
+  /**
+   * Returns the counts of reads from the store.
+   *
+   * @param table the table
+   * @return the counts
+   */
+  public ReadStats readStats(ViewTable table) {
+    return stats.get(table);
+  }
 }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -17,6 +17,7 @@
 import io.mothrill.core.forward.prompt.PromptTracker;
 import io.mothrill.core.forward.spending.SpendingController;
 import io.mothrill.core.forward.upstream.UpstreamList;
+import io.mothrill.core.forward.view.ReadStats;
 import io.mothrill.core.forward.view.ViewController;
 import io.mothrill.core.forward.view.table.ViewTable;
 import io.mothrill.core.time.Timers;
@@ -47,6 +48,15 @@
     metrics.gauge("view.planAgeMs", () -> () -> view.confirmedAgeMs(ViewTable.CONFIG));
     metrics.gauge("view.upstreamCount", () -> () -> upstreams.read().all().size());
     metrics.gauge("view.upstreamsAgeMs", () -> () -> view.confirmedAgeMs(ViewTable.UPSTREAMS));
+    Arrays.stream(ViewTable.values())
+        .forEach(table -> registerReads("view.reads." + table, view.readStats(table)));
+  }
+
+  private void registerReads(String name, ReadStats stats) {
+    metrics.gauge(name + ".answeredCount", () -> stats::answeredCount);
+    metrics.gauge(name + ".failedCount", () -> stats::failedCount);
+    metrics.gauge(name + ".pendingCount", () -> stats::pendingCount);
+    metrics.gauge(name + ".longestMs", () -> stats::longestMs);
   }
 
   void registerServer(ForwardServer edge) {
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -26,6 +26,7 @@
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.time.Subscription;
 import io.mothrill.core.time.Timers;
+import io.mothrill.core.work.TimerLateness;
 import io.mothrill.wire.forward.DirectMemory;
 import io.mothrill.wire.forward.ForwardDependencies;
 import io.mothrill.wire.forward.ForwardServer;
@@ -287,7 +288,8 @@
     gauges.registerLog();
     gauges.registerWork(ports.work());
     timers.every(PRUNE_INTERVAL_MS, () -> choice.retain(upstreams.read()));
-    timers.every(WORK_LOG_INTERVAL_MS, () -> WorkLog.write(ports.work()));
+    TimerLateness lateness = new TimerLateness(timers);
+    timers.every(WORK_LOG_INTERVAL_MS, () -> WorkLog.write(ports.work(), lateness));
     gauges.registerView(plan, upstreams, view);
     view.start();
   }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/WorkLog.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/WorkLog.java
@@ -1,5 +1,6 @@
 package io.mothrill.daemon.forward;
 
+import io.mothrill.core.work.TimerLateness;
 import io.mothrill.core.work.WorkKind;
 import io.mothrill.core.work.WorkStats;
 import io.mothrill.daemon.log.LogFields;
@@ -13,9 +14,10 @@
 
   private WorkLog() {}
 
-  static void write(WorkStats work) {
+  static void write(WorkStats work, TimerLateness lateness) {
     LogFields line = LogFields.event("work");
     work.all().forEach((kind, entry) -> add(line, kind, entry));
+    line.with("timersLateMaxMs", lateness.takeMaxMs());
     Logger.info(line.toString());
   }
 
--- a/mothrill-wire/src/main/java/io/mothrill/wire/http/ClientHandler.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/http/ClientHandler.java
@@ -63,6 +63,7 @@
    * reading is paused for a slow caller.
    */
   private void scheduleWatchdog(long delayMs) {
+    long dueNanos = System.nanoTime() + delayMs * NANOS_PER_MS;
     watchdog =
         context
             .executor()
@@ -73,7 +74,8 @@
                     lastReadNanos = System.nanoTime();
                     scheduleWatchdog(stallMs);
                   } else if (silentMs >= stallMs) {
-                    fail("silent for " + silentMs + " ms");
+                    long lateMs = (System.nanoTime() - dueNanos) / NANOS_PER_MS;
+                    fail("silent for " + silentMs + " ms, checked " + lateMs + " ms late");
                   } else {
                     scheduleWatchdog(stallMs - silentMs);
                   }
