--- a/mothrill-core/src/test/java/io/mothrill/core/forward/view/ViewControllerTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/view/ViewControllerTest.java
@@ -18,6 +18,9 @@
 
   private static final ViewSettings SETTINGS = new ViewSettings(500, 500, 2_500);
 
+  /** The time in which a change must be in force. */
+  private static final long BOUND_MS = 2_000;
+
   private final ManualTimers timers = new ManualTimers();
   private final PublishedValue<ForwardingPlan> plan =
       new PublishedValue<>(ForwardingPlan.unknown());
@@ -231,4 +234,52 @@
             ReadKind.WHOLE, ReadKind.CHANGES, ReadKind.CHANGES, ReadKind.CHANGES, ReadKind.WHOLE)
         .inOrder();
   }
+
+  // The feed is silent while the plan changes, and the next read of the whole table fails. Callers
+  // would be handled by the old plan for longer than the store's operators are promised.
+  @Test
+  void planIsInForceInTimeAlthoughAWholeReadFails() {
+    startPolling();
+    timers.advanceMs(SETTINGS.planPollMs() / 2);
+    store.setFault(ViewTable.CONFIG, MemoryStore.Fault.SILENT_FEED);
+    store.declarePlan(2);
+    store.failWholeReads(1);
+
+    timers.advanceMs(BOUND_MS);
+
+    assertThat(plan.read().version()).isEqualTo(2);
+  }
+
+  // The feed answers without a change that has been made. Later answers of the feed show it, so it
+  // must not count as known.
+  @Test
+  void answerWithoutAChangeDoesNotHideTheChangeFromLaterReads() {
+    startPolling();
+    store.setFault(ViewTable.CONFIG, MemoryStore.Fault.SILENT_FEED);
+    store.declarePlan(2);
+    timers.advanceMs(SETTINGS.planPollMs());
+    store.setFault(ViewTable.CONFIG, MemoryStore.Fault.NONE);
+    store.failWholeReads(100);
+
+    timers.advanceMs(2 * SETTINGS.planPollMs());
+
+    assertThat(plan.read().version()).isEqualTo(2);
+  }
+
+  // A plan takes two intervals on the link of an instance, and the next one follows meanwhile.
+  // Reads
+  // that are started although an earlier one is receiving delay each other for many intervals.
+  @Test
+  void readsThatOutlastTheIntervalDoNotDelayEachOther() {
+    SharedLink link = new SharedLink(store, timers, 2 * SETTINGS.planPollMs());
+    startPolling(link, SETTINGS);
+    timers.advanceMs(BOUND_MS);
+    store.declarePlan(2);
+    timers.advanceMs(SETTINGS.planPollMs());
+    store.declarePlan(3);
+
+    timers.advanceMs(BOUND_MS);
+
+    assertThat(plan.read().version()).isEqualTo(3);
+  }
 }
--- /dev/null
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/http/HttpClientTest.java
@@ -0,0 +1,101 @@
+package io.mothrill.wire.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class HttpClientTest {
+
+  private static final long TIMEOUT_MS = 200;
+
+  private final EventLoopGroup serverGroup =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoopGroup clientGroup =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final CompletableFuture<HttpReply> awaitedReply = new CompletableFuture<>();
+  private final CountDownLatch awaitedRequest = new CountDownLatch(1);
+  private final HttpServer server = HttpServer.ofService(serverGroup, "127.0.0.1", 0, this::serve);
+  private final HttpClient client = new HttpClient(clientGroup);
+
+  private CompletableFuture<HttpReply> serve(HttpServerRequest request) {
+    if (request.path().equals("/awaited")) {
+      awaitedRequest.countDown();
+      return awaitedReply;
+    }
+    return CompletableFuture.completedFuture(HttpReply.text(200, "other"));
+  }
+
+  @AfterEach
+  void stop() {
+    server.close();
+    serverGroup.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    clientGroup.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+  }
+
+  private Address address() {
+    return new Address("127.0.0.1", server.port());
+  }
+
+  // An event loop is busy with another connection for longer than the timeout of a call, whose
+  // response arrives meanwhile. The response lies in the socket, so the call must not fail.
+  @Test
+  void callSucceedsIfItsResponseArrivedWhileTheEventLoopWasBusy() throws Exception {
+    CompletableFuture<HttpReply> awaited =
+        ResponseAggregator.of(
+            client,
+            address(),
+            HttpMethod.GET,
+            "/awaited",
+            new DefaultHttpHeaders(),
+            new byte[0],
+            TIMEOUT_MS);
+    assertThat(awaitedRequest.await(5, TimeUnit.SECONDS)).isTrue();
+
+    client.send(
+        new HttpCall(
+            address(),
+            "other",
+            HttpMethod.GET,
+            "/other",
+            new DefaultHttpHeaders(),
+            new byte[0],
+            true,
+            TIMEOUT_MS),
+        new BlockingSink());
+
+    assertThat(awaited.get(5, TimeUnit.SECONDS).status()).isEqualTo(200);
+  }
+
+  /** Blocks the event loop until the awaited response was sent and its timeout has passed. */
+  private final class BlockingSink implements HttpSink {
+
+    @Override
+    public boolean onHead(HttpResponse head) {
+      long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(2 * TIMEOUT_MS);
+      awaitedReply.complete(HttpReply.text(200, "awaited"));
+      while (System.nanoTime() < endNanos) {
+        Thread.onSpinWait();
+      }
+      return true;
+    }
+
+    @Override
+    public void onBody(byte[] bytes) {}
+
+    @Override
+    public void onEnd() {}
+
+    @Override
+    public void onFailure(boolean sent, String detail) {}
+  }
+}
