An answer of the feed counts only for the changes that it contains

Callers were handled by an old plan until the next whole read, up to the whole bound later. The copy moved to the version that an answer of the feed stated, also when the answer had no rows. A feed that is silent for a second, or states a version before it shows its rows, thus hid a change from all later reads of changes. Now the version of such a read is that of the newest change in it; whole reads, which show one moment, move the copy on.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/table/TableRead.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/table/TableRead.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.stream.LongStream;
 import java.util.stream.Stream;
 
 /**
@@ -45,13 +46,22 @@
   /**
    * Returns the result of a read of the change feed.
    *
-   * @param version the version of the store that the answer gives
+   * <p>It reflects the newest change that it contains, not the version that the store gives for the
+   * answer: a feed can be silent while changes are made, or show a version before its rows. What an
+   * answer does not contain would then be missed by all later reads as well.
+   *
    * @param rows the changed rows
    * @param removals the keys of removed rows, with the version of their removal
    * @return the result
    */
-  public static TableRead changes(long version, List<StoredRow> rows, Map<String, Long> removals) {
-    return new TableRead(false, version, UNCONFIRMED, rows, removals);
+  public static TableRead changes(List<StoredRow> rows, Map<String, Long> removals) {
+    long newestVersion =
+        LongStream.concat(
+                rows.stream().mapToLong(StoredRow::version),
+                removals.values().stream().mapToLong(Long::longValue))
+            .max()
+            .orElse(0);
+    return new TableRead(false, newestVersion, UNCONFIRMED, rows, removals);
   }
 
   /**
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/view/MemoryStore.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/view/MemoryStore.java
@@ -139,10 +139,9 @@
   /** Returns what a read of the changes shows now. */
   TableRead changes(ViewTable table, long afterVersion) {
     if (faults.get(table) == Fault.SILENT_FEED) {
-      return TableRead.changes(version, List.of(), Map.of());
+      return TableRead.changes(List.of(), Map.of());
     }
     return TableRead.changes(
-        version,
         rows.get(table).values().stream().filter(row -> row.version() > afterVersion).toList(),
         removals.get(table).entrySet().stream()
             .filter(removal -> removal.getValue() > afterVersion)
