A whole read that fails is made up for within the bound

Callers were handled by an old plan for up to twice the bound: one read in four was whole, counted by reads that were started, so the bound passed until the next one, and with one lost whole read it passed twice. Now the whole table is read as soon as the copy was not confirmed for two of the four intervals of the bound, and again at each interval until one is answered; the changes are read beside it once a whole read has failed, as they are smaller.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/TableReader.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/TableReader.java
@@ -6,16 +6,15 @@
 import io.mothrill.core.forward.view.table.ViewTable;
 import io.mothrill.core.platform.StoreClock;
 import io.mothrill.core.time.Timers;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Reads one table from the platform's store periodically.
  *
  * <p>Reads do not wait for change notifications: a subscription can stall unnoticed while changes
  * are made. Most reads request changes only. If all were whole, a list of a hundred upstreams would
- * take a tenth of a small instance's link, which its callers need. One in four reads is whole, in
- * case a change was missed.
+ * take a tenth of a small instance's link, which its callers need. The whole table is read once the
+ * copy was not confirmed for two intervals, in case a change was missed: if that read fails, there
+ * is time for another one.
  *
  * <p>Reads start on schedule even if earlier ones are still pending. If a read that hangs on a
  * stalled connection delayed the next one, the copy would be older by the timeout of the read, and
@@ -23,8 +22,7 @@
  */
 final class TableReader {
 
-  /** Four reads fit into the time in which a change must be known, so one of them is whole. */
-  private static final int WHOLE_READ_EVERY = 4;
+  private static final int WHOLE_AFTER_INTERVALS = 2;
 
   /** Receives the outcomes of reads. */
   interface Listener {
@@ -54,7 +52,7 @@
   private final Timers timers;
   private final ReadStats stats;
   private final Listener listener;
-  private final AtomicInteger readCount = new AtomicInteger();
+  private volatile boolean wholeFailed;
 
   TableReader(
       ViewTable table,
@@ -80,29 +78,54 @@
     timers.every(intervalMs, this::read);
   }
 
-  /** Reads now. */
+  /** Reads now; also the changes if the whole table is due but was not received last time. */
   void read() {
-    long startedMs = timers.nowMs();
-    stats.onStarted();
-    boolean isWholeDue = readCount.getAndIncrement() % WHOLE_READ_EVERY == 0;
-    CompletableFuture<TableRead> response =
-        isWholeDue || !copy.isKnown()
-            ? source.readWhole(table, () -> {})
-            : source.readChanges(table, copy.state().version(), () -> {});
+    boolean isWholeDue = !copy.isKnown() || confirmedAgeMs() >= WHOLE_AFTER_INTERVALS * intervalMs;
+    boolean hasWholeFailed = wholeFailed;
+    if (isWholeDue) {
+      readWhole();
+    }
+    if (copy.isKnown() && (!isWholeDue || hasWholeFailed)) {
+      readChanges();
+    }
+  }
+
+  private void readWhole() {
+    long startedMs = start(stats);
+    var unused =
+        source
+            .readWhole(table, () -> {})
+            .whenComplete(
+                (result, error) -> {
+                  wholeFailed = error != null;
+                  onEnded(startedMs, result, error);
+                });
+  }
+
+  private void readChanges() {
+    long startedMs = start(stats);
     var unused =
-        response.whenComplete(
-            (result, error) -> {
-              stats.onEnded(
-                  startedMs,
-                  timers.nowMs(),
-                  error == null ? "answered" : String.valueOf(error.getMessage()),
-                  error == null);
-              if (error == null) {
-                listener.onAnswered(result, startedMs);
-              } else {
-                listener.onFailed(Failures.unwrap(error), startedMs);
-              }
-            });
+        source
+            .readChanges(table, copy.state().version(), () -> {})
+            .whenComplete((result, error) -> onEnded(startedMs, result, error));
+  }
+
+  private long start(ReadStats counted) {
+    counted.onStarted();
+    return timers.nowMs();
+  }
+
+  private void onEnded(long startedMs, TableRead result, Throwable error) {
+    stats.onEnded(
+        startedMs,
+        timers.nowMs(),
+        error == null ? "answered" : String.valueOf(error.getMessage()),
+        error == null);
+    if (error == null) {
+      listener.onAnswered(result, startedMs);
+    } else {
+      listener.onFailed(Failures.unwrap(error), startedMs);
+    }
   }
 
   /** Returns the time since the copy was known to be complete, at most. */
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/view/ViewControllerTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/view/ViewControllerTest.java
@@ -224,14 +224,14 @@
 
   // The store may not report a change; a missed change becomes visible with the next whole read.
   @Test
-  void oneReadInFourIsWhole() {
+  void tableIsReadWholeWhenItWasNotConfirmedForTwoIntervals() {
     startPolling();
 
     timers.advanceMs(4 * 500);
 
     assertThat(store.kindsOf(ViewTable.CONFIG))
         .containsExactly(
-            ReadKind.WHOLE, ReadKind.CHANGES, ReadKind.CHANGES, ReadKind.CHANGES, ReadKind.WHOLE)
+            ReadKind.WHOLE, ReadKind.CHANGES, ReadKind.WHOLE, ReadKind.CHANGES, ReadKind.WHOLE)
         .inOrder();
   }
 
