A read of the store that is still receiving is not repeated

Callers of single instances were handled by an old plan for up to eight seconds, and hardly got answers meanwhile. Reads started each 750 ms whether or not earlier ones had ended, and each carried the whole plan until one had. Now a read waits for one that has received something within the interval, and starts as soon as that has ended. A silent one is repeated as before: its connection may have stalled.

Cause and class: retries onto a path that is slow, not lost.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/ReadStats.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/ReadStats.java
@@ -17,6 +17,7 @@
   private final AtomicInteger pending = new AtomicInteger();
   private final LongAdder answered = new LongAdder();
   private final LongAdder failed = new LongAdder();
+  private final LongAdder postponed = new LongAdder();
   private final LongAccumulator longestMs = new LongAccumulator(Math::max, 0);
   private final ReportRateLimiter lines = new ReportRateLimiter(MAX_LINES_PER_S);
 
@@ -49,6 +50,10 @@
     }
   }
 
+  void onPostponed() {
+    postponed.increment();
+  }
+
   /**
    * Returns the number of reads that were answered.
    *
@@ -67,6 +72,15 @@
     return failed.sum();
   }
 
+  /**
+   * Returns the number of reads that were postponed because an earlier one had not ended.
+   *
+   * @return reads since the start
+   */
+  public long postponedCount() {
+    return postponed.sum();
+  }
+
   /**
    * Returns the number of reads in flight.
    *
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/TableReader.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/TableReader.java
@@ -6,6 +6,8 @@
 import io.mothrill.core.forward.view.table.ViewTable;
 import io.mothrill.core.platform.StoreClock;
 import io.mothrill.core.time.Timers;
+import java.util.ArrayList;
+import java.util.List;
 
 /**
  * Reads one table from the platform's store periodically.
@@ -16,14 +18,19 @@
  * copy was not confirmed for two intervals, in case a change was missed: if that read fails, there
  * is time for another one.
  *
- * <p>Reads start on schedule even if earlier ones are still pending. If a read that hangs on a
- * stalled connection delayed the next one, the copy would be older by the timeout of the read, and
- * an upstream that is leaving would get requests for too long.
+ * <p>A read that is still receiving is not repeated: on a link that a response occupies for longer
+ * than an interval, each repetition would delay all of them. A silent one is, since its connection
+ * may have stalled while new connections work.
  */
 final class TableReader {
 
   private static final int WHOLE_AFTER_INTERVALS = 2;
 
+  /** Intervals in which a change must be known. */
+  private static final int INTERVALS_PER_BOUND = 4;
+
+  private static final int MAX_PENDING = 3;
+
   /** Receives the outcomes of reads. */
   interface Listener {
 
@@ -52,8 +59,21 @@
   private final Timers timers;
   private final ReadStats stats;
   private final Listener listener;
+  private final List<PendingRead> pending = new ArrayList<>();
+  private boolean due;
   private volatile boolean wholeFailed;
 
+  /** A read without a result. */
+  private static final class PendingRead {
+    private final long startedMs;
+    private volatile long progressMs;
+
+    PendingRead(long startedMs) {
+      this.startedMs = startedMs;
+      this.progressMs = startedMs;
+    }
+  }
+
   TableReader(
       ViewTable table,
       StateSource source,
@@ -75,7 +95,28 @@
 
   void start() {
     read();
-    timers.every(intervalMs, this::read);
+    timers.every(intervalMs, this::onInterval);
+  }
+
+  private void onInterval() {
+    if (mayStart()) {
+      read();
+    }
+  }
+
+  private synchronized boolean mayStart() {
+    long nowMs = timers.nowMs();
+    boolean receiving =
+        pending.stream()
+            .anyMatch(
+                read ->
+                    nowMs - read.progressMs < intervalMs
+                        && nowMs - read.startedMs < INTERVALS_PER_BOUND * intervalMs);
+    due = receiving || pending.size() >= MAX_PENDING;
+    if (due) {
+      stats.onPostponed();
+    }
+    return !due;
   }
 
   /** Reads now; also the changes if the whole table is due but was not received last time. */
@@ -91,40 +132,52 @@
   }
 
   private void readWhole() {
-    long startedMs = start(stats);
+    PendingRead read = add();
     var unused =
         source
-            .readWhole(table, () -> {})
+            .readWhole(table, () -> read.progressMs = timers.nowMs())
             .whenComplete(
                 (result, error) -> {
                   wholeFailed = error != null;
-                  onEnded(startedMs, result, error);
+                  onEnded(read, result, error);
                 });
   }
 
   private void readChanges() {
-    long startedMs = start(stats);
+    PendingRead read = add();
     var unused =
         source
-            .readChanges(table, copy.state().version(), () -> {})
-            .whenComplete((result, error) -> onEnded(startedMs, result, error));
+            .readChanges(table, copy.state().version(), () -> read.progressMs = timers.nowMs())
+            .whenComplete((result, error) -> onEnded(read, result, error));
   }
 
-  private long start(ReadStats counted) {
-    counted.onStarted();
-    return timers.nowMs();
+  private synchronized PendingRead add() {
+    PendingRead read = new PendingRead(timers.nowMs());
+    pending.add(read);
+    stats.onStarted();
+    return read;
   }
 
-  private void onEnded(long startedMs, TableRead result, Throwable error) {
+  private void onEnded(PendingRead read, TableRead result, Throwable error) {
+    long nowMs = timers.nowMs();
     stats.onEnded(
-        startedMs,
-        timers.nowMs(),
+        read.startedMs,
+        nowMs,
         error == null ? "answered" : String.valueOf(error.getMessage()),
         error == null);
+    boolean readAgain;
+    synchronized (this) {
+      pending.remove(read);
+      readAgain = due;
+      due = false;
+    }
     if (error == null) {
-      listener.onAnswered(result, startedMs);
+      listener.onAnswered(result, read.startedMs);
     } else {
-      listener.onFailed(Failures.unwrap(error), startedMs);
+      listener.onFailed(Failures.unwrap(error), read.startedMs);
+    }
+    if (readAgain) {
+      read();
     }
   }
 
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -56,6 +56,7 @@
     metrics.gauge(name + ".answeredCount", () -> stats::answeredCount);
     metrics.gauge(name + ".failedCount", () -> stats::failedCount);
     metrics.gauge(name + ".pendingCount", () -> stats::pendingCount);
+    metrics.gauge(name + ".postponedCount", () -> stats::postponedCount);
     metrics.gauge(name + ".longestMs", () -> stats::longestMs);
   }
 
