Timeouts of responses are decided after the sockets are read

On an event loop that is behind, timers that have become due run before the sockets are read. A watchdog then failed a call to the store whose response lay in the socket and closed the connection, so that no call could succeed as long as the loop was behind. Now the decision is taken in the next turn of the loop, which begins with reading. The same cause elsewhere: requests between instances (loans, paths, relays) and the idle timer of forwarded requests, which took its own lateness for a silent upstream.

Not mended here: connect timeouts of upstreams, after which a relay is asked.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/IdleTimer.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/IdleTimer.java
@@ -2,7 +2,8 @@
 
 import io.mothrill.core.time.Subscription;
 import io.mothrill.core.time.Timers;
-import java.util.concurrent.Executor;
+import io.mothrill.wire.time.TimeoutAfterReads;
+import io.netty.channel.EventLoop;
 import java.util.function.LongConsumer;
 
 /**
@@ -14,7 +15,7 @@
 final class IdleTimer {
 
   private final Timers timers;
-  private final Executor loop;
+  private final EventLoop loop;
   private final long timeoutMs;
   private final LongConsumer onIdle;
   private Subscription check = () -> {};
@@ -25,12 +26,12 @@
    * Creates a timer that is not running yet.
    *
    * @param timers the clock and timers
-   * @param loop the executor on which the callback runs
+   * @param loop the event loop on which the callback runs
    * @param timeoutMs how long nothing may be received
    * @param onIdle receives the time since anything was last received; called again each time the
    *     timeout has passed once more
    */
-  IdleTimer(Timers timers, Executor loop, long timeoutMs, LongConsumer onIdle) {
+  IdleTimer(Timers timers, EventLoop loop, long timeoutMs, LongConsumer onIdle) {
     this.timers = timers;
     this.loop = loop;
     this.timeoutMs = timeoutMs;
@@ -58,7 +59,7 @@
 
   private void checkIn(long delayMs) {
     check.cancel();
-    check = timers.after(delayMs, () -> loop.execute(this::check));
+    check = timers.after(delayMs, () -> TimeoutAfterReads.run(loop, this::check));
   }
 
   private void check() {
--- a/mothrill-wire/src/main/java/io/mothrill/wire/http/ClientHandler.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/http/ClientHandler.java
@@ -1,5 +1,6 @@
 package io.mothrill.wire.http;
 
+import io.mothrill.wire.time.TimeoutAfterReads;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -67,21 +68,22 @@
     watchdog =
         context
             .executor()
-            .schedule(
-                () -> {
-                  long silentMs = idleNanos() / NANOS_PER_MS;
-                  if (!context.channel().config().isAutoRead()) {
-                    lastReadNanos = System.nanoTime();
-                    scheduleWatchdog(stallMs);
-                  } else if (silentMs >= stallMs) {
-                    long lateMs = (System.nanoTime() - dueNanos) / NANOS_PER_MS;
-                    fail("silent for " + silentMs + " ms, checked " + lateMs + " ms late");
-                  } else {
-                    scheduleWatchdog(stallMs - silentMs);
-                  }
-                },
-                delayMs,
-                TimeUnit.MILLISECONDS);
+            .schedule(() -> checkSilence(dueNanos, false), delayMs, TimeUnit.MILLISECONDS);
+  }
+
+  private void checkSilence(long dueNanos, boolean hasRead) {
+    long silentMs = idleNanos() / NANOS_PER_MS;
+    if (!context.channel().config().isAutoRead()) {
+      lastReadNanos = System.nanoTime();
+      scheduleWatchdog(stallMs);
+    } else if (silentMs < stallMs) {
+      scheduleWatchdog(stallMs - silentMs);
+    } else if (hasRead) {
+      long lateMs = (System.nanoTime() - dueNanos) / NANOS_PER_MS;
+      fail("silent for " + silentMs + " ms, checked " + lateMs + " ms late");
+    } else {
+      watchdog = TimeoutAfterReads.run(context.executor(), () -> checkSilence(dueNanos, true));
+    }
   }
 
   @Override
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/NettyPeers.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/NettyPeers.java
@@ -10,6 +10,7 @@
 import io.mothrill.core.work.WorkStats;
 import io.mothrill.wire.http.Address;
 import io.mothrill.wire.peer.generated.Envelope;
+import io.mothrill.wire.time.TimeoutAfterReads;
 import io.mothrill.wire.work.WorkMeter;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -132,22 +133,31 @@
     CompletableFuture<PeerMessage> reply = new CompletableFuture<>();
     pendingReplies.put(id, reply);
     Envelope envelope = codec.encodeRequest(request, id);
+    CompletableFuture<Channel> connection = connection(to);
     var timeout =
-        group.schedule(() -> fail(id, peer, to, "timeout"), timeoutMs, TimeUnit.MILLISECONDS);
-    connection(to)
-        .whenComplete(
-            (channel, error) -> {
-              if (error == null) {
-                channel.writeAndFlush(envelope);
-              } else if (Failures.unwrap(error) instanceof ConnectException) {
-                failWith(id, to, PeerException.connectionRefused(peer.id()));
-              } else {
-                fail(id, peer, to, String.valueOf(error.getMessage()));
-              }
-            });
+        group.schedule(
+            () -> failAfterReads(connection, () -> fail(id, peer, to, "timeout")),
+            timeoutMs,
+            TimeUnit.MILLISECONDS);
+    connection.whenComplete(
+        (channel, error) -> {
+          if (error == null) {
+            channel.writeAndFlush(envelope);
+          } else if (Failures.unwrap(error) instanceof ConnectException) {
+            failWith(id, to, PeerException.connectionRefused(peer.id()));
+          } else {
+            fail(id, peer, to, String.valueOf(error.getMessage()));
+          }
+        });
     return reply.whenComplete((message, error) -> timeout.cancel(false));
   }
 
+  private void failAfterReads(CompletableFuture<Channel> connection, Runnable timeout) {
+    boolean isOpen = connection.isDone() && !connection.isCompletedExceptionally();
+    var unused =
+        TimeoutAfterReads.run(isOpen ? connection.join().eventLoop() : group.next(), timeout);
+  }
+
   private void fail(long id, InstanceRecord peer, Address to, String detail) {
     failWith(id, to, PeerException.noReply(peer.id(), detail));
   }
