Instances pass the store's tables on to those that cannot read them

Callers of an instance that the store turned away for nine seconds were handled by a plan that its neighbours had replaced five seconds before; a restarted one refused everything until the store answered it. The store was the only source of the plan and of the list of upstreams. Versions are counted by the store alone, copies only move forward, and a table that cannot be decoded is refused as a whole. Instances with the same rows confirm them to each other, so that few read the whole table. A reply that cannot be decoded fails its request now; it was left without an end before.

Registrations that are missing are no longer kept while other instances read the list throughout.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/OutageDetector.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/OutageDetector.java
@@ -16,12 +16,17 @@
   /** Registrations last several heartbeats, so none expires in a shorter outage. */
   private static final long MIN_OUTAGE_MS = 1_000;
 
+  /** Longer than the copy usually stays unconfirmed, shorter than a registration lasts. */
+  private static final long MIN_GAP_MS = 2_000;
+
   private final long recoveryGraceMs;
   private final Timers timers;
   private final Runnable onGraceEnd;
   private OptionalLong unreachableSinceMs = OptionalLong.empty();
   private long reachableSinceMs = Long.MIN_VALUE / 2;
   private long lastAnsweredStartMs = Long.MIN_VALUE;
+  private long gapEndedMs = Long.MIN_VALUE / 2;
+  private long confirmedMs = Long.MIN_VALUE / 2;
 
   OutageDetector(long recoveryGraceMs, Timers timers, Runnable onGraceEnd) {
     this.recoveryGraceMs = recoveryGraceMs;
@@ -29,9 +34,32 @@
     this.onGraceEnd = onGraceEnd;
   }
 
-  /** Checks whether registrations that are missing may only have expired. */
+  /**
+   * Checks whether registrations that are missing may only have expired. They have not while other
+   * instances have read them throughout, even if the store refuses this instance.
+   */
   synchronized boolean isRecovering() {
-    return wasUnreachable() || timers.nowMs() - reachableSinceMs < recoveryGraceMs;
+    long nowMs = timers.nowMs();
+    boolean wasReadThroughout =
+        nowMs - gapEndedMs >= recoveryGraceMs && nowMs - confirmedMs < MIN_GAP_MS;
+    return !wasReadThroughout && (wasUnreachable() || nowMs - reachableSinceMs < recoveryGraceMs);
+  }
+
+  /**
+   * Records that another instance has confirmed the upstreams.
+   *
+   * @param sinceMs the time on the store's clock until which they had been confirmed before
+   * @param untilMs the time on the store's clock until which they are confirmed now
+   */
+  synchronized void onConfirmed(long sinceMs, long untilMs) {
+    if (untilMs <= sinceMs) {
+      return;
+    }
+    confirmedMs = timers.nowMs();
+    if (untilMs - sinceMs >= MIN_GAP_MS) {
+      gapEndedMs = confirmedMs;
+      var unused = timers.after(recoveryGraceMs, onGraceEnd);
+    }
   }
 
   private boolean wasUnreachable() {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/TableReader.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/TableReader.java
@@ -62,6 +62,7 @@
   private final List<PendingRead> pending = new ArrayList<>();
   private boolean due;
   private volatile boolean wholeFailed;
+  private volatile long answeredMs = TableRead.UNCONFIRMED;
 
   /** A read without a result. */
   private static final class PendingRead {
@@ -172,6 +173,7 @@
       due = false;
     }
     if (error == null) {
+      answeredMs = nowMs;
       listener.onAnswered(result, read.startedMs);
     } else {
       listener.onFailed(Failures.unwrap(error), read.startedMs);
@@ -185,4 +187,9 @@
   long confirmedAgeMs() {
     return storeClock.nowMs() - copy.state().confirmedStoreMs();
   }
+
+  /** Checks whether the store has answered within an interval and a half. */
+  boolean isAnswered() {
+    return timers.nowMs() - answeredMs < intervalMs + intervalMs / 2;
+  }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/ViewController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/ViewController.java
@@ -3,15 +3,22 @@
 import io.mothrill.core.board.PublishedValue;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.upstream.UpstreamList;
+import io.mothrill.core.forward.view.exchange.TableMerger;
 import io.mothrill.core.forward.view.table.TableCopy;
 import io.mothrill.core.forward.view.table.TableRead;
+import io.mothrill.core.forward.view.table.TableState;
 import io.mothrill.core.forward.view.table.ViewTable;
 import io.mothrill.core.platform.StoreClock;
 import io.mothrill.core.time.Timers;
 import java.util.Arrays;
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import org.tinylog.Logger;
 
 /**
  * Keeps copies of the platform's tables up to date and publishes the plan and the upstreams in
@@ -22,13 +29,17 @@
  * view.start();
  * }</pre>
  */
-public final class ViewController {
+public final class ViewController implements TableMerger {
 
   private static final String FROM_STORE = "store";
+  private static final String FROM_INSTANCE = "instance";
 
   private final Map<ViewTable, TableCopy> copies = new EnumMap<>(ViewTable.class);
   private final Map<ViewTable, ReadStats> stats = new EnumMap<>(ViewTable.class);
   private final Map<ViewTable, TableReader> readers = new EnumMap<>(ViewTable.class);
+  private final List<Consumer<ViewTable>> listeners = new CopyOnWriteArrayList<>();
+  private final StateDecoder decoder;
+  private final PublishedValue<ForwardingPlan> plan;
   private final ViewPublisher publisher;
   private final OutageDetector outages;
 
@@ -53,6 +64,8 @@
       StoreClock storeClock,
       Timers timers,
       ViewSettings settings) {
+    this.decoder = decoder;
+    this.plan = plan;
     this.publisher = new ViewPublisher(decoder, plan, evacuatedDomains, upstreams, timers);
     this.outages =
         new OutageDetector(settings.recoveryGraceMs(), timers, this::onRecoveryGraceEnded);
@@ -113,6 +126,68 @@
       case UPSTREAMS -> publisher.publishUpstreams(copy, recovering);
       default -> throw new IllegalStateException("no such table: " + table);
     }
+    listeners.forEach(listener -> listener.accept(table));
+  }
+
+  /**
+   * Registers a listener for changed tables.
+   *
+   * @param listener called when the rows of a table have changed
+   */
+  public void subscribe(Consumer<ViewTable> listener) {
+    listeners.add(listener);
+  }
+
+  @Override
+  public TableState state(ViewTable table) {
+    return copies.get(table).state();
+  }
+
+  @Override
+  public boolean isReadable(ViewTable table) {
+    return readers.get(table).isAnswered();
+  }
+
+  @Override
+  public Optional<TableRead> changesAfter(ViewTable table, long afterVersion) {
+    return copies.get(table).changesAfter(afterVersion);
+  }
+
+  @Override
+  public boolean merge(ViewTable table, TableRead read, long requestedMs) {
+    TableCopy copy = copies.get(table);
+    if (!read.isValid() || !isDecodable(table, read)) {
+      Logger.warn("table of another instance refused table={} version={}", table, read.version());
+      return false;
+    }
+    boolean wasKnown = copy.isKnown();
+    long confirmedBeforeMs = copy.state().confirmedStoreMs();
+    boolean changed = copy.apply(read);
+    onConfirmed(table, confirmedBeforeMs);
+    if (changed || !wasKnown) {
+      publish(table, FROM_INSTANCE, requestedMs, outages.isRecovering());
+    }
+    return true;
+  }
+
+  /** The store accepts only plans that can be decoded, so another one was damaged on its way. */
+  private boolean isDecodable(ViewTable table, TableRead read) {
+    return table != ViewTable.CONFIG
+        || !plan.read().isKnown()
+        || decoder.decodeConfig(copies.get(table).preview(read)).plan().isPresent();
+  }
+
+  @Override
+  public void confirm(TableState other) {
+    long beforeMs = copies.get(other.table()).state().confirmedStoreMs();
+    copies.get(other.table()).confirm(other);
+    onConfirmed(other.table(), beforeMs);
+  }
+
+  private void onConfirmed(ViewTable table, long beforeMs) {
+    if (table == ViewTable.UPSTREAMS) {
+      outages.onConfirmed(beforeMs, copies.get(table).state().confirmedStoreMs());
+    }
   }
 
   private void onRecoveryGraceEnded() {
--- a/mothrill-core/src/main/java/io/mothrill/core/peer/PeerMessage.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/peer/PeerMessage.java
@@ -4,6 +4,8 @@
 import io.mothrill.core.budget.LedgerEntry;
 import io.mothrill.core.config.Change;
 import io.mothrill.core.forward.path.PathOutcome;
+import io.mothrill.core.forward.view.table.TableRead;
+import io.mothrill.core.forward.view.table.ViewTable;
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.range.RangeContent;
 import io.mothrill.core.range.SoleClaim;
@@ -48,6 +50,21 @@
    */
   record PathReply(PathOutcome outcome) implements PeerMessage {}
 
+  /**
+   * Requests the changes of a table of the platform's store. The reply is a {@link TableReply}.
+   *
+   * @param table the table
+   * @param afterVersion the version of the store that the sender's copy reflects; -1 if it has none
+   */
+  record TableRequest(ViewTable table, long afterVersion) implements PeerMessage {}
+
+  /**
+   * Contains the changes of a table.
+   *
+   * @param read the changes; empty if the sender has no copy of the table
+   */
+  record TableReply(Optional<TableRead> read) implements PeerMessage {}
+
   /**
    * Requests configuration changes.
    *
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -19,6 +19,7 @@
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.view.ReadStats;
 import io.mothrill.core.forward.view.ViewController;
+import io.mothrill.core.forward.view.exchange.ViewExchange;
 import io.mothrill.core.forward.view.table.ViewTable;
 import io.mothrill.core.time.Timers;
 import io.mothrill.core.work.WorkKind;
@@ -43,13 +44,25 @@
   void registerView(
       PublishedValue<ForwardingPlan> plan,
       PublishedValue<UpstreamList> upstreams,
-      ViewController view) {
+      ViewController view,
+      ViewExchange exchange) {
     metrics.gauge("view.planVersion", () -> () -> plan.read().version());
     metrics.gauge("view.planAgeMs", () -> () -> view.confirmedAgeMs(ViewTable.CONFIG));
     metrics.gauge("view.upstreamCount", () -> () -> upstreams.read().all().size());
     metrics.gauge("view.upstreamsAgeMs", () -> () -> view.confirmedAgeMs(ViewTable.UPSTREAMS));
     Arrays.stream(ViewTable.values())
         .forEach(table -> registerReads("view.reads." + table, view.readStats(table)));
+    registerExchange(exchange);
+  }
+
+  private void registerExchange(ViewExchange exchange) {
+    metrics.gauge("view.noticesSentCount", () -> () -> exchange.counts().noticesSent());
+    metrics.gauge("view.noticesReceivedCount", () -> () -> exchange.counts().noticesReceived());
+    metrics.gauge("view.tablesRequestedCount", () -> () -> exchange.counts().requested());
+    metrics.gauge("view.tablesReceivedCount", () -> () -> exchange.counts().received());
+    metrics.gauge("view.tablesFailedCount", () -> () -> exchange.counts().failed());
+    metrics.gauge("view.tablesServedCount", () -> () -> exchange.counts().served());
+    metrics.gauge("view.tablesDeclinedCount", () -> () -> exchange.counts().declined());
   }
 
   private void registerReads(String name, ReadStats stats) {
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -21,6 +21,8 @@
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.view.ViewController;
+import io.mothrill.core.forward.view.exchange.ViewExchange;
+import io.mothrill.core.forward.view.exchange.ViewNotice;
 import io.mothrill.core.peer.PeerDispatcher;
 import io.mothrill.core.peer.PeerMessage;
 import io.mothrill.core.platform.InstanceRecord;
@@ -203,6 +205,18 @@
             ports.storeClock(),
             timers,
             settings.view());
+    final ViewExchange exchange =
+        new ViewExchange(
+            self,
+            spending::peers,
+            view,
+            this::sendViewNotice,
+            peers,
+            dispatcher,
+            settings.view(),
+            timers,
+            random);
+    view.subscribe(exchange::onChanged);
     this.notices =
         new DatagramNotices(
             group,
@@ -220,6 +234,7 @@
                 choice.limits()::onReport,
                 choice.rejectionBudgets()::onReport,
                 choice::onContentionReport,
+                exchange::onNotice,
                 reach::onMessageFromHost),
             ports.work());
     ServiceAdmissions admissions =
@@ -290,7 +305,7 @@
     timers.every(PRUNE_INTERVAL_MS, () -> choice.retain(upstreams.read()));
     TimerLateness lateness = new TimerLateness(timers);
     timers.every(WORK_LOG_INTERVAL_MS, () -> WorkLog.write(ports.work(), lateness));
-    gauges.registerView(plan, upstreams, view);
+    gauges.registerView(plan, upstreams, view, exchange);
     view.start();
   }
 
@@ -327,6 +342,10 @@
     notices.send(message, to);
   }
 
+  private void sendViewNotice(ViewNotice notice, List<InstanceRecord> to) {
+    notices.send(notice, to);
+  }
+
   private String unreadyReason() {
     return leaving ? "leaving" : readiness.unreadyReason();
   }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
@@ -12,6 +12,8 @@
 import io.mothrill.core.forward.upstream.PromptNoticeSender;
 import io.mothrill.core.forward.upstream.UpstreamStatusReport;
 import io.mothrill.core.forward.upstream.UpstreamStatusReportSender;
+import io.mothrill.core.forward.view.exchange.ViewNotice;
+import io.mothrill.core.forward.view.exchange.ViewNoticeSender;
 import io.mothrill.core.peer.NoticeRecipients;
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.work.WorkKind;
@@ -44,7 +46,8 @@
         UpstreamStatusReportSender,
         RateLimitReportSender,
         RejectionReportSender,
-        ContentionReportSender {
+        ContentionReportSender,
+        ViewNoticeSender {
 
   /**
    * Upstreams process shorter prompts before a notice could influence the choice of an upstream.
@@ -142,6 +145,11 @@
     send(Notice.newBuilder().setLoad(LoadNoticeCodec.write(report)).build(), to);
   }
 
+  @Override
+  public void send(ViewNotice notice, List<InstanceRecord> to) {
+    send(Notice.newBuilder().setView(ViewNoticeCodec.write(notice)).build(), to);
+  }
+
   private void send(Notice notice, List<InstanceRecord> peers) {
     byte[] bytes = notice.toByteArray();
     peers.stream()
@@ -185,6 +193,8 @@
           RejectionNoticeCodec.read(notice.getRejection()).ifPresent(listeners.rejections());
         } else if (notice.hasLoad()) {
           LoadNoticeCodec.read(notice.getLoad()).ifPresent(listeners.contention());
+        } else if (notice.hasView()) {
+          listeners.views().accept(ViewNoticeCodec.read(notice.getView()), senderOf(packet));
         }
       } catch (InvalidProtocolBufferException ex) {
         Logger.debug("malformed notice ignored: {}", ex.getMessage());
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/NettyPeers.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/NettyPeers.java
@@ -213,7 +213,7 @@
       if (envelope.getReply()) {
         CompletableFuture<PeerMessage> reply = pendingReplies.remove(envelope.getCorrelationId());
         if (reply != null) {
-          reply.complete(codec.decode(envelope));
+          complete(reply, envelope);
         }
         return;
       }
@@ -231,6 +231,15 @@
       }
     }
 
+    /** Fails the request if the reply is malformed; otherwise its sender would wait forever. */
+    private void complete(CompletableFuture<PeerMessage> reply, Envelope envelope) {
+      try {
+        reply.complete(codec.decode(envelope));
+      } catch (RuntimeException ex) {
+        reply.completeExceptionally(ex);
+      }
+    }
+
     private void stopReadingMessages(ChannelHandlerContext ctx) {
       ctx.pipeline().remove(this);
       codec.removeFrom(ctx.pipeline());
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/NoticeListeners.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/NoticeListeners.java
@@ -6,6 +6,7 @@
 import io.mothrill.core.forward.limit.RejectionReport;
 import io.mothrill.core.forward.upstream.PromptNoticeSender;
 import io.mothrill.core.forward.upstream.UpstreamStatusReport;
+import io.mothrill.core.forward.view.exchange.ViewNotice;
 import io.mothrill.core.platform.InstanceRecord;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -19,6 +20,8 @@
  * @param limits receives reports about rate limits announced by upstreams
  * @param rejections receives reports about brittle upstreams
  * @param contention receives reports about slow upstreams
+ * @param views receives notices about the copies of tables that other instances have, with their
+ *     senders
  * @param hosts receives the IP address of the sender of each notice
  */
 public record NoticeListeners(
@@ -28,6 +31,7 @@
     Consumer<RateLimitReport> limits,
     Consumer<RejectionReport> rejections,
     Consumer<ContentionReport> contention,
+    BiConsumer<ViewNotice, InstanceRecord> views,
     Consumer<String> hosts) {
 
   /**
@@ -44,6 +48,7 @@
         limit -> {},
         report -> {},
         report -> {},
+        (notice, sender) -> {},
         host -> {});
   }
 }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerDecoder.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerDecoder.java
@@ -5,6 +5,7 @@
 import io.mothrill.core.budget.LedgerEntry;
 import io.mothrill.core.config.Change;
 import io.mothrill.core.forward.path.PathOutcome;
+import io.mothrill.core.forward.view.table.ViewTable;
 import io.mothrill.core.peer.PeerMessage;
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.range.RangeContent;
@@ -61,6 +62,15 @@
               envelope.getOpenPath().getIncarnation(), envelope.getOpenPath().getRequestId());
       case PATH_REPLY ->
           new PeerMessage.PathReply(PathOutcome.valueOf(envelope.getPathReply().getOutcome()));
+      case TABLE_REQUEST ->
+          new PeerMessage.TableRequest(
+              ViewTable.valueOf(envelope.getTableRequest().getTable()),
+              envelope.getTableRequest().getAfterVersion());
+      case TABLE_REPLY ->
+          new PeerMessage.TableReply(
+              envelope.getTableReply().hasContent()
+                  ? Optional.of(TableContentCodec.read(envelope.getTableReply().getContent()))
+                  : Optional.empty());
       case BORROW_REQUEST, BORROW_REPLY, HAND_BACK, POST_BILLS -> decodeBudget(envelope);
       case SOLE_CLAIM, SOLE_REPLY, SOLE_RELEASE, COPY_RANGE, FENCE_RANGE, FENCE_REPLY, KEEP_COPY ->
           decodeSole(envelope);
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerEncoder.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerEncoder.java
@@ -61,12 +61,28 @@
           .setRequestId(open.requestId());
     } else if (message instanceof PeerMessage.PathReply reply) {
       envelope.getPathReplyBuilder().setOutcome(reply.outcome().name());
-    } else {
+    } else if (!encodeTable(envelope, message)) {
       encodeBudget(envelope, message);
     }
     return envelope;
   }
 
+  private static boolean encodeTable(Envelope.Builder envelope, PeerMessage message) {
+    if (message instanceof PeerMessage.TableRequest request) {
+      envelope
+          .getTableRequestBuilder()
+          .setTable(request.table().name())
+          .setAfterVersion(request.afterVersion());
+      return true;
+    }
+    if (message instanceof PeerMessage.TableReply reply) {
+      var builder = envelope.getTableReplyBuilder();
+      reply.read().map(TableContentCodec::write).ifPresent(builder::setContent);
+      return true;
+    }
+    return false;
+  }
+
   private static void encodeBudget(Envelope.Builder envelope, PeerMessage message) {
     if (message instanceof PeerMessage.BorrowRequest request) {
       envelope
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/TableContentCodec.java
@@ -0,0 +1,74 @@
+package io.mothrill.wire.peer;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.UnsafeByteOperations;
+import io.mothrill.core.forward.view.table.RowValue;
+import io.mothrill.core.forward.view.table.StoredRow;
+import io.mothrill.core.forward.view.table.TableRead;
+import io.mothrill.wire.peer.generated.TableContent;
+import io.mothrill.wire.peer.generated.TableRemoval;
+import io.mothrill.wire.peer.generated.TableRow;
+import java.util.stream.Collectors;
+
+/** Converts the rows of tables from and to protobuf; long values are compressed. */
+final class TableContentCodec {
+
+  /** Compression saves nothing worth its time on shorter values. */
+  private static final int MIN_DEFLATED_BYTES = 1_024;
+
+  /** Several times the plan with the most routes. */
+  private static final int MAX_VALUE_BYTES = 16 << 20;
+
+  private TableContentCodec() {}
+
+  static TableContent write(TableRead read) {
+    TableContent.Builder content =
+        TableContent.newBuilder().setWhole(read.whole()).setVersion(read.version());
+    if (read.confirmedStoreMs() != TableRead.UNCONFIRMED) {
+      content.setConfirmedStoreMs(read.confirmedStoreMs());
+    }
+    read.rows().stream().map(TableContentCodec::row).forEach(content::addRows);
+    read.removals()
+        .forEach(
+            (key, version) ->
+                content.addRemovals(TableRemoval.newBuilder().setKey(key).setVersion(version)));
+    return content.build();
+  }
+
+  private static TableRow row(StoredRow row) {
+    boolean deflated = row.value().bytes().length >= MIN_DEFLATED_BYTES;
+    return TableRow.newBuilder()
+        .setKey(row.key())
+        .setVersion(row.version())
+        .setValue(bytes(deflated ? row.value().deflated() : row.value().bytes()))
+        .setDeflated(deflated)
+        .build();
+  }
+
+  private static ByteString bytes(byte[] immutable) {
+    return UnsafeByteOperations.unsafeWrap(immutable);
+  }
+
+  /**
+   * Parses rows.
+   *
+   * @throws io.mothrill.core.error.InvalidInputException if a value cannot be decompressed
+   */
+  static TableRead read(TableContent content) {
+    return new TableRead(
+        content.getWhole(),
+        content.getVersion(),
+        content.hasConfirmedStoreMs() ? content.getConfirmedStoreMs() : TableRead.UNCONFIRMED,
+        content.getRowsList().stream().map(TableContentCodec::row).toList(),
+        content.getRemovalsList().stream()
+            .collect(Collectors.toMap(TableRemoval::getKey, TableRemoval::getVersion, Math::max)));
+  }
+
+  private static StoredRow row(TableRow row) {
+    byte[] value = row.getValue().toByteArray();
+    return new StoredRow(
+        row.getKey(),
+        row.getVersion(),
+        row.getDeflated() ? RowValue.ofDeflated(value, MAX_VALUE_BYTES) : RowValue.of(value));
+  }
+}
--- a/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
@@ -59,6 +59,7 @@
             receivedLimits::add,
             receivedRejections::add,
             receivedContention::add,
+            (notice, sender) -> {},
             host -> {}),
         new WorkStats());
   }
--- a/mothrill-wire/src/test/java/io/mothrill/wire/peer/MalformedNoticesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/peer/MalformedNoticesTest.java
@@ -50,6 +50,7 @@
                   receivedLimits::add,
                   receivedRejections::add,
                   receivedContention::add,
+                  (notice, sender) -> {},
                   host -> {})));
 
   private void receive(byte[] bytes) {
--- a/mothrill-wire/src/test/java/io/mothrill/wire/peer/PeerCodecTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/peer/PeerCodecTest.java
@@ -5,6 +5,10 @@
 import io.mothrill.core.budget.AllotmentId;
 import io.mothrill.core.budget.BillPart;
 import io.mothrill.core.budget.LedgerEntry;
+import io.mothrill.core.forward.view.table.RowValue;
+import io.mothrill.core.forward.view.table.StoredRow;
+import io.mothrill.core.forward.view.table.TableRead;
+import io.mothrill.core.forward.view.table.ViewTable;
 import io.mothrill.core.peer.PeerMessage;
 import io.mothrill.core.peer.PeerMessage.FinishRequest;
 import io.mothrill.core.platform.InstanceRecord;
@@ -14,7 +18,9 @@
 import io.mothrill.core.request.RequestKey;
 import io.mothrill.core.request.UnrepeatableClaims.Outcome;
 import io.mothrill.wire.json.JsonResources;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -37,6 +43,10 @@
   private final PeerEncoder encoder = new PeerEncoder(new JsonResources());
   private final PeerDecoder decoder = new PeerDecoder(new JsonResources());
 
+  private static StoredRow row(String value) {
+    return new StoredRow("key", 7, RowValue.of(value.getBytes(StandardCharsets.UTF_8)));
+  }
+
   static List<PeerMessage> messages() {
     InstanceRecord self = new InstanceRecord("konya-1", "konya-1.a", "konya", "::1", 7, true);
     return List.of(
@@ -66,6 +76,12 @@
         new PeerMessage.FenceRange("fleet~3", 4, "konya-2.b"),
         new PeerMessage.FenceReply(new RangeContent(List.of(CLAIM), List.of(FINISH))),
         new PeerMessage.KeepCopy(FINISH),
+        new PeerMessage.TableRequest(ViewTable.UPSTREAMS, -1),
+        new PeerMessage.TableReply(Optional.empty()),
+        new PeerMessage.TableReply(
+            Optional.of(TableRead.whole(9, 1_000, List.of(row("short"), row("long".repeat(900)))))),
+        new PeerMessage.TableReply(
+            Optional.of(TableRead.changes(List.of(row("short")), Map.of("gone", 8L)))),
         new PeerMessage.Done(),
         new PeerMessage.Refused("no"));
   }
