Reads of plan and upstreams by all instances together stay within a quarter of what the store serves

At the size that mothrill is designed for, 1,700 instances that read both tables at each interval ask for 5,700 reads a second of a store that serves 2,000, and renewals of budgets would be turned away with them. Each instance now draws whether it reads at an interval, so that all together stay within a quarter of the store's reads; the others hear of changes from those that did. Nobody reads for others by appointment, so none is missed when instances die or are turned away; one whose copy was not confirmed within the bound reads in any case. Fleets of up to 150 instances read as before.

--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/ReadShare.java
@@ -0,0 +1,33 @@
+package io.mothrill.core.forward.view;
+
+import java.util.function.IntSupplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * Limits the reads of all instances together to what the platform's store can take beside its other
+ * calls.
+ *
+ * <p>Who reads is drawn each time, so that no instance depends on others that read for it.
+ */
+final class ReadShare {
+
+  private static final double MS_PER_S = 1_000.0;
+
+  private final IntSupplier instanceCount;
+  private final double readsPerSOfOne;
+  private final double maxReadsPerS;
+  private final RandomGenerator random;
+
+  ReadShare(IntSupplier instanceCount, ViewSettings settings, RandomGenerator random) {
+    this.instanceCount = instanceCount;
+    this.readsPerSOfOne = MS_PER_S / settings.planPollMs() + MS_PER_S / settings.upstreamPollMs();
+    this.maxReadsPerS = settings.maxReadsPerS();
+    this.random = random;
+  }
+
+  /** Checks whether this instance reads in this interval. */
+  boolean drawTurn() {
+    double wantedPerS = instanceCount.getAsInt() * readsPerSOfOne;
+    return wantedPerS <= maxReadsPerS || random.nextDouble() * wantedPerS < maxReadsPerS;
+  }
+}
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/TableReader.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/TableReader.java
@@ -55,6 +55,7 @@
   private final StateSource source;
   private final TableCopy copy;
   private final long intervalMs;
+  private final ReadShare share;
   private final StoreClock storeClock;
   private final Timers timers;
   private final ReadStats stats;
@@ -80,6 +81,7 @@
       StateSource source,
       TableCopy copy,
       long intervalMs,
+      ReadShare share,
       StoreClock storeClock,
       Timers timers,
       ReadStats stats,
@@ -88,6 +90,7 @@
     this.source = source;
     this.copy = copy;
     this.intervalMs = intervalMs;
+    this.share = share;
     this.storeClock = storeClock;
     this.timers = timers;
     this.stats = stats;
@@ -100,7 +103,8 @@
   }
 
   private void onInterval() {
-    if (mayStart()) {
+    boolean isStale = confirmedAgeMs() >= INTERVALS_PER_BOUND * intervalMs;
+    if ((isStale || share.drawTurn()) && mayStart()) {
       read();
     }
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/ViewController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/ViewController.java
@@ -18,6 +18,8 @@
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+import java.util.random.RandomGenerator;
 import org.tinylog.Logger;
 
 /**
@@ -51,8 +53,10 @@
    * @param plan the plan in force; its version only increases
    * @param evacuatedDomains the failure domains that operators are evacuating
    * @param upstreams the registered upstreams
+   * @param instanceCount the number of instances that read from the store
    * @param storeClock the clock of the store
    * @param timers the clock and timers
+   * @param random draws which instances read
    * @param settings the intervals
    */
   public ViewController(
@@ -61,14 +65,17 @@
       PublishedValue<ForwardingPlan> plan,
       PublishedValue<Set<String>> evacuatedDomains,
       PublishedValue<UpstreamList> upstreams,
+      IntSupplier instanceCount,
       StoreClock storeClock,
       Timers timers,
+      RandomGenerator random,
       ViewSettings settings) {
     this.decoder = decoder;
     this.plan = plan;
     this.publisher = new ViewPublisher(decoder, plan, evacuatedDomains, upstreams, timers);
     this.outages =
         new OutageDetector(settings.recoveryGraceMs(), timers, this::onRecoveryGraceEnded);
+    ReadShare share = new ReadShare(instanceCount, settings, random);
     Arrays.stream(ViewTable.values())
         .forEach(
             table -> {
@@ -83,6 +90,7 @@
                       source,
                       copies.get(table),
                       intervalMs,
+                      share,
                       storeClock,
                       timers,
                       stats.get(table),
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/view/ViewControllerTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/view/ViewControllerTest.java
@@ -9,6 +9,7 @@
 import io.mothrill.core.forward.view.MemoryStore.ReadKind;
 import io.mothrill.core.forward.view.table.TableRead;
 import io.mothrill.core.forward.view.table.ViewTable;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -16,7 +17,7 @@
 
 class ViewControllerTest {
 
-  private static final ViewSettings SETTINGS = new ViewSettings(500, 500, 2_500);
+  private static final ViewSettings SETTINGS = new ViewSettings(500, 500, 2_500, 1_000);
 
   /** The time in which a change must be in force. */
   private static final long BOUND_MS = 2_000;
@@ -48,8 +49,10 @@
             plan,
             evacuatedDomains,
             upstreams,
+            () -> 1,
             store,
             timers,
+            new Random(1),
             settings)
         .start();
   }
@@ -125,7 +128,7 @@
   // the end of that period, rather than only from the next periodic read nearly one interval later.
   @Test
   void removesMissingUpstreamsAtTheEndOfTheGracePeriod() {
-    ViewSettings settings = new ViewSettings(500, 700, 2_500);
+    ViewSettings settings = new ViewSettings(500, 700, 2_500, 1_000);
     long regainedMs = 6_500;
     startPolling(settings);
     store.setFaults(MemoryStore.Fault.REFUSES);
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/view/ViewFleet.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/view/ViewFleet.java
@@ -25,7 +25,7 @@
 /** Instances, a store and the network between them, in memory and in simulated time. */
 final class ViewFleet {
 
-  static final ViewSettings SETTINGS = new ViewSettings(500, 500, 2_500);
+  static final ViewSettings SETTINGS = new ViewSettings(500, 500, 2_500, 500);
   static final int DOMAINS = 4;
 
   private static final long STORE_TIMEOUT_MS = 1_200;
@@ -99,8 +99,10 @@
               plan,
               new PublishedValue<>(Set.of()),
               upstreams,
+              instances::size,
               store,
               timers,
+              random,
               SETTINGS);
       exchange =
           new ViewExchange(
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -202,8 +202,10 @@
             plan,
             evacuatedDomains,
             upstreams,
+            spending::instanceCount,
             ports.storeClock(),
             timers,
+            random,
             settings.view());
     final ViewExchange exchange =
         new ViewExchange(
