What instances pass on includes the keys of all rows

An instance that had read the whole table does not know of rows that were added and removed since its read before; it passed only the removals on that it knew of, so a copy that had such a row kept it for good. An upstream that had left would have got requests until that instance's own next whole read.

With it: how long an instance has known of a change that it lacks is a metric.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/ViewController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/ViewController.java
@@ -157,8 +157,8 @@
   }
 
   @Override
-  public Optional<TableRead> changesAfter(ViewTable table, long afterVersion) {
-    return copies.get(table).changesAfter(afterVersion);
+  public Optional<TableRead> differenceAfter(ViewTable table, long afterVersion) {
+    return copies.get(table).differenceAfter(afterVersion);
   }
 
   @Override
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/exchange/TableMerger.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/exchange/TableMerger.java
@@ -29,9 +29,9 @@
    *
    * @param table the table
    * @param afterVersion the version of the other instance's copy
-   * @return the changes; empty if this instance has no copy
+   * @return the difference; empty if this instance has no copy
    */
-  Optional<TableRead> changesAfter(ViewTable table, long afterVersion);
+  Optional<TableRead> differenceAfter(ViewTable table, long afterVersion);
 
   /**
    * Merges changes that another instance has passed on.
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/exchange/ViewExchange.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/exchange/ViewExchange.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -57,6 +58,7 @@
   private final Timers timers;
   private final long upstreamDelayMs;
   private final Map<ViewTable, PendingPulls> pulls = new EnumMap<>(ViewTable.class);
+  private final Map<ViewTable, MissingChange> missing = new ConcurrentHashMap<>();
   private final ReportRateLimiter largeReplies = new ReportRateLimiter(MAX_LARGE_REPLIES_PER_S);
   private final LongAdder noticesSent = new LongAdder();
   private final LongAdder noticesReceived = new LongAdder();
@@ -66,6 +68,9 @@
   private final LongAdder served = new LongAdder();
   private final LongAdder declined = new LongAdder();
 
+  /** A change that this instance lacks, and when it first heard of one. */
+  private record MissingChange(long version, long sinceMs) {}
+
   /** The requests for one table without a reply. */
   private static final class PendingPulls {
     private int count;
@@ -172,6 +177,8 @@
 
   /** Requests what this instance lacks, unless its own read will bring it soon. */
   private void onBehind(TableState other, InstanceRecord from) {
+    long sinceMs = timers.nowMs() - behindMs(other.table());
+    missing.put(other.table(), new MissingChange(other.changeVersion(), sinceMs));
     if (other.table() == ViewTable.UPSTREAMS && tables.isReadable(ViewTable.UPSTREAMS)) {
       timers.after(upstreamDelayMs, () -> pullIfBehind(other, from));
     } else {
@@ -210,7 +217,7 @@
   }
 
   private CompletableFuture<PeerMessage> serve(PeerMessage.TableRequest request) {
-    var read = tables.changesAfter(request.table(), request.afterVersion());
+    var read = tables.differenceAfter(request.table(), request.afterVersion());
     if (read.filter(ViewExchange::isLarge).isPresent()
         && !largeReplies.tryAcquire(timers.nowMs())) {
       declined.increment();
@@ -224,6 +231,19 @@
     return read.rows().stream().mapToInt(row -> row.value().bytes().length).sum() > LARGE_ROW_BYTES;
   }
 
+  /**
+   * Returns how long this instance has known of changes that it has not received.
+   *
+   * @param table the table
+   * @return milliseconds; 0 if it has all changes that it knows of
+   */
+  public long behindMs(ViewTable table) {
+    MissingChange change = missing.get(table);
+    return change != null && change.version() > tables.state(table).version()
+        ? timers.nowMs() - change.sinceMs()
+        : 0;
+  }
+
   /**
    * Returns the counts of what was passed on.
    *
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/table/TableCopy.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/table/TableCopy.java
@@ -1,12 +1,12 @@
 package io.mothrill.core.forward.view.table;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
 /**
@@ -15,7 +15,7 @@
  * <pre>{@code
  * TableCopy copy = new TableCopy(ViewTable.CONFIG);
  * copy.apply(read);
- * TableRead forAnother = copy.changesAfter(version).orElseThrow();
+ * TableRead forAnother = copy.differenceAfter(version).orElseThrow();
  * }</pre>
  *
  * <p>Reads may be late, duplicated or out of order, and come from the store or from other
@@ -24,109 +24,69 @@
  */
 public final class TableCopy {
 
-  /** Many more than are removed in the time for which an instance may be behind. */
-  private static final int MAX_REMOVALS = 2_000;
-
   private final ViewTable table;
   private final AtomicReference<Content> content = new AtomicReference<>(Content.NONE);
 
-  /**
-   * The rows as of one version; immutable.
-   *
-   * @param removals the removals after {@code removalsAfterVersion}, by key
-   */
+  /** The rows by key as of one version; immutable. */
   private record Content(
-      long changeVersion,
-      long version,
-      long confirmedStoreMs,
-      Map<String, StoredRow> rows,
-      Map<String, Long> removals,
-      long removalsAfterVersion) {
+      long changeVersion, long version, long confirmedStoreMs, Map<String, StoredRow> rows) {
 
-    private static final Content NONE =
-        new Content(-1, -1, TableRead.UNCONFIRMED, Map.of(), Map.of(), Long.MAX_VALUE);
+    private static final Content NONE = new Content(-1, -1, TableRead.UNCONFIRMED, Map.of());
 
     Content with(TableRead read) {
-      if (read.whole()) {
-        return read.version() < version ? this : withWhole(read);
-      }
-      return this == NONE || read.version() <= version ? this : withChanges(read);
+      boolean isOlder = read.version() < version;
+      return switch (read.kind()) {
+        case WHOLE -> isOlder ? this : withWhole(read);
+        case CHANGES -> this == NONE || read.version() <= version ? this : withChanges(read);
+        case DIFFERENCE -> isOlder ? this : withDifference(read);
+      };
     }
 
+    /** A row may be gone without a removal in the read, which then happened by its version. */
     private Content withWhole(TableRead read) {
-      Map<String, StoredRow> newRows =
-          read.rows().stream()
-              .collect(Collectors.toMap(StoredRow::key, row -> row, Content::newer, HashMap::new));
-      Map<String, Long> newRemovals = new HashMap<>(removals);
-      rows.keySet().stream()
-          .filter(key -> !newRows.containsKey(key))
-          .forEach(key -> newRemovals.put(key, read.version()));
-      newRemovals.keySet().removeAll(newRows.keySet());
-      return bounded(
-          read, newRows, newRemovals, this == NONE ? read.version() : removalsAfterVersion);
+      Map<String, StoredRow> newRows = byKey(read.rows());
+      boolean isAnyGone = !newRows.keySet().containsAll(rows.keySet());
+      return at(read, isAnyGone ? read.version() : read.changeVersion(), newRows);
     }
 
     private Content withChanges(TableRead read) {
       Map<String, StoredRow> newRows = new HashMap<>(rows);
-      Map<String, Long> newRemovals = new HashMap<>(removals);
       read.rows().stream()
           .filter(row -> row.version() > version)
-          .forEach(
-              row -> {
-                newRows.merge(row.key(), row, Content::newer);
-                newRemovals.remove(row.key());
-              });
+          .forEach(row -> newRows.merge(row.key(), row, Content::newer));
       read.removals().entrySet().stream()
           .filter(removal -> removal.getValue() > version)
-          .filter(removal -> isRemovedBy(removal, newRows))
           .forEach(
-              removal -> {
-                newRows.remove(removal.getKey());
-                newRemovals.put(removal.getKey(), removal.getValue());
-              });
-      return bounded(read, newRows, newRemovals, removalsAfterVersion);
-    }
-
-    private static boolean isRemovedBy(
-        Map.Entry<String, Long> removal, Map<String, StoredRow> rows) {
-      StoredRow row = rows.get(removal.getKey());
-      return row == null || row.version() <= removal.getValue();
+              removal ->
+                  newRows.computeIfPresent(
+                      removal.getKey(),
+                      (key, row) -> row.version() > removal.getValue() ? row : null));
+      return at(read, read.changeVersion(), newRows);
     }
 
-    private static StoredRow newer(StoredRow one, StoredRow other) {
-      return one.version() >= other.version() ? one : other;
+    /** Takes unchanged rows from this content; a difference from a later version lacks some. */
+    private Content withDifference(TableRead read) {
+      Map<String, StoredRow> newRows = new HashMap<>(rows);
+      read.rows().forEach(row -> newRows.merge(row.key(), row, Content::newer));
+      newRows.keySet().retainAll(read.keys());
+      return newRows.size() == read.keys().size() ? at(read, read.changeVersion(), newRows) : this;
     }
 
-    /** Forgets the oldest removals if there are too many. */
-    private Content bounded(
-        TableRead read,
-        Map<String, StoredRow> newRows,
-        Map<String, Long> newRemovals,
-        long newRemovalsAfterVersion) {
-      long completeAfterVersion = newRemovalsAfterVersion;
-      if (newRemovals.size() > MAX_REMOVALS) {
-        List<Map.Entry<String, Long>> oldest =
-            newRemovals.entrySet().stream()
-                .sorted(Map.Entry.comparingByValue(Comparator.naturalOrder()))
-                .limit(newRemovals.size() - MAX_REMOVALS / 2)
-                .toList();
-        completeAfterVersion = oldest.get(oldest.size() - 1).getValue();
-        long forgottenVersion = completeAfterVersion;
-        newRemovals.values().removeIf(removed -> removed <= forgottenVersion);
-      }
+    private Content at(TableRead read, long newChangeVersion, Map<String, StoredRow> newRows) {
       return new Content(
-          Math.max(changeVersion, newestChange(newRows, newRemovals)),
+          Math.max(changeVersion, newChangeVersion),
           Math.max(version, read.version()),
           Math.max(confirmedStoreMs, read.confirmedStoreMs()),
-          Map.copyOf(newRows),
-          Map.copyOf(newRemovals),
-          completeAfterVersion);
+          Map.copyOf(newRows));
     }
 
-    private static long newestChange(Map<String, StoredRow> rows, Map<String, Long> removals) {
-      long newestRow = rows.values().stream().mapToLong(StoredRow::version).max().orElse(0);
-      long newestRemoval = removals.values().stream().mapToLong(Long::longValue).max().orElse(0);
-      return Math.max(newestRow, newestRemoval);
+    private static Map<String, StoredRow> byKey(Collection<StoredRow> rows) {
+      return rows.stream()
+          .collect(Collectors.toMap(StoredRow::key, Function.identity(), Content::newer));
+    }
+
+    private static StoredRow newer(StoredRow one, StoredRow other) {
+      return one.version() >= other.version() ? one : other;
     }
 
     Content confirmedBy(TableState other) {
@@ -134,9 +94,7 @@
           changeVersion,
           Math.max(version, other.version()),
           Math.max(confirmedStoreMs, other.confirmedStoreMs()),
-          rows,
-          removals,
-          removalsAfterVersion);
+          rows);
     }
   }
 
@@ -152,7 +110,7 @@
   /**
    * Applies what is newer in a read.
    *
-   * @param read the read
+   * @param read the read; changes and differences after a version that this copy has had
    * @return true if the rows have changed
    */
   public boolean apply(TableRead read) {
@@ -202,7 +160,7 @@
   /**
    * Checks whether the table has been read.
    *
-   * @return false until the first read of the whole table was applied
+   * @return false until all rows of the table are known
    */
   public boolean isKnown() {
     return content.get() != Content.NONE;
@@ -221,26 +179,15 @@
    * Returns what another instance needs that has the table as of a version.
    *
    * @param afterVersion the version of the other copy; -1 if there is none
-   * @return the changes since then, or all rows if the removals since then are not known; empty if
-   *     this copy has not been read yet
+   * @return the difference; empty if this copy has not been read yet
    */
-  public Optional<TableRead> changesAfter(long afterVersion) {
+  public Optional<TableRead> differenceAfter(long afterVersion) {
     Content current = content.get();
     if (current == Content.NONE) {
       return Optional.empty();
     }
-    boolean whole = afterVersion < current.removalsAfterVersion();
-    List<StoredRow> rows =
-        current.rows().values().stream()
-            .filter(row -> whole || row.version() > afterVersion)
-            .toList();
-    Map<String, Long> removals =
-        whole
-            ? Map.of()
-            : current.removals().entrySet().stream()
-                .filter(removal -> removal.getValue() > afterVersion)
-                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
-    return Optional.of(
-        new TableRead(whole, current.version(), current.confirmedStoreMs(), rows, removals));
+    List<StoredRow> changed =
+        current.rows().values().stream().filter(row -> row.version() > afterVersion).toList();
+    return Optional.of(TableRead.difference(stateOf(current), changed, current.rows().keySet()));
   }
 }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -56,6 +56,9 @@
   }
 
   private void registerExchange(ViewExchange exchange) {
+    Arrays.stream(ViewTable.values())
+        .forEach(
+            table -> metrics.gauge("view.behindMs." + table, () -> () -> exchange.behindMs(table)));
     metrics.gauge("view.noticesSentCount", () -> () -> exchange.counts().noticesSent());
     metrics.gauge("view.noticesReceivedCount", () -> () -> exchange.counts().noticesReceived());
     metrics.gauge("view.tablesRequestedCount", () -> () -> exchange.counts().requested());
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/TableContentCodec.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/TableContentCodec.java
@@ -6,11 +6,11 @@
 import io.mothrill.core.forward.view.table.StoredRow;
 import io.mothrill.core.forward.view.table.TableRead;
 import io.mothrill.wire.peer.generated.TableContent;
-import io.mothrill.wire.peer.generated.TableRemoval;
 import io.mothrill.wire.peer.generated.TableRow;
-import java.util.stream.Collectors;
+import java.util.HashSet;
+import java.util.Map;
 
-/** Converts the rows of tables from and to protobuf; long values are compressed. */
+/** Converts differences of tables from and to protobuf; long values are compressed. */
 final class TableContentCodec {
 
   /** Compression saves nothing worth its time on shorter values. */
@@ -23,15 +23,14 @@
 
   static TableContent write(TableRead read) {
     TableContent.Builder content =
-        TableContent.newBuilder().setWhole(read.whole()).setVersion(read.version());
+        TableContent.newBuilder()
+            .setVersion(read.version())
+            .setChangeVersion(read.changeVersion())
+            .addAllKeys(read.keys());
     if (read.confirmedStoreMs() != TableRead.UNCONFIRMED) {
       content.setConfirmedStoreMs(read.confirmedStoreMs());
     }
     read.rows().stream().map(TableContentCodec::row).forEach(content::addRows);
-    read.removals()
-        .forEach(
-            (key, version) ->
-                content.addRemovals(TableRemoval.newBuilder().setKey(key).setVersion(version)));
     return content.build();
   }
 
@@ -56,12 +55,13 @@
    */
   static TableRead read(TableContent content) {
     return new TableRead(
-        content.getWhole(),
+        TableRead.Kind.DIFFERENCE,
         content.getVersion(),
+        content.getChangeVersion(),
         content.hasConfirmedStoreMs() ? content.getConfirmedStoreMs() : TableRead.UNCONFIRMED,
         content.getRowsList().stream().map(TableContentCodec::row).toList(),
-        content.getRemovalsList().stream()
-            .collect(Collectors.toMap(TableRemoval::getKey, TableRemoval::getVersion, Math::max)));
+        Map.of(),
+        new HashSet<>(content.getKeysList()));
   }
 
   private static StoredRow row(TableRow row) {
--- a/mothrill-wire/src/test/java/io/mothrill/wire/peer/PeerCodecTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/peer/PeerCodecTest.java
@@ -8,6 +8,7 @@
 import io.mothrill.core.forward.view.table.RowValue;
 import io.mothrill.core.forward.view.table.StoredRow;
 import io.mothrill.core.forward.view.table.TableRead;
+import io.mothrill.core.forward.view.table.TableState;
 import io.mothrill.core.forward.view.table.ViewTable;
 import io.mothrill.core.peer.PeerMessage;
 import io.mothrill.core.peer.PeerMessage.FinishRequest;
@@ -20,8 +21,8 @@
 import io.mothrill.wire.json.JsonResources;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -47,6 +48,11 @@
     return new StoredRow("key", 7, RowValue.of(value.getBytes(StandardCharsets.UTF_8)));
   }
 
+  private static TableRead difference(long confirmedStoreMs, List<StoredRow> rows) {
+    return TableRead.difference(
+        new TableState(ViewTable.UPSTREAMS, 8, 9, confirmedStoreMs), rows, Set.of("key", "other"));
+  }
+
   static List<PeerMessage> messages() {
     InstanceRecord self = new InstanceRecord("konya-1", "konya-1.a", "konya", "::1", 7, true);
     return List.of(
@@ -79,9 +85,9 @@
         new PeerMessage.TableRequest(ViewTable.UPSTREAMS, -1),
         new PeerMessage.TableReply(Optional.empty()),
         new PeerMessage.TableReply(
-            Optional.of(TableRead.whole(9, 1_000, List.of(row("short"), row("long".repeat(900)))))),
+            Optional.of(difference(1_000, List.of(row("short"), row("long".repeat(900)))))),
         new PeerMessage.TableReply(
-            Optional.of(TableRead.changes(List.of(row("short")), Map.of("gone", 8L)))),
+            Optional.of(difference(TableRead.UNCONFIRMED, List.of(row("short"))))),
         new PeerMessage.Done(),
         new PeerMessage.Refused("no"));
   }
