Instances that seldom read notice outages of the store from the gap in what others confirm

In a large fleet an instance may not read at all during an outage, and would drop upstreams whose registrations have only expired with the first list that another instance passes on.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/OutageDetector.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/OutageDetector.java
@@ -1,5 +1,6 @@
 package io.mothrill.core.forward.view;
 
+import io.mothrill.core.forward.view.table.TableRead;
 import io.mothrill.core.time.Timers;
 import java.util.OptionalLong;
 import org.tinylog.Logger;
@@ -26,6 +27,7 @@
   private long reachableSinceMs = Long.MIN_VALUE / 2;
   private long lastAnsweredStartMs = Long.MIN_VALUE;
   private long gapEndedMs = Long.MIN_VALUE / 2;
+  private long outageEndedMs = Long.MIN_VALUE / 2;
   private long confirmedMs = Long.MIN_VALUE / 2;
 
   OutageDetector(long recoveryGraceMs, Timers timers, Runnable onGraceEnd) {
@@ -36,13 +38,17 @@
 
   /**
    * Checks whether registrations that are missing may only have expired. They have not while other
-   * instances have read them throughout, even if the store refuses this instance.
+   * instances have read them throughout, even if the store refuses this instance; they may have if
+   * nobody has read them for a time, even if this instance was not refused.
    */
   synchronized boolean isRecovering() {
     long nowMs = timers.nowMs();
     boolean wasReadThroughout =
         nowMs - gapEndedMs >= recoveryGraceMs && nowMs - confirmedMs < MIN_GAP_MS;
-    return !wasReadThroughout && (wasUnreachable() || nowMs - reachableSinceMs < recoveryGraceMs);
+    return !wasReadThroughout
+        && (wasUnreachable()
+            || nowMs - reachableSinceMs < recoveryGraceMs
+            || nowMs - outageEndedMs < recoveryGraceMs);
   }
 
   /**
@@ -58,6 +64,7 @@
     confirmedMs = timers.nowMs();
     if (untilMs - sinceMs >= MIN_GAP_MS) {
       gapEndedMs = confirmedMs;
+      outageEndedMs = sinceMs == TableRead.UNCONFIRMED ? outageEndedMs : confirmedMs;
       var unused = timers.after(recoveryGraceMs, onGraceEnd);
     }
   }
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/view/ViewFleet.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/view/ViewFleet.java
@@ -75,6 +75,7 @@
     final PublishedValue<ForwardingPlan> plan = new PublishedValue<>(ForwardingPlan.unknown());
     final PublishedValue<UpstreamList> upstreams = new PublishedValue<>(UpstreamList.empty());
     final NavigableMap<Long, Long> versionByMs = new TreeMap<>();
+    private final NavigableMap<Long, Long> upstreamsByMs = new TreeMap<>();
     private final List<InstanceRecord> others;
     private final PeerDispatcher dispatcher = new PeerDispatcher();
     private ViewExchange exchange;
@@ -88,6 +89,7 @@
       this.others = others;
       this.group = 0;
       plan.subscribe(newest -> versionByMs.put(timers.nowMs(), newest.version()));
+      upstreams.subscribe(list -> upstreamsByMs.put(timers.nowMs(), (long) list.all().size()));
     }
 
     void start() {
@@ -130,9 +132,18 @@
       }
     }
 
-    /** Returns the plan that the instance had at a time; 0 if it had none. */
+    /** Returns the version of the plan that the instance had at a time; 0 if it had none. */
     long versionAt(long atMs) {
-      var entry = versionByMs.floorEntry(atMs);
+      return valueAt(versionByMs, atMs);
+    }
+
+    /** Returns how many upstreams the instance knew at a time. */
+    long upstreamsAt(long atMs) {
+      return valueAt(upstreamsByMs, atMs);
+    }
+
+    private static long valueAt(NavigableMap<Long, Long> values, long atMs) {
+      var entry = values.floorEntry(atMs);
       return entry == null ? 0 : entry.getValue();
     }
 
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/view/ViewHistoriesTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/view/ViewHistoriesTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.ToLongBiFunction;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -126,17 +127,25 @@
   }
 
   private void check() {
-    long nowMs = fleet.timers.nowMs();
-    long thenMs = nowMs - BOUND_MS;
-    Map<Integer, Long> newestByGroup = new HashMap<>();
+    long thenMs = fleet.timers.nowMs() - BOUND_MS;
     List<Instance> settled =
         fleet.instances.stream().filter(instance -> instance.groupSinceMs <= thenMs).toList();
+    checkAll(settled, Instance::versionAt);
+    checkAll(settled, Instance::upstreamsAt);
+  }
+
+  /** Checks that all instances have by now what one on their side of all cuts had in time. */
+  private void checkAll(List<Instance> settled, ToLongBiFunction<Instance, Long> valueAt) {
+    long nowMs = fleet.timers.nowMs();
+    Map<Integer, Long> newestByGroup = new HashMap<>();
     settled.forEach(
-        instance -> newestByGroup.merge(instance.group, instance.versionAt(thenMs), Math::max));
+        instance ->
+            newestByGroup.merge(
+                instance.group, valueAt.applyAsLong(instance, nowMs - BOUND_MS), Math::max));
     settled.forEach(
         instance ->
             assertWithMessage("instance %s at %s ms", instance.self.id(), nowMs)
-                .that(instance.plan.read().version())
+                .that(valueAt.applyAsLong(instance, nowMs))
                 .isAtLeast(newestByGroup.get(instance.group)));
   }
 }
