Registrations state the version of an upstream's software, and log lines of requests name it

What tells streams that go on at another version inside one answer from those taken up by callers: the result of each attempt in the line of a request names the version of its upstream. No decision is changed.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/RegisteredUpstream.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/RegisteredUpstream.java
@@ -8,6 +8,7 @@
  * @param id its id; a restarted process may keep it, and an address may be reused by another
  *     upstream
  * @param service the service that it belongs to
+ * @param version the version of its software; empty if it does not report one
  * @param host its IP address
  * @param port its TCP port
  * @param domain its failure domain
@@ -20,6 +21,7 @@
 public record RegisteredUpstream(
     String id,
     String service,
+    String version,
     String host,
     int port,
     String domain,
@@ -30,6 +32,42 @@
 
   private static final char SEPARATOR = '@';
 
+  /**
+   * Creates an upstream that does not report the version of its software.
+   *
+   * @param id its id
+   * @param service the service that it belongs to
+   * @param host its IP address
+   * @param port its TCP port
+   * @param domain its failure domain
+   * @param slots the number of requests that it runs concurrently
+   * @param leaving true once it must not get new requests
+   * @param warmUpRemainingMs the remaining warm-up time at the time of this registration
+   * @param registrationVersion the version of this registration
+   */
+  public RegisteredUpstream(
+      String id,
+      String service,
+      String host,
+      int port,
+      String domain,
+      int slots,
+      boolean leaving,
+      OptionalLong warmUpRemainingMs,
+      RegistrationVersion registrationVersion) {
+    this(
+        id,
+        service,
+        "",
+        host,
+        port,
+        domain,
+        slots,
+        leaving,
+        warmUpRemainingMs,
+        registrationVersion);
+  }
+
   /**
    * Returns the name of this incarnation of the upstream. All state about an upstream is kept under
    * this name, so that none of it is applied to a later process with the same id.
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/AttemptRecorder.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/AttemptRecorder.java
@@ -14,13 +14,14 @@
   private final int inFlightCount;
   private final long pendingPrefillTokens;
   private final long estimatedCount;
-  private String suffix = "";
+  private String suffix;
   private boolean recorded;
 
   AttemptRecorder(AdmittedRequest admitted, RegisteredUpstream upstream, UpstreamLoad load) {
     ForwardDependencies dependencies = admitted.received().dependencies();
     long nowMs = dependencies.timers().nowMs();
     this.upstream = upstream;
+    this.suffix = upstream.version().isEmpty() ? "" : ", version " + upstream.version();
     this.selectedAtMs = nowMs - admitted.received().startMs();
     this.inFlightCount = load.inFlightCount();
     this.pendingPrefillTokens =
@@ -30,7 +31,7 @@
 
   /** Sets the instance through which the request is sent. */
   void setRelay(String instanceId) {
-    suffix = " through " + instanceId;
+    suffix += " through " + instanceId;
   }
 
   /** Records the result of the attempt; only the first call counts. */
