An answer that has brought an event goes on only at the version that began it

Callers received streams whose first part one software version wrote and whose rest another did, when an upstream broke off in the middle and the instance continued at any other one. One more check before a request is sent compares the version of the upstream with that of the first event of the answer; if none is left, the answer is broken off at once. An answer without an event may begin again anywhere. An upstream that has registered again with another version counts as another one between choice and sending.

The refusal for missing tokens moves to SpendingException.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/check/SendChecks.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/check/SendChecks.java
@@ -82,6 +82,7 @@
             new ReservationCheck(),
             new QuarantineCheck(),
             new RegionCheck(regionByDomain),
+            new VersionCheck(),
             new EvacuationCheck(evacuatedDomains),
             new AvailabilityCheck(list, leaving),
             new BackoffCheck(backoffs),
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardRefusal.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardRefusal.java
@@ -28,6 +28,8 @@
     EVACUATED(503),
     /** No upstream is left in the allowed regions of the request; the request has not run. */
     OUTSIDE_HOME(503),
+    /** No upstream of the version that began the stream is left; the request has not run. */
+    OTHER_VERSION(503),
     /** All upstreams left have requested a backoff; the request has not run. */
     RESTING(503),
     /** All upstreams left are warming up and can handle no more; the request has not run. */
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingException.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/SpendingException.java
@@ -1,5 +1,9 @@
 package io.mothrill.core.forward.spending;
 
+import io.mothrill.core.error.Failures;
+import io.mothrill.core.forward.request.ForwardRefusal;
+import io.mothrill.core.forward.request.ForwardRefusal.Cause;
+
 /** Thrown when tokens cannot be reserved for a request, which is therefore not executed. */
 public final class SpendingException extends RuntimeException {
 
@@ -66,4 +70,20 @@
   public long retryAfterMs() {
     return retryAfterMs;
   }
+
+  /**
+   * Returns the refusal of a request for which no tokens could be reserved.
+   *
+   * @param error why the reservation failed
+   * @param defaultRetryAfterMs when the caller may retry if the error does not tell
+   * @return the refusal
+   */
+  public static ForwardRefusal refusalOf(Throwable error, long defaultRetryAfterMs) {
+    if (!(Failures.unwrap(error) instanceof SpendingException spending)) {
+      return ForwardRefusal.retryAfter(Cause.TOKENS_ELSEWHERE, defaultRetryAfterMs);
+    }
+    return spending.isBudgetSpent()
+        ? ForwardRefusal.of(Cause.BUDGET_SPENT)
+        : ForwardRefusal.retryAfter(Cause.TOKENS_ELSEWHERE, spending.retryAfterMs());
+  }
 }
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/package-info.java
@@ -0,0 +1,2 @@
+/** Keeps streams at the software version that brought their first event. */
+package io.mothrill.core.forward.stream;
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamList.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamList.java
@@ -123,11 +123,12 @@
    * Checks whether an upstream is still registered and accepts requests.
    *
    * @param upstream the upstream as it was when selected
-   * @return true if the list contains the same incarnation and it is not leaving
+   * @return true if the list contains the same incarnation and version and it is not leaving
    */
   public boolean isAccepting(RegisteredUpstream upstream) {
     return find(upstream.id())
         .filter(known -> known.incarnation().equals(upstream.incarnation()))
+        .filter(known -> known.version().equals(upstream.version()))
         .filter(known -> !known.leaving())
         .isPresent();
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamQuery.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/upstream/UpstreamQuery.java
@@ -13,6 +13,7 @@
  * @param targetLatencyMs the target time to the answer, or to the first event of a stream
  * @param prompt the properties of its prompt; empty for plain requests
  * @param regionRestriction the regions in which it may be processed
+ * @param requiredVersion the version to which the request may be sent; empty if any may answer
  * @param tried the incarnations of upstreams already tried
  * @param eligibility the state of the request that determines whether it may still be sent
  */
@@ -21,9 +22,30 @@
     long targetLatencyMs,
     Optional<Prompt> prompt,
     RegionRestriction regionRestriction,
+    Optional<String> requiredVersion,
     Set<String> tried,
     Eligibility eligibility) {
 
+  /**
+   * Creates a query for a request that any version may answer.
+   *
+   * @param service the target service
+   * @param targetLatencyMs the target time to the answer, or to the first event of a stream
+   * @param prompt the properties of its prompt; empty for plain requests
+   * @param regionRestriction the regions in which it may be processed
+   * @param tried the incarnations of upstreams already tried
+   * @param eligibility the state of the request that determines whether it may still be sent
+   */
+  public UpstreamQuery(
+      String service,
+      long targetLatencyMs,
+      Optional<Prompt> prompt,
+      RegionRestriction regionRestriction,
+      Set<String> tried,
+      Eligibility eligibility) {
+    this(service, targetLatencyMs, prompt, regionRestriction, Optional.empty(), tried, eligibility);
+  }
+
   /** Copies the set of tried incarnations. */
   public UpstreamQuery {
     tried = Set.copyOf(tried);
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/AdmittedRequest.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/AdmittedRequest.java
@@ -7,8 +7,11 @@
 import io.mothrill.core.forward.plan.TeamPlan;
 import io.mothrill.core.forward.request.Fingerprint;
 import io.mothrill.core.forward.request.ForwardCall;
+import io.mothrill.core.forward.request.Prompt;
+import io.mothrill.core.forward.upstream.UpstreamQuery;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 
 /**
  * An admitted request with its routing decisions, which do not change any more.
@@ -49,6 +52,34 @@
         received.body().nioBuffer());
   }
 
+  /** Returns the same request to another service of its route. */
+  AdmittedRequest withService(String newService) {
+    return new AdmittedRequest(received, route, newService, team, deadlineMs);
+  }
+
+  /** Returns the query for an upstream. */
+  UpstreamQuery query(
+      Optional<String> requiredVersion, Set<String> tried, UpstreamQuery.Eligibility eligibility) {
+    return new UpstreamQuery(
+        service,
+        route.targetLatencyMs(),
+        call().prompt(),
+        regionRestriction(),
+        requiredVersion,
+        tried,
+        eligibility);
+  }
+
+  /** Checks whether the request is paid from a budget. */
+  boolean needsTokens() {
+    return call().prompt().isPresent() && team.isPresent();
+  }
+
+  /** Returns the most tokens that the request can cost. */
+  long maxTokens() {
+    return call().prompt().map(Prompt::maxTokens).orElse(0L);
+  }
+
   /** Creates the admission of the request to its service. */
   RequestAdmission newAdmission() {
     long callerRemainingMs = call().deadlineMs().orElse(route.timeoutMs());
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/EventRelay.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/EventRelay.java
@@ -1,5 +1,6 @@
 package io.mothrill.wire.forward;
 
+import io.mothrill.core.forward.upstream.RegisteredUpstream;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
 
@@ -9,11 +10,17 @@
   private final AdmittedRequest admitted;
   private final ForwardProgress progress;
   private final HttpResponse head;
+  private final RegisteredUpstream upstream;
 
-  EventRelay(AdmittedRequest admitted, ForwardProgress progress, HttpResponse head) {
+  EventRelay(
+      AdmittedRequest admitted,
+      ForwardProgress progress,
+      HttpResponse head,
+      RegisteredUpstream upstream) {
     this.admitted = admitted;
     this.progress = progress;
     this.head = head;
+    this.upstream = upstream;
   }
 
   /**
@@ -33,6 +40,7 @@
     }
     if (!progress.streamStarted) {
       progress.firstByteMs = admitted.elapsedMs();
+      progress.pin.onFirstEvent(upstream);
     }
     startStream();
     if (event.id().isPresent()) {
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -223,8 +223,7 @@
     connected.relay().ifPresent(recorder::setRelay);
     flow.attach(connected);
     sent = true;
-    progress.mayHaveRun = true;
-    progress.runCount++;
+    progress.onSent(upstream);
     sentMs = dependencies.timers().nowMs();
     load.onSent(promptTokens);
     held = holdTokens();
@@ -368,7 +367,7 @@
     boolean streams = admitted.route().kind().isStream() && status < FIRST_ERROR;
     if (streams) {
       splitter = new EventSplitter();
-      relay = new EventRelay(admitted, progress, response);
+      relay = new EventRelay(admitted, progress, response, upstream);
     } else {
       body = new PlainBody(collected);
     }
@@ -461,7 +460,7 @@
     }
     progress.firstByteMs = admitted.elapsedMs();
     progress.plainStarted = true;
-    new EventRelay(admitted, progress, response).startStream();
+    new EventRelay(admitted, progress, response, upstream).startStream();
     admitted.response().sendChunk(body.takeBytes());
     body = null;
   }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
@@ -12,9 +12,9 @@
 import io.mothrill.core.forward.request.Fingerprint;
 import io.mothrill.core.forward.request.ForwardRefusal;
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
-import io.mothrill.core.forward.request.Prompt;
 import io.mothrill.core.forward.spending.SpendingException;
 import io.mothrill.core.forward.spending.SpendingReservation;
+import io.mothrill.core.forward.stream.FirstEventPin;
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
 import io.mothrill.core.forward.upstream.UpstreamQuery;
 import io.mothrill.core.forward.upstream.UpstreamQuery.Eligibility;
@@ -142,6 +142,7 @@
       refuse(refusal.get());
       return;
     }
+    progress.pin = new FirstEventPin();
     requestCrashGuard =
         new RequestCrashGuard(
             dependencies.crashGuard(), admitted::fingerprint, dependencies.timers());
@@ -175,7 +176,7 @@
   }
 
   private void reserveOrSend() {
-    if (needsTokens()) {
+    if (admitted.needsTokens()) {
       reserve();
     } else {
       tryNextUpstream();
@@ -221,10 +222,9 @@
   }
 
   private void reserve() {
-    long tokens = received.call().prompt().orElseThrow().maxTokens();
     dependencies
         .spending()
-        .reserve(admitted.team().orElseThrow(), tokens)
+        .reserve(admitted.team().orElseThrow(), admitted.maxTokens())
         .whenComplete((granted, error) -> runOnEventLoop(() -> onReserved(granted, error)));
   }
 
@@ -243,16 +243,7 @@
       return;
     }
     reason = String.valueOf(Failures.unwrap(error).getMessage());
-    refuse(
-        Failures.unwrap(error) instanceof SpendingException spending && spending.isBudgetSpent()
-            ? ForwardRefusal.of(Cause.BUDGET_SPENT)
-            : ForwardRefusal.retryAfter(Cause.TOKENS_ELSEWHERE, retryAfterMs(error)));
-  }
-
-  private static long retryAfterMs(Throwable error) {
-    return Failures.unwrap(error) instanceof SpendingException spending
-        ? spending.retryAfterMs()
-        : NO_UPSTREAM_RETRY_AFTER_MS;
+    refuse(SpendingException.refusalOf(error, NO_UPSTREAM_RETRY_AFTER_MS));
   }
 
   @Override
@@ -269,7 +260,7 @@
     if (upstream.isEmpty()) {
       Rejection rejection = dependencies.checks().findRejection(query);
       if (rejection.cause() == Cause.ALL_FULL) {
-        reason = "no engine has memory for " + maxTokens() + " more tokens";
+        reason = "no engine has memory for " + admitted.maxTokens() + " more tokens";
       }
       endWithoutResponse(rejection.cause(), rejection.retryAfterMs());
       return;
@@ -280,22 +271,13 @@
   }
 
   private UpstreamQuery query() {
-    return new UpstreamQuery(
-        admitted.service(),
-        admitted.route().targetLatencyMs(),
-        received.call().prompt(),
-        admitted.regionRestriction(),
+    return admitted.query(
+        progress.pin.requiredVersion(),
         triedIncarnations,
         new Eligibility(
-            admitted.deadlineMs(), !needsTokens() || reserved, requestCrashGuard::isQuarantined));
-  }
-
-  private long maxTokens() {
-    return received.call().prompt().map(Prompt::maxTokens).orElse(0L);
-  }
-
-  private boolean needsTokens() {
-    return received.call().prompt().isPresent() && admitted.team().isPresent();
+            admitted.deadlineMs(),
+            !admitted.needsTokens() || reserved,
+            requestCrashGuard::isQuarantined));
   }
 
   @Override
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardProgress.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardProgress.java
@@ -1,5 +1,7 @@
 package io.mothrill.wire.forward;
 
+import io.mothrill.core.forward.stream.StreamPin;
+import io.mothrill.core.forward.upstream.RegisteredUpstream;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
@@ -20,6 +22,9 @@
   /** True once a part of a plain response has been sent, which no other upstream can continue. */
   boolean plainStarted;
 
+  /** The versions to which the request may be sent. */
+  StreamPin pin = StreamPin.NONE;
+
   /** The id of the last event that was relayed to the caller. */
   OptionalLong lastEventId = OptionalLong.empty();
 
@@ -27,4 +32,11 @@
 
   /** Time from the request head to the first byte of the response; -1 while there is none. */
   long firstByteMs = -1;
+
+  /** Called when the request is written to an upstream. */
+  void onSent(RegisteredUpstream upstream) {
+    mayHaveRun = true;
+    runCount++;
+    pin.onSent(upstream);
+  }
 }
