A stream that a caller takes up goes on only at the version that began it

The instance that begins a stream which may be taken up now records service and version at two instances of its domain and one outside, chosen by rendezvous of the caller's id, when it sends the request and again with the first event; the caller waits for neither. An instance at which a stream is taken up uses its own record, or the only version that has served for as long as the stream can have lasted, or asks those that may hold a record, for 250 ms at most. If nobody knows, the caller gets 503 at once with a time to come back; a guess is never sent. Records last as long as a stream and its caller's patience, 20,000 at most.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardCall.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardCall.java
@@ -14,6 +14,8 @@
  * @param deadlineMs how long the caller will wait, starting now
  * @param prompt the properties of its prompt
  * @param lastEventId the last event that the caller has received, if it resumes a stream
+ * @param resumedId the id of the request that brought the first event of the stream; empty if the
+ *     caller sent none
  */
 public record ForwardCall(
     String id,
@@ -23,4 +25,5 @@
     Optional<String> key,
     OptionalLong deadlineMs,
     Optional<Prompt> prompt,
-    OptionalLong lastEventId) {}
+    OptionalLong lastEventId,
+    String resumedId) {}
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardRefusal.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardRefusal.java
@@ -30,6 +30,8 @@
     OUTSIDE_HOME(503),
     /** No upstream of the version that began the stream is left; the request has not run. */
     OTHER_VERSION(503),
+    /** Nobody knows which version began the stream; the request has not run. */
+    ORIGIN_UNKNOWN(503),
     /** All upstreams left have requested a backoff; the request has not run. */
     RESTING(503),
     /** All upstreams left are warming up and can handle no more; the request has not run. */
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -16,6 +16,7 @@
 import io.mothrill.core.forward.prompt.PromptClass;
 import io.mothrill.core.forward.prompt.PromptTracker;
 import io.mothrill.core.forward.spending.SpendingController;
+import io.mothrill.core.forward.stream.StreamOrigins;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.view.ReadStats;
 import io.mothrill.core.forward.view.ViewController;
@@ -205,6 +206,13 @@
     metrics.gauge("load.slowReaderCount", () -> buffers::abortedCount);
   }
 
+  /** Registers gauges for the streams that callers take up again. */
+  void registerStreams(StreamOrigins origins) {
+    metrics.gauge("streams.recordedOriginCount", () -> origins::recordCount);
+    metrics.gauge("streams.knownOriginCount", () -> origins::knownCount);
+    metrics.gauge("streams.unknownOriginCount", () -> origins::unknownCount);
+  }
+
   void registerLog() {
     metrics.gauge("log.droppedCount", () -> JsonLinesWriter::droppedCount);
   }
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -17,12 +17,16 @@
 import io.mothrill.core.forward.retry.SharedRetryBudget;
 import io.mothrill.core.forward.spending.DemandSharePolicy;
 import io.mothrill.core.forward.spending.SpendingController;
+import io.mothrill.core.forward.stream.ServedVersions;
+import io.mothrill.core.forward.stream.StreamNotice;
+import io.mothrill.core.forward.stream.StreamOrigins;
 import io.mothrill.core.forward.upstream.DomainReachability;
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.view.ViewController;
 import io.mothrill.core.forward.view.exchange.ViewExchange;
 import io.mothrill.core.forward.view.exchange.ViewNotice;
+import io.mothrill.core.forward.view.table.ViewTable;
 import io.mothrill.core.peer.PeerDispatcher;
 import io.mothrill.core.peer.PeerMessage;
 import io.mothrill.core.platform.InstanceRecord;
@@ -219,6 +223,13 @@
             timers,
             random);
     view.subscribe(exchange::onChanged);
+    final StreamOrigins streamOrigins =
+        new StreamOrigins(
+            self,
+            spending::peers,
+            new ServedVersions(upstreams, () -> view.confirmedAgeMs(ViewTable.UPSTREAMS), timers),
+            this::sendStreamNotice,
+            timers);
     this.notices =
         new DatagramNotices(
             group,
@@ -237,6 +248,7 @@
                 choice.rejectionBudgets()::onReport,
                 choice::onContentionReport,
                 exchange::onNotice,
+                streamOrigins::onNotice,
                 reach::onMessageFromHost),
             ports.work());
     ServiceAdmissions admissions =
@@ -259,6 +271,7 @@
             choice.speed(),
             notices,
             choice.prompts().tracker(),
+            streamOrigins,
             spending,
             new SharedRetryBudget(settings.retries(), spending::instanceCount, timers),
             new RequestLog(metrics, timers),
@@ -302,6 +315,7 @@
     gauges.registerAdmissions(admissions);
     gauges.registerContention(choice.contention());
     gauges.registerBuffers(buffers);
+    gauges.registerStreams(streamOrigins);
     gauges.registerLog();
     gauges.registerWork(ports.work());
     timers.every(PRUNE_INTERVAL_MS, () -> choice.retain(upstreams.read()));
@@ -344,6 +358,10 @@
     notices.send(message, to);
   }
 
+  private void sendStreamNotice(StreamNotice notice, List<InstanceRecord> to) {
+    notices.send(notice, to);
+  }
+
   private void sendViewNotice(ViewNotice notice, List<InstanceRecord> to) {
     notices.send(notice, to);
   }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
@@ -17,6 +17,7 @@
 import io.mothrill.core.forward.prompt.PromptTracker;
 import io.mothrill.core.forward.retry.SharedRetryBudget;
 import io.mothrill.core.forward.spending.SpendingController;
+import io.mothrill.core.forward.stream.StreamOrigins;
 import io.mothrill.core.forward.upstream.PrefillSpeed;
 import io.mothrill.core.forward.upstream.PrefixCacheEstimator;
 import io.mothrill.core.forward.upstream.PromptNoticeSender;
@@ -45,6 +46,7 @@
  * @param prefillSpeed the estimated prefill speed of upstreams
  * @param promptNotices notifies other instances of long prompts
  * @param promptTracker follows prompts where decisions under load are active
+ * @param streamOrigins knows which software version began a stream
  * @param spending reserves prepaid tokens
  * @param retries bounds the number of retries
  * @param log receives one entry per request
@@ -77,6 +79,7 @@
     PrefillSpeed prefillSpeed,
     PromptNoticeSender promptNotices,
     PromptTracker promptTracker,
+    StreamOrigins streamOrigins,
     SpendingController spending,
     SharedRetryBudget retries,
     ForwardedRequestLog log,
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
@@ -14,7 +14,6 @@
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
 import io.mothrill.core.forward.spending.SpendingException;
 import io.mothrill.core.forward.spending.SpendingReservation;
-import io.mothrill.core.forward.stream.FirstEventPin;
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
 import io.mothrill.core.forward.upstream.UpstreamQuery;
 import io.mothrill.core.forward.upstream.UpstreamQuery.Eligibility;
@@ -137,12 +136,26 @@
   }
 
   private void admitAndSend() {
-    Optional<ForwardRefusal> refusal = admit().or(this::admitToService);
+    Optional<ForwardRefusal> refusal = admit();
     if (refusal.isPresent()) {
       refuse(refusal.get());
       return;
     }
-    progress.pin = new FirstEventPin();
+    PinnedRequest.find(admitted)
+        .thenAccept(found -> runOnEventLoop(() -> ifActive(() -> onPinned(found))));
+  }
+
+  private void onPinned(Optional<PinnedRequest> found) {
+    if (found.isEmpty()) {
+      refuse(ForwardRefusal.retryAfter(Cause.ORIGIN_UNKNOWN, NO_UPSTREAM_RETRY_AFTER_MS));
+      return;
+    }
+    admitted = found.get().request();
+    progress.pin = found.get().pin();
+    admitToService().ifPresentOrElse(this::refuse, this::sendAdmitted);
+  }
+
+  private void sendAdmitted() {
     requestCrashGuard =
         new RequestCrashGuard(
             dependencies.crashGuard(), admitted::fingerprint, dependencies.timers());
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
@@ -9,6 +9,8 @@
 import io.mothrill.core.forward.limit.RateLimitReportSender;
 import io.mothrill.core.forward.limit.RejectionReport;
 import io.mothrill.core.forward.limit.RejectionReportSender;
+import io.mothrill.core.forward.stream.StreamNotice;
+import io.mothrill.core.forward.stream.StreamNoticeSender;
 import io.mothrill.core.forward.upstream.PromptNoticeSender;
 import io.mothrill.core.forward.upstream.UpstreamStatusReport;
 import io.mothrill.core.forward.upstream.UpstreamStatusReportSender;
@@ -47,7 +49,8 @@
         RateLimitReportSender,
         RejectionReportSender,
         ContentionReportSender,
-        ViewNoticeSender {
+        ViewNoticeSender,
+        StreamNoticeSender {
 
   /**
    * Upstreams process shorter prompts before a notice could influence the choice of an upstream.
@@ -150,6 +153,11 @@
     send(Notice.newBuilder().setView(ViewNoticeCodec.write(notice)).build(), to);
   }
 
+  @Override
+  public void send(StreamNotice notice, List<InstanceRecord> to) {
+    send(Notice.newBuilder().setStream(StreamNoticeCodec.write(notice)).build(), to);
+  }
+
   private void send(Notice notice, List<InstanceRecord> peers) {
     byte[] bytes = notice.toByteArray();
     peers.stream()
@@ -195,6 +203,9 @@
           LoadNoticeCodec.read(notice.getLoad()).ifPresent(listeners.contention());
         } else if (notice.hasView()) {
           listeners.views().accept(ViewNoticeCodec.read(notice.getView()), senderOf(packet));
+        } else if (notice.hasStream()) {
+          StreamNoticeCodec.read(notice.getStream())
+              .ifPresent(message -> listeners.streams().accept(message, senderOf(packet)));
         }
       } catch (InvalidProtocolBufferException ex) {
         Logger.debug("malformed notice ignored: {}", ex.getMessage());
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/NoticeListeners.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/NoticeListeners.java
@@ -4,6 +4,7 @@
 import io.mothrill.core.forward.crash.CrashMessage;
 import io.mothrill.core.forward.limit.RateLimitReport;
 import io.mothrill.core.forward.limit.RejectionReport;
+import io.mothrill.core.forward.stream.StreamNotice;
 import io.mothrill.core.forward.upstream.PromptNoticeSender;
 import io.mothrill.core.forward.upstream.UpstreamStatusReport;
 import io.mothrill.core.forward.view.exchange.ViewNotice;
@@ -22,6 +23,7 @@
  * @param contention receives reports about slow upstreams
  * @param views receives notices about the copies of tables that other instances have, with their
  *     senders
+ * @param streams receives messages about the origins of streams, with their senders
  * @param hosts receives the IP address of the sender of each notice
  */
 public record NoticeListeners(
@@ -32,6 +34,7 @@
     Consumer<RejectionReport> rejections,
     Consumer<ContentionReport> contention,
     BiConsumer<ViewNotice, InstanceRecord> views,
+    BiConsumer<StreamNotice, InstanceRecord> streams,
     Consumer<String> hosts) {
 
   /**
@@ -49,6 +52,7 @@
         report -> {},
         report -> {},
         (notice, sender) -> {},
+        (notice, sender) -> {},
         host -> {});
   }
 }
--- a/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
@@ -60,6 +60,7 @@
             receivedRejections::add,
             receivedContention::add,
             (notice, sender) -> {},
+            (notice, sender) -> {},
             host -> {}),
         new WorkStats());
   }
--- a/mothrill-wire/src/test/java/io/mothrill/wire/peer/MalformedNoticesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/peer/MalformedNoticesTest.java
@@ -51,6 +51,7 @@
                   receivedRejections::add,
                   receivedContention::add,
                   (notice, sender) -> {},
+                  (notice, sender) -> {},
                   host -> {})));
 
   private void receive(byte[] bytes) {
