Seeded histories of streams whose instances die

Fleets of 6, 8 and 62 instances with two versions side by side, 3 in 100 messages lost, one or two instances killed at a time: no stream goes on at the other version, nine of ten go on. With it: one version of the time needs no record, a version that has left lately does, a started instance learns from others, one that is cut off does not guess, upstreams without a version count as one.

--- /dev/null
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/stream/StreamOriginsTest.java
@@ -0,0 +1,255 @@
+package io.mothrill.core.forward.stream;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.mothrill.core.board.PublishedValue;
+import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.forward.upstream.RegisteredUpstream;
+import io.mothrill.core.forward.upstream.RegistrationVersion;
+import io.mothrill.core.forward.upstream.UpstreamList;
+import io.mothrill.core.platform.InstanceRecord;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+// Guards against streams that go on at another version after their instance has died, and against
+// streams that do not go on although their origin can be known.
+class StreamOriginsTest {
+
+  private static final String SERVICE = "asistan";
+  private static final long KEEP_MS = 17_000;
+  private static final int DOMAINS = 4;
+  private static final int HOP_MS = 3;
+  private static final double LOST = 0.03;
+
+  private final ManualTimers timers = new ManualTimers();
+  private final List<Instance> fleet = new ArrayList<>();
+  private Random random = new Random(1);
+  private UpstreamList registered = list("v1");
+
+  private static UpstreamList list(String... versions) {
+    return new UpstreamList(
+        IntStream.range(0, versions.length)
+            .mapToObj(number -> upstream("i-" + number, versions[number]))
+            .toList());
+  }
+
+  private static RegisteredUpstream upstream(String id, String version) {
+    return new RegisteredUpstream(
+        id,
+        SERVICE,
+        version,
+        "10.0.0.1",
+        80 + id.hashCode() % 50,
+        "d0",
+        6,
+        false,
+        OptionalLong.empty(),
+        RegistrationVersion.UNKNOWN);
+  }
+
+  private void startFleet(int count) {
+    List<InstanceRecord> records =
+        IntStream.range(0, count)
+            .mapToObj(
+                number ->
+                    new InstanceRecord(
+                        "e" + number,
+                        "e" + number,
+                        "d" + number % DOMAINS,
+                        "10.1.0." + number,
+                        number,
+                        false))
+            .toList();
+    records.forEach(record -> fleet.add(new Instance(record, records)));
+  }
+
+  private void register(String... versions) {
+    registered = list(versions);
+    fleet.forEach(instance -> instance.upstreams.publish(registered));
+  }
+
+  /** An instance, which may die and start again without its memory. */
+  private final class Instance {
+    private final InstanceRecord self;
+    private final List<InstanceRecord> others;
+    private final PublishedValue<UpstreamList> upstreams =
+        new PublishedValue<>(UpstreamList.empty());
+    private StreamOrigins origins;
+    private boolean isAlive = true;
+    private int side;
+
+    Instance(InstanceRecord self, List<InstanceRecord> all) {
+      this.self = self;
+      this.others = all.stream().filter(other -> !other.equals(self)).toList();
+      start();
+      upstreams.publish(registered);
+    }
+
+    private void start() {
+      PublishedValue<UpstreamList> seen = new PublishedValue<>(UpstreamList.empty());
+      ServedVersions served = new ServedVersions(seen, () -> side == 0 ? 0 : 60_000, timers);
+      upstreams.subscribe(seen::publish);
+      seen.publish(registered);
+      origins = new StreamOrigins(self, () -> others, served, this::send, timers);
+    }
+
+    private void send(StreamNotice notice, List<InstanceRecord> to) {
+      to.stream()
+          .map(other -> fleet.get(other.peerPort()))
+          .filter(other -> random.nextDouble() >= LOST)
+          .forEach(
+              other ->
+                  timers.after(
+                      1 + random.nextInt(HOP_MS),
+                      () -> {
+                        if (isAlive && other.isAlive && other.side == side) {
+                          other.origins.onNotice(notice, self);
+                        }
+                      }));
+    }
+
+    void begin(String id, String version) {
+      StreamPin pin = origins.pin(id, KEEP_MS, Optional.empty());
+      pin.onSent(upstream("i-0", version));
+      timers.after(40, () -> pin.onFirstEvent(upstream("i-0", version)));
+    }
+
+    void restart() {
+      isAlive = false;
+      timers.after(
+          500,
+          () -> {
+            start();
+            isAlive = true;
+          });
+    }
+  }
+
+  private Optional<StreamOrigin> find(Instance at, String id) {
+    CompletableFuture<Optional<StreamOrigin>> found = at.origins.find(id, SERVICE, KEEP_MS);
+    timers.advanceMs(300);
+    assertWithMessage("decided in time").that(found.isDone()).isTrue();
+    return found.join();
+  }
+
+  // Two versions serve side by side; instances are killed one or two at a time, and their streams
+  // are taken up elsewhere, mostly in the same domain. No stream goes on at the other version, and
+  // nine of ten go on.
+  @ParameterizedTest
+  @CsvSource({"6, 1", "6, 2", "8, 3", "8, 4", "62, 5"})
+  void streamsOfKilledInstancesGoOnAtTheirVersion(int count, long seed) {
+    random = new Random(seed);
+    startFleet(count);
+    register("v1", "v1.1", "v1", "v1.1");
+    timers.advanceMs(2 * KEEP_MS);
+    int known = 0;
+    int all = 0;
+    for (int round = 0; round < 30; round++) {
+      Instance dying = fleet.get(random.nextInt(count));
+      Instance alsoDying = fleet.get(random.nextInt(count));
+      List<String> versions =
+          Stream.generate(() -> random.nextBoolean() ? "v1" : "v1.1").limit(10).toList();
+      for (int stream = 0; stream < versions.size(); stream++) {
+        dying.begin(round + "-" + stream, versions.get(stream));
+      }
+      timers.advanceMs(100);
+      dying.restart();
+      alsoDying.restart();
+      timers.advanceMs(20);
+      for (int stream = 0; stream < versions.size(); stream++) {
+        Optional<StreamOrigin> found = find(takerOf(dying), round + "-" + stream);
+        all++;
+        known += found.isPresent() ? 1 : 0;
+        assertThat(found.map(StreamOrigin::version).orElse(versions.get(stream)))
+            .isEqualTo(versions.get(stream));
+      }
+      timers.advanceMs(2_000);
+    }
+    assertThat(known).isAtLeast(all * 9 / 10);
+  }
+
+  private Instance takerOf(Instance dead) {
+    List<Instance> alive = fleet.stream().filter(instance -> instance.isAlive).toList();
+    List<Instance> near =
+        alive.stream()
+            .filter(instance -> instance.self.domain().equals(dead.self.domain()))
+            .toList();
+    List<Instance> from = near.isEmpty() || random.nextInt(10) == 0 ? alive : near;
+    return from.get(random.nextInt(from.size()));
+  }
+
+  @Test
+  void onlyVersionOfTheTimeNeedsNoRecord() {
+    startFleet(6);
+    timers.advanceMs(KEEP_MS);
+
+    assertThat(find(fleet.get(0), "unknown")).hasValue(new StreamOrigin(SERVICE, "v1"));
+  }
+
+  // A version that has left lately may have begun the stream.
+  @Test
+  void streamIsNotContinuedWhileTwoVersionsCanHaveBegunIt() {
+    startFleet(6);
+    timers.advanceMs(2 * KEEP_MS);
+    register("v1", "v1.1");
+    register("v1.1");
+
+    assertThat(find(fleet.get(0), "unknown")).isEmpty();
+
+    timers.advanceMs(KEEP_MS);
+    assertThat(find(fleet.get(0), "unknown")).hasValue(new StreamOrigin(SERVICE, "v1.1"));
+  }
+
+  // An instance has just started; the others know that there has been one version only.
+  @Test
+  void startedInstanceLearnsFromOthersThatThereIsOneVersion() {
+    startFleet(6);
+    timers.advanceMs(2 * KEEP_MS);
+    fleet.get(0).restart();
+    timers.advanceMs(1_000);
+
+    assertThat(find(fleet.get(0), "unknown")).hasValue(new StreamOrigin(SERVICE, "v1"));
+  }
+
+  // An instance that is cut off does not know whether another version serves by now.
+  @Test
+  void instanceThatIsCutOffDoesNotGuess() {
+    startFleet(6);
+    timers.advanceMs(2 * KEEP_MS);
+    fleet.get(0).side = 1;
+
+    assertThat(find(fleet.get(0), "unknown")).isEmpty();
+  }
+
+  @Test
+  void upstreamsWithoutAVersionCountAsOne() {
+    registered = list("", "");
+    startFleet(6);
+    timers.advanceMs(2 * KEEP_MS);
+
+    assertThat(find(fleet.get(0), "unknown")).hasValue(new StreamOrigin(SERVICE, ""));
+  }
+
+  // The record of an attempt that brought no event arrives after that of the one that did.
+  @Test
+  void recordOfALaterAttemptCounts() {
+    OriginRecords records = new OriginRecords(timers);
+    records.add("a", new StreamOrigin(SERVICE, "v1.1"), 2, KEEP_MS);
+    records.add("a", new StreamOrigin(SERVICE, "v1"), 1, KEEP_MS);
+
+    assertThat(records.find("a").orElseThrow().origin().version()).isEqualTo("v1.1");
+
+    timers.advanceMs(KEEP_MS + 1);
+    assertThat(records.find("a").isPresent()).isFalse();
+  }
+}
