A stream taken up without naming its first request is looked up by the request's own id

A caller that sends its request again under the same id did not find its record, and one that names none did not ask others for the only version either.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/PinnedRequest.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/PinnedRequest.java
@@ -22,6 +22,9 @@
   /**
    * Finds the versions to which a request may be sent.
    *
+   * <p>A caller that does not name the request that began its stream may have sent it again under
+   * the same id.
+   *
    * @return the request; empty if it continues a stream whose origin nobody knows
    */
   static CompletableFuture<Optional<PinnedRequest>> find(AdmittedRequest admitted) {
@@ -36,8 +39,9 @@
       StreamPin pin = origins.pin(call.id(), keepMs, Optional.empty());
       return CompletableFuture.completedFuture(Optional.of(new PinnedRequest(admitted, pin)));
     }
+    String firstId = call.resumedId().isEmpty() ? call.id() : call.resumedId();
     return origins
-        .find(call.resumedId(), admitted.service(), keepMs)
+        .find(firstId, admitted.service(), keepMs)
         .thenApply(
             origin ->
                 origin
@@ -46,7 +50,7 @@
                         found ->
                             new PinnedRequest(
                                 admitted.withService(found.service()),
-                                origins.pin(call.resumedId(), keepMs, origin))));
+                                origins.pin(firstId, keepMs, origin))));
   }
 
   /** Checks whether the plan still routes the request to the service that began the stream. */
