--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/TableReader.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/TableReader.java
@@ -187,9 +187,13 @@
     }
   }
 
-  /** Returns the time since the copy was known to be complete, at most. */
+  /**
+   * Returns the time since the copy was known to be complete. Without an answer of the store its
+   * clock is not known, and the age of what other instances have confirmed neither.
+   */
   long confirmedAgeMs() {
-    return storeClock.nowMs() - copy.state().confirmedStoreMs();
+    long storeMs = storeClock.nowMs();
+    return storeMs <= 0 ? Long.MAX_VALUE : Math.max(0, storeMs - copy.state().confirmedStoreMs());
   }
 
   /** Checks whether the store has answered within an interval and a half. */
--- a/mothrill-core/src/main/java/io/mothrill/core/platform/StoreClock.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/platform/StoreClock.java
@@ -12,7 +12,8 @@
   /**
    * Returns a lower bound of the store's clock.
    *
-   * @return milliseconds on the store's clock, never more than the actual time
+   * @return milliseconds on the store's clock, never more than the actual time; 0 before the first
+   *     response
    */
   long nowMs();
 
