A whole table that fills the link is not read all the time

Found while reading the change: an instance that nobody confirms to, with a plan that takes longer on its link than a confirmation lasts, would have read it again at once and forever, and kept the link from its callers. After a whole read the next one waits for as long as it took.

wholeTableThatFillsTheLinkIsNotReadAllTheTime: the link was busy for 40,000 of 40,000 ms without the wait; it is for at most 22,000 with it.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/StreamOrigins.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/StreamOrigins.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 
 /**
  * Records which software version began each stream that may be taken up again, and finds it out for
@@ -205,9 +204,7 @@
     private void askAgain() {
       sender.send(
           query,
-          asked.stream()
-              .filter(instance -> !answeredHosts.contains(instance.host()))
-              .collect(Collectors.toList()));
+          asked.stream().filter(instance -> !answeredHosts.contains(instance.host())).toList());
     }
 
     synchronized void onAnswer(StreamNotice.Answer answer, String host) {
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/TableReader.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/TableReader.java
@@ -63,6 +63,7 @@
   private final List<PendingRead> pending = new ArrayList<>();
   private boolean due;
   private volatile boolean wholeFailed;
+  private volatile long nextWholeMs = Long.MIN_VALUE;
   private volatile long answeredMs = TableRead.UNCONFIRMED;
 
   /** A read without a result. */
@@ -126,7 +127,10 @@
 
   /** Reads now; also the changes if the whole table is due but was not received last time. */
   void read() {
-    boolean isWholeDue = !copy.isKnown() || confirmedAgeMs() >= WHOLE_AFTER_INTERVALS * intervalMs;
+    boolean isWholeDue =
+        !copy.isKnown()
+            || (confirmedAgeMs() >= WHOLE_AFTER_INTERVALS * intervalMs
+                && timers.nowMs() >= nextWholeMs);
     boolean hasWholeFailed = wholeFailed;
     if (isWholeDue) {
       readWhole();
@@ -144,10 +148,20 @@
             .whenComplete(
                 (result, error) -> {
                   wholeFailed = error != null;
+                  deferWhole(read, wholeFailed);
                   onEnded(read, result, error);
                 });
   }
 
+  /**
+   * Leaves the link to others for as long as the whole table took: on a link that it fills for
+   * longer than its confirmation lasts, it would be read again at once, and forever.
+   */
+  private void deferWhole(PendingRead read, boolean hasFailed) {
+    long nowMs = timers.nowMs();
+    nextWholeMs = hasFailed ? nowMs : 2 * nowMs - read.startedMs;
+  }
+
   private void readChanges() {
     PendingRead read = add();
     var unused =
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/exchange/ViewExchange.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/exchange/ViewExchange.java
@@ -47,7 +47,7 @@
   private static final int MAX_PENDING = 2;
 
   /** Replies of this size delay the callers of a small instance. */
-  private static final int LARGE_ROW_BYTES = 8_192;
+  private static final int LARGE_REPLY_BYTES = 8_192;
 
   private static final int MAX_LARGE_REPLIES_PER_S = 10;
 
@@ -228,7 +228,8 @@
   }
 
   private static boolean isLarge(TableRead read) {
-    return read.rows().stream().mapToInt(row -> row.value().bytes().length).sum() > LARGE_ROW_BYTES;
+    return read.rows().stream().mapToInt(row -> row.value().bytes().length).sum()
+        > LARGE_REPLY_BYTES;
   }
 
   /**
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/view/SharedLink.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/view/SharedLink.java
@@ -15,6 +15,7 @@
   private final MemoryStore store;
   private final double transferMs;
   private final List<Transfer> transfers = new ArrayList<>();
+  private long busyMs;
 
   /** A response that is being received. */
   private static final class Transfer {
@@ -43,6 +44,7 @@
 
   private void advance() {
     List<Transfer> sharing = List.copyOf(transfers);
+    busyMs += sharing.isEmpty() ? 0 : STEP_MS;
     sharing.forEach(transfer -> transfer.leftMs -= (double) STEP_MS / sharing.size());
     sharing.forEach(transfer -> transfer.onProgress.run());
     sharing.stream()
@@ -54,6 +56,11 @@
             });
   }
 
+  /** Returns how long responses were on the link. */
+  long busyMs() {
+    return busyMs;
+  }
+
   @Override
   public CompletableFuture<TableRead> readWhole(ViewTable table, Runnable onProgress) {
     return transfer(table, store.whole(table), onProgress);
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/view/ViewControllerTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/view/ViewControllerTest.java
@@ -285,4 +285,17 @@
 
     assertThat(plan.read().version()).isEqualTo(3);
   }
+
+  // A whole table takes longer on the link than its confirmation lasts. Read again and again, it
+  // would keep the link from callers although nothing changes.
+  @Test
+  void wholeTableThatFillsTheLinkIsNotReadAllTheTime() {
+    long transferMs = 4 * SETTINGS.planPollMs();
+    SharedLink link = new SharedLink(store, timers, transferMs);
+    startPolling(link, SETTINGS);
+
+    timers.advanceMs(20 * transferMs);
+
+    assertThat(link.busyMs()).isAtMost(11 * transferMs);
+  }
 }
