An incomplete table of another instance counts as refused

Found while reading the change: it was not applied, but counted as received, so the metrics would have shown an instance that gets what it asks for and stays behind. ViewMergeTest states it.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/ViewController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/ViewController.java
@@ -175,7 +175,7 @@
     if (changed || !wasKnown) {
       publish(table, FROM_INSTANCE, requestedMs, outages.isRecovering());
     }
-    return true;
+    return copy.state().version() >= read.version();
   }
 
   /** The store accepts only plans that can be decoded, so another one was damaged on its way. */
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/exchange/TableMerger.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/exchange/TableMerger.java
@@ -39,7 +39,7 @@
    * @param table the table
    * @param read the changes
    * @param requestedMs when they were requested
-   * @return false if they are malformed and were refused as a whole
+   * @return false if they are malformed or incomplete and were refused as a whole
    */
   boolean merge(ViewTable table, TableRead read, long requestedMs);
 
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/view/ViewMergeTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/view/ViewMergeTest.java
@@ -72,7 +72,7 @@
 
   @Test
   void tableWithoutAllOfItsRowsIsNotApplied() {
-    merge(90, "4", Set.of("config", "evacuate/konya"));
+    assertThat(merge(90, "4", Set.of("config", "evacuate/konya"))).isFalse();
 
     assertThat(plan.read().version()).isEqualTo(3);
     assertThat(view.state(ViewTable.CONFIG).version()).isLessThan(90);
