On a split route the only version of one service does not tell the origin of a stream

Found while reading the change: for a stream without a record the service was drawn by the weights of the route, and the only version of that service taken for the origin, though another service may have begun it. Such a stream is refused now unless its origin is recorded; onlyVersionOfOneServiceIsNotEnoughForSeveral.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/StreamNotice.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/StreamNotice.java
@@ -27,7 +27,7 @@
    * Requests the origin of a stream.
    *
    * @param requestId the caller's id for the request that began the stream
-   * @param service the service to which the request is routed now
+   * @param service the only service that can have begun the stream; empty if there are several
    * @param begunWithinMs the longest time since the stream can have begun
    */
   record Query(String requestId, String service, long begunWithinMs) implements StreamNotice {}
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/StreamOrigins.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/StreamOrigins.java
@@ -90,7 +90,7 @@
    * Finds the origin of a stream.
    *
    * @param requestId the caller's id for the request that began the stream; empty if not known
-   * @param service the service to which the request is routed now
+   * @param service the only service that can have begun the stream; empty if there are several
    * @param begunWithinMs the longest time since the stream can have begun
    * @return the origin; empty if nobody knows it and several versions can have begun the stream
    */
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/stream/StreamOriginsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/stream/StreamOriginsTest.java
@@ -210,6 +210,19 @@
     assertThat(find(fleet.get(0), "unknown")).hasValue(new StreamOrigin(SERVICE, "v1.1"));
   }
 
+  // On a route that is split, the stream may have begun at another service.
+  @Test
+  void onlyVersionOfOneServiceIsNotEnoughForSeveral() {
+    startFleet(6);
+    timers.advanceMs(2 * KEEP_MS);
+
+    CompletableFuture<Optional<StreamOrigin>> found =
+        fleet.get(0).origins.find("unknown", "", KEEP_MS);
+    timers.advanceMs(300);
+
+    assertThat(found.join()).isEmpty();
+  }
+
   // An instance has just started; the others know that there has been one version only.
   @Test
   void startedInstanceLearnsFromOthersThatThereIsOneVersion() {
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/PinnedRequest.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/PinnedRequest.java
@@ -41,7 +41,7 @@
     }
     String firstId = call.resumedId().isEmpty() ? call.id() : call.resumedId();
     return origins
-        .find(firstId, admitted.service(), keepMs)
+        .find(firstId, onlyTarget(admitted), keepMs)
         .thenApply(
             origin ->
                 origin
@@ -53,6 +53,11 @@
                                 origins.pin(firstId, keepMs, origin))));
   }
 
+  /** Returns the service that began the stream if nothing is recorded; empty on a split route. */
+  private static String onlyTarget(AdmittedRequest admitted) {
+    return admitted.route().targets().size() == 1 ? admitted.service() : "";
+  }
+
   /** Checks whether the plan still routes the request to the service that began the stream. */
   private static boolean isTarget(AdmittedRequest admitted, StreamOrigin origin) {
     return admitted.route().targets().stream()
