--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/ReadShare.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/ReadShare.java
@@ -14,20 +14,20 @@
   private static final double MS_PER_S = 1_000.0;
 
   private final IntSupplier instanceCount;
-  private final double readsPerSOfOne;
+  private final double ownReadsPerS;
   private final double maxReadsPerS;
   private final RandomGenerator random;
 
   ReadShare(IntSupplier instanceCount, ViewSettings settings, RandomGenerator random) {
     this.instanceCount = instanceCount;
-    this.readsPerSOfOne = MS_PER_S / settings.planPollMs() + MS_PER_S / settings.upstreamPollMs();
+    this.ownReadsPerS = MS_PER_S / settings.planPollMs() + MS_PER_S / settings.upstreamPollMs();
     this.maxReadsPerS = settings.maxReadsPerS();
     this.random = random;
   }
 
   /** Checks whether this instance reads in this interval. */
   boolean drawTurn() {
-    double wantedPerS = instanceCount.getAsInt() * readsPerSOfOne;
+    double wantedPerS = instanceCount.getAsInt() * ownReadsPerS;
     return wantedPerS <= maxReadsPerS || random.nextDouble() * wantedPerS < maxReadsPerS;
   }
 }
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/stream/StreamOriginsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/stream/StreamOriginsTest.java
@@ -155,8 +155,8 @@
     int known = 0;
     int all = 0;
     for (int round = 0; round < 30; round++) {
-      Instance dying = fleet.get(random.nextInt(count));
-      Instance alsoDying = fleet.get(random.nextInt(count));
+      final Instance dying = fleet.get(random.nextInt(count));
+      final Instance alsoDying = fleet.get(random.nextInt(count));
       List<String> versions =
           Stream.generate(() -> random.nextBoolean() ? "v1" : "v1.1").limit(10).toList();
       for (int stream = 0; stream < versions.size(); stream++) {
@@ -245,7 +245,7 @@
   }
 
   @Test
-  void upstreamsWithoutAVersionCountAsOne() {
+  void upstreamsWithoutVersionCountAsOne() {
     registered = list("", "");
     startFleet(6);
     timers.advanceMs(2 * KEEP_MS);
@@ -255,7 +255,7 @@
 
   // The record of an attempt that brought no event arrives after that of the one that did.
   @Test
-  void recordOfALaterAttemptCounts() {
+  void recordOfLaterAttemptCounts() {
     OriginRecords records = new OriginRecords(timers);
     records.add("a", new StreamOrigin(SERVICE, "v1.1"), 2, KEEP_MS);
     records.add("a", new StreamOrigin(SERVICE, "v1"), 1, KEEP_MS);
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/view/ReadShareTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/view/ReadShareTest.java
@@ -18,8 +18,8 @@
     ReadShare share = new ReadShare(() -> instances, SETTINGS, new Random(1));
     int draws = 100_000;
     long turns = IntStream.range(0, draws).filter(draw -> share.drawTurn()).count();
-    double readsPerSOfOne = 1_000.0 / 750 + 1_000.0 / 500;
-    return instances * readsPerSOfOne * turns / draws;
+    double ownReadsPerS = 1_000.0 / 750 + 1_000.0 / 500;
+    return instances * ownReadsPerS * turns / draws;
   }
 
   @Test
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/view/ViewControllerTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/view/ViewControllerTest.java
@@ -214,8 +214,8 @@
   @Test
   void lateResponseDoesNotEndAnEvacuation() {
     startPolling();
-    TableRead before = store.whole(ViewTable.CONFIG);
-    CompletableFuture<TableRead> late = store.delayNextRead();
+    final TableRead before = store.whole(ViewTable.CONFIG);
+    final CompletableFuture<TableRead> late = store.delayNextRead();
     timers.advanceMs(500);
     store.evacuate("konya");
     timers.advanceMs(500);
@@ -241,7 +241,7 @@
   // The feed is silent while the plan changes, and the next read of the whole table fails. Callers
   // would be handled by the old plan for longer than the store's operators are promised.
   @Test
-  void planIsInForceInTimeAlthoughAWholeReadFails() {
+  void planIsInForceInTimeAlthoughOneWholeReadFails() {
     startPolling();
     timers.advanceMs(SETTINGS.planPollMs() / 2);
     store.setFault(ViewTable.CONFIG, MemoryStore.Fault.SILENT_FEED);
@@ -256,7 +256,7 @@
   // The feed answers without a change that has been made. Later answers of the feed show it, so it
   // must not count as known.
   @Test
-  void answerWithoutAChangeDoesNotHideTheChangeFromLaterReads() {
+  void answerWithoutChangeDoesNotHideItFromLaterReads() {
     startPolling();
     store.setFault(ViewTable.CONFIG, MemoryStore.Fault.SILENT_FEED);
     store.declarePlan(2);
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/view/exchange/ViewExchangeLimitTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/view/exchange/ViewExchangeLimitTest.java
@@ -86,7 +86,7 @@
   }
 
   @Test
-  void largeTablesArePassedOnAFewTimesASecond() {
+  void largeTablesArePassedOnFewTimesPerSecond() {
     assertThat(servedOf(30)).isEqualTo(10);
     assertThat(exchange.counts().declined()).isEqualTo(20);
 
@@ -95,7 +95,7 @@
   }
 
   @Test
-  void missingChangeIsRequestedOnceMoreWhenAReplyIsLate() {
+  void missingChangeIsRequestedOnceMoreWhenReplyIsLate() {
     ViewNotice newer = new ViewNotice(List.of(new TableState(ViewTable.CONFIG, 9, 9, 2_000)));
     IntStream.range(0, 5).forEach(number -> exchange.onNotice(newer, OTHER));
     assertThat(requested).hasSize(1);
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/StreamNoticeCodec.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/StreamNoticeCodec.java
@@ -21,7 +21,7 @@
     if (notice instanceof StreamNotice.Record told) {
       builder.setRecord(
           OriginRecord.newBuilder()
-              .setOrigin(origin(told.origin()))
+              .setOrigin(writeOrigin(told.origin()))
               .setAttempt(told.attempt())
               .setKeepMs(told.keepMs()));
     } else if (notice instanceof StreamNotice.Query query) {
@@ -31,14 +31,14 @@
               .setBegunWithinMs(query.begunWithinMs()));
     } else if (notice instanceof StreamNotice.Answer answer) {
       OriginAnswer.Builder written = OriginAnswer.newBuilder().setAttempt(answer.attempt());
-      answer.origin().map(StreamNoticeCodec::origin).ifPresent(written::setOrigin);
+      answer.origin().map(StreamNoticeCodec::writeOrigin).ifPresent(written::setOrigin);
       answer.onlyVersion().ifPresent(written::setOnlyVersion);
       builder.setAnswer(written);
     }
     return builder.build();
   }
 
-  private static io.mothrill.wire.peer.generated.StreamOrigin origin(StreamOrigin origin) {
+  private static io.mothrill.wire.peer.generated.StreamOrigin writeOrigin(StreamOrigin origin) {
     return io.mothrill.wire.peer.generated.StreamOrigin.newBuilder()
         .setService(origin.service())
         .setVersion(origin.version())
@@ -68,19 +68,19 @@
     return told.hasOrigin() && told.getAttempt() > 0 && told.getKeepMs() > 0
         ? Optional.of(
             new StreamNotice.Record(
-                requestId, origin(told.getOrigin()), told.getAttempt(), told.getKeepMs()))
+                requestId, readOrigin(told.getOrigin()), told.getAttempt(), told.getKeepMs()))
         : Optional.empty();
   }
 
   private static StreamNotice answer(String requestId, OriginAnswer answer) {
     return new StreamNotice.Answer(
         requestId,
-        answer.hasOrigin() ? Optional.of(origin(answer.getOrigin())) : Optional.empty(),
+        answer.hasOrigin() ? Optional.of(readOrigin(answer.getOrigin())) : Optional.empty(),
         answer.getAttempt(),
         answer.hasOnlyVersion() ? Optional.of(answer.getOnlyVersion()) : Optional.empty());
   }
 
-  private static StreamOrigin origin(io.mothrill.wire.peer.generated.StreamOrigin origin) {
+  private static StreamOrigin readOrigin(io.mothrill.wire.peer.generated.StreamOrigin origin) {
     return new StreamOrigin(origin.getService(), origin.getVersion());
   }
 }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/TableContentCodec.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/TableContentCodec.java
@@ -30,11 +30,11 @@
     if (read.confirmedStoreMs() != TableRead.UNCONFIRMED) {
       content.setConfirmedStoreMs(read.confirmedStoreMs());
     }
-    read.rows().stream().map(TableContentCodec::row).forEach(content::addRows);
+    read.rows().stream().map(TableContentCodec::writeRow).forEach(content::addRows);
     return content.build();
   }
 
-  private static TableRow row(StoredRow row) {
+  private static TableRow writeRow(StoredRow row) {
     boolean deflated = row.value().bytes().length >= MIN_DEFLATED_BYTES;
     return TableRow.newBuilder()
         .setKey(row.key())
@@ -59,12 +59,12 @@
         content.getVersion(),
         content.getChangeVersion(),
         content.hasConfirmedStoreMs() ? content.getConfirmedStoreMs() : TableRead.UNCONFIRMED,
-        content.getRowsList().stream().map(TableContentCodec::row).toList(),
+        content.getRowsList().stream().map(TableContentCodec::readRow).toList(),
         Map.of(),
         new HashSet<>(content.getKeysList()));
   }
 
-  private static StoredRow row(TableRow row) {
+  private static StoredRow readRow(TableRow row) {
     byte[] value = row.getValue().toByteArray();
     return new StoredRow(
         row.getKey(),
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/ViewNoticeCodec.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/ViewNoticeCodec.java
@@ -14,11 +14,11 @@
 
   static io.mothrill.wire.peer.generated.ViewNotice write(ViewNotice notice) {
     var builder = io.mothrill.wire.peer.generated.ViewNotice.newBuilder();
-    notice.states().stream().map(ViewNoticeCodec::state).forEach(builder::addStates);
+    notice.states().stream().map(ViewNoticeCodec::writeState).forEach(builder::addStates);
     return builder.build();
   }
 
-  private static io.mothrill.wire.peer.generated.TableState state(TableState state) {
+  private static io.mothrill.wire.peer.generated.TableState writeState(TableState state) {
     var builder =
         io.mothrill.wire.peer.generated.TableState.newBuilder()
             .setTable(state.table().name())
@@ -35,12 +35,12 @@
     return new ViewNotice(
         notice.getStatesList().stream()
             .filter(state -> state.getVersion() >= 0 && state.getChangeVersion() >= 0)
-            .map(ViewNoticeCodec::state)
+            .map(ViewNoticeCodec::readState)
             .flatMap(Optional::stream)
             .toList());
   }
 
-  private static Optional<TableState> state(io.mothrill.wire.peer.generated.TableState state) {
+  private static Optional<TableState> readState(io.mothrill.wire.peer.generated.TableState state) {
     return table(state.getTable())
         .map(
             table ->
