--- a/mothrill-core/src/main/java/io/mothrill/core/peer/RendezvousHash.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/peer/RendezvousHash.java
@@ -17,6 +17,9 @@
 
   private RendezvousHash() {}
 
+  /** An instance with its score, which is computed once and not for each comparison. */
+  private record Scored(InstanceRecord instance, long score) {}
+
   /**
    * Ranks instances for a key by their ids, so that a replacement keeps the rank of its
    * predecessor.
@@ -27,9 +30,10 @@
    */
   public static List<InstanceRecord> rank(String key, Collection<InstanceRecord> instances) {
     return instances.stream()
+        .map(instance -> new Scored(instance, score(key, instance.id())))
         .sorted(
-            Comparator.comparingLong((InstanceRecord instance) -> score(key, instance.id()))
-                .thenComparing(InstanceRecord::id))
+            Comparator.comparingLong(Scored::score).thenComparing(scored -> scored.instance().id()))
+        .map(Scored::instance)
         .toList();
   }
 
