Review: case 3, LOST by the wrong part of a prompt

Cause: CrashGuard records a crash under the request and all shared parts of its prompt. A sound first part reaches three crashes together with the crashing one behind it, is refused first, and gets all three crashes attributed; the crashing part falls to 0. All requests with the sound part are then refused for ten minutes at all instances. Change: review/3 shows it.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -9,5 +9,5 @@
 fi
 timeout 115 java -Xmx256m -cp review/target/classes:platform/target/mothrill-platform.jar review.$case $here/record.txt
 code=$?
-[ $code -le 1 ] && [ -s $here/record.txt ] && tail -1 $here/record.txt | grep -q 'requests run' && exit $code
+[ $code -le 1 ] && [ -s $here/record.txt ] && tail -1 $here/record.txt | grep -q 'replicas crashed' && exit $code
 exit 2
--- a/review/src/review/Case2.java
+++ b/review/src/review/Case2.java
@@ -1,193 +1,193 @@
 package review;
 
+import java.io.BufferedReader;
 import java.io.IOException;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
+import java.io.InputStreamReader;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
-import java.util.Random;
-import java.util.concurrent.atomic.AtomicLong;
-import java.util.concurrent.locks.LockSupport;
-import java.util.stream.IntStream;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 
-/** A tenant's budget is spent, and its clients go on asking, at machines with two cores. */
+/** A replica crashes while it sends an answer without a length, before it has read the request. */
 final class Case2 {
 
-  private static final int ENTRIES = 16;
-  private static final long PREPAID = 1_000_000;
-  private static final int FIRST_TOKENS = 20_000;
-  private static final int NEXT_TOKENS = 54_600;
-  private static final int OUTPUT_TOKENS = 5;
-  private static final List<String> OTHER_KEYS =
-      IntStream.rangeClosed(2, 10).mapToObj(number -> "key-" + number).toList();
-  private static final long ASKING_MS = 75_000;
-  private static final int CLIENTS_PER_ENTRY = 7;
+  private static final int REQUESTS = 6;
+  private static final int REPLICAS = 6;
+  private static final int BODY_BYTES = 4_194_304;
+  private static final int RECEIVE_BYTES = 65_536;
 
-  /** 210 requests a second at each machine: 7.5 times the 28 that the sheet has for a machine. */
-  private static final long PAUSE_NANOS = 33_333_000;
-
-  /** With the pause below, about 28 requests a second at each machine, as on the sheet. */
-  private static final int OTHERS_PER_ENTRY = 3;
-
-  private static final long OTHERS_PAUSE_NANOS = 100_000_000;
+  /** Three heartbeats; the platform removes the entry of a replica that is silent for so long. */
+  private static final long LAPSE_MS = 3_600;
 
   private final Record record;
-  private final AtomicLong requestNumber = new AtomicLong(0x51c0000000000000L);
-  private final AtomicLong deliveredTokens = new AtomicLong();
-  private final AtomicLong refused = new AtomicLong();
-  private final AtomicLong servedLate = new AtomicLong();
-  private final AtomicLong failed = new AtomicLong();
-  private final AtomicLong others = new AtomicLong();
-
-  private Case2(Record record) {
+  private final boolean trouble;
+  private final List<Running> replicas = new ArrayList<>();
+  private final BlockingQueue<Running> began = new LinkedBlockingQueue<>();
+  private int startedCount;
+  private int truncated;
+  private int whole;
+  private int failed;
+
+  private Case2(Record record, boolean trouble) {
     this.record = record;
+    this.trouble = trouble;
   }
 
   public static void main(String[] args) throws Exception {
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    Entry.cores = trouble ? 2 : 1;
-    Entry.memoryMb = 682;
     boolean broken;
     try (Record record = new Record(Path.of(args[0])); Fleet fleet = new Fleet()) {
-      record.line("start: trouble=%s, cores=%d, prepaid=%d", trouble, Entry.cores, PREPAID);
-      broken = new Case2(record).play(fleet);
+      broken = new Case2(record, trouble).play(fleet);
     }
     System.exit(broken ? 1 : 0);
   }
 
-  private boolean play(Fleet fleet) throws Exception {
-    fleet.configure(PREPAID, OTHER_KEYS);
-    Replica replica = new Replica(Case2::stream, 0);
-    fleet.register("i-1", Fleet.ENGINE, replica.address(), "ankara-a", 64, "ready", 1);
-    for (int number = 0; number < ENTRIES; number++) {
-      fleet.addEntry().start();
+  /** The process of one replica. */
+  private final class Running implements AutoCloseable {
+    private final String id;
+    private final Process process;
+    private final String address;
+
+    Running(String id) throws IOException {
+      this.id = id;
+      this.process =
+          new ProcessBuilder(
+                  "java",
+                  "-Xmx32m",
+                  "-XX:+UseSerialGC",
+                  "-cp",
+                  System.getProperty("java.class.path"),
+                  "review.ReplicaProcess",
+                  Integer.toString(RECEIVE_BYTES))
+              .redirectError(ProcessBuilder.Redirect.INHERIT)
+              .start();
+      Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+      BufferedReader lines = new BufferedReader(new InputStreamReader(process.getInputStream()));
+      this.address = lines.readLine().split(" ")[1];
+      Thread reader = new Thread(() -> follow(lines));
+      reader.setDaemon(true);
+      reader.start();
     }
-    for (Entry entry : fleet.entries) {
-      entry.awaitReady(20_000);
+
+    private void follow(BufferedReader lines) {
+      lines
+          .lines()
+          .forEach(
+              line -> {
+                record.line("replica %s %s", id, line);
+                if (line.startsWith("began")) {
+                  began.add(this);
+                }
+              });
     }
-    Thread.sleep(3_500);
-    spend(fleet);
-    ask(fleet);
-    return judge();
-  }
 
-  /** A stream of one event with all output tokens. */
-  private static boolean stream(Replica.Head head, Socket socket) throws IOException {
-    socket.getInputStream().readNBytes(head.length());
-    String event = "id: 1\ndata: abcde\n\n";
-    socket
-        .getOutputStream()
-        .write(
-            ("HTTP/1.1 200 OK\r\nAttempt-Id: " + head.header("Attempt-Id")
-                    + "\r\nReplica-Signature: i-1." + head.header("Attempt-Id")
-                    + "\r\nContent-Type: text/event-stream\r\nContent-Length: " + event.length()
-                    + "\r\n\r\n" + event)
-                .getBytes(StandardCharsets.ISO_8859_1));
-    return true;
+    @Override
+    public void close() throws InterruptedException {
+      process.destroyForcibly().waitFor();
+    }
   }
 
-  /** Spends the budget until requests of the first size don't fit any more. */
-  private void spend(Fleet fleet) throws InterruptedException {
-    int refusals = 0;
-    for (int number = 0; refusals < 2 * ENTRIES; number++) {
-      Client client = new Client(fleet.entries.get(number % ENTRIES), 10_000);
-      refusals = call(client, Fleet.KEY, FIRST_TOKENS, true) == 200 ? 0 : refusals + 1;
-      if (refusals > 0) {
-        Thread.sleep(20);
-      }
-      if (number > 500) {
-        throw new IllegalStateException("the budget is never spent");
-      }
+  private boolean play(Fleet fleet) throws Exception {
+    fleet.configure(1_000_000);
+    for (int number = 0; number < REPLICAS; number++) {
+      startReplica(fleet);
     }
-    record.line("the budget is spent: delivered %d tokens", deliveredTokens.get());
+    Entry entry = fleet.addEntry();
+    entry.start();
+    entry.awaitReady(20_000);
+    Thread.sleep(3_500);
+    record.line("start: trouble=%s, the machine has been in touch for 3 s", trouble);
+    for (int number = 0; number < REQUESTS; number++) {
+      request(entry, fleet, String.format("%016x", 0x7d20000000000000L + number));
+    }
+    for (Running replica : replicas) {
+      replica.close();
+    }
+    String summary =
+        String.format(
+            "requests run: %d, whole answers: %d, failures: %d, truncated answers that look whole: %d",
+            REQUESTS, whole, failed, truncated);
+    record.line("%s", summary);
+    System.out.println(summary);
+    return truncated > 0;
   }
 
-  private int call(Client client, String key, int tokens, boolean isCounted) {
-    String id = String.format("%016x", requestNumber.getAndIncrement());
-    try {
-      Client.Answer answer =
-          client.call(
-              "POST",
-              "/stream/review",
-              id,
-              "Model: m\r\nToken-Usage: " + tokens + "," + OUTPUT_TOKENS
-                  + "\r\nPrefix-Hash: 5c1e07a2:119," + id + ":79\r\nDeadline-Ms: 12000\r\n"
-                  + "Authorization: Token " + key + "\r\n",
-              new byte[0]);
-      if (isCounted && answer.isSuccess()) {
-        long total = deliveredTokens.addAndGet(tokens + OUTPUT_TOKENS);
-        record.line(
-            "client gets 200 for %s: %d tokens, total %d of %d%s",
-            id, tokens + OUTPUT_TOKENS, total, PREPAID, total > PREPAID ? "  BROKEN, BUDGET" : "");
-      }
-      return answer.status();
-    } catch (IOException ex) {
-      failed.incrementAndGet();
-      return 0;
-    }
+  private void startReplica(Fleet fleet) throws IOException {
+    Running replica = new Running("i-" + startedCount++);
+    replicas.add(replica);
+    fleet.register(replica.id, Fleet.PLAIN, replica.address, "ankara-a", 6, "ready", 1);
   }
 
-  /** Clients of the tenant go on; other tenants, whose budgets are large, are served. */
-  private void ask(Fleet fleet) throws InterruptedException {
-    long endNanos = System.nanoTime() + ASKING_MS * 1_000_000;
-    List<Thread> threads = new ArrayList<>();
-    for (Entry entry : fleet.entries) {
-      for (int number = 0; number < CLIENTS_PER_ENTRY; number++) {
-        threads.add(new Thread(() -> askUntil(entry, endNanos)));
-      }
-      for (int number = 0; number < OTHERS_PER_ENTRY; number++) {
-        threads.add(new Thread(() -> useOtherUntil(entry, endNanos)));
+  /** Kills the replica that has begun to answer, if there is trouble. */
+  private void crashAnswering() {
+    try {
+      Running replica = began.poll(8, TimeUnit.SECONDS);
+      if (trouble && replica != null) {
+        Thread.sleep(300);
+        record.line("replica %s is killed (SIGKILL)", replica.id);
+        replica.close();
       }
-    }
-    threads.forEach(Thread::start);
-    for (Thread thread : threads) {
-      thread.join();
+    } catch (InterruptedException ex) {
+      Thread.currentThread().interrupt();
     }
   }
 
-  private void askUntil(Entry entry, long endNanos) {
-    Client client = new Client(entry, 10_000);
-    long dueNanos = System.nanoTime();
-    while (System.nanoTime() < endNanos) {
-      int status = call(client, Fleet.KEY, NEXT_TOKENS, true);
-      if (status == 200) {
-        servedLate.incrementAndGet();
-      } else if (status == 402) {
-        refused.incrementAndGet();
-      }
-      dueNanos += PAUSE_NANOS;
-      LockSupport.parkNanos(dueNanos - System.nanoTime());
+  /** Replaces the replica that was killed; its entry lapses later. */
+  private void replaceKilled(Fleet fleet) throws Exception {
+    List<Running> killed =
+        replicas.stream().filter(replica -> !replica.process.isAlive()).toList();
+    Thread.sleep(LAPSE_MS);
+    for (Running replica : killed) {
+      fleet.store.remove("servers", replica.id);
+      replicas.remove(replica);
+      startReplica(fleet);
     }
+    Thread.sleep(1_500);
   }
 
-  private void useOtherUntil(Entry entry, long endNanos) {
-    Random random = new Random(endNanos);
-    Client client = new Client(entry, 10_000);
-    while (System.nanoTime() < endNanos) {
-      String key = OTHER_KEYS.get(random.nextInt(OTHER_KEYS.size()));
-      int tokens = (int) Math.min(NEXT_TOKENS, 3_600 * Math.exp(1.1 * random.nextGaussian()));
-      if (call(client, key, tokens, false) == 200) {
-        others.incrementAndGet();
-      }
-      LockSupport.parkNanos(OTHERS_PAUSE_NANOS);
+  private void request(Entry entry, Fleet fleet, String id) throws Exception {
+    Thread killer = new Thread(this::crashAnswering);
+    killer.start();
+    record.line("client sends %s with %d bytes", id, BODY_BYTES);
+    try (Client client = new Client(entry, 13_000)) {
+      Client.Answer answer =
+          client.call(
+              "POST",
+              "/long/upload",
+              id,
+              "Deadline-Ms: 12000\r\nAuthorization: Token " + Fleet.KEY + "\r\n",
+              new byte[BODY_BYTES]);
+      judge(id, answer);
+    } catch (IOException ex) {
+      failed++;
+      record.line("client gets no answer for %s: %s", id, ex.getMessage());
     }
+    killer.join();
+    replaceKilled(fleet);
   }
 
-  /** BUDGET: a tenant gets more than its prepaid. */
-  private boolean judge() {
-    String summary =
-        String.format(
-            "requests run after the budget was spent: %d, refused 402: %d, failed: %d, of others: %d,"
-                + " delivered: %d of %d tokens",
-            servedLate.get(),
-            refused.get(),
-            failed.get(),
-            others.get(),
-            deliveredTokens.get(),
-            PREPAID);
-    record.line("%s", summary);
-    System.out.println(summary);
-    return deliveredTokens.get() > PREPAID;
+  /** MIXED: a success with a body that isn't the replica's whole body. */
+  private void judge(String id, Client.Answer answer) {
+    record.line(
+        "client gets %d for %s: signature '%s', %d bytes, length stated %s, complete %s",
+        answer.status(),
+        id,
+        answer.head().header("Replica-Signature"),
+        answer.body().length,
+        answer.head().header("Content-Length"),
+        answer.complete());
+    if (!answer.isSuccess()) {
+      failed++;
+    } else if (Arrays.equals(answer.body(), ReplicaProcess.answerTo(id))) {
+      whole++;
+    } else {
+      truncated++;
+      record.line(
+          "BROKEN, MIXED: %s has %d of the %d bytes of its answer and looks complete",
+          id, answer.body().length, ReplicaProcess.ANSWER_BYTES);
+    }
   }
 }
--- a/review/src/review/Case3.java
+++ b/review/src/review/Case3.java
@@ -1,35 +1,63 @@
 package review;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
-/** A replica crashes while it sends an answer without a length, before it has read the request. */
+/** A part of a prompt crashes replicas; sound requests share the first part of their prompts. */
 final class Case3 {
 
-  private static final int REQUESTS = 6;
-  private static final int REPLICAS = 6;
-  private static final int BODY_BYTES = 4_194_304;
-  private static final int RECEIVE_BYTES = 65_536;
+  private static final int ENTRIES = 4;
+  private static final int REPLICAS = 18;
+  private static final int SLOTS = 16;
 
-  /** Three heartbeats; the platform removes the entry of a replica that is silent for so long. */
-  private static final long LAPSE_MS = 3_600;
+  /** After the crash; the platform then has another replica in its place. */
+  private static final long RETURN_MS = 3_600;
+
+  private static final long CONTACT_MS = 3_000;
+  private static final long FIRST_EVENT_MS = 20;
+  private static final long SOUND_PAUSE_MS = 250;
+  private static final int SOUND_BEFORE = 30;
+  private static final long AFTER_MS = 24_000;
+  private static final int DEADLY_IN_A_ROW = 3;
+
+  /** The client's pause after these requests have failed. */
+  private static final long PAUSE_MS = 1_000;
+
+  /** Sound requests between two with the part, once some in a row have come. */
+  private static final int SOUND_BETWEEN = 3;
+
+  private static final String SHARED_PART = "5c1e07a2:800";
+  private static final String DEADLY_PART = "91bd3f06:410";
+  private static final String OTHER_FIRST_PART = "a70c4411:800";
+  private static final String OTHER_KEY = "key-2";
 
   private final Record record;
   private final boolean trouble;
-  private final List<Running> replicas = new ArrayList<>();
-  private final BlockingQueue<Running> began = new LinkedBlockingQueue<>();
+  private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+  private final Map<String, Replica> replicas = new ConcurrentHashMap<>();
+  private final List<Long> crashesMs = new CopyOnWriteArrayList<>();
+  private final Map<Entry, Client> clients = new HashMap<>();
+  private Fleet fleet;
   private int startedCount;
-  private int truncated;
-  private int whole;
-  private int failed;
+  private long requestNumber = 0x3a90000000000000L;
+  private int turn;
+  private int soundBefore;
+  private int begunBefore;
+  private int soundAfter;
+  private int begunAfter;
+  private int otherAfter;
+  private int otherBegunAfter;
+  private int deadlySent;
 
   private Case3(Record record, boolean trouble) {
     this.record = record;
@@ -45,149 +73,154 @@
     System.exit(broken ? 1 : 0);
   }
 
-  /** The process of one replica. */
-  private final class Running implements AutoCloseable {
-    private final String id;
-    private final Process process;
-    private final String address;
-
-    Running(String id) throws IOException {
-      this.id = id;
-      this.process =
-          new ProcessBuilder(
-                  "java",
-                  "-Xmx32m",
-                  "-XX:+UseSerialGC",
-                  "-cp",
-                  System.getProperty("java.class.path"),
-                  "review.ReplicaProcess",
-                  Integer.toString(RECEIVE_BYTES))
-              .redirectError(ProcessBuilder.Redirect.INHERIT)
-              .start();
-      Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
-      BufferedReader lines = new BufferedReader(new InputStreamReader(process.getInputStream()));
-      this.address = lines.readLine().split(" ")[1];
-      Thread reader = new Thread(() -> follow(lines));
-      reader.setDaemon(true);
-      reader.start();
-    }
-
-    private void follow(BufferedReader lines) {
-      lines
-          .lines()
-          .forEach(
-              line -> {
-                record.line("replica %s %s", id, line);
-                if (line.startsWith("began")) {
-                  began.add(this);
-                }
-              });
+  private boolean play(Fleet deployment) throws Exception {
+    fleet = deployment;
+    fleet.configure(100_000_000, List.of(OTHER_KEY));
+    for (int number = 0; number < REPLICAS; number++) {
+      startReplica();
     }
-
-    @Override
-    public void close() throws InterruptedException {
-      process.destroyForcibly().waitFor();
+    for (int number = 0; number < ENTRIES; number++) {
+      fleet.addEntry().start();
     }
-  }
-
-  private boolean play(Fleet fleet) throws Exception {
-    fleet.configure(1_000_000);
-    for (int number = 0; number < REPLICAS; number++) {
-      startReplica(fleet);
+    for (Entry entry : fleet.entries) {
+      entry.awaitReady(20_000);
     }
-    Entry entry = fleet.addEntry();
-    entry.start();
-    entry.awaitReady(20_000);
     Thread.sleep(3_500);
-    record.line("start: trouble=%s, the machine has been in touch for 3 s", trouble);
-    for (int number = 0; number < REQUESTS; number++) {
-      request(entry, fleet, String.format("%016x", 0x7d20000000000000L + number));
+    record.line("start: trouble=%s, all machines have been in touch for 3 s", trouble);
+    for (int number = 0; number < SOUND_BEFORE; number++) {
+      soundBefore++;
+      begunBefore += send("sound", Fleet.KEY, SHARED_PART) ? 1 : 0;
+      Thread.sleep(SOUND_PAUSE_MS);
     }
-    for (Running replica : replicas) {
-      replica.close();
+    for (int number = 0; number < DEADLY_IN_A_ROW; number++) {
+      sendDeadly();
     }
-    String summary =
-        String.format(
-            "requests run: %d, whole answers: %d, failures: %d, truncated answers that look whole: %d",
-            REQUESTS, whole, failed, truncated);
-    record.line("%s", summary);
-    System.out.println(summary);
-    return truncated > 0;
+    Thread.sleep(PAUSE_MS);
+    long endMs = record.nowMs() + AFTER_MS;
+    while (record.nowMs() < endMs) {
+      for (int number = 0; number < SOUND_BETWEEN; number++) {
+        boolean isCounted = record.nowMs() > lastCrashMs() + 2 * CONTACT_MS;
+        boolean begun = send("sound", Fleet.KEY, SHARED_PART);
+        boolean otherBegun = send("other", OTHER_KEY, OTHER_FIRST_PART);
+        if (isCounted) {
+          soundAfter++;
+          begunAfter += begun ? 1 : 0;
+          otherAfter++;
+          otherBegunAfter += otherBegun ? 1 : 0;
+        }
+        Thread.sleep(SOUND_PAUSE_MS);
+      }
+      sendDeadly();
+    }
+    timer.shutdownNow();
+    return judge();
+  }
+
+  private long lastCrashMs() {
+    return crashesMs.isEmpty() ? 0 : crashesMs.get(Math.min(4, crashesMs.size() - 1));
   }
 
-  private void startReplica(Fleet fleet) throws IOException {
-    Running replica = new Running("i-" + startedCount++);
-    replicas.add(replica);
-    fleet.register(replica.id, Fleet.PLAIN, replica.address, "ankara-a", 6, "ready", 1);
+  private synchronized void startReplica() throws IOException {
+    String id = "i-" + startedCount++;
+    Replica replica = new Replica((head, socket) -> serve(id, head, socket), 0);
+    replicas.put(id, replica);
+    fleet.register(id, Fleet.ENGINE, replica.address(), "ankara-a", SLOTS, "ready", 1);
   }
 
-  /** Kills the replica that has begun to answer, if there is trouble. */
-  private void crashAnswering() {
+  /** Runs a request: its first event comes after a time, or the process ends. */
+  private boolean serve(String id, Replica.Head head, Socket socket) throws IOException {
+    socket.getInputStream().readNBytes(head.length());
+    String request = head.header("Attempt-Id");
+    record.line("replica %s runs %s", id, request);
     try {
-      Running replica = began.poll(8, TimeUnit.SECONDS);
-      if (trouble && replica != null) {
-        Thread.sleep(300);
-        record.line("replica %s is killed (SIGKILL)", replica.id);
-        replica.close();
-      }
+      Thread.sleep(FIRST_EVENT_MS);
     } catch (InterruptedException ex) {
-      Thread.currentThread().interrupt();
+      return false;
     }
+    if (trouble && head.header("Prefix-Hash").contains(DEADLY_PART)) {
+      crash(id);
+      return false;
+    }
+    String event = "id: 1\ndata: abcde\n\n";
+    socket
+        .getOutputStream()
+        .write(
+            ("HTTP/1.1 200 OK\r\nAttempt-Id: " + request
+                    + "\r\nReplica-Signature: " + id + "." + request
+                    + "\r\nContent-Type: text/event-stream\r\nContent-Length: " + event.length()
+                    + "\r\n\r\n" + event)
+                .getBytes(StandardCharsets.ISO_8859_1));
+    return true;
   }
 
-  /** Replaces the replica that was killed; its entry lapses later. */
-  private void replaceKilled(Fleet fleet) throws Exception {
-    List<Running> killed =
-        replicas.stream().filter(replica -> !replica.process.isAlive()).toList();
-    Thread.sleep(LAPSE_MS);
-    for (Running replica : killed) {
-      fleet.store.remove("servers", replica.id);
-      replicas.remove(replica);
-      startReplica(fleet);
-    }
-    Thread.sleep(1_500);
+  private void crash(String id) throws IOException {
+    record.line("replica %s crashes", id);
+    crashesMs.add(record.nowMs());
+    replicas.remove(id).crash();
+    timer.schedule(
+        () -> {
+          fleet.store.remove("servers", id);
+          startReplica();
+          return null;
+        },
+        RETURN_MS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  private void sendDeadly() {
+    deadlySent++;
+    send("with the part", Fleet.KEY, SHARED_PART + "," + DEADLY_PART);
   }
 
-  private void request(Entry entry, Fleet fleet, String id) throws Exception {
-    Thread killer = new Thread(this::crashAnswering);
-    killer.start();
-    record.line("client sends %s with %d bytes", id, BODY_BYTES);
-    try (Client client = new Client(entry, 13_000)) {
+  /** Sends a request to the next machine; true if its answer begins. */
+  private boolean send(String kind, String key, String sharedParts) {
+    Entry entry = fleet.entries.get(turn++ % ENTRIES);
+    String id = String.format("%016x", requestNumber++);
+    try {
       Client.Answer answer =
-          client.call(
-              "POST",
-              "/long/upload",
-              id,
-              "Deadline-Ms: 12000\r\nAuthorization: Token " + Fleet.KEY + "\r\n",
-              new byte[BODY_BYTES]);
-      judge(id, answer);
+          clients
+              .computeIfAbsent(entry, to -> new Client(to, 10_000))
+              .call(
+                  "POST",
+                  "/stream/review",
+                  id,
+                  "Model: m\r\nToken-Usage: 1460,5\r\nPrefix-Hash: " + sharedParts + "," + id
+                      + ":250\r\nDeadline-Ms: 12000\r\nAuthorization: Token " + key + "\r\n",
+                  new byte[0]);
+      record.line(
+          "client gets %d for %s (%s) from %s, Retry-After '%s'",
+          answer.status(), id, kind, entry.name(), answer.head().header("Retry-After"));
+      return answer.isSuccess();
     } catch (IOException ex) {
-      failed++;
-      record.line("client gets no answer for %s: %s", id, ex.getMessage());
+      record.line("client gets no answer for %s (%s) from %s", id, kind, entry.name());
+      return false;
     }
-    killer.join();
-    replaceKilled(fleet);
   }
 
-  /** MIXED: a success with a body that isn't the replica's whole body. */
-  private void judge(String id, Client.Answer answer) {
-    record.line(
-        "client gets %d for %s: signature '%s', %d bytes, length stated %s, complete %s",
-        answer.status(),
-        id,
-        answer.head().header("Replica-Signature"),
-        answer.body().length,
-        answer.head().header("Content-Length"),
-        answer.complete());
-    if (!answer.isSuccess()) {
-      failed++;
-    } else if (Arrays.equals(answer.body(), ReplicaProcess.answerTo(id))) {
-      whole++;
-    } else {
-      truncated++;
-      record.line(
-          "BROKEN, MIXED: %s has %d of the %d bytes of its answer and looks complete",
-          id, answer.body().length, ReplicaProcess.ANSWER_BYTES);
-    }
+  /**
+   * LOST: from 2 x contactMs after the fifth crash, the last if there are fewer, sound requests
+   * with the same first part begin less than half as often as outside the disruption.
+   */
+  private boolean judge() {
+    boolean broken =
+        soundBefore >= 20
+            && soundAfter >= 20
+            && 2.0 * begunAfter / soundAfter < 1.0 * begunBefore / soundBefore;
+    String summary =
+        String.format(
+            "replicas crashed: %d, requests with the part: %d, sound requests begun before: %d of %d,"
+                + " after: %d of %d, of others: %d of %d%s",
+            crashesMs.size(),
+            deadlySent,
+            begunBefore,
+            soundBefore,
+            begunAfter,
+            soundAfter,
+            otherBegunAfter,
+            otherAfter,
+            broken ? "  BROKEN, LOST" : "");
+    record.line("%s", summary);
+    System.out.println(summary);
+    return broken;
   }
 }
