The log of a request says how the connection of its response ended

Change: ConnectionEndHandler records what was noticed first, with Netty's half-closure as the sign of an end of stream that was read; the attempt in the log names it. How responses are judged is unchanged.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/AttemptRecorder.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/AttemptRecorder.java
@@ -2,6 +2,7 @@
 
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
 import io.mothrill.core.forward.upstream.UpstreamLoad;
+import io.mothrill.wire.connection.ConnectionEnd;
 
 /**
  * Records what was known of an upstream when it was selected, together with the result of the
@@ -34,6 +35,11 @@
     suffix += " through " + instanceId;
   }
 
+  /** Sets how the connection ended that delivered the response. */
+  void setConnectionEnd(ConnectionEnd end) {
+    suffix += ", connection ended: " + end.describe();
+  }
+
   /** Records the result of the attempt; only the first call counts. */
   void recordAttempt(ForwardProgress progress, String result) {
     if (!recorded) {
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/DirectConnector.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/DirectConnector.java
@@ -2,6 +2,7 @@
 
 import io.mothrill.core.work.WorkKind;
 import io.mothrill.core.work.WorkStats;
+import io.mothrill.wire.connection.ConnectionEndHandler;
 import io.mothrill.wire.http.ConnectErrors;
 import io.mothrill.wire.work.WorkMeter;
 import io.netty.bootstrap.Bootstrap;
@@ -41,7 +42,10 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
-                channel.pipeline().addLast(new WorkMeter(workStats, WorkKind.UPSTREAM));
+                channel
+                    .pipeline()
+                    .addLast(new WorkMeter(workStats, WorkKind.UPSTREAM))
+                    .addLast(new ConnectionEndHandler());
                 connection.addTo(channel.pipeline());
               }
             })
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -14,6 +14,7 @@
 import io.mothrill.core.forward.upstream.UpstreamLoad;
 import io.mothrill.core.forward.upstream.UpstreamStatus;
 import io.mothrill.core.time.Subscription;
+import io.mothrill.wire.connection.ConnectionEnd;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpResponse;
@@ -500,7 +501,8 @@
   }
 
   @Override
-  public void onEnd() {
+  public void onEnd(Optional<ConnectionEnd> connectionEnd) {
+    connectionEnd.ifPresent(recorder::setConnectionEnd);
     if (splitter != null) {
       onStreamEnd();
     } else if (body == null) {
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
@@ -3,6 +3,7 @@
 import io.mothrill.core.forward.buffer.BufferBudget;
 import io.mothrill.core.forward.buffer.ConnectionBuffer;
 import io.mothrill.core.forward.buffer.SourcePause;
+import io.mothrill.wire.connection.ConnectionEnd;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
@@ -188,6 +189,7 @@
   private void end() {
     UpstreamSink ended = sink;
     sink = null;
+    Optional<ConnectionEnd> connectionEnd = ConnectionEnd.of(context.channel());
     // An upstream may respond before it has read the body; the rest of the body must not be cut off
     // or mixed into the next request.
     if (reusable && writer.isComplete()) {
@@ -197,7 +199,7 @@
     } else {
       context.close();
     }
-    ended.onEnd();
+    ended.onEnd(connectionEnd);
   }
 
   private void failResponse(ResponseFailure cause, String detail) {
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamSink.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamSink.java
@@ -1,7 +1,9 @@
 package io.mothrill.wire.forward;
 
+import io.mothrill.wire.connection.ConnectionEnd;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
 
 /** Receives the response of an upstream to one request; called on the connection's event loop. */
 interface UpstreamSink {
@@ -30,8 +32,12 @@
   /** Called when all data that is currently readable has been delivered. */
   void onReadComplete();
 
-  /** Called when the response is complete. */
-  void onEnd();
+  /**
+   * Called when the response is complete.
+   *
+   * @param connectionEnd how the connection ended; empty if it was still open
+   */
+  void onEnd(Optional<ConnectionEnd> connectionEnd);
 
   /**
    * Called when the response cannot be completed.
--- a/mothrill-wire/src/main/java/io/mothrill/wire/relay/RelayEndHandler.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/relay/RelayEndHandler.java
@@ -1,5 +1,6 @@
 package io.mothrill.wire.relay;
 
+import io.mothrill.wire.connection.ConnectionEnd;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -23,6 +24,7 @@
     }
     bytes.release();
     ended = true;
+    ConnectionEnd.set(ctx.channel(), ConnectionEnd.Kind.END_OF_STREAM, "relayed");
     ctx.close();
   }
 
