A response without a length is whole only once an end of stream was read

What callers saw: an upstream that began a response without a length or chunks before it had read a long request, and was then killed, left the caller with 200, the upstream's signature and a Content-Length of what had arrived (2,000 of 8,000 bytes).

Cause: the codec makes a last content of any close of the connection. A reset that a read finds is reported as an error before; a reset that a write finds closes the channel without one, and the last content was taken for the end of the response. An own close while a response is under way did the same.

Change: ConnectionEndHandler, which precedes the codec, passes on an error before the connection becomes inactive unless an end of stream was read.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/connection/ConnectionEndHandler.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/connection/ConnectionEndHandler.java
@@ -11,7 +11,9 @@
 /**
  * Records how a connection ends; precedes the handlers that interpret what is received.
  *
- * <p>Without half-closure, Netty reports an end of stream and a close for any other reason alike.
+ * <p>Handlers that follow get an {@link IOException} before the connection becomes inactive, unless
+ * the end of the stream has been read. A response that is delimited by the end of its connection is
+ * complete only then. Without half-closure, Netty reports both alike.
  */
 public final class ConnectionEndHandler extends ChannelDuplexHandler {
 
@@ -49,7 +51,9 @@
   public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
     if (event == ChannelInputShutdownEvent.INSTANCE) {
       ConnectionEnd.set(ctx.channel(), ConnectionEnd.Kind.END_OF_STREAM, "");
-      ctx.fireUserEventTriggered(event);
+      if (ConnectionEnd.of(ctx.channel()).filter(ConnectionEnd::isComplete).isPresent()) {
+        ctx.fireUserEventTriggered(event);
+      }
       ctx.close();
     } else {
       ctx.fireUserEventTriggered(event);
@@ -59,6 +63,9 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     ConnectionEnd.set(ctx.channel(), ConnectionEnd.Kind.CLOSED_LOCALLY, "");
+    ConnectionEnd.of(ctx.channel())
+        .filter(end -> !end.isComplete())
+        .ifPresent(end -> ctx.fireExceptionCaught(new IOException(end.describe())));
     ctx.fireChannelInactive();
   }
 
