A relay passes on an end of stream only if it has read one

What callers saw: behind an instance that reaches an upstream only through another one, a response without a length that was reset while the request was still being written looked whole; the case beside it is a relay that closes the upstream's connection itself, as a process does that ends.

Cause: as in the direct path. RelayHandler knew a failure from an exception of a read only, and passed on any other close as the empty frame that tells the other instance of an end of stream.

Change: the relay's connection to the upstream has a ConnectionEndHandler too.

Measured: RelayedRequestTest.resetFoundByWriteIsNotTheEndOfTheResponse at real sockets failed before (a last chunk after the event), as did RelayHandlerTest.closeByTheRelayIsNotPassedOnAsEndOfStream (an empty frame); both pass, with the seven tests of RelayedRequestTest. The paths of the tests hold less now, since with larger buffers the whole request fitted into them and the reset was found by a read.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/relay/RelayAcceptor.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/relay/RelayAcceptor.java
@@ -6,6 +6,7 @@
 import io.mothrill.core.peer.PeerMessage;
 import io.mothrill.core.work.WorkKind;
 import io.mothrill.core.work.WorkStats;
+import io.mothrill.wire.connection.ConnectionEndHandler;
 import io.mothrill.wire.http.ConnectErrors;
 import io.mothrill.wire.peer.PathOpener;
 import io.mothrill.wire.work.WorkMeter;
@@ -102,12 +103,15 @@
         .connect(upstream.host(), upstream.port());
   }
 
-  private static void link(Channel from, Channel upstream) {
+  static void link(Channel from, Channel upstream) {
     from.config().setWriteBufferWaterMark(WATER_MARK);
     ChannelPipeline pipeline = from.pipeline();
     RelayFrames.addEncoder(pipeline);
     pipeline.addLast(new RelayHandler(upstream, RelayHandler.CLOSE));
-    upstream.pipeline().addLast(new RelayHandler(from, RelayHandler.EMPTY_FRAME));
+    upstream
+        .pipeline()
+        .addLast(new ConnectionEndHandler())
+        .addLast(new RelayHandler(from, RelayHandler.EMPTY_FRAME));
     upstream.config().setAutoRead(true);
   }
 
