The HTTP client takes a response without a length as whole only at an end of stream

The own interface would have handed on an engine's response without a length that was reset while the call was still being written, and the store's client a read.

ClientHandler took the codec's last content for the end of the response, which any close brings.

Change: the client's connections have a ConnectionEndHandler.

Measured: HttpClientTest.responseThatIsResetWhileTheCallIsWrittenIsNotWhole, at a real socket, failed before (the reply was complete with 5 bytes) and passes.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/http/HttpClient.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/http/HttpClient.java
@@ -1,5 +1,6 @@
 package io.mothrill.wire.http;
 
+import io.mothrill.wire.connection.ConnectionEndHandler;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -70,6 +71,7 @@
                     leadingHandlers.get().forEach(channel.pipeline()::addLast);
                     channel
                         .pipeline()
+                        .addLast(new ConnectionEndHandler())
                         .addLast(
                             new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                         .addLast(ClientHandler.NAME, new ClientHandler());
--- a/mothrill-wire/src/test/java/io/mothrill/wire/http/HttpClientTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/http/HttpClientTest.java
@@ -1,6 +1,8 @@
 package io.mothrill.wire.http;
 
 import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.US_ASCII;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -8,8 +10,12 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -46,6 +52,35 @@
     return new Address("127.0.0.1", server.port());
   }
 
+  // The server begins a response without a length before it has read the call, and is reset. The
+  // reset is found by a write, and the response must not look complete.
+  @Test
+  void responseThatIsResetWhileTheCallIsWrittenIsNotWhole() throws Exception {
+    try (ServerSocket listener = new ServerSocket()) {
+      listener.setReceiveBufferSize(64 << 10);
+      listener.bind(new InetSocketAddress("127.0.0.1", 0));
+      CompletableFuture<Void> begun = new CompletableFuture<>();
+      CompletableFuture<HttpReply> reply =
+          ResponseAggregator.of(
+              client,
+              new Address("127.0.0.1", listener.getLocalPort()),
+              HttpMethod.POST,
+              "/",
+              new DefaultHttpHeaders(),
+              new byte[16 << 20],
+              10_000,
+              () -> begun.complete(null));
+
+      try (Socket connection = listener.accept()) {
+        connection.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\nfirst".getBytes(US_ASCII));
+        begun.get(5, TimeUnit.SECONDS);
+        connection.setSoLinger(true, 0);
+      }
+
+      assertThrows(ExecutionException.class, () -> reply.get(5, TimeUnit.SECONDS));
+    }
+  }
+
   // An event loop is busy with another connection for longer than the timeout of a call, whose
   // response arrives meanwhile. The response lies in the socket, so the call must not fail.
   @Test
