A response that was received is read although a write of its request has failed

What callers saw: an upstream that answers a long request early, whole and with a length, and closes its connection with the request unread, has run the request; the caller received 502, though all bytes of the response had reached the instance.

Cause: the system resets such a connection. The first write that fails closes the channel, before what was received has been read.

Change: connections to upstreams and the client's are ReceivingSocketChannels, which a failed write does not close; they end with the next read. The client reuses no connection that has ended already.

A response without a length that is reset while a slow caller pauses it stays broken.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/DirectConnector.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/DirectConnector.java
@@ -3,6 +3,7 @@
 import io.mothrill.core.work.WorkKind;
 import io.mothrill.core.work.WorkStats;
 import io.mothrill.wire.connection.ConnectionEndHandler;
+import io.mothrill.wire.connection.ReceivingSocketChannel;
 import io.mothrill.wire.http.ConnectErrors;
 import io.mothrill.wire.work.WorkMeter;
 import io.netty.bootstrap.Bootstrap;
@@ -11,7 +12,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.function.Function;
 
 /** Connects to upstreams from this instance. */
@@ -33,7 +33,7 @@
     UpstreamConnection connection = connections.apply(target);
     new Bootstrap()
         .group(loop)
-        .channel(NioSocketChannel.class)
+        .channel(ReceivingSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.WRITE_BUFFER_WATER_MARK, UpstreamPool.WATER_MARK)
         .option(ChannelOption.RECVBUF_ALLOCATOR, new LimitedReads(connection::maxReadBytes))
--- a/mothrill-wire/src/main/java/io/mothrill/wire/http/ClientHandler.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/http/ClientHandler.java
@@ -1,5 +1,6 @@
 package io.mothrill.wire.http;
 
+import io.mothrill.wire.connection.ConnectionEnd;
 import io.mothrill.wire.time.TimeoutAfterReads;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
@@ -116,7 +117,7 @@
     }
     if (sink != null && content instanceof LastHttpContent) {
       HttpSink ended = detachSink();
-      if (keepAlive) {
+      if (keepAlive && ConnectionEnd.of(context.channel()).isEmpty()) {
         returnToPool.run();
       } else {
         context.close();
--- a/mothrill-wire/src/main/java/io/mothrill/wire/http/HttpClient.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/http/HttpClient.java
@@ -1,6 +1,7 @@
 package io.mothrill.wire.http;
 
 import io.mothrill.wire.connection.ConnectionEndHandler;
+import io.mothrill.wire.connection.ReceivingSocketChannel;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -10,7 +11,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -61,7 +61,7 @@
     this.bootstrap =
         new Bootstrap()
             .group(group)
-            .channel(NioSocketChannel.class)
+            .channel(ReceivingSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
             .handler(
