A relay delivers a response that was received although a write has failed

Cause: three places. The relay's failed write to the upstream closed that connection before it was read; so did the instance's own failed write to the relay; and the relay closed its connection to the instance at once when the upstream's broke, with what was still to be sent, and with bytes of the request unread, which resets it.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/relay/RelayAcceptor.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/relay/RelayAcceptor.java
@@ -7,6 +7,7 @@
 import io.mothrill.core.work.WorkKind;
 import io.mothrill.core.work.WorkStats;
 import io.mothrill.wire.connection.ConnectionEndHandler;
+import io.mothrill.wire.connection.ReceivingSocketChannel;
 import io.mothrill.wire.http.ConnectErrors;
 import io.mothrill.wire.peer.PathOpener;
 import io.mothrill.wire.work.WorkMeter;
@@ -18,7 +19,6 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -88,7 +88,7 @@
   private ChannelFuture connect(RegisteredUpstream upstream, Channel from) {
     return new Bootstrap()
         .group(from.eventLoop())
-        .channel(NioSocketChannel.class)
+        .channel(ReceivingSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.AUTO_READ, false)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
--- a/mothrill-wire/src/main/java/io/mothrill/wire/relay/RelayClient.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/relay/RelayClient.java
@@ -6,6 +6,7 @@
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.work.WorkKind;
 import io.mothrill.core.work.WorkStats;
+import io.mothrill.wire.connection.ReceivingSocketChannel;
 import io.mothrill.wire.peer.PeerCodec;
 import io.mothrill.wire.peer.generated.Envelope;
 import io.mothrill.wire.work.WorkMeter;
@@ -21,7 +22,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -79,7 +79,7 @@
     Opening opening = new Opening(target, onOpened, onFailed);
     new Bootstrap()
         .group(target.loop())
-        .channel(NioSocketChannel.class)
+        .channel(ReceivingSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, target.timeoutMs())
         .option(ChannelOption.WRITE_BUFFER_WATER_MARK, target.waterMark())
