Responses to other requests are skipped in front of the right one only within limits

What callers saw: an upstream that sends a response to another request without end, or many of them, held the caller until its deadline (504), while the instance read as fast as the upstream sent.

Cause: UpstreamConnection skipped such responses, which a late second response needs, without a limit in number, bytes or time.

Change: SkippedResponses bounds them by what a late response can be: one for each request of the connection, together no longer than the sockets of a connection hold, within two seconds. Beyond it the connection is closed and the attempt ends (502, or another upstream where the request may run again).

--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/SkippedResponses.java
@@ -0,0 +1,59 @@
+package io.mothrill.wire.forward;
+
+/**
+ * Limits the responses to other requests that are skipped in front of the right one; confined to
+ * the event loop of its connection.
+ *
+ * <p>An upstream may respond a second time to an earlier request. That response has been sent
+ * already when the right one is expected, so it is short and arrives soon. An upstream that sends
+ * more is not about to respond.
+ */
+final class SkippedResponses {
+
+  /** What the sockets of a connection hold. */
+  private static final long MAX_BYTES = 4 << 20;
+
+  /** The time in which a link of 20 Mbit/s delivers that much. */
+  private static final long MAX_MS = 2_000;
+
+  private int requestCount;
+  private int count;
+  private long bytes;
+  private long sinceMs;
+
+  /** Called when a request is sent on the connection. */
+  void onRequest() {
+    requestCount++;
+    count = 0;
+    bytes = 0;
+  }
+
+  /** Called when a response to another request begins. */
+  void onHead(long nowMs) {
+    if (count == 0) {
+      sinceMs = nowMs;
+    }
+    count++;
+  }
+
+  /** Called when a part of such a response has arrived. */
+  void onContent(int contentBytes) {
+    bytes += contentBytes;
+  }
+
+  /** Checks whether this is more than second responses to the requests of the connection. */
+  boolean isExceeded(long nowMs) {
+    return count > requestCount || bytes > MAX_BYTES || nowMs - sinceMs > MAX_MS;
+  }
+
+  /** Returns a description for the log. */
+  String describe(long nowMs) {
+    return "responses to other requests: "
+        + count
+        + " of "
+        + bytes
+        + " bytes in "
+        + (nowMs - sinceMs)
+        + " ms";
+  }
+}
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
@@ -23,9 +23,9 @@
  *
  * <p>Responses are matched by the request id: an upstream may send a second response to an earlier
  * request in place of the next one, or bytes that belong to no request, and a caller would then
- * receive the response to another caller's request. Responses to other requests are skipped, and
- * the connection is not reused. Data that arrives while no request is in flight closes the
- * connection.
+ * receive the response to another caller's request. Responses to other requests are skipped within
+ * limits, and the connection is not reused. Data that arrives while no request is in flight closes
+ * the connection.
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
 
@@ -45,6 +45,7 @@
   private UpstreamSink sink;
   private String requestId = "";
   private RequestWriter writer;
+  private final SkippedResponses skipped = new SkippedResponses();
   private boolean skippingResponse;
   private boolean reusable;
   private Optional<String> relay = Optional.empty();
@@ -89,6 +90,7 @@
     this.sink = newSink;
     this.requestId = newRequestId;
     this.skippingResponse = false;
+    skipped.onRequest();
     this.reusable = relay.isEmpty();
     ConnectionBuffer unsent = buffers.newBuffer();
     SourcePause pause = buffers.newPause(unsent, context.executor(), this::onStalled);
@@ -152,6 +154,8 @@
     if (answeredId.isPresent() && !answeredId.get().equals(requestId)) {
       skippingResponse = true;
       reusable = false;
+      skipped.onHead(pool.nowMs());
+      failIfSkippedTooMuch();
       return;
     }
     if (answeredId.isEmpty() && head.status().code() < FIRST_ERROR_STATUS) {
@@ -175,6 +179,8 @@
     boolean last = content instanceof LastHttpContent;
     if (skippingResponse) {
       skippingResponse = !last;
+      skipped.onContent(content.content().readableBytes());
+      failIfSkippedTooMuch();
       return;
     }
     ByteBuf bytes = content.content();
@@ -186,6 +192,13 @@
     }
   }
 
+  private void failIfSkippedTooMuch() {
+    long nowMs = pool.nowMs();
+    if (skipped.isExceeded(nowMs)) {
+      failResponse(ResponseFailure.PROTOCOL_ERROR, skipped.describe(nowMs));
+    }
+  }
+
   private void end() {
     UpstreamSink ended = sink;
     sink = null;
