A call whose response has no end fails

What callers saw: nothing yet; found by reading, on the path of the store's client and the operator's. A response without end was read on as long as its bytes came, and what came after 64 MB was dropped without a word, so that a longer response looked whole.

Cause: ResponseAggregator stopped collecting at its limit, and neither closed the connection nor failed the call.

Change: beyond 16 MB, several times the longest list, the call fails and its connection is closed.

Measured: HttpClientTest.responseWithoutEndFails, at a real socket: a body without a length and one with a very long one were read for more than 64 MB before; both fail now. A first line, a header and the size of a chunk without end failed before as well.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/http/ResponseAggregator.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/http/ResponseAggregator.java
@@ -8,10 +8,11 @@
 import java.io.ByteArrayOutputStream;
 import java.util.concurrent.CompletableFuture;
 
-/** Aggregates a response with a small body. */
+/** Aggregates a response with a small body; a call whose response is longer fails. */
 public final class ResponseAggregator implements HttpSink {
 
-  private static final int MAX_BYTES = 64 * 1024 * 1024;
+  /** Several times the longest list of upstreams or budgets. */
+  private static final int MAX_BYTES = 16 << 20;
 
   private final Runnable onProgress;
   private final CompletableFuture<HttpReply> reply = new CompletableFuture<>();
@@ -65,10 +66,15 @@
       long timeoutMs,
       Runnable onProgress) {
     ResponseAggregator aggregator = new ResponseAggregator(onProgress);
-    var unused =
+    HttpClient.Handle handle =
         client.send(
             new HttpCall(to, "", method, path, headers, requestBody, false, timeoutMs), aggregator);
-    return aggregator.reply;
+    return aggregator.reply.whenComplete(
+        (reply, error) -> {
+          if (error != null) {
+            handle.cancel();
+          }
+        });
   }
 
   private ResponseAggregator(Runnable onProgress) {
@@ -85,7 +91,10 @@
   @Override
   public void onBody(byte[] bytes) {
     onProgress.run();
-    if (body.size() + bytes.length <= MAX_BYTES) {
+    if (body.size() + bytes.length > MAX_BYTES) {
+      body.reset();
+      onFailure(true, "response is longer than " + MAX_BYTES + " bytes");
+    } else if (!reply.isDone()) {
       body.writeBytes(bytes);
     }
   }
--- a/mothrill-wire/src/test/java/io/mothrill/wire/http/HttpClientTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/http/HttpClientTest.java
@@ -10,20 +10,28 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class HttpClientTest {
 
   private static final long TIMEOUT_MS = 200;
 
+  /** What a response may hold, and the sockets, with a margin. */
+  private static final long MAX_SENT_BYTES = 64 << 20;
+
   private final EventLoopGroup serverGroup =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoopGroup clientGroup =
@@ -81,6 +89,51 @@
     }
   }
 
+  // A server sends bytes without end. The call must fail rather than be held until memory runs out,
+  // or end with a part of the response.
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "", // a first line
+        "HTTP/1.1 200 OK\r\nX: ",
+        "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 900000000000\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      })
+  void responseWithoutEndFails(String beginning) throws Exception {
+    try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      CompletableFuture<HttpReply> reply =
+          ResponseAggregator.of(
+              client,
+              new Address("127.0.0.1", listener.getLocalPort()),
+              HttpMethod.GET,
+              "/",
+              new DefaultHttpHeaders(),
+              new byte[0],
+              10_000);
+
+      long sentBytes = sendUntilClosed(listener, beginning);
+
+      assertThrows(ExecutionException.class, () -> reply.get(5, TimeUnit.SECONDS));
+      assertThat(sentBytes).isLessThan(MAX_SENT_BYTES);
+    }
+  }
+
+  private static long sendUntilClosed(ServerSocket listener, String beginning) throws IOException {
+    byte[] block = "1".repeat(16 << 10).getBytes(US_ASCII);
+    long sentBytes = 0;
+    try (Socket connection = listener.accept()) {
+      connection.getOutputStream().write(beginning.getBytes(US_ASCII));
+      while (sentBytes < MAX_SENT_BYTES) {
+        connection.getOutputStream().write(block);
+        sentBytes += block.length;
+      }
+    } catch (SocketException ex) {
+      // The client has closed the connection.
+    }
+    return sentBytes;
+  }
+
   // An event loop is busy with another connection for longer than the timeout of a call, whose
   // response arrives meanwhile. The response lies in the socket, so the call must not fail.
   @Test
