A line of an engine's stream that does not end is not held

What callers saw: nothing yet; found by reading. The reader of reported usage kept the line that an engine is sending, of whatever length, so an engine that sends a line without end would have filled the instance's memory.

Cause: UsageReader bounds plain answers, but not lines of streams.

Change: what a line holds beyond 1 MB is dropped. The answer itself goes on to the caller as before, no faster than that one reads.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/upstream/UsageReader.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/upstream/UsageReader.java
@@ -18,6 +18,9 @@
   private static final String DATA = "data:";
   private static final int MAX_PLAIN_BYTES = 8 * 1024 * 1024;
 
+  /** Longer than any event that reports usage; the rest of a longer line is dropped. */
+  private static final int MAX_LINE_BYTES = 1 << 20;
+
   private final boolean streamed;
   private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
   private Usage usage = Usage.NONE;
@@ -47,12 +50,17 @@
       if (value == '\n') {
         readLine(pending.toString(StandardCharsets.UTF_8).trim());
         pending.reset();
-      } else {
+      } else if (pending.size() < MAX_LINE_BYTES) {
         pending.write(value);
       }
     }
   }
 
+  /** Returns how many bytes are held until their line or body ends. */
+  int heldBytes() {
+    return pending.size();
+  }
+
   void finish() {
     if (!streamed && pending.size() > 0) {
       readEvent(pending.toByteArray());
