--- a/mothrill-wire/src/test/java/io/mothrill/wire/connection/ReceivingSocketChannelTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/connection/ReceivingSocketChannelTest.java
@@ -97,6 +97,7 @@
     channel.config().setAutoRead(true);
 
     assertThat(ended.get(5, TimeUnit.SECONDS)).startsWith("1 byte, write failed: ");
+    assertThat(channel.closeFuture().await(5, TimeUnit.SECONDS)).isTrue();
   }
 
   // While reading is paused, a connection whose write has failed must not keep the event loop busy.
