--- a/mothrill-wire/src/main/java/io/mothrill/wire/connection/ConnectionEndHandler.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/connection/ConnectionEndHandler.java
@@ -76,7 +76,9 @@
     }
   }
 
+  /** Netty may wrap the error of the system. */
   private static void record(ChannelHandlerContext ctx, ConnectionEnd.Kind kind, Throwable cause) {
-    ConnectionEnd.set(ctx.channel(), kind, String.valueOf(cause.getMessage()));
+    Throwable error = cause.getCause() == null ? cause : cause.getCause();
+    ConnectionEnd.set(ctx.channel(), kind, String.valueOf(error.getMessage()));
   }
 }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/SkippedResponses.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/SkippedResponses.java
@@ -17,41 +17,41 @@
   private static final long MAX_MS = 2_000;
 
   private int requestCount;
-  private int count;
-  private long bytes;
+  private int skippedCount;
+  private long skippedBytes;
   private long sinceMs;
 
   /** Called when a request is sent on the connection. */
   void onRequest() {
     requestCount++;
-    count = 0;
-    bytes = 0;
+    skippedCount = 0;
+    skippedBytes = 0;
   }
 
   /** Called when a response to another request begins. */
   void onHead(long nowMs) {
-    if (count == 0) {
+    if (skippedCount == 0) {
       sinceMs = nowMs;
     }
-    count++;
+    skippedCount++;
   }
 
   /** Called when a part of such a response has arrived. */
   void onContent(int contentBytes) {
-    bytes += contentBytes;
+    skippedBytes += contentBytes;
   }
 
   /** Checks whether this is more than second responses to the requests of the connection. */
   boolean isExceeded(long nowMs) {
-    return count > requestCount || bytes > MAX_BYTES || nowMs - sinceMs > MAX_MS;
+    return skippedCount > requestCount || skippedBytes > MAX_BYTES || nowMs - sinceMs > MAX_MS;
   }
 
   /** Returns a description for the log. */
   String describe(long nowMs) {
     return "responses to other requests: "
-        + count
+        + skippedCount
         + " of "
-        + bytes
+        + skippedBytes
         + " bytes in "
         + (nowMs - sinceMs)
         + " ms";
--- a/mothrill-wire/src/main/java/io/mothrill/wire/http/ResponseAggregator.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/http/ResponseAggregator.java
@@ -69,12 +69,14 @@
     HttpClient.Handle handle =
         client.send(
             new HttpCall(to, "", method, path, headers, requestBody, false, timeoutMs), aggregator);
-    return aggregator.reply.whenComplete(
-        (reply, error) -> {
-          if (error != null) {
-            handle.cancel();
-          }
-        });
+    var unused =
+        aggregator.reply.whenComplete(
+            (reply, error) -> {
+              if (error != null) {
+                handle.cancel();
+              }
+            });
+    return aggregator.reply;
   }
 
   private ResponseAggregator(Runnable onProgress) {
--- a/mothrill-wire/src/test/java/io/mothrill/wire/connection/ReceivingSocketChannelTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/connection/ReceivingSocketChannelTest.java
@@ -96,7 +96,8 @@
     resetWhileWriting();
     channel.config().setAutoRead(true);
 
-    assertThat(ended.get(5, TimeUnit.SECONDS)).startsWith("1 byte, write failed: ");
+    assertThat(ended.get(5, TimeUnit.SECONDS))
+        .matches("1 byte, write failed: (Connection reset by peer|Broken pipe)");
     assertThat(channel.closeFuture().await(5, TimeUnit.SECONDS)).isTrue();
   }
 
--- a/mothrill-wire/src/test/java/io/mothrill/wire/http/HttpClientTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/http/HttpClientTest.java
@@ -4,6 +4,7 @@
 import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.mothrill.wire.http.error.HttpException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -114,7 +115,9 @@
 
       long sentBytes = sendUntilClosed(listener, beginning);
 
-      assertThrows(ExecutionException.class, () -> reply.get(5, TimeUnit.SECONDS));
+      ExecutionException error =
+          assertThrows(ExecutionException.class, () -> reply.get(5, TimeUnit.SECONDS));
+      assertThat(error).hasCauseThat().isInstanceOf(HttpException.class);
       assertThat(sentBytes).isLessThan(MAX_SENT_BYTES);
     }
   }
