--- a/mothrill-wire/src/test/java/io/mothrill/wire/connection/ReceivingSocketChannelTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/connection/ReceivingSocketChannelTest.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -82,7 +83,7 @@
   }
 
   private void resetWhileWriting() throws Exception {
-    var written = channel.writeAndFlush(Unpooled.wrappedBuffer(LONG));
+    final ChannelFuture written = channel.writeAndFlush(Unpooled.wrappedBuffer(LONG));
     other.getInputStream().readNBytes(1);
     other.getOutputStream().write('r');
     other.close();
