A closed instance ends its event loops

Two tests of KNOWN-RED.txt had failed in the same way before (FalseCrashSuspicionTest#requestWithInvalidResponsesIsNotRefused 22 in place of 8, ViewExchangeTest#instanceThatTheStoreRefusesKnowsWhichUpstreamsLeave 202 in place of 0).

Cause: ForwardInstance.close() closed its listeners but not its event loops (EntryInstance does), so each closed instance went on reading its store, at an address at which nobody listened any more. A replica of a later test that got this port received the reads. It was not seen in the failing run itself, which kept no request lines; the counts fit 0.15 s, 0.07 s and 1 s of such reads.

close() now ends the event loops and may be called again.

In production the process ends after the drain, so callers have seen nothing of it.

--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -52,6 +52,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.tinylog.Logger;
 
@@ -88,7 +89,11 @@
   /** The time limit for returning unspent tokens after the last request. */
   private static final long HAND_BACK_TIMEOUT_MS = 300;
 
+  /** The time limit for tasks that the event loops still run when the instance is closed. */
+  private static final long CLOSE_TIMEOUT_MS = 1_000;
+
   private final ForwardSettings settings;
+  private final EventLoopGroup group;
   private final Timers timers;
   private final PublishedValue<ForwardingPlan> plan =
       new PublishedValue<>(ForwardingPlan.unknown());
@@ -112,12 +117,13 @@
    *
    * @param settings the settings
    * @param ports the connections to the platform
-   * @param group the event loops
+   * @param group the event loops, which end with the instance
    * @param timers the timer service
    */
   public ForwardInstance(
       ForwardSettings settings, ForwardPorts ports, EventLoopGroup group, Timers timers) {
     this.settings = settings;
+    this.group = group;
     this.timers = timers;
     // The generator of a thread is seeded by current(), so it is not kept for use by other threads.
     RandomGenerator random = () -> ThreadLocalRandom.current().nextLong();
@@ -445,12 +451,19 @@
     return metricsServer.port();
   }
 
-  /** Closes all sockets immediately. */
+  /**
+   * Closes all sockets immediately and ends the event loops, after which nothing is sent; has no
+   * effect if the instance is closed already.
+   */
   public void close() {
+    if (group.isShuttingDown()) {
+      return;
+    }
     edge.close();
     probeServer.close();
     metricsServer.close();
     peers.close();
     notices.close();
+    group.shutdownGracefully(0, CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
   }
 }
