Suspects that were in the same crashed runs are told apart by a trial

A part of prompts crashes three upstreams, always together with a sound one.

Cause: counting crashes cannot tell two parts with the same three crashes apart. CrashRecords gave the crashes to whichever record an instance merged first: the reporter in the order of the prompt, the others in the order of a message, new processes in the order of rows. A refused part gets no answer, which alone would have cleared it.

Change: Suspects compares the crashes of all quarantined records, whatever their order. A request with all suspects of a crash is refused. One that has only some of them is sent as a trial, one at a time in the fleet (one conditional row, lapses after 2 s); others wait for its outcome, 1 s at most, or are told to come back in a second. An answer clears what it has; a crash convicts it, frees the others, and is tried again after 30 s and 120 s. A request that may run once becomes a trial 700 ms after the crash. A crash counts as evidence for one suspect only after 600 ms, when reports have arrived everywhere. Rows keep six crashes, so that new processes know the outcome. Logs name the suspects of a record, trials, and what cleared a record.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/crash/Crash.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/crash/Crash.java
@@ -25,4 +25,14 @@
   boolean isDuplicateOf(Crash earlier) {
     return earlier.incarnation.equals(incarnation) && atMs - earlier.atMs < DUPLICATE_WINDOW_MS;
   }
+
+  /**
+   * Checks whether another report describes the same crash, whichever of them is earlier.
+   *
+   * @param other the other report
+   * @return true if both describe the same crash of the same process
+   */
+  boolean isSameAs(Crash other) {
+    return atMs >= other.atMs ? isDuplicateOf(other) : other.isDuplicateOf(this);
+  }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/crash/CrashGuard.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/crash/CrashGuard.java
@@ -8,10 +8,13 @@
 import io.mothrill.core.time.Timers;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.tinylog.Logger;
 
 /**
@@ -31,7 +34,8 @@
  *
  * <p>A part of a prompt that crashes each upstream that begins to answer it is kept like a request
  * under a fingerprint of its own, since no two requests with it may be alike. Requests that share
- * other parts with it are sound, and the first answer that begins to any of them shows it.
+ * other parts with it are sound, and the first answer that begins to any of them shows it. Where
+ * several were in the same crashed runs, {@link Suspects} tells them apart.
  *
  * <p>Requests that merely share an upstream with it are not refused: each of them would have to
  * lose three upstreams without a successful run in between. A closed connection counts only once
@@ -45,8 +49,10 @@
   private final CrashRecords records = new CrashRecords();
   private final CrashGossip gossip;
   private final QuarantineTable table;
+  private final TrialQueue trials;
   private final Timers timers;
   private final PendingProbes probes;
+  private volatile Suspects suspects = Suspects.NONE;
 
   /**
    * Creates the guard.
@@ -78,6 +84,7 @@
     this.probes = new PendingProbes(terminationProbe::refusesConnections, timers);
     this.gossip = new CrashGossip(others, sender, records, this::add, timers, random);
     this.table = new QuarantineTable(rows, storeClock, records, this::add, timers);
+    this.trials = new TrialQueue(new TrialTable(self.id(), rows, storeClock), timers);
   }
 
   /**
@@ -100,13 +107,39 @@
   }
 
   /**
-   * Returns the number of upstreams known to have crashed under a request.
+   * Returns the number of upstreams known to have crashed under a request, unless another suspect
+   * is known to be the cause.
    *
    * @param fingerprint the request
    * @return the number of crashes
    */
   public int crashCount(Fingerprint fingerprint) {
-    return records.countAt(fingerprint, timers.nowMs());
+    long nowMs = timers.nowMs();
+    return find(fingerprint).map(record -> suspects.countUnexplained(record, nowMs)).orElse(0);
+  }
+
+  /**
+   * Decides whether a request may be sent.
+   *
+   * @param fingerprints the request and the parts of its prompt
+   * @return the verdict as of now
+   */
+  CrashVerdict judge(List<Fingerprint> fingerprints) {
+    return suspects.judge(fingerprints, timers.nowMs());
+  }
+
+  /** Returns the requests that wait until suspects are told apart. */
+  TrialQueue trials() {
+    return trials;
+  }
+
+  /** Describes for the log which other suspects have crashes in common with a record. */
+  String describeSharing(CrashRecord record) {
+    return suspects
+        .sharing(record)
+        .map(other -> other.fingerprint().toString())
+        .sorted()
+        .collect(Collectors.joining(" "));
   }
 
   /**
@@ -178,22 +211,17 @@
   /** Merges a record from this instance or another one. */
   private void add(CrashRecord update) {
     long nowMs = timers.nowMs();
-    boolean wasQuarantined = isQuarantined(update.fingerprint(), nowMs);
+    Optional<CrashRecord> known = records.find(update.fingerprint());
     CrashRecord record = records.add(update, nowMs);
-    boolean isQuarantined = isQuarantined(update.fingerprint(), nowMs);
-    if (isQuarantined) {
-      records.attribute(record);
+    boolean wasQuarantined = known.filter(before -> before.isQuarantined(nowMs)).isPresent();
+    boolean isQuarantined = record.isQuarantined(nowMs);
+    if (known.filter(record::equals).isPresent() || !(wasQuarantined || isQuarantined)) {
+      return;
     }
-    if (!wasQuarantined && isQuarantined) {
-      Logger.warn(
-          "request refused from now on fingerprint={} retryAfterMs={} crashes={}",
-          record.fingerprint(),
-          record.retryAfterMs(nowMs),
-          record.describe(nowMs));
+    updateSuspects();
+    timers.after(Suspects.SETTLE_MS, this::updateSuspects);
+    if (isQuarantined) {
       saveIfReportedBySelf(record);
-    } else if (wasQuarantined && !isQuarantined) {
-      records.removeAttribution(record.fingerprint());
-      Logger.info("request served again fingerprint={}", record.fingerprint());
     }
   }
 
@@ -206,8 +234,53 @@
     }
   }
 
-  private boolean isQuarantined(Fingerprint fingerprint, long nowMs) {
-    return records.countAt(fingerprint, nowMs) >= CrashRecord.MAX_CRASHES;
+  private void updateSuspects() {
+    long nowMs = timers.nowMs();
+    synchronized (this) {
+      Suspects before = suspects;
+      suspects =
+          Suspects.of(
+              records.list(record -> record.isQuarantined(nowMs), Integer.MAX_VALUE), nowMs);
+      log(before, suspects, nowMs);
+    }
+    trials.onSuspectsChanged();
+  }
+
+  private void log(Suspects before, Suspects after, long nowMs) {
+    without(after.convicted(), before.convicted())
+        .flatMap(fingerprint -> find(fingerprint).stream())
+        .forEach(
+            record ->
+                Logger.warn(
+                    "request refused from now on fingerprint={} retryAfterMs={} crashes={}",
+                    record.fingerprint(),
+                    record.retryAfterMs(nowMs),
+                    record.describe(nowMs)));
+    without(after.undecided(), before.undecided())
+        .flatMap(fingerprint -> find(fingerprint).stream())
+        .forEach(
+            record ->
+                Logger.warn(
+                    "request sent only as a trial from now on fingerprint={} others={} crashes={}",
+                    record.fingerprint(),
+                    describeSharing(record),
+                    record.describe(nowMs)));
+    without(after.cleared(), before.cleared())
+        .forEach(
+            fingerprint ->
+                Logger.info(
+                    "request served again fingerprint={} convicted={}",
+                    fingerprint,
+                    after.convicted()));
+    Stream.concat(before.convicted().stream(), before.undecided().stream())
+        .filter(fingerprint -> crashCount(fingerprint) == 0)
+        .forEach(
+            fingerprint ->
+                Logger.info("request served again fingerprint={} answered", fingerprint));
+  }
+
+  private static Stream<Fingerprint> without(Set<Fingerprint> after, Set<Fingerprint> before) {
+    return after.stream().filter(fingerprint -> !before.contains(fingerprint));
   }
 
   /**
@@ -251,8 +324,12 @@
   public CrashCounts counts() {
     long nowMs = timers.nowMs();
     return new CrashCounts(
-        records.count(record -> record.countAt(nowMs) > 0 && !record.isQuarantined(nowMs)),
-        records.count(record -> record.isQuarantined(nowMs)),
+        records.count(
+            record ->
+                record.countAt(nowMs) > 0
+                    && suspects.countUnexplained(record, nowMs) < CrashRecord.MAX_CRASHES),
+        records.count(
+            record -> suspects.countUnexplained(record, nowMs) >= CrashRecord.MAX_CRASHES),
         gossip.sentCount(),
         gossip.receivedCount(),
         records.droppedCount());
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/crash/CrashRecord.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/crash/CrashRecord.java
@@ -5,7 +5,6 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
-import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -57,8 +56,11 @@
     crashes = retained(crashes, clearedMs);
   }
 
-  /** One more than needed, because a successful run may invalidate some of them. */
-  private static final int MAX_KEPT = MAX_CRASHES + 1;
+  /**
+   * More than are needed for a quarantine: a successful run may invalidate some of them, and those
+   * of several suspects are compared.
+   */
+  static final int MAX_KEPT = 2 * MAX_CRASHES;
 
   private static List<Crash> retained(Collection<Crash> crashes, long clearedMs) {
     return crashes.stream()
@@ -98,9 +100,9 @@
     return new CrashRecord(fingerprint, crashes, Math.max(clearedMs, atMs));
   }
 
-  /** Returns a record with only some of the crashes. */
-  CrashRecord retain(Predicate<Crash> retained) {
-    return new CrashRecord(fingerprint, crashes.stream().filter(retained).toList(), clearedMs);
+  /** Checks whether a crash is among those that count. */
+  boolean includes(Crash crash) {
+    return crashes.stream().anyMatch(crash::isSameAs);
   }
 
   /**
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/crash/CrashRecords.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/crash/CrashRecords.java
@@ -25,9 +25,6 @@
 
   private final Map<Fingerprint, CrashRecord> byRequest = new ConcurrentHashMap<>();
 
-  /** The request or part to which the crash of an upstream is attributed, by incarnation. */
-  private final Map<String, Fingerprint> causes = new ConcurrentHashMap<>();
-
   private final AtomicLong droppedCount = new AtomicLong();
 
   boolean isEmpty() {
@@ -38,31 +35,6 @@
     return Optional.ofNullable(byRequest.get(fingerprint));
   }
 
-  /**
-   * Counts the crashes under a request or a part, without those that are attributed to another one.
-   */
-  int countAt(Fingerprint fingerprint, long nowMs) {
-    return find(fingerprint)
-        .map(
-            record ->
-                record.retain(
-                    crash ->
-                        causes.getOrDefault(crash.incarnation(), fingerprint).equals(fingerprint)))
-        .map(record -> record.countAt(nowMs))
-        .orElse(0);
-  }
-
-  /** Attributes the crashes of a quarantined request or part to it. */
-  void attribute(CrashRecord record) {
-    record
-        .crashes()
-        .forEach(crash -> causes.putIfAbsent(crash.incarnation(), record.fingerprint()));
-  }
-
-  void removeAttribution(Fingerprint fingerprint) {
-    causes.values().removeIf(fingerprint::equals);
-  }
-
   /**
    * Merges a record into the known one.
    *
@@ -88,7 +60,6 @@
 
   void removeExpired(long nowMs) {
     byRequest.values().removeIf(record -> record.isExpired(nowMs));
-    causes.values().removeIf(fingerprint -> !byRequest.containsKey(fingerprint));
   }
 
   /** Lists the records that match a predicate, those with the newest crashes first. */
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/crash/QuarantineTable.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/crash/QuarantineTable.java
@@ -133,7 +133,7 @@
   }
 
   private static IntStream crashNumbers(Cells cells) {
-    return IntStream.range(0, CrashRecord.MAX_CRASHES)
+    return IntStream.range(0, CrashRecord.MAX_KEPT)
         .filter(number -> cells.find(INCARNATION + number).isPresent());
   }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/crash/RequestCrashGuard.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/crash/RequestCrashGuard.java
@@ -1,5 +1,6 @@
 package io.mothrill.core.forward.crash;
 
+import io.mothrill.core.forward.crash.CrashVerdict.Action;
 import io.mothrill.core.forward.request.Fingerprint;
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
 import io.mothrill.core.time.Timers;
@@ -9,7 +10,9 @@
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.tinylog.Logger;
 
 /**
  * Tracks the crashes of upstreams under one request; confined to the caller's thread.
@@ -31,17 +34,28 @@
    */
   private static final int MAX_CRASHES_RETRIED = 2;
 
+  /**
+   * Time after a crash in which only requests that may be repeated become trials. The caller of
+   * another one would not know whether it has run if the upstream crashed.
+   */
+  private static final long UNREPEATABLE_DELAY_MS = 700;
+
   private final CrashGuard crashes;
   private final Supplier<Fingerprint> fingerprints;
   private final List<String> partIds;
+  private final TrialTerms trialTerms;
   private final Timers timers;
   private Optional<Fingerprint> fingerprint = Optional.empty();
   private List<Fingerprint> parts = List.of();
   private boolean hasFailed;
   private boolean hasBegun;
+  private Optional<TrialPermit> trial = Optional.empty();
+  private boolean hasLostTrial;
+  private boolean hasEnded;
+  private CrashVerdict verdict = CrashVerdict.SEND;
 
   /**
-   * Creates a guard for a request without crashes.
+   * Creates a guard for a request without crashes that may be repeated.
    *
    * @param crashes the crashes of all requests
    * @param fingerprints computes the request's fingerprint; called at most once
@@ -50,9 +64,28 @@
    */
   public RequestCrashGuard(
       CrashGuard crashes, Supplier<Fingerprint> fingerprints, List<String> partIds, Timers timers) {
+    this(crashes, fingerprints, partIds, TrialTerms.DEFAULT, timers);
+  }
+
+  /**
+   * Creates a guard for a request without crashes.
+   *
+   * @param crashes the crashes of all requests
+   * @param fingerprints computes the request's fingerprint; called at most once
+   * @param partIds the ids of the parts of its prompt that other requests share
+   * @param trialTerms how the request takes part in trials
+   * @param timers the clock
+   */
+  public RequestCrashGuard(
+      CrashGuard crashes,
+      Supplier<Fingerprint> fingerprints,
+      List<String> partIds,
+      TrialTerms trialTerms,
+      Timers timers) {
     this.crashes = crashes;
     this.fingerprints = fingerprints;
     this.partIds = List.copyOf(partIds);
+    this.trialTerms = trialTerms;
     this.timers = timers;
   }
 
@@ -91,15 +124,17 @@
   }
 
   /**
-   * Sends or refuses the request, immediately unless the decision depends on a pending probe.
+   * Sends or refuses the request, immediately unless the decision depends on a pending probe or a
+   * trial.
    *
    * @param executor runs a delayed decision
    * @param send sends the request
-   * @param refuse refuses the request, given its crash record
+   * @param refuse refuses the request, given the crash record of it or of a part of its prompt
    */
   public void decide(Executor executor, Runnable send, Consumer<CrashRecord> refuse) {
     CompletableFuture<Void> probes = awaitProbes();
-    Runnable decision = () -> findRefusalRecord().ifPresentOrElse(refuse, send);
+    long untilMs = timers.nowMs() + trialTerms.maxWaitMs();
+    Runnable decision = () -> decideNow(executor, send, refuse, untilMs);
     if (probes.isDone()) {
       decision.run();
     } else {
@@ -107,6 +142,60 @@
     }
   }
 
+  private void decideNow(
+      Executor executor, Runnable send, Consumer<CrashRecord> refuse, long untilMs) {
+    verdict = judge();
+    if (verdict.action() != Action.TRIAL) {
+      releaseTrial();
+      verdict.record().ifPresentOrElse(refuse, send);
+    } else if (isTrial()) {
+      send.run();
+    } else if (timers.nowMs() >= untilMs) {
+      refuse.accept(verdict.record().orElseThrow());
+    } else {
+      awaitTrial(verdict.record().orElseThrow(), untilMs)
+          .thenAccept(
+              permit ->
+                  executor.execute(
+                      () -> {
+                        acceptTrial(permit);
+                        decideNow(executor, send, refuse, untilMs);
+                      }));
+    }
+  }
+
+  private CompletableFuture<Optional<TrialPermit>> awaitTrial(CrashRecord suspect, long untilMs) {
+    long notBeforeMs =
+        trialTerms.isRepeatable() ? timers.nowMs() : suspect.lastCrashMs() + UNREPEATABLE_DELAY_MS;
+    return crashes.trials().await(notBeforeMs, untilMs);
+  }
+
+  private void acceptTrial(Optional<TrialPermit> permit) {
+    if (hasEnded) {
+      permit.ifPresent(TrialPermit::release);
+    } else if (permit.isPresent()) {
+      Logger.info(
+          "request becomes a trial fingerprint={} suspects={}", computeFingerprint(), suspectIds());
+      trial = permit;
+      hasLostTrial = false;
+    }
+  }
+
+  private boolean isTrial() {
+    return trial.filter(TrialPermit::isValid).isPresent();
+  }
+
+  /**
+   * Ends a trial that did not lose its upstream. Otherwise the permit lapses by itself, when the
+   * other instances know whether the upstream has crashed.
+   */
+  private void releaseTrial() {
+    if (!hasLostTrial) {
+      trial.ifPresent(TrialPermit::release);
+    }
+    trial = Optional.empty();
+  }
+
   private CompletableFuture<Void> awaitProbes() {
     if (crashes.isIdle()) {
       return CompletableFuture.completedFuture(null);
@@ -119,31 +208,46 @@
             .toArray(CompletableFuture[]::new));
   }
 
-  private Optional<CrashRecord> findRefusalRecord() {
-    if (crashes.isIdle()) {
-      return Optional.empty();
-    }
-    return Optional.of(computeFingerprint())
-        .filter(request -> crashes.crashCount(request) >= limit())
-        .or(this::findCrashingPart)
-        .flatMap(crashes::find);
+  private CrashVerdict judge() {
+    return crashes.isIdle()
+        ? CrashVerdict.SEND
+        : findOwnRefusal().orElseGet(() -> crashes.judge(allFingerprints()));
+  }
+
+  /** Refuses further attempts of a request whose own runs have crashed upstreams. */
+  private Optional<CrashVerdict> findOwnRefusal() {
+    return hasFailed && crashes.crashCount(computeFingerprint()) >= MAX_CRASHES_RETRIED
+        ? crashes
+            .find(computeFingerprint())
+            .map(record -> CrashVerdict.refuse(record, record.retryAfterMs(timers.nowMs())))
+        : Optional.empty();
   }
 
-  private Optional<Fingerprint> findCrashingPart() {
-    return computeParts().stream()
-        .filter(part -> crashes.crashCount(part) >= CrashRecord.MAX_CRASHES)
-        .findFirst();
+  private List<Fingerprint> allFingerprints() {
+    return Stream.concat(Stream.of(computeFingerprint()), computeParts().stream()).toList();
   }
 
   /**
    * Checks whether the request must not be sent to any upstream, as known at this moment.
    *
-   * @return true once enough upstreams have crashed under it or under a part of its prompt
+   * @return true once enough upstreams have crashed under it or under a part of its prompt, unless
+   *     it is a trial
    */
   public boolean isQuarantined() {
-    return !crashes.isIdle()
-        && (crashes.crashCount(computeFingerprint()) >= CrashRecord.MAX_CRASHES
-            || findCrashingPart().isPresent());
+    if (crashes.isIdle()) {
+      return false;
+    }
+    Action action = crashes.judge(allFingerprints()).action();
+    return action == Action.REFUSE || (action == Action.TRIAL && !isTrial());
+  }
+
+  /**
+   * Returns when the request may come again, as of the last decision.
+   *
+   * @return milliseconds; 0 if it was not refused
+   */
+  public long retryAfterMs() {
+    return verdict.retryAfterMs();
   }
 
   /**
@@ -154,8 +258,16 @@
    */
   public String describe(CrashRecord record) {
     int part = computeParts().indexOf(record.fingerprint());
+    String sharing = crashes.describeSharing(record);
     return (part < 0 ? "" : "prompt part " + partIds.get(part) + ": ")
-        + record.describe(timers.nowMs());
+        + record.describe(timers.nowMs())
+        + (sharing.isEmpty() ? "" : "; also suspected: " + sharing);
+  }
+
+  private String suspectIds() {
+    return partIds.stream()
+        .filter(id -> crashes.judge(List.of(Fingerprint.ofPart(id))).action() != Action.SEND)
+        .collect(Collectors.joining(" "));
   }
 
   /** Called when the answer was invalid although its upstream keeps running. */
@@ -170,6 +282,7 @@
    */
   public void onConnectionLost(RegisteredUpstream upstream) {
     hasFailed = true;
+    hasLostTrial = true;
     crashes.onConnectionLost(suspects(), upstream);
   }
 
@@ -180,6 +293,7 @@
    */
   public void onUpstreamReplaced(RegisteredUpstream upstream) {
     hasFailed = true;
+    hasLostTrial = true;
     crashes.onCrash(suspects(), upstream, timers.nowMs());
   }
 
@@ -198,6 +312,13 @@
       if (!crashes.isIdle()) {
         computeParts().forEach(crashes::onSuccess);
       }
+      releaseTrial();
     }
   }
+
+  /** Called when the request has ended, whatever its outcome. */
+  public void onEnded() {
+    hasEnded = true;
+    releaseTrial();
+  }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/request/Exchange.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/request/Exchange.java
@@ -106,7 +106,7 @@
         "request not sent because upstreams crashed under it: request={} crashes={}",
         plan.requestId(),
         record.describe(nowMs));
-    fail(Refusal.crashesUpstreams(record.retryAfterMs(nowMs)));
+    fail(Refusal.crashesUpstreams(crashGuard.retryAfterMs()));
   }
 
   /**
@@ -448,6 +448,9 @@
 
   private void deregister() {
     deadline.cancel();
+    if (crashGuard != null) {
+      crashGuard.onEnded();
+    }
     onFinished.accept(this);
   }
 }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/AdmittedRequest.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/AdmittedRequest.java
@@ -4,6 +4,7 @@
 import io.mothrill.core.forward.admission.RequestAdmission;
 import io.mothrill.core.forward.check.Rejection;
 import io.mothrill.core.forward.crash.RequestCrashGuard;
+import io.mothrill.core.forward.crash.TrialTerms;
 import io.mothrill.core.forward.plan.RegionRestriction;
 import io.mothrill.core.forward.plan.Route;
 import io.mothrill.core.forward.plan.TeamPlan;
@@ -63,6 +64,7 @@
         dependencies.crashGuard(),
         this::fingerprint,
         call().prompt().map(Prompt::sharedPartIds).orElse(List.of()),
+        TrialTerms.of(route.kind().isRetryable(), route.targetLatencyMs()),
         dependencies.timers());
   }
 
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
@@ -183,9 +183,8 @@
   }
 
   private void refuseQuarantined(CrashRecord record) {
-    long nowMs = dependencies.timers().nowMs();
     reason = requestCrashGuard.describe(record);
-    endWithoutResponse(Cause.CRASHES_UPSTREAMS, record.retryAfterMs(nowMs));
+    endWithoutResponse(Cause.CRASHES_UPSTREAMS, requestCrashGuard.retryAfterMs());
   }
 
   private void reserveOrSend() {
@@ -376,6 +375,9 @@
     reservation.settle(chargedTokens);
     Optional<Fingerprint> fingerprint =
         requestCrashGuard == null ? Optional.empty() : requestCrashGuard.computedFingerprint();
+    if (requestCrashGuard != null) {
+      requestCrashGuard.onEnded();
+    }
     received.body().release();
     dependencies
         .log()
