The only version of a time is known only if the list was confirmed all the time

What callers would see: a stream taken up is continued at another version.

Cause: ServedVersions counted from the first list that a process saw, also one from another instance's memory, and asked for the age of the list at the moment of the question only. A version that serves and leaves between two confirmations is in no list. And the time that a stream can have lasted was that of the current plan: one that shortens a timeout made streams from before it seem younger than they are.

The longest time for which a stream of this instance or one recorded here may be taken up counts for all questions.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginRecords.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginRecords.java
@@ -16,6 +16,8 @@
 
   private final Timers timers;
   private final Map<String, Entry> entries = new LinkedHashMap<>();
+  private long longestKeepMs;
+  private long longestUntilMs;
 
   /** A recorded origin. */
   record Entry(StreamOrigin origin, int attempt, long expiresMs) {}
@@ -27,6 +29,10 @@
   /** Records an origin, unless that of a later attempt is known. */
   synchronized void add(String requestId, StreamOrigin origin, int attempt, long keepMs) {
     long nowMs = timers.nowMs();
+    if (keepMs >= longestKeepMs()) {
+      longestKeepMs = keepMs;
+      longestUntilMs = nowMs + keepMs;
+    }
     Entry known = entries.remove(requestId);
     boolean isLater = known == null || attempt >= known.attempt() || known.expiresMs() < nowMs;
     Entry added = new Entry(origin, attempt, nowMs + Math.min(keepMs, MAX_KEEP_MS));
@@ -50,6 +56,14 @@
         .filter(entry -> entry.expiresMs() >= timers.nowMs());
   }
 
+  /**
+   * Returns the longest time for which one of the streams that may be going on may be taken up. A
+   * plan that shortens the timeout of a route does not shorten those that have begun.
+   */
+  synchronized long longestKeepMs() {
+    return longestUntilMs >= timers.nowMs() ? longestKeepMs : 0;
+  }
+
   synchronized int count() {
     return entries.size();
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/ServedVersions.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/ServedVersions.java
@@ -32,7 +32,18 @@
   /** When each version of each service was last registered; the maximum while it is. */
   private final Map<String, Map<String, Long>> lastSeenMs = new HashMap<>();
 
-  private long sinceMs = Long.MAX_VALUE;
+  /** Interval at which the age of the list is observed; shorter than the age that it may have. */
+  private static final long OBSERVATION_INTERVAL_MS = 250;
+
+  private static final long NEVER_MS = Long.MAX_VALUE;
+
+  /**
+   * Since when the list has been confirmed without interruption. While it is not, a version may
+   * serve and leave unseen.
+   */
+  private long sinceMs = NEVER_MS;
+
+  private boolean hasList;
 
   /**
    * Creates the tracker.
@@ -46,11 +57,25 @@
     this.listAgeMs = listAgeMs;
     this.timers = timers;
     upstreams.subscribe(this::onList);
+    timers.every(OBSERVATION_INTERVAL_MS, this::observeAge);
+  }
+
+  private synchronized void observeAge() {
+    if (!isConfirmed()) {
+      sinceMs = NEVER_MS;
+    } else if (hasList) {
+      sinceMs = Math.min(sinceMs, timers.nowMs());
+    }
+  }
+
+  private boolean isConfirmed() {
+    return listAgeMs.getAsLong() <= MAX_LIST_AGE_MS;
   }
 
   private synchronized void onList(UpstreamList list) {
     long nowMs = timers.nowMs();
-    sinceMs = Math.min(sinceMs, nowMs);
+    hasList = true;
+    observeAge();
     Map<String, Set<String>> registered =
         list.all().stream()
             .collect(
@@ -87,7 +112,7 @@
    */
   synchronized Optional<String> onlyVersion(String service, long withinMs) {
     long fromMs = timers.nowMs() - withinMs;
-    if (sinceMs > fromMs || listAgeMs.getAsLong() > MAX_LIST_AGE_MS) {
+    if (sinceMs > fromMs || !isConfirmed()) {
       return Optional.empty();
     }
     List<String> served =
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/StreamOrigins.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/StreamOrigins.java
@@ -96,7 +96,8 @@
    */
   public CompletableFuture<Optional<StreamOrigin>> find(
       String requestId, String service, long begunWithinMs) {
-    return search(requestId, service, begunWithinMs).thenApply(this::count);
+    long withinMs = Math.max(begunWithinMs, records.longestKeepMs());
+    return search(requestId, service, withinMs).thenApply(this::count);
   }
 
   private Optional<StreamOrigin> count(Optional<StreamOrigin> found) {
@@ -112,8 +113,7 @@
             .map(OriginRecords.Entry::origin)
             .or(
                 () ->
-                    served
-                        .onlyVersion(service, begunWithinMs)
+                    onlyVersion(service, begunWithinMs)
                         .map(version -> new StreamOrigin(service, version)));
     List<InstanceRecord> asked = requestId.isEmpty() ? List.of() : holders.toAsk(requestId);
     if (known.isPresent() || asked.isEmpty()) {
@@ -125,6 +125,10 @@
     return search.found;
   }
 
+  private Optional<String> onlyVersion(String service, long begunWithinMs) {
+    return served.onlyVersion(service, Math.max(begunWithinMs, records.longestKeepMs()));
+  }
+
   /**
    * Called when a message of another instance has arrived.
    *
@@ -149,7 +153,7 @@
         query.requestId(),
         entry.map(OriginRecords.Entry::origin),
         entry.map(OriginRecords.Entry::attempt).orElse(0),
-        served.onlyVersion(query.service(), query.begunWithinMs()));
+        onlyVersion(query.service(), query.begunWithinMs()));
   }
 
   /**
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/stream/StreamOriginsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/stream/StreamOriginsTest.java
@@ -253,6 +253,24 @@
     assertThat(find(fleet.get(0), "unknown")).hasValue(new StreamOrigin(SERVICE, ""));
   }
 
+  // The plan shortens the timeout of a route. Streams that began before last as long as it allowed
+  // then, and their version may have left meanwhile.
+  @Test
+  void streamsFromBeforeTimeoutWasShortenedAreNotGuessed() {
+    startFleet(6);
+    timers.advanceMs(2 * KEEP_MS);
+    fleet.get(1).begin("known", "v1");
+    timers.advanceMs(100);
+    register("v1.1");
+    timers.advanceMs(KEEP_MS / 2);
+
+    CompletableFuture<Optional<StreamOrigin>> found =
+        fleet.get(1).origins.find("unknown", SERVICE, KEEP_MS / 4);
+    timers.advanceMs(300);
+
+    assertThat(found.join()).isEmpty();
+  }
+
   // The record of an attempt that brought no event arrives after that of the one that did.
   @Test
   void recordOfLaterAttemptCounts() {
