Origins of streams outlast the memory of all instances while two versions serve

Cause: which version began a stream was known in the memory of instances only.

Only origins whose first event was relayed are written. A process reads the rows of the partitions that it writes; others ask it. What no batch has taken is unknown and refused as before. Rows are deleted once they have expired. As long as one version serves nothing is written.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginRecords.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginRecords.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 /** The origins of streams that an instance has recorded; bounded and thread-safe. */
 final class OriginRecords {
@@ -14,6 +15,12 @@
 
   private static final long MAX_KEEP_MS = 120_000;
 
+  /** The attempt of an origin whose first event has been relayed: later than any other. */
+  static final int CERTAIN = Integer.MAX_VALUE;
+
+  /** The attempt of an origin from the table, which may be older than one in memory. */
+  static final int READ_FROM_TABLE = CERTAIN - 1;
+
   private final Timers timers;
   private final Map<String, Entry> entries = new LinkedHashMap<>();
   private long longestKeepMs;
@@ -56,6 +63,15 @@
         .filter(entry -> entry.expiresMs() >= timers.nowMs());
   }
 
+  /** Returns the origins that this instance has been told of and whose first event was relayed. */
+  synchronized Map<String, Entry> certain() {
+    long nowMs = timers.nowMs();
+    return entries.entrySet().stream()
+        .filter(entry -> entry.getValue().attempt() == CERTAIN)
+        .filter(entry -> entry.getValue().expiresMs() >= nowMs)
+        .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, Map.Entry::getValue));
+  }
+
   /**
    * Returns the longest time for which one of the streams that may be going on may be taken up. A
    * plan that shortens the timeout of a route does not shorten those that have begun.
--- /dev/null
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginTable.java
@@ -0,0 +1,293 @@
+package io.mothrill.core.forward.stream;
+
+import io.mothrill.core.forward.stream.OriginRecords.Entry;
+import io.mothrill.core.platform.Cells;
+import io.mothrill.core.platform.Row;
+import io.mothrill.core.platform.RowKey;
+import io.mothrill.core.platform.StoreClock;
+import io.mothrill.core.platform.TableService;
+import io.mothrill.core.platform.Transaction;
+import io.mothrill.core.time.Timers;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.tinylog.Logger;
+
+/**
+ * Stores the origins of streams in the platform's table, for processes that start after all
+ * instances have lost their memory.
+ *
+ * <p>Origins are written only while several versions of a service can have begun streams that may
+ * still be taken up, in batches and never on the way of a request. A stream that no batch has taken
+ * yet stays unknown. Only origins whose first event has been relayed are written: an attempt
+ * without an event may be followed by one at another version.
+ */
+final class OriginTable {
+
+  static final String TABLE = "stream-origin";
+
+  /** Shortest interval between two batches of a writer. */
+  private static final long MIN_INTERVAL_MS = 100;
+
+  /** Writes per second of all writers together, a small part of what the table allows. */
+  private static final long MAX_WRITES_PER_S = 40;
+
+  /** Interval at which a writer deletes the rows that have expired. */
+  private static final long DELETION_INTERVAL_MS = 5_000;
+
+  /** Maximum number of rows in a transaction. */
+  private static final int MAX_DELETED = 100;
+
+  /** More rows than a writer adds while streams may be taken up. */
+  private static final int MAX_ROWS = 2_000;
+
+  /** Rows hold 64 KiB. Ids that are longer than usual are not written. */
+  private static final int MAX_BATCH = 1_500;
+
+  private static final int MAX_ID_CHARS = 36;
+
+  /** More than a writer receives while the table is unreachable for seconds. */
+  private static final int MAX_PENDING = 20_000;
+
+  private static final long RETRY_MS = 700;
+
+  private static final String AT = "atMs";
+  private static final String KEEP = "keepMs";
+  private static final String COUNT = "originCount";
+  private static final String SERVICE = "service-";
+  private static final String VERSION = "version-";
+  private static final String IDS = "ids-";
+
+  private final OriginWriters writers;
+  private final OriginRecords records;
+  private final Predicate<String> hasSeveralVersions;
+  private final TableService rows;
+  private final StoreClock storeClock;
+  private final Timers timers;
+  private final Map<String, Map<String, Entry>> pending = new HashMap<>();
+  private final Set<String> recordedServices = new HashSet<>();
+  private final Set<String> loadedPartitions = new HashSet<>();
+  private boolean writing;
+
+  /**
+   * Creates the table and starts reading it.
+   *
+   * @param writers selects the instances that write
+   * @param records the records of this instance
+   * @param hasSeveralVersions whether several versions of a service can have begun streams that may
+   *     still be taken up, as far as this instance knows
+   * @param rows the platform's table
+   * @param storeClock the clock of the store, in which rows hold their times
+   * @param timers the clock and timers
+   */
+  OriginTable(
+      OriginWriters writers,
+      OriginRecords records,
+      Predicate<String> hasSeveralVersions,
+      TableService rows,
+      StoreClock storeClock,
+      Timers timers) {
+    this.writers = writers;
+    this.records = records;
+    this.hasSeveralVersions = hasSeveralVersions;
+    this.rows = rows;
+    this.storeClock = storeClock;
+    this.timers = timers;
+    timers.after(0, this::loadOwnPartitions);
+    timers.after(MIN_INTERVAL_MS, this::writeNext);
+    timers.every(DELETION_INTERVAL_MS, this::deleteExpired);
+  }
+
+  private synchronized void loadOwnPartitions() {
+    writers.ownPartitions().stream().filter(loadedPartitions::add).forEach(this::load);
+  }
+
+  private void load(String partition) {
+    rows.scan(TABLE, partition, "", MAX_ROWS)
+        .whenComplete(
+            (read, error) -> {
+              if (error == null) {
+                read.stream().map(Row::cells).forEach(this::addRecords);
+              } else {
+                Logger.debug("stream origins not read yet: {}", error.getMessage());
+                timers.after(RETRY_MS, () -> load(partition));
+              }
+            });
+  }
+
+  /** Values of other types than expected read as 0 or empty and add nothing. */
+  private void addRecords(Cells cells) {
+    long keepMs = remainingMs(cells);
+    if (keepMs <= 0) {
+      return;
+    }
+    for (long number = 0; number < Math.min(cells.number(COUNT), MAX_BATCH); number++) {
+      StreamOrigin origin =
+          new StreamOrigin(cells.text(SERVICE + number), cells.text(VERSION + number));
+      Stream.of(cells.text(IDS + number).split(" "))
+          .filter(Predicate.not(String::isEmpty))
+          .forEach(id -> records.add(id, origin, OriginRecords.READ_FROM_TABLE, keepMs));
+    }
+  }
+
+  private long remainingMs(Cells cells) {
+    return cells.number(AT) + cells.number(KEEP) - storeClock.nowMs();
+  }
+
+  /** Rows are in the order of their times, so the first ones expire first. */
+  private void deleteExpired() {
+    writers
+        .ownPartitions()
+        .forEach(
+            partition ->
+                rows.scan(TABLE, partition, "", MAX_DELETED)
+                    .thenCompose(this::delete)
+                    .whenComplete(
+                        (deleted, error) -> {
+                          if (error != null) {
+                            Logger.debug("stream origins not deleted: {}", error.getMessage());
+                          }
+                        }));
+  }
+
+  private CompletableFuture<Boolean> delete(List<Row> read) {
+    Transaction deletion =
+        read.stream()
+            .filter(row -> remainingMs(row.cells()) <= 0)
+            .reduce(
+                new Transaction(List.of(), List.of()),
+                Transaction::andDelete,
+                (first, second) -> first);
+    return deletion.writes().isEmpty()
+        ? CompletableFuture.completedFuture(false)
+        : rows.write(deletion);
+  }
+
+  /** Called when the first event of a stream has been recorded at this instance. */
+  synchronized void onRecorded(String requestId, Entry entry) {
+    if (recordedServices.contains(entry.origin().service())) {
+      enqueue(requestId, entry);
+    }
+  }
+
+  private void enqueue(String requestId, Entry entry) {
+    Map<String, Entry> batch =
+        pending.computeIfAbsent(writers.partitionOf(requestId), partition -> new LinkedHashMap<>());
+    if (batch.size() < MAX_PENDING && isStorable(requestId)) {
+      batch.put(requestId, entry);
+    }
+  }
+
+  private static boolean isStorable(String requestId) {
+    return !requestId.isEmpty() && requestId.length() <= MAX_ID_CHARS && !requestId.contains(" ");
+  }
+
+  private void writeNext() {
+    loadOwnPartitions();
+    synchronized (this) {
+      updateRecordedServices();
+      pending.keySet().retainAll(writers.ownPartitions());
+    }
+    writePending();
+    long intervalMs = Math.max(MIN_INTERVAL_MS, writers.writerCount() * 1_000L / MAX_WRITES_PER_S);
+    timers.after(intervalMs, this::writeNext);
+  }
+
+  /** Streams that began before the second version appeared are written when it does. */
+  private void updateRecordedServices() {
+    Map<String, Entry> certain = records.certain();
+    Set<String> several =
+        certain.values().stream()
+            .map(entry -> entry.origin().service())
+            .distinct()
+            .filter(hasSeveralVersions)
+            .collect(Collectors.toSet());
+    certain.forEach(
+        (id, entry) -> {
+          String service = entry.origin().service();
+          if (several.contains(service) && !recordedServices.contains(service)) {
+            enqueue(id, entry);
+          }
+        });
+    recordedServices.clear();
+    recordedServices.addAll(several);
+  }
+
+  private synchronized void writePending() {
+    if (writing) {
+      return;
+    }
+    List<CompletableFuture<Void>> writes =
+        pending.entrySet().stream()
+            .filter(batch -> !batch.getValue().isEmpty())
+            .map(batch -> write(batch.getKey(), takeBatch(batch.getValue())))
+            .toList();
+    if (!writes.isEmpty()) {
+      writing = true;
+      CompletableFuture.allOf(writes.toArray(CompletableFuture[]::new))
+          .whenComplete((written, error) -> onWritten());
+    }
+  }
+
+  private synchronized void onWritten() {
+    writing = false;
+  }
+
+  private static Map<String, Entry> takeBatch(Map<String, Entry> batch) {
+    Map<String, Entry> taken = new LinkedHashMap<>();
+    batch.entrySet().stream()
+        .limit(MAX_BATCH)
+        .forEach(entry -> taken.put(entry.getKey(), entry.getValue()));
+    taken.keySet().forEach(batch::remove);
+    return taken;
+  }
+
+  /** Another writer that has used the same key at the same time makes the write fail. */
+  private CompletableFuture<Void> write(String partition, Map<String, Entry> batch) {
+    RowKey key = new RowKey(TABLE, partition + String.format("%016x", storeClock.nowMs()));
+    return rows.write(Transaction.on(Row.absent(key), cells(batch)))
+        .exceptionally(error -> false)
+        .thenAccept(
+            written -> {
+              if (!written) {
+                restore(partition, batch);
+              }
+            });
+  }
+
+  private synchronized void restore(String partition, Map<String, Entry> batch) {
+    Map<String, Entry> restored = new LinkedHashMap<>(batch);
+    restored.putAll(pending.getOrDefault(partition, Map.of()));
+    pending.put(partition, restored);
+  }
+
+  private Cells cells(Map<String, Entry> batch) {
+    Map<StreamOrigin, List<String>> idsByOrigin = new LinkedHashMap<>();
+    batch.forEach(
+        (id, entry) ->
+            idsByOrigin.computeIfAbsent(entry.origin(), origin -> new ArrayList<>()).add(id));
+    long nowMs = timers.nowMs();
+    Cells.Builder cells = Cells.builder();
+    cells.add(AT, storeClock.nowMs());
+    cells.add(
+        KEEP,
+        batch.values().stream().mapToLong(entry -> entry.expiresMs() - nowMs).max().orElse(0));
+    cells.add(COUNT, idsByOrigin.size());
+    int number = 0;
+    for (Map.Entry<StreamOrigin, List<String>> ids : idsByOrigin.entrySet()) {
+      cells.add(SERVICE + number, ids.getKey().service());
+      cells.add(VERSION + number, ids.getKey().version());
+      cells.add(IDS + number, String.join(" ", ids.getValue()));
+      number++;
+    }
+    return cells.build();
+  }
+}
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/RecordedPin.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/RecordedPin.java
@@ -12,9 +12,6 @@
  */
 final class RecordedPin implements StreamPin {
 
-  /** Counts as later than any attempt. */
-  private static final int CERTAIN = Integer.MAX_VALUE;
-
   private final StreamOrigins origins;
   private final String requestId;
   private final long keepMs;
@@ -32,14 +29,14 @@
   @Override
   public void onSent(RegisteredUpstream upstream) {
     attempt++;
-    record(originOf(upstream), required.isPresent() ? CERTAIN : attempt);
+    record(originOf(upstream), required.isPresent() ? OriginRecords.CERTAIN : attempt);
   }
 
   @Override
   public void onFirstEvent(RegisteredUpstream upstream) {
     if (required.isEmpty()) {
       required = Optional.of(originOf(upstream));
-      record(required.get(), CERTAIN);
+      record(required.get(), OriginRecords.CERTAIN);
     }
   }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/ServedVersions.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/ServedVersions.java
@@ -102,6 +102,25 @@
     versions.values().removeIf(seenMs -> nowMs - seenMs > RETENTION_MS && seenMs < nowMs);
   }
 
+  /**
+   * Checks whether several versions of a service may have been registered within a time.
+   *
+   * @param service the service
+   * @param withinMs the time until now
+   * @return false if this instance knows that there has been one at most
+   */
+  synchronized boolean mayHaveSeveral(String service, long withinMs) {
+    long fromMs = timers.nowMs() - withinMs;
+    return sinceMs > fromMs || servedSince(service, fromMs).size() > 1;
+  }
+
+  private List<String> servedSince(String service, long fromMs) {
+    return lastSeenMs.getOrDefault(service, Map.of()).entrySet().stream()
+        .filter(entry -> entry.getValue() >= fromMs)
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
   /**
    * Returns the only version of a service that was registered within a time.
    *
@@ -115,11 +134,7 @@
     if (sinceMs > fromMs || !isConfirmed()) {
       return Optional.empty();
     }
-    List<String> served =
-        lastSeenMs.getOrDefault(service, Map.of()).entrySet().stream()
-            .filter(entry -> entry.getValue() >= fromMs)
-            .map(Map.Entry::getKey)
-            .toList();
+    List<String> served = servedSince(service, fromMs);
     return served.size() == 1 ? Optional.of(served.get(0)) : Optional.empty();
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/StreamOrigins.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/StreamOrigins.java
@@ -1,6 +1,8 @@
 package io.mothrill.core.forward.stream;
 
 import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.platform.StoreClock;
+import io.mothrill.core.platform.TableService;
 import io.mothrill.core.time.Subscription;
 import io.mothrill.core.time.Timers;
 import java.util.List;
@@ -12,6 +14,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 
 /**
  * Records which software version began each stream that may be taken up again, and finds it out for
@@ -36,9 +39,12 @@
   /** After a record was found, others may still have that of a later attempt. */
   private static final long LATER_RECORDS_MS = 20;
 
+  private final InstanceRecord self;
   private final OriginRecords records;
   private final ServedVersions served;
   private final OriginHolders holders;
+  private final OriginWriters writers;
+  private final OriginTable table;
   private final StreamNoticeSender sender;
   private final Timers timers;
   private final Map<String, List<Search>> searches = new ConcurrentHashMap<>();
@@ -52,6 +58,8 @@
    * @param others the other instances
    * @param served the versions that have been registered
    * @param sender sends messages to other instances
+   * @param rows the platform's table, which outlasts the memory of all instances
+   * @param storeClock the clock of the store
    * @param timers the clock and timers
    */
   public StreamOrigins(
@@ -59,10 +67,22 @@
       Supplier<List<InstanceRecord>> others,
       ServedVersions served,
       StreamNoticeSender sender,
+      TableService rows,
+      StoreClock storeClock,
       Timers timers) {
+    this.self = self;
     this.records = new OriginRecords(timers);
     this.served = served;
     this.holders = new OriginHolders(self, others);
+    this.writers = new OriginWriters(self, others);
+    this.table =
+        new OriginTable(
+            writers,
+            records,
+            service -> served.mayHaveSeveral(service, records.longestKeepMs()),
+            rows,
+            storeClock,
+            timers);
     this.sender = sender;
     this.timers = timers;
   }
@@ -81,9 +101,32 @@
 
   /** Records the origin of a stream here and at other instances; later attempts count. */
   void record(String requestId, StreamOrigin origin, int attempt, long keepMs) {
-    records.add(requestId, origin, attempt, keepMs);
+    add(requestId, origin, attempt, keepMs);
     sender.send(
-        new StreamNotice.Record(requestId, origin, attempt, keepMs), holders.toRecordAt(requestId));
+        new StreamNotice.Record(requestId, origin, attempt, keepMs),
+        recipients(requestId, attempt));
+  }
+
+  private void add(String requestId, StreamOrigin origin, int attempt, long keepMs) {
+    records.add(requestId, origin, attempt, keepMs);
+    if (attempt == OriginRecords.CERTAIN) {
+      records.find(requestId).ifPresent(entry -> table.onRecorded(requestId, entry));
+    }
+  }
+
+  private List<InstanceRecord> recipients(String requestId, int attempt) {
+    List<InstanceRecord> recording = holders.toRecordAt(requestId);
+    InstanceRecord writer = writers.writerOf(requestId);
+    return attempt < OriginRecords.CERTAIN || writer.equals(self) || recording.contains(writer)
+        ? recording
+        : Stream.concat(recording.stream(), Stream.of(writer)).toList();
+  }
+
+  /** Returns the instances that may know an origin from messages or from the table. */
+  private List<InstanceRecord> toAsk(String requestId) {
+    return Stream.concat(holders.toAsk(requestId).stream(), writers.toAsk(requestId).stream())
+        .distinct()
+        .toList();
   }
 
   /**
@@ -115,7 +158,7 @@
                 () ->
                     onlyVersion(service, begunWithinMs)
                         .map(version -> new StreamOrigin(service, version)));
-    List<InstanceRecord> asked = requestId.isEmpty() ? List.of() : holders.toAsk(requestId);
+    List<InstanceRecord> asked = requestId.isEmpty() ? List.of() : toAsk(requestId);
     if (known.isPresent() || asked.isEmpty()) {
       return CompletableFuture.completedFuture(known);
     }
@@ -137,7 +180,7 @@
    */
   public void onNotice(StreamNotice notice, InstanceRecord from) {
     if (notice instanceof StreamNotice.Record told) {
-      records.add(told.requestId(), told.origin(), told.attempt(), told.keepMs());
+      add(told.requestId(), told.origin(), told.attempt(), told.keepMs());
     } else if (notice instanceof StreamNotice.Query query) {
       sender.send(answerTo(query), List.of(from));
     } else if (notice instanceof StreamNotice.Answer answer) {
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/stream/StreamOriginsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/stream/StreamOriginsTest.java
@@ -4,11 +4,14 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.mothrill.core.board.PublishedValue;
+import io.mothrill.core.fake.FakeTable;
 import io.mothrill.core.fake.ManualTimers;
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
 import io.mothrill.core.forward.upstream.RegistrationVersion;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.platform.InstanceRecord;
+import io.mothrill.core.platform.StoreClock;
+import io.mothrill.core.platform.WallClockStoreClock;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -32,6 +35,8 @@
   private static final double LOST = 0.03;
 
   private final ManualTimers timers = new ManualTimers();
+  private final FakeTable table = new FakeTable(timers);
+  private final StoreClock storeClock = new WallClockStoreClock(timers);
   private final List<Instance> fleet = new ArrayList<>();
   private Random random = new Random(1);
   private UpstreamList registered = list("v1");
@@ -100,7 +105,8 @@
       ServedVersions served = new ServedVersions(seen, () -> side == 0 ? 0 : 60_000, timers);
       upstreams.subscribe(seen::publish);
       seen.publish(registered);
-      origins = new StreamOrigins(self, () -> others, served, this::send, timers);
+      origins =
+          new StreamOrigins(self, () -> others, served, this::send, table, storeClock, timers);
     }
 
     private void send(StreamNotice notice, List<InstanceRecord> to) {
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -235,6 +235,8 @@
             spending::peers,
             new ServedVersions(upstreams, () -> view.confirmedAgeMs(ViewTable.UPSTREAMS), timers),
             this::sendStreamNotice,
+            ports.table(),
+            ports.storeClock(),
             timers);
     this.notices =
         new DatagramNotices(
