--- a/mothrill-core/src/main/java/io/mothrill/core/forward/crash/RequestCrashGuard.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/crash/RequestCrashGuard.java
@@ -150,7 +150,7 @@
       verdict.record().ifPresentOrElse(refuse, send);
     } else if (isTrial()) {
       send.run();
-    } else if (timers.nowMs() >= untilMs) {
+    } else if (timers.nowMs() >= untilMs || crashes.trials().isFull()) {
       refuse.accept(verdict.record().orElseThrow());
     } else {
       awaitTrial(verdict.record().orElseThrow(), untilMs)
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/crash/Suspects.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/crash/Suspects.java
@@ -146,7 +146,7 @@
    * @return the verdict
    */
   CrashVerdict judge(Collection<Fingerprint> fingerprints, long nowMs) {
-    List<Suspect> present = activeAmong(fingerprints, nowMs);
+    List<Suspect> present = isEmpty() ? List.of() : activeAmong(fingerprints, nowMs);
     if (present.isEmpty()) {
       return CrashVerdict.SEND;
     }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/crash/TrialQueue.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/crash/TrialQueue.java
@@ -48,6 +48,11 @@
     this.timers = timers;
   }
 
+  /** Checks whether no further request should wait. */
+  synchronized boolean isFull() {
+    return waiting.size() >= MAX_WAITING;
+  }
+
   /**
    * Waits for a permit, a change of the suspects, or a time.
    *
@@ -58,9 +63,6 @@
   CompletableFuture<Optional<TrialPermit>> await(long notBeforeMs, long untilMs) {
     Waiter waiter = new Waiter(notBeforeMs, new CompletableFuture<>());
     synchronized (this) {
-      if (waiting.size() >= MAX_WAITING) {
-        return CompletableFuture.completedFuture(Optional.empty());
-      }
       waiting.add(waiter);
     }
     long nowMs = timers.nowMs();
@@ -118,13 +120,20 @@
       next.ifPresent(waiting::remove);
     }
     if (next.isPresent()) {
-      next.get().turn().complete(Optional.of(newPermit(held.get(), startMs)));
+      grant(next.get(), newPermit(held.get(), startMs));
     } else {
       held.ifPresent(this::release);
     }
     pollLater();
   }
 
+  /** A request that has stopped waiting meanwhile returns its permit. */
+  private static void grant(Waiter waiter, TrialPermit permit) {
+    if (!waiter.turn().complete(Optional.of(permit))) {
+      permit.release();
+    }
+  }
+
   private TrialPermit newPermit(Cells held, long startMs) {
     return new TrialPermit(startMs + SEND_WITHIN_MS, timers::nowMs, () -> release(held));
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginTable.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginTable.java
@@ -73,9 +73,11 @@
   private final StoreClock storeClock;
   private final Timers timers;
   private final Map<String, Map<String, Entry>> pending = new HashMap<>();
+  private final Set<String> services = new HashSet<>();
   private final Set<String> recordedServices = new HashSet<>();
   private final Set<String> loadedPartitions = new HashSet<>();
   private boolean writing;
+  private volatile boolean hasRows = true;
 
   /**
    * Creates the table and starts reading it.
@@ -144,6 +146,10 @@
 
   /** Rows are in the order of their times, so the first ones expire first. */
   private void deleteExpired() {
+    if (!hasRows) {
+      return;
+    }
+    hasRows = false;
     writers
         .ownPartitions()
         .forEach(
@@ -153,12 +159,14 @@
                     .whenComplete(
                         (deleted, error) -> {
                           if (error != null) {
+                            hasRows = true;
                             Logger.debug("stream origins not deleted: {}", error.getMessage());
                           }
                         }));
   }
 
   private CompletableFuture<Boolean> delete(List<Row> read) {
+    hasRows |= !read.isEmpty();
     Transaction deletion =
         read.stream()
             .filter(row -> remainingMs(row.cells()) <= 0)
@@ -173,6 +181,7 @@
 
   /** Called when the first event of a stream has been recorded at this instance. */
   synchronized void onRecorded(String requestId, Entry entry) {
+    services.add(entry.origin().service());
     if (recordedServices.contains(entry.origin().service())) {
       enqueue(requestId, entry);
     }
@@ -203,20 +212,18 @@
 
   /** Streams that began before the second version appeared are written when it does. */
   private void updateRecordedServices() {
-    Map<String, Entry> certain = records.certain();
     Set<String> several =
-        certain.values().stream()
-            .map(entry -> entry.origin().service())
-            .distinct()
-            .filter(hasSeveralVersions)
-            .collect(Collectors.toSet());
-    certain.forEach(
-        (id, entry) -> {
-          String service = entry.origin().service();
-          if (several.contains(service) && !recordedServices.contains(service)) {
-            enqueue(id, entry);
-          }
-        });
+        services.stream().filter(hasSeveralVersions).collect(Collectors.toUnmodifiableSet());
+    if (!recordedServices.containsAll(several)) {
+      records
+          .certain()
+          .forEach(
+              (id, entry) -> {
+                if (several.contains(entry.origin().service())) {
+                  enqueue(id, entry);
+                }
+              });
+    }
     recordedServices.clear();
     recordedServices.addAll(several);
   }
@@ -257,6 +264,7 @@
         .exceptionally(error -> false)
         .thenAccept(
             written -> {
+              hasRows = true;
               if (!written) {
                 restore(partition, batch);
               }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginWriters.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginWriters.java
@@ -31,7 +31,7 @@
 
   /** Returns the instance that writes the origins of streams that this instance begins. */
   InstanceRecord writerOf(String requestId) {
-    return writerIn(domains().get(self.domain()), requestId);
+    return writerIn(ownDomain(), requestId);
   }
 
   /** Returns the writers that may have written or read the origin of a stream. */
@@ -48,7 +48,7 @@
 
   /** Returns the partition of a stream that begins in the domain of this instance. */
   String partitionOf(String requestId) {
-    return partitionOf(domains().get(self.domain()), requestId);
+    return partitionOf(ownDomain(), requestId);
   }
 
   private static String partitionOf(List<InstanceRecord> domain, String requestId) {
@@ -69,7 +69,7 @@
 
   /** Returns the partitions that this instance writes. */
   List<String> ownPartitions() {
-    List<InstanceRecord> domain = domains().get(self.domain());
+    List<InstanceRecord> domain = ownDomain();
     return IntStream.range(0, partitionCount(domain))
         .mapToObj(number -> name(domain, number))
         .filter(partition -> writer(domain, partition).equals(self))
@@ -81,6 +81,13 @@
     return domains().values().stream().mapToInt(OriginWriters::partitionCount).sum();
   }
 
+  private List<InstanceRecord> ownDomain() {
+    return Stream.concat(
+            Stream.of(self),
+            others.get().stream().filter(other -> other.domain().equals(self.domain())))
+        .toList();
+  }
+
   private Map<String, List<InstanceRecord>> domains() {
     return Stream.of(others.get(), List.of(self))
         .flatMap(Collection::stream)
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/ServedVersions.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/ServedVersions.java
@@ -73,9 +73,9 @@
   }
 
   private synchronized void onList(UpstreamList list) {
-    long nowMs = timers.nowMs();
     hasList = true;
     observeAge();
+    final long nowMs = timers.nowMs();
     Map<String, Set<String>> registered =
         list.all().stream()
             .collect(
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/crash/IndistinctSuspectsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/crash/IndistinctSuspectsTest.java
@@ -175,6 +175,18 @@
     requests.forEach(request -> assertThat(request.decisions).containsExactly("sent"));
   }
 
+  // More requests come while a trial lasts than an instance holds.
+  @Test
+  void requestsThatCannotBeHeldAreRefusedAtOnce() {
+    crashThreeUpstreams(SOUND, CRASHING);
+    List<Request> requests = IntStream.range(0, 300).mapToObj(number -> request(0, SOUND)).toList();
+
+    assertThat(requests.stream().filter(request -> request.decisions.contains("refused")).count())
+        .isAtLeast(1);
+    assertThat(requests.stream().filter(request -> request.decisions.isEmpty()).count())
+        .isAtLeast(200);
+  }
+
   // The instance that sends the trial is partitioned and then ends: another one sends the next.
   @Test
   void lostTrialIsReplaced() {
