--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginTable.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginTable.java
@@ -34,20 +34,26 @@
 
   static final String TABLE = "stream-origin";
 
-  /** Shortest interval between two batches of a writer. */
-  private static final long MIN_INTERVAL_MS = 100;
+  /** Interval at which a writer looks for partitions and services that it has to record. */
+  private static final long CHECK_INTERVAL_MS = 100;
 
-  /** Writes per second of all writers together, a small part of what the table allows. */
-  private static final long MAX_WRITES_PER_S = 40;
+  /**
+   * Shortest interval between two batches of a writer. Many streams last less than a second, so the
+   * first origin after it is written at once.
+   */
+  private static final long MIN_INTERVAL_MS = 30;
+
+  /** Writes per second of all writers together, a part of what the table allows. */
+  private static final long MAX_WRITES_PER_S = 100;
 
   /** Interval at which a writer deletes the rows that have expired. */
-  private static final long DELETION_INTERVAL_MS = 5_000;
+  private static final long DELETION_INTERVAL_MS = 2_000;
 
   /** Maximum number of rows in a transaction. */
   private static final int MAX_DELETED = 100;
 
   /** More rows than a writer adds while streams may be taken up. */
-  private static final int MAX_ROWS = 2_000;
+  private static final int MAX_ROWS = 5_000;
 
   /** Rows hold 64 KiB. Ids that are longer than usual are not written. */
   private static final int MAX_BATCH = 1_500;
@@ -77,6 +83,8 @@
   private final Set<String> recordedServices = new HashSet<>();
   private final Set<String> loadedPartitions = new HashSet<>();
   private boolean writing;
+  private boolean scheduled;
+  private long nextWriteMs;
   private volatile boolean hasRows = true;
 
   /**
@@ -104,7 +112,7 @@
     this.storeClock = storeClock;
     this.timers = timers;
     timers.after(0, this::loadOwnPartitions);
-    timers.after(MIN_INTERVAL_MS, this::writeNext);
+    timers.every(CHECK_INTERVAL_MS, this::check);
     timers.every(DELETION_INTERVAL_MS, this::deleteExpired);
   }
 
@@ -184,10 +192,14 @@
     services.add(entry.origin().service());
     if (recordedServices.contains(entry.origin().service())) {
       enqueue(requestId, entry);
+      scheduleWrite();
     }
   }
 
   private void enqueue(String requestId, Entry entry) {
+    if (!writers.isWriterOf(requestId)) {
+      return;
+    }
     Map<String, Entry> batch =
         pending.computeIfAbsent(writers.partitionOf(requestId), partition -> new LinkedHashMap<>());
     if (batch.size() < MAX_PENDING && isStorable(requestId)) {
@@ -199,15 +211,20 @@
     return !requestId.isEmpty() && requestId.length() <= MAX_ID_CHARS && !requestId.contains(" ");
   }
 
-  private void writeNext() {
+  private void check() {
     loadOwnPartitions();
     synchronized (this) {
       updateRecordedServices();
       pending.keySet().retainAll(writers.ownPartitions());
+      scheduleWrite();
+    }
+  }
+
+  private synchronized void scheduleWrite() {
+    if (!scheduled && !writing && pending.values().stream().anyMatch(batch -> !batch.isEmpty())) {
+      scheduled = true;
+      timers.after(Math.max(0, nextWriteMs - timers.nowMs()), this::writePending);
     }
-    writePending();
-    long intervalMs = Math.max(MIN_INTERVAL_MS, writers.writerCount() * 1_000L / MAX_WRITES_PER_S);
-    timers.after(intervalMs, this::writeNext);
   }
 
   /** Streams that began before the second version appeared are written when it does. */
@@ -229,23 +246,22 @@
   }
 
   private synchronized void writePending() {
-    if (writing) {
-      return;
-    }
-    List<CompletableFuture<Void>> writes =
-        pending.entrySet().stream()
-            .filter(batch -> !batch.getValue().isEmpty())
-            .map(batch -> write(batch.getKey(), takeBatch(batch.getValue())))
-            .toList();
-    if (!writes.isEmpty()) {
-      writing = true;
-      CompletableFuture.allOf(writes.toArray(CompletableFuture[]::new))
-          .whenComplete((written, error) -> onWritten());
-    }
+    scheduled = false;
+    writing = true;
+    nextWriteMs =
+        timers.nowMs()
+            + Math.max(MIN_INTERVAL_MS, writers.writerCount() * 1_000L / MAX_WRITES_PER_S);
+    CompletableFuture.allOf(
+            List.copyOf(pending.entrySet()).stream()
+                .filter(batch -> !batch.getValue().isEmpty())
+                .map(batch -> write(batch.getKey(), takeBatch(batch.getValue())))
+                .toArray(CompletableFuture[]::new))
+        .whenComplete((written, error) -> onWritten());
   }
 
   private synchronized void onWritten() {
     writing = false;
+    scheduleWrite();
   }
 
   private static Map<String, Entry> takeBatch(Map<String, Entry> batch) {
@@ -272,6 +288,7 @@
   }
 
   private synchronized void restore(String partition, Map<String, Entry> batch) {
+    nextWriteMs = timers.nowMs() + RETRY_MS;
     Map<String, Entry> restored = new LinkedHashMap<>(batch);
     restored.putAll(pending.getOrDefault(partition, Map.of()));
     pending.put(partition, restored);
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginWriters.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginWriters.java
@@ -34,6 +34,11 @@
     return writerIn(ownDomain(), requestId);
   }
 
+  /** Checks whether this instance writes the origin of a stream that begins in its domain. */
+  boolean isWriterOf(String requestId) {
+    return writerOf(requestId).equals(self);
+  }
+
   /** Returns the writers that may have written or read the origin of a stream. */
   List<InstanceRecord> toAsk(String requestId) {
     return domains().values().stream()
