Suspects: the longest time to come back counts; "identified" in place of a figure of speech

Of two refusing suspects the place in the prompt decided which time to come back the caller got. "Convicted" and "guilty" are figures of speech. No test was weakened: one method and one comment were renamed. Conclusion: which requests are sent is as before.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/crash/CrashGuard.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/crash/CrashGuard.java
@@ -247,7 +247,7 @@
   }
 
   private void log(Suspects before, Suspects after, long nowMs) {
-    without(after.convicted(), before.convicted())
+    without(after.identified(), before.identified())
         .flatMap(fingerprint -> find(fingerprint).stream())
         .forEach(
             record ->
@@ -269,10 +269,10 @@
         .forEach(
             fingerprint ->
                 Logger.info(
-                    "request served again fingerprint={} convicted={}",
+                    "request served again fingerprint={} causes={}",
                     fingerprint,
-                    after.convicted()));
-    Stream.concat(before.convicted().stream(), before.undecided().stream())
+                    after.identified()));
+    Stream.concat(before.identified().stream(), before.undecided().stream())
         .filter(fingerprint -> crashCount(fingerprint) == 0)
         .forEach(
             fingerprint ->
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/crash/Suspects.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/crash/Suspects.java
@@ -24,8 +24,8 @@
  *
  * <p>Several suspects may have been in the same crashed runs, and counting crashes does not tell
  * which of them is the cause. A request that has all of them is refused. A request that has only
- * some of them tells them apart: an answer clears those it has, and a crash convicts them in favour
- * of the others. It is therefore sent as a trial, one at a time in the fleet.
+ * some of them tells them apart: an answer clears those it has, and a crash identifies them in
+ * favour of the others. It is therefore sent as a trial, one at a time in the fleet.
  *
  * <p>The result depends only on the records, not on the order in which they have been received, so
  * instances with the same records decide the same.
@@ -36,7 +36,7 @@
   static final Suspects NONE = new Suspects(Map.of());
 
   /**
-   * Time after the last crash until a convicted suspect may be tried again, by the number of
+   * Time after the last crash until an identified suspect may be tried again, by the number of
    * crashes that only it explains. The upstream of a trial may have crashed for another reason, so
    * one or two such crashes do not prove anything. A suspect with more is refused until its
    * quarantine is over.
@@ -56,15 +56,15 @@
    *
    * @param record its crashes
    * @param provenCount the number of crashes after the last one that it shares with another suspect
-   * @param cleared whether convicted suspects explain its crashes
+   * @param cleared whether identified suspects explain its crashes
    */
   private record Suspect(CrashRecord record, int provenCount, boolean cleared) {
 
-    boolean isConvicted() {
+    boolean isIdentified() {
       return provenCount > 0;
     }
 
-    /** Returns the time from which a convicted suspect may be tried again. */
+    /** Returns the time from which an identified suspect may be tried again. */
     long nextTrialMs() {
       return provenCount > TRIAL_INTERVALS_MS.size()
           ? Long.MAX_VALUE
@@ -89,7 +89,7 @@
             .collect(
                 Collectors.toMap(
                     Function.identity(), record -> countSettled(record, quarantined, nowMs)));
-    List<CrashRecord> convicted =
+    List<CrashRecord> identified =
         quarantined.stream().filter(record -> provenCounts.get(record) > 0).toList();
     return new Suspects(
         quarantined.stream()
@@ -101,7 +101,7 @@
                             record,
                             provenCounts.get(record),
                             provenCounts.get(record) == 0
-                                && !isMoreThanChance(unexplained(record, convicted))))));
+                                && !isMoreThanChance(unexplained(record, identified))))));
   }
 
   private static int countSettled(
@@ -157,7 +157,9 @@
             .toList();
     return present.stream()
         .map(suspect -> judgeSuspect(suspect, absent, nowMs))
-        .max(Comparator.comparing(CrashVerdict::action))
+        .max(
+            Comparator.comparing(CrashVerdict::action)
+                .thenComparingLong(CrashVerdict::retryAfterMs))
         .orElse(CrashVerdict.SEND);
   }
 
@@ -175,7 +177,7 @@
 
   private static CrashVerdict judgeSuspect(Suspect suspect, List<CrashRecord> absent, long nowMs) {
     CrashRecord record = suspect.record();
-    if (suspect.isConvicted()) {
+    if (suspect.isIdentified()) {
       return nowMs >= suspect.nextTrialMs()
           ? CrashVerdict.trial(record)
           : CrashVerdict.refuse(
@@ -194,7 +196,7 @@
   }
 
   /**
-   * Returns the number of crashes of a record that convicted suspects do not explain.
+   * Returns the number of crashes of a record that identified suspects do not explain.
    *
    * @param record the record
    * @param nowMs the current time
@@ -209,16 +211,16 @@
   }
 
   /** Returns the suspects that are refused without a trial. */
-  Set<Fingerprint> convicted() {
-    return select(Suspect::isConvicted);
+  Set<Fingerprint> identified() {
+    return select(Suspect::isIdentified);
   }
 
   /** Returns the suspects that have not been told apart. */
   Set<Fingerprint> undecided() {
-    return select(suspect -> !suspect.isConvicted() && !suspect.cleared());
+    return select(suspect -> !suspect.isIdentified() && !suspect.cleared());
   }
 
-  /** Returns the suspects that are served because convicted ones explain their crashes. */
+  /** Returns the suspects that are served because identified ones explain their crashes. */
   Set<Fingerprint> cleared() {
     return select(Suspect::cleared);
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/crash/TrialQueue.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/crash/TrialQueue.java
@@ -78,7 +78,7 @@
     waiter.turn().complete(Optional.empty());
   }
 
-  /** Called when suspects have been cleared or convicted. */
+  /** Called when suspects have been cleared or identified. */
   void onSuspectsChanged() {
     List<Waiter> judgedAgain;
     synchronized (this) {
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/crash/IndistinctSuspectsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/crash/IndistinctSuspectsTest.java
@@ -131,8 +131,7 @@
     assertRefusedAtAll("first", CRASHING);
   }
 
-  // As long as nothing tells the parts apart, a request that has all of them is as guilty as can be
-  // known.
+  // As long as nothing tells the parts apart, a request that has all of them has the crashing one.
   @Test
   void requestWithAllSuspectsIsRefused() {
     crashThreeUpstreams(SOUND, CRASHING);
@@ -284,7 +283,7 @@
 
   // A sound part was lost with an upstream that crashed for another reason before.
   @Test
-  void crashForAnotherReasonDoesNotConvictSoundPart() {
+  void crashForAnotherReasonDoesNotIdentifySoundPartAsCause() {
     simulation.timers.advanceMs(2_000);
     new Request(0, SOUND).crash();
     simulation.timers.advanceMs(DELIVERED_MS);
