Log and count what upstreams send beyond their responses

Cause: nothing told on which connection a response had come, how many requests it had carried, what was skipped on it and whether bytes were left behind a response; the hypotheses of the incident could not be told apart. Change: ResponseDecoder in place of HttpClientCodec, which shows the bytes that are not decoded yet; a line and a counter for each surplus, by place; the connection and the number of its request in the attempts of a request's line. No decision changes.

--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -285,6 +285,7 @@
             spending,
             new SharedRetryBudget(settings.retries(), spending::instanceCount, timers),
             new RequestLog(metrics, timers),
+            new SurplusLines(metrics, timers),
             crashes,
             choice.statusBroadcast(),
             choice.selfReports(),
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/AttemptRecorder.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/AttemptRecorder.java
@@ -3,6 +3,7 @@
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
 import io.mothrill.core.forward.upstream.UpstreamLoad;
 import io.mothrill.wire.connection.ConnectionEnd;
+import io.mothrill.wire.response.ConnectionUse;
 
 /**
  * Records what was known of an upstream when it was selected, together with the result of the
@@ -30,6 +31,11 @@
     this.estimatedCount = Math.round(load.estimatedCount(nowMs));
   }
 
+  /** Sets the connection on which the request is sent. */
+  void setConnection(ConnectionUse use) {
+    suffix += ", " + use.describe();
+  }
+
   /** Sets the instance through which the request is sent. */
   void setRelay(String instanceId) {
     suffix += " through " + instanceId;
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -220,6 +220,7 @@
     }
     connection = connected;
     connected.relay().ifPresent(recorder::setRelay);
+    recorder.setConnection(connected.use().withRequest(admitted.call().id()));
     flow.attach(connected);
     sent = true;
     progress.onSent(upstream);
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
@@ -29,6 +29,7 @@
 import io.mothrill.core.time.Timers;
 import io.mothrill.core.work.WorkStats;
 import io.mothrill.wire.relay.RelayClient;
+import io.mothrill.wire.response.SurplusLog;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -52,6 +53,7 @@
  * @param spending reserves prepaid tokens
  * @param retries bounds the number of retries
  * @param log receives one entry per request
+ * @param surplusLog receives what upstreams send beyond their responses
  * @param crashGuard quarantines requests that crash upstreams
  * @param statusBroadcast receives status changes of upstreams that were detected here
  * @param selfReports receives what upstreams report about themselves in responses
@@ -86,6 +88,7 @@
     SpendingController spending,
     SharedRetryBudget retries,
     ForwardedRequestLog log,
+    SurplusLog surplusLog,
     CrashGuard crashGuard,
     UpstreamStatusBroadcast statusBroadcast,
     SelfReportDispatcher selfReports,
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
@@ -4,14 +4,19 @@
 import io.mothrill.core.forward.buffer.ConnectionBuffer;
 import io.mothrill.core.forward.buffer.SourcePause;
 import io.mothrill.wire.connection.ConnectionEnd;
+import io.mothrill.wire.response.ConnectionUse;
+import io.mothrill.wire.response.ResponseDecoder;
+import io.mothrill.wire.response.SurplusLog;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -40,10 +45,13 @@
   private final Dialect dialect;
   private final UpstreamPool pool;
   private final BufferBudget buffers;
-  private final String incarnation;
+  private final SurplusLog surplusLog;
+  private final ResponseDecoder decoder;
+  private ConnectionUse use;
   private ChannelHandlerContext context;
   private UpstreamSink sink;
   private String requestId = "";
+  private HttpMethod method = HttpMethod.GET;
   private RequestWriter writer;
   private final SkippedResponses skipped = new SkippedResponses();
   private boolean skippingResponse;
@@ -52,18 +60,38 @@
   private long idleSinceMs;
   private long keepAliveMs = DEFAULT_KEEP_ALIVE_MS;
 
-  UpstreamConnection(Dialect dialect, UpstreamPool pool, BufferBudget buffers, String incarnation) {
+  /**
+   * Creates a connection that is not connected yet.
+   *
+   * @param dialect reads the heads of responses
+   * @param pool takes the connection back after a response
+   * @param buffers limits what is written but not sent
+   * @param surplusLog receives what arrives beyond the responses
+   * @param use names the connection
+   */
+  UpstreamConnection(
+      Dialect dialect,
+      UpstreamPool pool,
+      BufferBudget buffers,
+      SurplusLog surplusLog,
+      ConnectionUse use) {
     this.dialect = dialect;
     this.pool = pool;
     this.buffers = buffers;
-    this.incarnation = incarnation;
+    this.surplusLog = surplusLog;
+    this.use = use;
+    this.decoder =
+        new ResponseDecoder(
+            new HttpDecoderConfig()
+                .setMaxInitialLineLength(MAX_LINE_BYTES)
+                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                .setMaxChunkSize(MAX_CHUNK_BYTES),
+            bytes -> logSurplus(SurplusLog.Place.WHILE_IDLE, bytes, ""));
   }
 
   /** Adds this connection and what it needs to a pipeline that reads bytes of the upstream. */
   void addTo(ChannelPipeline pipeline) {
-    pipeline
-        .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-        .addLast(this);
+    pipeline.addLast(decoder).addLast(new HttpRequestEncoder()).addLast(this);
   }
 
   /** Sets the instance through which the connection passes; it then carries one request only. */
@@ -82,13 +110,21 @@
   }
 
   String incarnation() {
-    return incarnation;
+    return use.upstream();
+  }
+
+  /** Returns how far the connection has been used. */
+  ConnectionUse use() {
+    return use;
   }
 
   /** Sends a request and delivers its response to the sink. */
   void send(FullHttpRequest request, String newRequestId, UpstreamSink newSink) {
     this.sink = newSink;
     this.requestId = newRequestId;
+    this.use = use.withRequest(newRequestId);
+    this.method = request.method();
+    decoder.expectResponse(method);
     this.skippingResponse = false;
     skipped.onRequest();
     this.reusable = relay.isEmpty();
@@ -154,6 +190,7 @@
     if (answeredId.isPresent() && !answeredId.get().equals(requestId)) {
       skippingResponse = true;
       reusable = false;
+      logSurplus(SurplusLog.Place.OTHER_RESPONSE, 0, "response to " + answeredId.get());
       skipped.onHead(pool.nowMs());
       failIfSkippedTooMuch();
       return;
@@ -179,6 +216,9 @@
     boolean last = content instanceof LastHttpContent;
     if (skippingResponse) {
       skippingResponse = !last;
+      if (last) {
+        decoder.expectResponse(method);
+      }
       skipped.onContent(content.content().readableBytes());
       failIfSkippedTooMuch();
       return;
@@ -202,6 +242,9 @@
   private void end() {
     UpstreamSink ended = sink;
     sink = null;
+    if (decoder.undecodedBytes() > 0) {
+      logSurplus(SurplusLog.Place.AFTER_RESPONSE, decoder.undecodedBytes(), "");
+    }
     Optional<ConnectionEnd> connectionEnd = ConnectionEnd.of(context.channel());
     // An upstream may respond before it has read the body; the rest of the body must not be cut off
     // or mixed into the next request.
@@ -215,6 +258,10 @@
     ended.onEnd(connectionEnd);
   }
 
+  private void logSurplus(SurplusLog.Place place, long bytes, String detail) {
+    surplusLog.onSurplus(new SurplusLog.Surplus(place, bytes, use, detail));
+  }
+
   private void failResponse(ResponseFailure cause, String detail) {
     UpstreamSink failed = sink;
     sink = null;
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamPool.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamPool.java
@@ -2,12 +2,14 @@
 
 import io.mothrill.core.forward.path.BrokenPaths;
 import io.mothrill.core.time.Timers;
+import io.mothrill.wire.response.ConnectionUse;
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 
 /** The connections to upstreams of one event loop; all methods are called on that loop. */
@@ -28,6 +30,8 @@
   /** The share for a request that cannot be retried, which uses only recently used connections. */
   private static final double MAX_KEEP_ALIVE_SHARE_NON_IDEMPOTENT = 0.35;
 
+  private static final AtomicLong CONNECTION_NUMBERS = new AtomicLong();
+
   private final BrokenPaths broken;
   private final UpstreamConnector connector;
   private final Timers timers;
@@ -42,7 +46,9 @@
                 dependencies.dialect(),
                 this,
                 dependencies.buffers(),
-                target.upstream().incarnation());
+                dependencies.surplusLog(),
+                new ConnectionUse(
+                    CONNECTION_NUMBERS.incrementAndGet(), target.upstream().incarnation(), 0, ""));
     this.connector =
         new PathConnector(
             loop,
