A response is attributed to its request before it is decoded

What callers saw: a success where the upstream had answered with a failure, a second run of a request that may run once, 502 and 504 in place of whole responses. Cause: a connection was reused with whatever lay in its decoder behind a complete response. The beginning of a late second response, cut anywhere, was completed by the next response: status and first headers of one, id and signature of the other. An id was compared only after that. Change: ResponseDecoder drops what arrives while no response is expected and the connection is closed; the socket is asked once before a connection is used again; a head in which a status line stands, or with two ids or two signatures, fails (ResponseHeadCheck, StatusLineSearch), and so does a response to a request that the connection did not carry, one that has swallowed another, and one without an id that is not the first on its connection. An attempt does not use the connection of an earlier attempt of the same request. Why it works: a joined response needs undecoded bytes of the one before. Bytes from before the request are gone; for later ones the second head is whole, so its status line stands behind the cut, wherever that is. Tests: ForwardingTest#skipsResponseToAnotherRequest skipped a response to a request that was never sent on the connection, which is a second response to nothing; in its place the earlier request is sent, and a second test asks that a response to one that was not sent fails at once.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/connection/ReceivingSocketChannel.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/connection/ReceivingSocketChannel.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 
 /**
  * A connection that a failed write does not close, so that what the other side has sent before is
@@ -15,6 +16,18 @@
     config().setAutoClose(false);
   }
 
+  /**
+   * Checks whether bytes, the end of the stream or an error wait to be read. What is found is lost,
+   * so the connection must be closed then. Called on the event loop of the connection.
+   */
+  public boolean hasInput() {
+    try {
+      return javaChannel().read(ByteBuffer.allocate(1)) != 0;
+    } catch (IOException ex) {
+      return true;
+    }
+  }
+
   @Override
   protected void doWrite(ChannelOutboundBuffer buffer) throws Exception {
     try {
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ResponseMetadata.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ResponseMetadata.java
@@ -9,6 +9,7 @@
  * Metadata in the head of an upstream's response.
  *
  * @param requestId the id of the request that is answered, if stated
+ * @param isContradictory true when a header that a response has once has several values
  * @param notRun true when the upstream states that it did not run the request
  * @param runningCount number of requests running at the upstream, if stated
  * @param queuedCount number of requests queued at the upstream, if stated
@@ -19,6 +20,7 @@
  */
 public record ResponseMetadata(
     Optional<String> requestId,
+    boolean isContradictory,
     boolean notRun,
     OptionalInt runningCount,
     OptionalInt queuedCount,
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/SkippedResponses.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/SkippedResponses.java
@@ -1,5 +1,8 @@
 package io.mothrill.wire.forward;
 
+import io.mothrill.wire.response.StatusLineSearch;
+import io.netty.buffer.ByteBuf;
+
 /**
  * Limits the responses to other requests that are skipped in front of the right one; confined to
  * the event loop of its connection.
@@ -16,6 +19,7 @@
   /** The time in which a link of 20 Mbit/s delivers that much. */
   private static final long MAX_MS = 2_000;
 
+  private final StatusLineSearch statusLine = new StatusLineSearch();
   private int requestCount;
   private int skippedCount;
   private long skippedBytes;
@@ -34,11 +38,22 @@
       sinceMs = nowMs;
     }
     skippedCount++;
+    statusLine.reset();
+  }
+
+  /**
+   * Called when a part of such a response has arrived.
+   *
+   * @return true if another response begins inside this one, which was cut off
+   */
+  boolean onContent(ByteBuf content) {
+    skippedBytes += content.readableBytes();
+    return statusLine.find(content);
   }
 
-  /** Called when a part of such a response has arrived. */
-  void onContent(int contentBytes) {
-    skippedBytes += contentBytes;
+  /** Checks whether responses were skipped since the last request. */
+  boolean hasSkipped() {
+    return skippedCount > 0;
   }
 
   /** Checks whether this is more than second responses to the requests of the connection. */
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
@@ -4,8 +4,10 @@
 import io.mothrill.core.forward.buffer.ConnectionBuffer;
 import io.mothrill.core.forward.buffer.SourcePause;
 import io.mothrill.wire.connection.ConnectionEnd;
+import io.mothrill.wire.connection.ReceivingSocketChannel;
 import io.mothrill.wire.response.ConnectionUse;
 import io.mothrill.wire.response.ResponseDecoder;
+import io.mothrill.wire.response.ResponseHeadCheck;
 import io.mothrill.wire.response.SurplusLog;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -26,11 +28,11 @@
 /**
  * A connection to an upstream that carries one request at a time.
  *
- * <p>Responses are matched by the request id: an upstream may send a second response to an earlier
- * request in place of the next one, or bytes that belong to no request, and a caller would then
- * receive the response to another caller's request. Responses to other requests are skipped within
- * limits, and the connection is not reused. Data that arrives while no request is in flight closes
- * the connection.
+ * <p>An upstream may send a second response to an earlier request in place of the next one, a part
+ * of one, or bytes that belong to no request. Bytes that arrive while no request is in flight close
+ * the connection undecoded. Later ones are told apart by the request id: responses to earlier
+ * requests of the connection are skipped within limits, and a response that may be joined from two
+ * fails. The connection is not reused after either.
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
 
@@ -56,6 +58,7 @@
   private final SkippedResponses skipped = new SkippedResponses();
   private boolean skippingResponse;
   private boolean reusable;
+  private boolean idle = true;
   private Optional<String> relay = Optional.empty();
   private long idleSinceMs;
   private long keepAliveMs = DEFAULT_KEEP_ALIVE_MS;
@@ -86,7 +89,7 @@
                 .setMaxInitialLineLength(MAX_LINE_BYTES)
                 .setMaxHeaderSize(MAX_HEADER_BYTES)
                 .setMaxChunkSize(MAX_CHUNK_BYTES),
-            bytes -> logSurplus(SurplusLog.Place.WHILE_IDLE, bytes, ""));
+            this::onSurplus);
   }
 
   /** Adds this connection and what it needs to a pipeline that reads bytes of the upstream. */
@@ -126,6 +129,7 @@
     this.method = request.method();
     decoder.expectResponse(method);
     this.skippingResponse = false;
+    this.idle = false;
     skipped.onRequest();
     this.reusable = relay.isEmpty();
     ConnectionBuffer unsent = buffers.newBuffer();
@@ -158,6 +162,11 @@
     return context.channel().isActive() && nowMs - idleSinceMs < keepAliveMs * keepAliveShare;
   }
 
+  /** Checks whether something has arrived without a request and was not read yet. */
+  boolean hasInput() {
+    return context.channel() instanceof ReceivingSocketChannel channel && channel.hasInput();
+  }
+
   boolean isActive() {
     return context.channel().isActive();
   }
@@ -185,25 +194,45 @@
   }
 
   private void onHead(HttpResponse head) {
+    boolean first = use.requestCount() == 1 && !skipped.hasSkipped();
+    ResponseHeadCheck.Result check = ResponseHeadCheck.check(head, first);
     ResponseMetadata metadata = dialect.readResponseMetadata(head);
+    if (check == ResponseHeadCheck.Result.JOINED || metadata.isContradictory()) {
+      logSurplus(SurplusLog.Place.IN_HEAD, 0, "");
+      failResponse(ResponseFailure.PROTOCOL_ERROR, "head may be joined from two responses");
+      return;
+    }
     Optional<String> answeredId = metadata.requestId();
     if (answeredId.isPresent() && !answeredId.get().equals(requestId)) {
-      skippingResponse = true;
-      reusable = false;
-      logSurplus(SurplusLog.Place.OTHER_RESPONSE, 0, "response to " + answeredId.get());
-      skipped.onHead(pool.nowMs());
-      failIfSkippedTooMuch();
+      onOtherResponse(answeredId.get());
       return;
     }
-    if (answeredId.isEmpty() && head.status().code() < FIRST_ERROR_STATUS) {
+    if (answeredId.isEmpty() && (!first || head.status().code() < FIRST_ERROR_STATUS)) {
       failResponse(ResponseFailure.PROTOCOL_ERROR, "response has no request id");
       return;
     }
-    reusable = reusable && HttpUtil.isKeepAlive(head) && isSelfDelimited(head);
+    reusable =
+        reusable
+            && check == ResponseHeadCheck.Result.SINGLE
+            && answeredId.isPresent()
+            && HttpUtil.isKeepAlive(head)
+            && isSelfDelimited(head);
     metadata.keepAliveMs().ifPresent(idleMs -> keepAliveMs = idleMs);
     sink.onHead(head, metadata);
   }
 
+  private void onOtherResponse(String otherId) {
+    logSurplus(SurplusLog.Place.OTHER_RESPONSE, 0, "response to " + otherId);
+    if (!use.hasCarried(otherId)) {
+      failResponse(ResponseFailure.PROTOCOL_ERROR, "response to a request that was not sent here");
+      return;
+    }
+    skippingResponse = true;
+    reusable = false;
+    skipped.onHead(pool.nowMs());
+    failIfSkippedTooMuch();
+  }
+
   /**
    * Checks whether a response states its length or is chunked; any other response ends with its
    * connection.
@@ -219,7 +248,12 @@
       if (last) {
         decoder.expectResponse(method);
       }
-      skipped.onContent(content.content().readableBytes());
+      if (skipped.onContent(content.content())) {
+        logSurplus(SurplusLog.Place.IN_OTHER_RESPONSE, 0, "");
+        failResponse(
+            ResponseFailure.PROTOCOL_ERROR, "a response begins inside one to another request");
+        return;
+      }
       failIfSkippedTooMuch();
       return;
     }
@@ -242,13 +276,11 @@
   private void end() {
     UpstreamSink ended = sink;
     sink = null;
-    if (decoder.undecodedBytes() > 0) {
-      logSurplus(SurplusLog.Place.AFTER_RESPONSE, decoder.undecodedBytes(), "");
-    }
     Optional<ConnectionEnd> connectionEnd = ConnectionEnd.of(context.channel());
     // An upstream may respond before it has read the body; the rest of the body must not be cut off
     // or mixed into the next request.
-    if (reusable && writer.isComplete()) {
+    if (reusable && writer.isComplete() && decoder.undecodedBytes() == 0) {
+      idle = true;
       idleSinceMs = pool.nowMs();
       setReading(true);
       pool.release(this);
@@ -258,6 +290,12 @@
     ended.onEnd(connectionEnd);
   }
 
+  /** Bytes that no response was expected for are the beginning of none; nor is what follows. */
+  private void onSurplus(int bytes) {
+    logSurplus(idle ? SurplusLog.Place.WHILE_IDLE : SurplusLog.Place.AFTER_RESPONSE, bytes, "");
+    context.close();
+  }
+
   private void logSurplus(SurplusLog.Place place, long bytes, String detail) {
     surplusLog.onSurplus(new SurplusLog.Surplus(place, bytes, use, detail));
   }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamPool.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamPool.java
@@ -47,8 +47,8 @@
                 this,
                 dependencies.buffers(),
                 dependencies.surplusLog(),
-                new ConnectionUse(
-                    CONNECTION_NUMBERS.incrementAndGet(), target.upstream().incarnation(), 0, ""));
+                ConnectionUse.unused(
+                    CONNECTION_NUMBERS.incrementAndGet(), target.upstream().incarnation()));
     this.connector =
         new PathConnector(
             loop,
@@ -77,8 +77,11 @@
     Deque<UpstreamConnection> connections =
         idleConnections.getOrDefault(target.upstream().incarnation(), new ArrayDeque<>());
     boolean silent = broken.isSilent(target.upstream());
-    UpstreamConnection newest = connections.pollLast();
-    if (newest != null && !silent && newest.isUsable(nowMs(), share)) {
+    // A second response to an earlier attempt could not be told from the response to this one.
+    boolean sentBefore =
+        !connections.isEmpty() && connections.peekLast().use().hasCarried(target.requestId());
+    UpstreamConnection newest = sentBefore ? null : connections.pollLast();
+    if (newest != null && !silent && newest.isUsable(nowMs(), share) && !newest.hasInput()) {
       listener.onConnected(newest);
       return;
     }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/response/ResponseDecoder.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/response/ResponseDecoder.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
@@ -10,19 +11,26 @@
 import java.util.List;
 import java.util.function.IntConsumer;
 
-/** Decodes the responses of one connection; confined to its event loop. */
+/**
+ * Decodes the responses that were asked for on one connection; confined to its event loop.
+ *
+ * <p>Bytes that arrive while no response is expected are dropped before they are decoded. They
+ * would otherwise become the beginning of the next response.
+ */
 public final class ResponseDecoder extends HttpResponseDecoder {
 
+  private static final byte[] PROTOCOL = {'H', 'T', 'T', 'P', '/', '1', '.'};
+
   private final IntConsumer onSurplus;
   private HttpMethod method = HttpMethod.GET;
   private boolean expecting;
+  private boolean begun;
 
   /**
    * Creates the decoder of a connection on which no response is expected yet.
    *
    * @param config the limits of lines, headers and chunks
-   * @param onSurplus called with the number of bytes that have arrived while no response was
-   *     expected
+   * @param onSurplus called with the number of bytes that were dropped
    */
   public ResponseDecoder(HttpDecoderConfig config, IntConsumer onSurplus) {
     super(config);
@@ -37,6 +45,7 @@
   public void expectResponse(HttpMethod newMethod) {
     method = newMethod;
     expecting = true;
+    begun = false;
   }
 
   /** Returns the number of bytes that have arrived and belong to no complete object yet. */
@@ -47,15 +56,45 @@
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out)
       throws Exception {
-    if (!expecting && buffer.isReadable()) {
-      onSurplus.accept(buffer.readableBytes());
+    if (!expecting) {
+      drop(buffer);
+      return;
     }
+    checkBeginning(buffer);
     super.decode(ctx, buffer, out);
     if (!out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent) {
       expecting = false;
     }
   }
 
+  private void drop(ByteBuf buffer) {
+    int bytes = buffer.readableBytes();
+    if (bytes > 0) {
+      buffer.skipBytes(bytes);
+      onSurplus.accept(bytes);
+    }
+  }
+
+  /** Fails at the first byte that cannot begin a response; its line might never end. */
+  private void checkBeginning(ByteBuf buffer) {
+    int start = buffer.readerIndex();
+    while (!begun && start < buffer.writerIndex() && isLineEnd(buffer.getByte(start))) {
+      start++;
+    }
+    for (int index = 0; !begun && start + index < buffer.writerIndex(); index++) {
+      if (buffer.getByte(start + index) != PROTOCOL[index]) {
+        expecting = false;
+        buffer.skipBytes(buffer.readableBytes());
+        throw new DecoderException("response does not begin with a status line");
+      }
+      begun = index + 1 == PROTOCOL.length;
+    }
+  }
+
+  private static boolean isLineEnd(byte next) {
+    return next == '\r' || next == '\n';
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     return HttpMethod.HEAD.equals(method) || super.isContentAlwaysEmpty(message);
--- a/mothrill-wire/src/main/java/io/mothrill/wire/response/SurplusLog.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/response/SurplusLog.java
@@ -10,7 +10,11 @@
     /** On a connection without a request. */
     WHILE_IDLE,
     /** In front of a response, as a response to another request. */
-    OTHER_RESPONSE
+    OTHER_RESPONSE,
+    /** In front of a response, as a part of what looks like its head. */
+    IN_HEAD,
+    /** In a response to another request, which has swallowed the right one. */
+    IN_OTHER_RESPONSE
   }
 
   /**
