Store: a second response to an earlier call is not taken for the response to this one

What callers saw: with a store that answers twice, the second time to a later call on the kept connection, a transaction that met a conflict or was refused counted as written and one that was written as refused; a read returned another row, or the state before the caller's own write; a whole table was read from the feed, or from the empty response to a read of another table.

Cause: responses of the store bear no id of their call, and StoreClient took whatever came first on a kept connection.

Change: a response is checked by its content before its connection can be used again (rows of the table and key range requested; changes after the version requested; a read not older than what the store had told before the call was sent; a success with a new version; a conflict with a row that has another version than expected).

What remains: an empty response to the read of one row can't be told from that of another row of the same table at the same version of the store (seen in the random calls before their rows were made to exist: "expected 2, but was 0").

--- a/mothrill-wire/src/main/java/io/mothrill/wire/http/HttpSink.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/http/HttpSink.java
@@ -20,7 +20,10 @@
    */
   void onBody(byte[] bytes);
 
-  /** Called when the response is complete. */
+  /**
+   * Called when the response is complete. The connection is not used again when this throws, for
+   * example because the response belongs to another call.
+   */
   void onEnd();
 
   /**
--- a/mothrill-wire/src/main/java/io/mothrill/wire/http/ResponseAggregator.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/http/ResponseAggregator.java
@@ -7,15 +7,21 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.io.ByteArrayOutputStream;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 
-/** Aggregates a response with a small body; a call whose response is longer fails. */
-public final class ResponseAggregator implements HttpSink {
+/**
+ * Aggregates a response with a small body; a call whose response is longer fails.
+ *
+ * @param <T> what the response is read as
+ */
+public final class ResponseAggregator<T> implements HttpSink {
 
   /** Several times the longest list of upstreams or budgets. */
   private static final int MAX_BYTES = 16 << 20;
 
   private final Runnable onProgress;
-  private final CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+  private final Function<HttpReply, T> reader;
+  private final CompletableFuture<T> result = new CompletableFuture<>();
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private int status;
   private String contentType = "";
@@ -65,22 +71,41 @@
       byte[] requestBody,
       long timeoutMs,
       Runnable onProgress) {
-    ResponseAggregator aggregator = new ResponseAggregator(onProgress);
-    HttpClient.Handle handle =
-        client.send(
-            new HttpCall(to, "", method, path, headers, requestBody, false, timeoutMs), aggregator);
+    return read(
+        client,
+        new HttpCall(to, "", method, path, headers, requestBody, false, timeoutMs),
+        onProgress,
+        Function.identity());
+  }
+
+  /**
+   * Sends a call and reads its response.
+   *
+   * @param client the client
+   * @param call the call
+   * @param onProgress called whenever a part of the body arrives
+   * @param reader reads the response; when it throws, the call fails with its exception and the
+   *     connection is not used again
+   * @param <T> the type of the result
+   * @return the result; fails with {@link HttpException} when there is no complete response
+   */
+  public static <T> CompletableFuture<T> read(
+      HttpClient client, HttpCall call, Runnable onProgress, Function<HttpReply, T> reader) {
+    ResponseAggregator<T> aggregator = new ResponseAggregator<>(onProgress, reader);
+    HttpClient.Handle handle = client.send(call, aggregator);
     var unused =
-        aggregator.reply.whenComplete(
-            (reply, error) -> {
+        aggregator.result.whenComplete(
+            (result, error) -> {
               if (error != null) {
                 handle.cancel();
               }
             });
-    return aggregator.reply;
+    return aggregator.result;
   }
 
-  private ResponseAggregator(Runnable onProgress) {
+  private ResponseAggregator(Runnable onProgress, Function<HttpReply, T> reader) {
     this.onProgress = onProgress;
+    this.reader = reader;
   }
 
   @Override
@@ -96,18 +121,24 @@
     if (body.size() + bytes.length > MAX_BYTES) {
       body.reset();
       onFailure(true, "response is longer than " + MAX_BYTES + " bytes");
-    } else if (!reply.isDone()) {
+    } else if (!result.isDone()) {
       body.writeBytes(bytes);
     }
   }
 
+  /** Fails in the same way as the reader, so that the connection is closed. */
   @Override
   public void onEnd() {
-    reply.complete(new HttpReply(status, contentType, body.toByteArray()));
+    try {
+      result.complete(reader.apply(new HttpReply(status, contentType, body.toByteArray())));
+    } catch (RuntimeException ex) {
+      result.completeExceptionally(ex);
+      throw ex;
+    }
   }
 
   @Override
   public void onFailure(boolean sent, String detail) {
-    reply.completeExceptionally(new HttpException(sent, detail));
+    result.completeExceptionally(new HttpException(sent, detail));
   }
 }
