Upstream client: a second response without a request id can't reach the next call

What callers saw: an upstream that doesn't echo the request id and answers twice; the second response, sent late on the kept connection, was the result of the next call (200 with the body of another request).

Cause: a response without an id is accepted, and its connection was used again, so it couldn't be known whose the next response without an id is.

Change: a connection is not used again after a response without an id. Upstreams that echo the id keep their connections; those that don't get a new one for each call.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/upstream/HttpUpstreamClient.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/upstream/HttpUpstreamClient.java
@@ -74,6 +74,7 @@
     private final UpstreamCall call;
     private final UpstreamListener listener;
     private final UsageReader usage;
+    private boolean isIdentified;
 
     ResponseSink(UpstreamCall call, UpstreamListener listener) {
       this.call = call;
@@ -86,6 +87,7 @@
       HttpHeaders headers = head.headers();
       reportLoad(headers);
       String echoed = headers.get(UpstreamHeaders.REQUEST_ID);
+      isIdentified = echoed != null;
       if (echoed != null && !echoed.equals(call.requestId())) {
         fail(Kind.BROKEN, "the answer belongs to request " + echoed);
         return false;
@@ -128,15 +130,22 @@
       listener.onChunk(bytes, usage.usage());
     }
 
+    /**
+     * Ends the call. The connection of a response without an id is not used again, as a second
+     * response to this call would be taken for the response to the next one.
+     */
     @Override
     public void onEnd() {
       usage.finish();
-      if (!usage.isComplete()) {
+      if (usage.isComplete()) {
+        listener.onChunk(new byte[0], usage.usage());
+        listener.onEnd();
+      } else {
         fail(Kind.BROKEN, "the stream ended early");
-        return;
       }
-      listener.onChunk(new byte[0], usage.usage());
-      listener.onEnd();
+      if (!isIdentified) {
+        throw new IllegalStateException("the response has no request id");
+      }
     }
 
     @Override
