--- a/mothrill-wire/src/main/java/io/mothrill/wire/response/ResponseHeadCheck.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/response/ResponseHeadCheck.java
@@ -15,7 +15,7 @@
  *
  * <p>Such a head contains the status line of the second response. A header of a sound upstream may
  * quote a status line as well. The first response on a connection has no predecessor, so there it
- * is taken for a quotation unless headers are repeated too.
+ * is taken for a quotation if it names the status of the head and no header is repeated.
  */
 public final class ResponseHeadCheck {
 
@@ -50,12 +50,18 @@
         || StatusLineSearch.isIn(head.status().reasonPhrase())) {
       return Result.JOINED;
     }
-    boolean quoted =
-        head.headers().entries().stream().map(Map.Entry::getValue).anyMatch(StatusLineSearch::isIn);
-    if (!quoted) {
+    Set<Integer> quoted =
+        head.headers().entries().stream()
+            .map(Map.Entry::getValue)
+            .flatMapToInt(StatusLineSearch::statusesIn)
+            .boxed()
+            .collect(Collectors.toSet());
+    if (quoted.isEmpty()) {
       return Result.SINGLE;
     }
-    return firstOnConnection && !hasRepeatedHeader(head.headers())
+    return firstOnConnection
+            && quoted.equals(Set.of(head.status().code()))
+            && !hasRepeatedHeader(head.headers())
         ? Result.QUOTES_STATUS_LINE
         : Result.JOINED;
   }
