An interim response is not the response

What callers saw: 103 in place of the response that followed, which was dropped; on HttpClient the next call could get it. Cause: a response with status 100 to 199 counted as final. Change: the decoder drops interim responses, at most eight for a request, and fails on a switch of protocols, which nothing asks for. A head that may be joined is left to the check.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/response/ResponseDecoder.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/response/ResponseDecoder.java
@@ -6,7 +6,10 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
 import java.util.function.IntConsumer;
@@ -15,16 +18,20 @@
  * Decodes the responses that were asked for on one connection; confined to its event loop.
  *
  * <p>Bytes that arrive while no response is expected are dropped before they are decoded. They
- * would otherwise become the beginning of the next response.
+ * would otherwise become the beginning of the next response. Interim responses are dropped as well.
  */
 public final class ResponseDecoder extends HttpResponseDecoder {
 
+  /** Servers send one or two in front of a response. */
+  private static final int MAX_INTERIM = 8;
+
   private static final byte[] PROTOCOL = {'H', 'T', 'T', 'P', '/', '1', '.'};
 
   private final IntConsumer onSurplus;
   private HttpMethod method = HttpMethod.GET;
   private boolean expecting;
   private boolean begun;
+  private int interimCount;
 
   /**
    * Creates the decoder of a connection on which no response is expected yet.
@@ -46,6 +53,7 @@
     method = newMethod;
     expecting = true;
     begun = false;
+    interimCount = 0;
   }
 
   /** Returns the number of bytes that have arrived and belong to no complete object yet. */
@@ -62,8 +70,33 @@
     }
     checkBeginning(buffer);
     super.decode(ctx, buffer, out);
-    if (!out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent) {
+    if (isInterim(out)) {
+      dropInterim(out);
+    } else if (!out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent) {
+      expecting = false;
+    }
+  }
+
+  /**
+   * Checks for an interim response, which precedes the response to the same request. A head that
+   * may be joined from two responses is left to the handler.
+   */
+  private static boolean isInterim(List<Object> out) {
+    return !out.isEmpty()
+        && out.get(0) instanceof HttpResponse head
+        && head.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        && ResponseHeadCheck.check(head, false) == ResponseHeadCheck.Result.SINGLE;
+  }
+
+  private void dropInterim(List<Object> out) {
+    boolean switchesProtocol =
+        HttpResponseStatus.SWITCHING_PROTOCOLS.equals(((HttpResponse) out.get(0)).status());
+    out.clear();
+    begun = false;
+    interimCount++;
+    if (switchesProtocol || interimCount > MAX_INTERIM) {
       expecting = false;
+      throw new DecoderException("interim responses without end, or one that was not asked for");
     }
   }
 
