A response inside the trailers of a skipped one fails at once

What callers saw: 504 at the deadline where a second response was cut inside a trailer and the right one, without a body, became its end. Cause: only the body of a skipped response was searched for a status line. Change: its trailers as well.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/SkippedResponses.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/SkippedResponses.java
@@ -1,7 +1,9 @@
 package io.mothrill.wire.forward;
 
 import io.mothrill.wire.response.StatusLineSearch;
-import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.Map;
 
 /**
  * Limits the responses to other requests that are skipped in front of the right one; confined to
@@ -46,9 +48,16 @@
    *
    * @return true if another response begins inside this one, which was cut off
    */
-  boolean onContent(ByteBuf content) {
-    skippedBytes += content.readableBytes();
-    return statusLine.find(content);
+  boolean onContent(HttpContent content) {
+    skippedBytes += content.content().readableBytes();
+    return statusLine.find(content.content())
+        || content instanceof LastHttpContent last && isInTrailers(last);
+  }
+
+  private static boolean isInTrailers(LastHttpContent last) {
+    return last.trailingHeaders().entries().stream()
+        .map(Map.Entry::getValue)
+        .anyMatch(StatusLineSearch::isIn);
   }
 
   /** Checks whether responses were skipped since the last request. */
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
@@ -248,7 +248,7 @@
       if (last) {
         decoder.expectResponse(method);
       }
-      if (skipped.onContent(content.content())) {
+      if (skipped.onContent(content)) {
         logSurplus(SurplusLog.Place.IN_OTHER_RESPONSE, 0, "");
         failResponse(
             ResponseFailure.PROTOCOL_ERROR, "a response begins inside one to another request");
--- a/mothrill-wire/src/test/java/io/mothrill/wire/forward/SkippedResponsesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/forward/SkippedResponsesTest.java
@@ -2,8 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.HttpContent;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -21,7 +22,8 @@
   }
 
   private void skip(int bytes) {
-    assertThat(skipped.onContent(Unpooled.buffer(bytes).writeZero(bytes))).isFalse();
+    assertThat(skipped.onContent(new DefaultHttpContent(Unpooled.buffer(bytes).writeZero(bytes))))
+        .isFalse();
   }
 
   @Test
@@ -81,7 +83,7 @@
     assertThat(skipped.onContent(text("1 200 OK"))).isFalse();
   }
 
-  private static ByteBuf text(String text) {
-    return Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII);
+  private static HttpContent text(String text) {
+    return new DefaultHttpContent(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
   }
 }
