Cancelling an ended call does not end the next one on its connection

What callers saw: nothing known. A call whose connection was closed by the late cancel of an earlier one waited for its own limit, as its sink was detached without a word. Cause: a handle named the connection, not the call. A response that is aborted by its head was also read to its end first, and its connection could go back to the pool before it was closed. Change: a handle ends its own call only; an abort by the head closes at once.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/http/ClientHandler.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/http/ClientHandler.java
@@ -123,7 +123,8 @@
       }
       keepAlive = HttpUtil.isKeepAlive(head) && check == ResponseHeadCheck.Result.SINGLE;
       if (!sink.onHead(head)) {
-        abort();
+        detachSink();
+        ctx.close();
         return;
       }
     }
@@ -158,14 +159,16 @@
     return released;
   }
 
-  /** Closes the connection without notifying the sink. */
-  void abort() {
+  /** Closes the connection without notifying the sink, unless it carries another call by now. */
+  void abort(HttpSink cancelled) {
     context
         .executor()
         .execute(
             () -> {
-              detachSink();
-              context.close();
+              if (sink == cancelled) {
+                detachSink();
+                context.close();
+              }
             });
   }
 
--- a/mothrill-wire/src/main/java/io/mothrill/wire/http/HttpClient.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/http/HttpClient.java
@@ -98,14 +98,19 @@
   /** A call in progress. */
   public static final class Handle {
     private final AtomicReference<Channel> channel = new AtomicReference<>();
+    private final HttpSink sink;
     private volatile boolean cancelled;
 
+    private Handle(HttpSink sink) {
+      this.sink = sink;
+    }
+
     /** Aborts the call and closes its connection. */
     public void cancel() {
       cancelled = true;
       Channel used = channel.get();
       if (used != null) {
-        ClientHandler.find(used).ifPresent(ClientHandler::abort);
+        ClientHandler.find(used).ifPresent(handler -> handler.abort(sink));
       }
     }
 
@@ -134,7 +139,7 @@
    * @return a handle for the call
    */
   public Handle send(HttpCall call, HttpSink sink) {
-    Handle handle = new Handle();
+    Handle handle = new Handle(sink);
     Channel pooled = call.freshConnection() ? null : acquireIdle(call);
     if (pooled != null) {
       start(pooled, call, sink, handle, () -> connect(call, sink, handle));
--- a/mothrill-wire/src/test/java/io/mothrill/wire/http/SurplusBytesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/http/SurplusBytesTest.java
@@ -10,6 +10,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -170,4 +171,66 @@
       assertThat(ex).hasCauseThat().isInstanceOf(HttpException.class);
     }
   }
+
+  // A call has ended, and its connection carries the next one when the first is cancelled late.
+  @Test
+  void cancellingAnEndedCallDoesNotEndTheNext() throws Exception {
+    try (ServerSocket listener = listen()) {
+      CompletableFuture<Integer> firstStatus = new CompletableFuture<>();
+      HttpClient.Handle first =
+          client.send(
+              new HttpCall(
+                  new Address("127.0.0.1", listener.getLocalPort()),
+                  "",
+                  HttpMethod.POST,
+                  "/",
+                  new DefaultHttpHeaders(),
+                  new byte[0],
+                  false,
+                  10_000),
+              new StatusSink(firstStatus));
+      try (Socket connection = listener.accept()) {
+        BufferedReader reader = readerOf(connection);
+        readCall(reader);
+        send(connection, SECOND);
+        assertThat(firstStatus.get(5, TimeUnit.SECONDS)).isEqualTo(200);
+        CompletableFuture<HttpReply> next = call(listener);
+        readCall(reader);
+        first.cancel();
+        awaitRead();
+        send(connection, FAILURE);
+
+        assertThat(next.get(5, TimeUnit.SECONDS).status()).isEqualTo(500);
+      }
+    }
+  }
+
+  /** Completes with the status of a response once it has ended. */
+  private static final class StatusSink implements HttpSink {
+    private final CompletableFuture<Integer> ended;
+    private int status;
+
+    StatusSink(CompletableFuture<Integer> ended) {
+      this.ended = ended;
+    }
+
+    @Override
+    public boolean onHead(HttpResponse head) {
+      status = head.status().code();
+      return true;
+    }
+
+    @Override
+    public void onBody(byte[] bytes) {}
+
+    @Override
+    public void onEnd() {
+      ended.complete(status);
+    }
+
+    @Override
+    public void onFailure(boolean sent, String detail) {
+      ended.completeExceptionally(new HttpException(sent, detail));
+    }
+  }
 }
