JSON: bytes in an unsupported encoding are rejected like other malformed JSON

Callers would see: after one entry of the upstream table began with bytes such as 00 7B 00 00, no instance published the table any more; requests went on to upstreams that had left. Cause: the parser detects UTF-32 by the first four bytes and reports an order of bytes or a character that it doesn't support by a CharConversionException, which is no JsonProcessingException. Json.read took it for an error of reading and threw an IllegalStateException, which none of the decoders of single entries catches. The class: a decoder's error that isn't the one its caller knows. Change: it is an InvalidInputException, as for all other text that isn't JSON. Why it works: all decoders of store data go through Json.read and catch the InvalidInputException per entry. No run of the users' is known to have met it.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/json/Json.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/json/Json.java
@@ -12,6 +12,7 @@
 import io.mothrill.core.error.FieldError;
 import io.mothrill.core.error.InvalidInputException;
 import java.io.ByteArrayOutputStream;
+import java.io.CharConversionException;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 
@@ -50,6 +51,8 @@
       return checked(JsonTrees.readSingleValue(parser, NODES));
     } catch (JsonProcessingException ex) {
       throw InvalidInputException.of(FieldError.refused("$", "is not JSON: " + where(ex)));
+    } catch (CharConversionException ex) {
+      throw InvalidInputException.of(FieldError.refused("$", "is not JSON: " + ex.getMessage()));
     } catch (IOException ex) {
       throw new IllegalStateException("reading from memory cannot fail", ex);
     }
