An instance's row with a port out of range no longer fails relayed requests

Callers saw in the test: with the row of one instance in the table "spending" giving port 70000 or -1, one of ten requests that another instance had to relay was not served. Cause: the port was cut to an int and used unchecked; connecting to it throws an IllegalArgumentException in place of failing, inside an event loop or in the loop over all recipients of a notice. The class: a value read from a shared table that is checked only where it is used. Change: the row keeps its grants, which count for the budgets, but has no address, as one of an instance that accepts no connections. PeerSpendingTest and SpendingPropertyTest green.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/InstanceSpending.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/InstanceSpending.java
@@ -35,6 +35,7 @@
   private static final String SENT_AT = "sentAtMs";
   private static final String TEAM_PREFIX = "team.";
   private static final String SEPARATOR = ",";
+  private static final int MAX_PORT = 65_535;
 
   /** Six integers of up to 18 digits. */
   private static final Pattern GRANT = Pattern.compile("\\d{1,18}(,\\d{1,18}){5}");
@@ -85,6 +86,9 @@
   /**
    * Reads a row from its cells.
    *
+   * <p>Another program may have written into the table. A row with a port that no socket accepts
+   * keeps its grants, but not its address: connecting to it would throw in place of failing.
+   *
    * @param cells the row's cells; empty for a row that does not exist
    * @return the row
    */
@@ -98,10 +102,12 @@
                     .ifPresent(
                         grant ->
                             grants.put(entry.getKey().substring(TEAM_PREFIX.length()), grant)));
+    long peerPort = cells.number(PEER_PORT);
+    boolean isPort = peerPort >= 0 && peerPort <= MAX_PORT;
     return new InstanceSpending(
         cells.number(SENT_AT),
-        cells.text(HOST),
-        (int) cells.number(PEER_PORT),
+        isPort ? cells.text(HOST) : "",
+        isPort ? (int) peerPort : 0,
         cells.text(DOMAIN),
         grants);
   }
