Stream origins: how many were read at the start and written is told

Cause: a take-up that nobody knew did not tell whether the writer had not written the origin or a process had not read it. Change: a line for each partition read at the start, with rows and origins; gauges streams.writtenOriginCount and streams.readOriginCount. Result: compiles and is formatted; no decision changes.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginTable.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginTable.java
@@ -16,8 +16,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.tinylog.Logger;
 
@@ -82,6 +84,8 @@
   private final Set<String> services = new HashSet<>();
   private final Set<String> recordedServices = new HashSet<>();
   private final Set<String> loadedPartitions = new HashSet<>();
+  private final LongAdder writtenCount = new LongAdder();
+  private final LongAdder readCount = new LongAdder();
   private boolean writing;
   private boolean scheduled;
   private long nextWriteMs;
@@ -125,7 +129,13 @@
         .whenComplete(
             (read, error) -> {
               if (error == null) {
-                read.stream().map(Row::cells).forEach(this::addRecords);
+                long origins = read.stream().map(Row::cells).mapToLong(this::addRecords).sum();
+                readCount.add(origins);
+                Logger.info(
+                    "stream origins read partition={} rows={} origins={}",
+                    partition,
+                    read.size(),
+                    origins);
               } else {
                 Logger.debug("stream origins not read yet: {}", error.getMessage());
                 timers.after(RETRY_MS, () -> load(partition));
@@ -133,19 +143,29 @@
             });
   }
 
-  /** Values of other types than expected read as 0 or empty and add nothing. */
-  private void addRecords(Cells cells) {
+  /**
+   * Records the origins of a row and returns their number. Values of other types than expected read
+   * as 0 or empty and add nothing.
+   */
+  private long addRecords(Cells cells) {
     long keepMs = remainingMs(cells);
     if (keepMs <= 0) {
-      return;
-    }
-    for (long number = 0; number < Math.min(cells.number(COUNT), MAX_BATCH); number++) {
-      StreamOrigin origin =
-          new StreamOrigin(cells.text(SERVICE + number), cells.text(VERSION + number));
-      Stream.of(cells.text(IDS + number).split(" "))
-          .filter(Predicate.not(String::isEmpty))
-          .forEach(id -> records.add(id, origin, OriginRecords.READ_FROM_TABLE, keepMs));
+      return 0;
     }
+    return LongStream.range(0, Math.min(cells.number(COUNT), MAX_BATCH))
+        .map(number -> addRecords(cells, number, keepMs))
+        .sum();
+  }
+
+  private long addRecords(Cells cells, long number, long keepMs) {
+    StreamOrigin origin =
+        new StreamOrigin(cells.text(SERVICE + number), cells.text(VERSION + number));
+    List<String> ids =
+        Stream.of(cells.text(IDS + number).split(" "))
+            .filter(Predicate.not(String::isEmpty))
+            .toList();
+    ids.forEach(id -> records.add(id, origin, OriginRecords.READ_FROM_TABLE, keepMs));
+    return ids.size();
   }
 
   private long remainingMs(Cells cells) {
@@ -281,7 +301,9 @@
         .thenAccept(
             written -> {
               hasRows = true;
-              if (!written) {
+              if (written) {
+                writtenCount.add(batch.size());
+              } else {
                 restore(partition, batch);
               }
             });
@@ -315,4 +337,14 @@
     }
     return cells.build();
   }
+
+  /** Returns the number of origins that this process has written. */
+  long writtenCount() {
+    return writtenCount.sum();
+  }
+
+  /** Returns the number of origins that this process has read at its start. */
+  long readCount() {
+    return readCount.sum();
+  }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/StreamOrigins.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/StreamOrigins.java
@@ -237,6 +237,24 @@
     return unknownCount.sum();
   }
 
+  /**
+   * Returns the number of origins that this instance has written to the platform's table.
+   *
+   * @return origins since the start
+   */
+  public long writtenCount() {
+    return table.writtenCount();
+  }
+
+  /**
+   * Returns the number of origins that this instance has read from the platform's table.
+   *
+   * @return origins since the start
+   */
+  public long readCount() {
+    return table.readCount();
+  }
+
   /** A search for one origin at other instances. */
   private final class Search {
     private final StreamNotice.Query query;
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardGauges.java
@@ -214,6 +214,8 @@
     metrics.gauge("streams.recordedOriginCount", () -> origins::recordCount);
     metrics.gauge("streams.knownOriginCount", () -> origins::knownCount);
     metrics.gauge("streams.unknownOriginCount", () -> origins::unknownCount);
+    metrics.gauge("streams.writtenOriginCount", () -> origins::writtenCount);
+    metrics.gauge("streams.readOriginCount", () -> origins::readCount);
   }
 
   void registerLog() {
