A writer writes the origin of every stream that it is told of

Cause: since a writer wrote only what instances of its own domain told it, and took the domain from the sender of the datagram. Of that only the address is known, so the domain is empty and nothing told was written; each writer wrote its own streams only. Test fleets named the sender from the instance list. Change: the sender's domain decides nothing; a sender is made by InstanceRecord.ofAddress, in test fleets too.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginWriters.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginWriters.java
@@ -34,7 +34,7 @@
     return writerIn(ownDomain(), requestId);
   }
 
-  /** Checks whether this instance writes the origin of a stream that begins in its domain. */
+  /** Checks whether this instance writes the origin of a stream that it is told of. */
   boolean isWriterOf(String requestId) {
     return writerOf(requestId).equals(self);
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/StreamOrigins.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/StreamOrigins.java
@@ -102,14 +102,14 @@
 
   /** Records the origin of a stream here and at other instances; later attempts count. */
   void record(String requestId, StreamOrigin origin, int attempt, long keepMs) {
-    records.add(requestId, origin, attempt, keepMs);
-    writeIfCertain(requestId, attempt);
+    add(requestId, origin, attempt, keepMs);
     sender.send(
         new StreamNotice.Record(requestId, origin, attempt, keepMs),
         recipients(requestId, attempt));
   }
 
-  private void writeIfCertain(String requestId, int attempt) {
+  private void add(String requestId, StreamOrigin origin, int attempt, long keepMs) {
+    records.add(requestId, origin, attempt, keepMs);
     if (attempt == OriginRecords.CERTAIN) {
       records.find(requestId).ifPresent(entry -> table.onRecorded(requestId, entry));
     }
@@ -188,10 +188,7 @@
    */
   public void onNotice(StreamNotice notice, InstanceRecord from) {
     if (notice instanceof StreamNotice.Record told) {
-      records.add(told.requestId(), told.origin(), told.attempt(), told.keepMs());
-      if (from.domain().equals(self.domain())) {
-        writeIfCertain(told.requestId(), told.attempt());
-      }
+      add(told.requestId(), told.origin(), told.attempt(), told.keepMs());
     } else if (notice instanceof StreamNotice.Query query) {
       sender.send(answerTo(query), List.of(from));
     } else if (notice instanceof StreamNotice.Answer answer) {
--- a/mothrill-core/src/main/java/io/mothrill/core/platform/InstanceRecord.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/platform/InstanceRecord.java
@@ -21,4 +21,16 @@
   public InstanceRecord asLeaving() {
     return new InstanceRecord(id, incarnation, domain, host, peerPort, true);
   }
+
+  /**
+   * Returns the sender of a datagram, of which only the address is known: it may have started after
+   * the instance list was last read. It has no failure domain.
+   *
+   * @param host the IP address
+   * @param port the port
+   * @return an instance to reply to
+   */
+  public static InstanceRecord ofAddress(String host, int port) {
+    return new InstanceRecord(host, host, "", host, port, false);
+  }
 }
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/stream/ReplacementHistory.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/stream/ReplacementHistory.java
@@ -92,7 +92,7 @@
             1 + random.nextInt(MAX_HOP_MS),
             () -> {
               if (to.isRunning && to.origins == process) {
-                process.onNotice(notice, self);
+                process.onNotice(notice, InstanceRecord.ofAddress(self.host(), self.peerPort()));
               }
             });
       }
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/stream/StreamOriginsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/stream/StreamOriginsTest.java
@@ -119,7 +119,8 @@
                       1 + random.nextInt(HOP_MS),
                       () -> {
                         if (isAlive && other.isAlive && other.side == side) {
-                          other.origins.onNotice(notice, self);
+                          other.origins.onNotice(
+                              notice, InstanceRecord.ofAddress(self.host(), self.peerPort()));
                         }
                       }));
     }
@@ -277,6 +278,40 @@
     assertThat(found.join()).isEmpty();
   }
 
+  // Guards against a writer that writes only the streams that it begins itself: those of the other
+  // instances in its domain are unknown after all have lost their memory.
+  @Test
+  void streamsOfEveryInstanceOutlastPowerLoss() {
+    startFleet(6);
+    register("v1", "v1.1");
+    timers.advanceMs(2 * KEEP_MS);
+    for (int stream = 0; stream < 20; stream++) {
+      for (int number = 0; number < fleet.size(); number++) {
+        fleet.get(number).begin(number + "-" + stream, stream % 2 == 0 ? "v1" : "v1.1");
+      }
+      timers.advanceMs(50);
+    }
+    timers.advanceMs(500);
+    fleet.forEach(Instance::restart);
+    timers.advanceMs(1_000);
+
+    List<List<CompletableFuture<Optional<StreamOrigin>>>> found =
+        IntStream.range(0, fleet.size()).mapToObj(this::findAllOf).toList();
+    timers.advanceMs(300);
+
+    for (int number = 0; number < fleet.size(); number++) {
+      assertWithMessage("known streams of instance %s", number)
+          .that(found.get(number).stream().filter(origin -> origin.join().isPresent()).count())
+          .isAtLeast(18);
+    }
+  }
+
+  private List<CompletableFuture<Optional<StreamOrigin>>> findAllOf(int number) {
+    return IntStream.range(0, 20)
+        .mapToObj(stream -> fleet.get(0).origins.find(number + "-" + stream, SERVICE, KEEP_MS))
+        .toList();
+  }
+
   // The record of an attempt that brought no event arrives after that of the one that did.
   @Test
   void recordOfLaterAttemptCounts() {
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/DatagramNotices.java
@@ -229,13 +229,9 @@
       }
     }
 
-    /**
-     * Identifies the sender by its address, because it may have started after the instance list was
-     * last read.
-     */
     private static InstanceRecord senderOf(DatagramPacket packet) {
-      String host = packet.sender().getAddress().getHostAddress();
-      return new InstanceRecord(host, host, "", host, packet.sender().getPort(), false);
+      return InstanceRecord.ofAddress(
+          packet.sender().getAddress().getHostAddress(), packet.sender().getPort());
     }
 
     @Override
