Test fleets name the sender of a datagram by its address

Cause: fleets of other tests too passed on the sender from their list of instances, which sockets cannot. Change: crash records, leases, brittle upstreams and copies of tables use InstanceRecord.ofAddress; no assertion changes.

--- a/mothrill-core/src/test/java/io/mothrill/core/forward/crash/CrashSimulation.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/crash/CrashSimulation.java
@@ -131,7 +131,9 @@
     }
     long delayMs = random.nextInt(MIN_DELAY_MS, MAX_DELAY_MS + 1);
     CrashGuard receiver = guards.get(to.id());
-    timers.after(delayMs, () -> receiver.onMessage(message, from));
+    timers.after(
+        delayMs,
+        () -> receiver.onMessage(message, InstanceRecord.ofAddress(from.host(), from.peerPort())));
   }
 
   /** Crashes an upstream under the request at an instance. */
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/lease/LeaseHistory.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/lease/LeaseHistory.java
@@ -199,9 +199,16 @@
 
     private void send(LeaseMessage message, InstanceRecord to) {
       members.stream()
-          .filter(member -> member.self.equals(to))
+          .filter(member -> member.self.host().equals(to.host()))
           .findFirst()
-          .ifPresent(member -> deliver(this, member, () -> member.leases.onMessage(message, self)));
+          .ifPresent(
+              member ->
+                  deliver(
+                      this,
+                      member,
+                      () ->
+                          member.leases.onMessage(
+                              message, InstanceRecord.ofAddress(self.host(), self.peerPort()))));
     }
 
     private void call() {
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/limit/BrittleFleetSimulation.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/limit/BrittleFleetSimulation.java
@@ -188,7 +188,10 @@
 
     private void send(LeaseMessage message, InstanceRecord to) {
       Member receiver = fleet.get(Integer.parseInt(to.host()));
-      deliver(() -> receiver.leases.onMessage(message, self));
+      deliver(
+          () ->
+              receiver.leases.onMessage(
+                  message, InstanceRecord.ofAddress(self.host(), self.peerPort())));
     }
 
     private void broadcast(RejectionReport report, List<InstanceRecord> to) {
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/limit/RejectionBudgetsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/limit/RejectionBudgetsTest.java
@@ -65,7 +65,10 @@
             self,
             view,
             list,
-            (message, to) -> leasesByHost.get(to.host()).onMessage(message, self),
+            (message, to) ->
+                leasesByHost
+                    .get(to.host())
+                    .onMessage(message, InstanceRecord.ofAddress(self.host(), self.peerPort())),
             timers,
             new Random(1));
     leasesByHost.put(self.host(), leases);
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/view/ViewFleet.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/view/ViewFleet.java
@@ -114,7 +114,12 @@
               (notice, to) ->
                   to.forEach(
                       other ->
-                          deliver(other, receiver -> receiver.exchange.onNotice(notice, self))),
+                          deliver(
+                              other,
+                              receiver ->
+                                  receiver.exchange.onNotice(
+                                      notice,
+                                      InstanceRecord.ofAddress(self.host(), self.peerPort())))),
               this,
               dispatcher,
               SETTINGS,
