--- a/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/peer/DatagramNoticesTest.java
@@ -6,6 +6,7 @@
 import io.mothrill.core.forward.lease.LeaseMessage;
 import io.mothrill.core.forward.limit.RateLimitReport;
 import io.mothrill.core.forward.limit.RejectionReport;
+import io.mothrill.core.forward.stream.StreamNotice;
 import io.mothrill.core.forward.upstream.UpstreamStatus;
 import io.mothrill.core.forward.upstream.UpstreamStatusReport;
 import io.mothrill.core.platform.InstanceRecord;
@@ -45,6 +46,7 @@
   private final BlockingQueue<RejectionReport> receivedRejections = new LinkedBlockingQueue<>();
   private final BlockingQueue<LeaseMessage> receivedLeases = new LinkedBlockingQueue<>();
   private final BlockingQueue<ContentionReport> receivedContention = new LinkedBlockingQueue<>();
+  private final BlockingQueue<InstanceRecord> streamSenders = new LinkedBlockingQueue<>();
 
   @AfterEach
   void stop() {
@@ -65,7 +67,7 @@
             receivedRejections::add,
             receivedContention::add,
             (notice, sender) -> {},
-            (notice, sender) -> {},
+            (notice, sender) -> streamSenders.add(sender),
             (message, sender) -> receivedLeases.add(message),
             host -> {}),
         new WorkStats());
@@ -152,6 +154,22 @@
     assertThat(received).isEqualTo(report);
   }
 
+  // Guards against test fleets whose instances know more of a sender than a datagram tells.
+  @Test
+  void senderIsKnownByItsAddressOnly() throws Exception {
+    int port = freePort();
+    InstanceRecord peer = new InstanceRecord("konya-1", "konya-1", "konya", HOST, port, false);
+    DatagramNotices listener = listener(port);
+    DatagramNotices sender = sender(port, 1);
+
+    sender.send(new StreamNotice.Query("a", "asistan", 1_000), List.of(peer));
+    InstanceRecord received = streamSenders.poll(WAIT_S, TimeUnit.SECONDS);
+    listener.close();
+    sender.close();
+
+    assertThat(received).isEqualTo(InstanceRecord.ofAddress(HOST, received.peerPort()));
+  }
+
   @Test
   void transfersLimitsAndTheirRemoval() throws Exception {
     int port = freePort();
