--- a/mothrill-wire/src/main/java/io/mothrill/wire/response/ResponseDecoder.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/response/ResponseDecoder.java
@@ -89,7 +89,7 @@
   }
 
   private void dropInterim(List<Object> out) {
-    boolean switchesProtocol =
+    final boolean switchesProtocol =
         HttpResponseStatus.SWITCHING_PROTOCOLS.equals(((HttpResponse) out.get(0)).status());
     out.clear();
     begun = false;
--- a/mothrill-wire/src/test/java/io/mothrill/wire/http/SurplusBytesTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/http/SurplusBytesTest.java
@@ -194,7 +194,7 @@
         readCall(reader);
         send(connection, SECOND);
         assertThat(firstStatus.get(5, TimeUnit.SECONDS)).isEqualTo(200);
-        CompletableFuture<HttpReply> next = call(listener);
+        final CompletableFuture<HttpReply> next = call(listener);
         readCall(reader);
         first.cancel();
         awaitRead();
--- a/mothrill-wire/src/test/java/io/mothrill/wire/response/StatusLineFormTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/response/StatusLineFormTest.java
@@ -16,14 +16,16 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 // Guards against a joined head that is taken for a single one, as its second status line has a form
 // that the decoder accepts and the check does not look for.
 class StatusLineFormTest {
 
+  private static final char VERTICAL_TAB = 0x0b;
   private static final String FIRST = "HTTP/1.1 200 OK\r\nVary: Accept\r\n\r\n";
 
   /** Decodes a head; null if the decoder fails. */
@@ -41,8 +43,12 @@
     return head == null || head.decoderResult().isFailure() ? null : head;
   }
 
+  static Stream<String> separators() {
+    return Stream.of(" ", "  ", "\t", " \t", String.valueOf(VERTICAL_TAB), "\f");
+  }
+
   @ParameterizedTest
-  @ValueSource(strings = {" ", "  ", "\t", " \t", "\u000b", "\f"})
+  @MethodSource("separators")
   void headJoinedWithAnyDecodableStatusLineIsNeverSingle(String separator) {
     String second =
         "HTTP/1.1" + separator + "500 Broken\r\nAttempt-Id: a-1\r\nContent-Length: 0\r\n\r\n";
