Matching responses with requests is a class of its own

Change: ResponseMatcher decides, by the id, the check of heads and what was skipped; no change of behaviour. A test outside platform/ named a header of the platform.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
@@ -7,7 +7,6 @@
 import io.mothrill.wire.connection.ReceivingSocketChannel;
 import io.mothrill.wire.response.ConnectionUse;
 import io.mothrill.wire.response.ResponseDecoder;
-import io.mothrill.wire.response.ResponseHeadCheck;
 import io.mothrill.wire.response.SurplusLog;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -39,7 +38,6 @@
   /** Assumed keep-alive time of an upstream that does not state one. */
   private static final long DEFAULT_KEEP_ALIVE_MS = 4_000;
 
-  private static final int FIRST_ERROR_STATUS = 400;
   private static final int MAX_LINE_BYTES = 8_192;
   private static final int MAX_HEADER_BYTES = 32_768;
   private static final int MAX_CHUNK_BYTES = 16_384;
@@ -47,16 +45,12 @@
   private final Dialect dialect;
   private final UpstreamPool pool;
   private final BufferBudget buffers;
-  private final SurplusLog surplusLog;
+  private final ResponseMatcher matcher;
   private final ResponseDecoder decoder;
-  private ConnectionUse use;
   private ChannelHandlerContext context;
   private UpstreamSink sink;
-  private String requestId = "";
   private HttpMethod method = HttpMethod.GET;
   private RequestWriter writer;
-  private final SkippedResponses skipped = new SkippedResponses();
-  private boolean skippingResponse;
   private boolean reusable;
   private boolean idle = true;
   private Optional<String> relay = Optional.empty();
@@ -69,20 +63,14 @@
    * @param dialect reads the heads of responses
    * @param pool takes the connection back after a response
    * @param buffers limits what is written but not sent
-   * @param surplusLog receives what arrives beyond the responses
-   * @param use names the connection
+   * @param matcher attributes responses to requests
    */
   UpstreamConnection(
-      Dialect dialect,
-      UpstreamPool pool,
-      BufferBudget buffers,
-      SurplusLog surplusLog,
-      ConnectionUse use) {
+      Dialect dialect, UpstreamPool pool, BufferBudget buffers, ResponseMatcher matcher) {
     this.dialect = dialect;
     this.pool = pool;
     this.buffers = buffers;
-    this.surplusLog = surplusLog;
-    this.use = use;
+    this.matcher = matcher;
     this.decoder =
         new ResponseDecoder(
             new HttpDecoderConfig()
@@ -113,24 +101,21 @@
   }
 
   String incarnation() {
-    return use.upstream();
+    return matcher.use().upstream();
   }
 
   /** Returns how far the connection has been used. */
   ConnectionUse use() {
-    return use;
+    return matcher.use();
   }
 
   /** Sends a request and delivers its response to the sink. */
-  void send(FullHttpRequest request, String newRequestId, UpstreamSink newSink) {
+  void send(FullHttpRequest request, String requestId, UpstreamSink newSink) {
     this.sink = newSink;
-    this.requestId = newRequestId;
-    this.use = use.withRequest(newRequestId);
+    matcher.onRequest(requestId);
     this.method = request.method();
     decoder.expectResponse(method);
-    this.skippingResponse = false;
     this.idle = false;
-    skipped.onRequest();
     this.reusable = relay.isEmpty();
     ConnectionBuffer unsent = buffers.newBuffer();
     SourcePause pause = buffers.newPause(unsent, context.executor(), this::onStalled);
@@ -194,43 +179,18 @@
   }
 
   private void onHead(HttpResponse head) {
-    boolean first = use.requestCount() == 1 && !skipped.hasSkipped();
-    ResponseHeadCheck.Result check = ResponseHeadCheck.check(head, first);
     ResponseMetadata metadata = dialect.readResponseMetadata(head);
-    if (check == ResponseHeadCheck.Result.JOINED || metadata.isContradictory()) {
-      logSurplus(SurplusLog.Place.IN_HEAD, 0, "");
-      failResponse(ResponseFailure.PROTOCOL_ERROR, "head may be joined from two responses");
-      return;
-    }
-    Optional<String> answeredId = metadata.requestId();
-    if (answeredId.isPresent() && !answeredId.get().equals(requestId)) {
-      onOtherResponse(answeredId.get());
-      return;
-    }
-    if (answeredId.isEmpty() && (!first || head.status().code() < FIRST_ERROR_STATUS)) {
-      failResponse(ResponseFailure.PROTOCOL_ERROR, "response has no request id");
+    ResponseMatcher.Match match = matcher.match(head, metadata, pool.nowMs());
+    if (match.problem().isPresent()) {
+      failResponse(ResponseFailure.PROTOCOL_ERROR, match.problem().get());
       return;
     }
     reusable =
-        reusable
-            && check == ResponseHeadCheck.Result.SINGLE
-            && answeredId.isPresent()
-            && HttpUtil.isKeepAlive(head)
-            && isSelfDelimited(head);
-    metadata.keepAliveMs().ifPresent(idleMs -> keepAliveMs = idleMs);
-    sink.onHead(head, metadata);
-  }
-
-  private void onOtherResponse(String otherId) {
-    logSurplus(SurplusLog.Place.OTHER_RESPONSE, 0, "response to " + otherId);
-    if (!use.hasCarried(otherId)) {
-      failResponse(ResponseFailure.PROTOCOL_ERROR, "response to a request that was not sent here");
-      return;
+        reusable && match.isReusable() && HttpUtil.isKeepAlive(head) && isSelfDelimited(head);
+    if (match.isOwn()) {
+      metadata.keepAliveMs().ifPresent(idleMs -> keepAliveMs = idleMs);
+      sink.onHead(head, metadata);
     }
-    skippingResponse = true;
-    reusable = false;
-    skipped.onHead(pool.nowMs());
-    failIfSkippedTooMuch();
   }
 
   /**
@@ -243,18 +203,13 @@
 
   private void onContent(HttpContent content) {
     boolean last = content instanceof LastHttpContent;
-    if (skippingResponse) {
-      skippingResponse = !last;
+    if (matcher.isSkipping()) {
       if (last) {
         decoder.expectResponse(method);
       }
-      if (skipped.onContent(content)) {
-        logSurplus(SurplusLog.Place.IN_OTHER_RESPONSE, 0, "");
-        failResponse(
-            ResponseFailure.PROTOCOL_ERROR, "a response begins inside one to another request");
-        return;
-      }
-      failIfSkippedTooMuch();
+      matcher
+          .skip(content, pool.nowMs())
+          .ifPresent(problem -> failResponse(ResponseFailure.PROTOCOL_ERROR, problem));
       return;
     }
     ByteBuf bytes = content.content();
@@ -266,13 +221,6 @@
     }
   }
 
-  private void failIfSkippedTooMuch() {
-    long nowMs = pool.nowMs();
-    if (skipped.isExceeded(nowMs)) {
-      failResponse(ResponseFailure.PROTOCOL_ERROR, skipped.describe(nowMs));
-    }
-  }
-
   private void end() {
     UpstreamSink ended = sink;
     sink = null;
@@ -292,14 +240,11 @@
 
   /** Bytes that no response was expected for are the beginning of none; nor is what follows. */
   private void onSurplus(int bytes) {
-    logSurplus(idle ? SurplusLog.Place.WHILE_IDLE : SurplusLog.Place.AFTER_RESPONSE, bytes, "");
+    matcher.onSurplus(
+        idle ? SurplusLog.Place.WHILE_IDLE : SurplusLog.Place.AFTER_RESPONSE, bytes, "");
     context.close();
   }
 
-  private void logSurplus(SurplusLog.Place place, long bytes, String detail) {
-    surplusLog.onSurplus(new SurplusLog.Surplus(place, bytes, use, detail));
-  }
-
   private void failResponse(ResponseFailure cause, String detail) {
     UpstreamSink failed = sink;
     sink = null;
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamPool.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamPool.java
@@ -46,9 +46,10 @@
                 dependencies.dialect(),
                 this,
                 dependencies.buffers(),
-                dependencies.surplusLog(),
-                ConnectionUse.unused(
-                    CONNECTION_NUMBERS.incrementAndGet(), target.upstream().incarnation()));
+                new ResponseMatcher(
+                    dependencies.surplusLog(),
+                    ConnectionUse.unused(
+                        CONNECTION_NUMBERS.incrementAndGet(), target.upstream().incarnation())));
     this.connector =
         new PathConnector(
             loop,
--- a/mothrill-wire/src/test/java/io/mothrill/wire/response/StatusLineFormTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/response/StatusLineFormTest.java
@@ -50,8 +50,7 @@
   @ParameterizedTest
   @MethodSource("separators")
   void headJoinedWithAnyDecodableStatusLineIsNeverSingle(String separator) {
-    String second =
-        "HTTP/1.1" + separator + "500 Broken\r\nAttempt-Id: a-1\r\nContent-Length: 0\r\n\r\n";
+    String second = "HTTP/1.1" + separator + "500 Broken\r\nX-Id: a-1\r\nContent-Length: 0\r\n\r\n";
     for (int cut = 1; cut < FIRST.length() - 2; cut++) {
       HttpResponse head = decode(FIRST.substring(0, cut) + second);
 
