Expired origins of streams are deleted within the limits of a transaction

Change: 50 rows a transaction, and the next one at once while more have expired, since a writer may add more in two seconds than one deletion takes. The table of the tests has the store's limit now.

--- a/mothrill-core/src/main/java/io/mothrill/core/fake/FakeTable.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/fake/FakeTable.java
@@ -13,6 +13,9 @@
 /** An in-memory table service; {@link #faults()} injects delays, outages and lost responses. */
 public final class FakeTable implements TableService {
 
+  /** Entries in a transaction; a changed row takes one for its condition and one for its value. */
+  private static final int MAX_ENTRIES = 100;
+
   private final TreeMap<String, TreeMap<String, Row>> tables = new TreeMap<>();
   private final FaultInjector faults;
   private final AtomicLong readCount = new AtomicLong();
@@ -108,6 +111,9 @@
 
   private synchronized boolean writeNow(Transaction transaction) {
     writeCount.incrementAndGet();
+    if (2 * transaction.writes().size() + transaction.checks().size() > MAX_ENTRIES) {
+      throw new IllegalArgumentException("transaction of over " + MAX_ENTRIES + " entries");
+    }
     boolean current =
         transaction.writes().stream()
                 .allMatch(write -> rowNow(write.key()).version() == write.expectedVersion())
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginTable.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginTable.java
@@ -51,8 +51,8 @@
   /** Interval at which a writer deletes the rows that have expired. */
   private static final long DELETION_INTERVAL_MS = 2_000;
 
-  /** Maximum number of rows in a transaction. */
-  private static final int MAX_DELETED = 100;
+  /** A transaction holds a hundred entries, and the deletion of a row takes two. */
+  private static final int MAX_DELETED = 50;
 
   /** More rows than a writer adds while streams may be taken up. */
   private static final int MAX_ROWS = 5_000;
@@ -172,39 +172,40 @@
     return cells.number(AT) + cells.number(KEEP) - storeClock.nowMs();
   }
 
-  /** Rows are in the order of their times, so the first ones expire first. */
   private void deleteExpired() {
-    if (!hasRows) {
-      return;
+    if (hasRows) {
+      hasRows = false;
+      writers.ownPartitions().forEach(this::deleteExpired);
     }
-    hasRows = false;
-    writers
-        .ownPartitions()
-        .forEach(
-            partition ->
-                rows.scan(TABLE, partition, "", MAX_DELETED)
-                    .thenCompose(this::delete)
-                    .whenComplete(
-                        (deleted, error) -> {
-                          if (error != null) {
-                            hasRows = true;
-                            Logger.debug("stream origins not deleted: {}", error.getMessage());
-                          }
-                        }));
   }
 
-  private CompletableFuture<Boolean> delete(List<Row> read) {
+  /** Rows are in the order of their times, so the first ones expire first. */
+  private void deleteExpired(String partition) {
+    rows.scan(TABLE, partition, "", MAX_DELETED)
+        .thenCompose(this::delete)
+        .whenComplete(
+            (deletedCount, error) -> {
+              if (error != null) {
+                hasRows = true;
+                Logger.debug("stream origins not deleted: {}", error.getMessage());
+              } else if (deletedCount == MAX_DELETED) {
+                deleteExpired(partition);
+              }
+            });
+  }
+
+  private CompletableFuture<Integer> delete(List<Row> read) {
     hasRows |= !read.isEmpty();
+    List<Row> expired = read.stream().filter(row -> remainingMs(row.cells()) <= 0).toList();
     Transaction deletion =
-        read.stream()
-            .filter(row -> remainingMs(row.cells()) <= 0)
+        expired.stream()
             .reduce(
                 new Transaction(List.of(), List.of()),
                 Transaction::andDelete,
                 (first, second) -> first);
-    return deletion.writes().isEmpty()
-        ? CompletableFuture.completedFuture(false)
-        : rows.write(deletion);
+    return expired.isEmpty()
+        ? CompletableFuture.completedFuture(0)
+        : rows.write(deletion).thenApply(deleted -> deleted ? expired.size() : 0);
   }
 
   /** Called when the first event of a stream has been recorded at this instance. */
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/stream/ReplacementHistory.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/stream/ReplacementHistory.java
@@ -250,6 +250,10 @@
     table.faults().setDelayMs(delayMs);
   }
 
+  int storedRowCount() {
+    return table.scan(OriginTable.TABLE, "", "", Integer.MAX_VALUE).join().size();
+  }
+
   long tableWriteCount() {
     return table.writeCount();
   }
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/stream/StreamsAfterPowerLossTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/stream/StreamsAfterPowerLossTest.java
@@ -114,6 +114,21 @@
     }
   }
 
+  // Rows outlast the streams that they tell of, as a transaction cannot delete all that have
+  // expired in the meantime.
+  @Test
+  void expiredOriginsAreDeleted() {
+    ReplacementHistory history = new ReplacementHistory(6, 1);
+    replace(history, UPSTREAMS / 2);
+    history.advanceMs(20_000, STREAMS_PER_S);
+    history.setStoreFault(Fault.DOWN, 0);
+    history.advanceMs(20_000, 0);
+    history.setStoreFault(Fault.NONE, 0);
+    history.advanceMs(20_000, 0);
+
+    assertThat(history.storedRowCount()).isEqualTo(0);
+  }
+
   // As long as one version serves, nothing is written.
   @Test
   void nothingIsWrittenWhileOneVersionServes() {
