A stream's origin is not taken from one view that may be behind

Cause: two beliefs counted as knowledge. A list of upstreams up to 2 s old, the asker's or that of any one instance asked, told 'only one version can have begun it'. A record that a request was sent to a version counted as a record that its stream began there, though an attempt without an event begins nothing. Class: one observer's incomplete view decides, where the question is what all others did.

Change: records hold only what has brought an event, told twice; two that contradict each other tell nothing. Where nobody has a record, the list is read again after the take-up has arrived, at most ten times a second: the stream began before, so that list has every version that can have begun it. Times are those of the store as of which lists are complete, so a pause or a cut leaves a gap, whoever observes it; other instances tell only what they had before the own list began. Upstreams that have left the list count for 20 s more, as they serve on for instances that are behind. Messages of earlier releases that tell no beginning are ignored.

The stand-ins of the tests' lists are polled and cut off like real ones; so far they aged at once or never.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginRecords.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginRecords.java
@@ -5,9 +5,14 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
-/** The origins of streams that an instance has recorded; bounded and thread-safe. */
+/**
+ * The origins of streams whose first event was relayed, as far as an instance knows them; bounded
+ * and thread-safe.
+ */
 final class OriginRecords {
 
   /** Many times the streams that begin at three instances within a minute; 200 bytes each. */
@@ -15,36 +20,82 @@
 
   private static final long MAX_KEEP_MS = 120_000;
 
-  /** The attempt of an origin whose first event has been relayed: later than any other. */
-  static final int CERTAIN = Integer.MAX_VALUE;
-
-  /** The attempt of an origin from the table, which may be older than one in memory. */
-  static final int READ_FROM_TABLE = CERTAIN - 1;
+  /** A stream that goes on is recorded again; what changes less than this is not news. */
+  private static final long MIN_EXTENSION_MS = 1_000;
 
   private final Timers timers;
   private final Map<String, Entry> entries = new LinkedHashMap<>();
   private long longestKeepMs;
   private long longestUntilMs;
 
-  /** A recorded origin. */
-  record Entry(StreamOrigin origin, int attempt, long expiresMs) {}
+  /**
+   * What is recorded of a stream.
+   *
+   * @param origins where it began; several if a caller began it again under the same id, and then
+   *     nobody can tell which of them the caller holds events of
+   * @param isStored whether the record was read from the table
+   * @param expiresMs when it is dropped
+   */
+  record Entry(Set<StreamOrigin> origins, boolean isStored, long expiresMs) {
+
+    Entry {
+      origins = Set.copyOf(origins);
+    }
+
+    /** Returns the origin, if there is only one. */
+    Optional<StreamOrigin> origin() {
+      return only(origins);
+    }
+
+    static Optional<StreamOrigin> only(Set<StreamOrigin> origins) {
+      return origins.size() == 1 ? origins.stream().findFirst() : Optional.empty();
+    }
+
+    private boolean differsFrom(Entry known) {
+      return !origins.equals(known.origins) || expiresMs - known.expiresMs >= MIN_EXTENSION_MS;
+    }
+
+    private Entry with(Entry later) {
+      return new Entry(
+          Stream.concat(origins.stream(), later.origins.stream())
+              .collect(Collectors.toUnmodifiableSet()),
+          isStored && later.isStored,
+          Math.max(expiresMs, later.expiresMs));
+    }
+  }
 
   OriginRecords(Timers timers) {
     this.timers = timers;
   }
 
-  /** Records an origin, unless that of a later attempt is known. */
-  synchronized void add(String requestId, StreamOrigin origin, int attempt, long keepMs) {
+  /**
+   * Records what an instance has told, which is this one or another.
+   *
+   * @return the record, if it has changed
+   */
+  Optional<Entry> add(String requestId, StreamOrigin origin, long keepMs) {
+    return put(requestId, origin, false, keepMs);
+  }
+
+  /** Records what was read from the table. */
+  void addStored(String requestId, StreamOrigin origin, long keepMs) {
+    var unused = put(requestId, origin, true, keepMs);
+  }
+
+  private synchronized Optional<Entry> put(
+      String requestId, StreamOrigin origin, boolean isStored, long keepMs) {
     long nowMs = timers.nowMs();
     if (keepMs >= longestKeepMs()) {
       longestKeepMs = keepMs;
       longestUntilMs = nowMs + keepMs;
     }
+    Entry added = new Entry(Set.of(origin), isStored, nowMs + Math.min(keepMs, MAX_KEEP_MS));
     Entry known = entries.remove(requestId);
-    boolean isLater = known == null || attempt >= known.attempt() || known.expiresMs() < nowMs;
-    Entry added = new Entry(origin, attempt, nowMs + Math.min(keepMs, MAX_KEEP_MS));
-    entries.put(requestId, isLater ? added : known);
+    boolean isFirst = known == null || known.expiresMs() < nowMs;
+    Entry current = isFirst ? added : known.with(added);
+    entries.put(requestId, current);
     removeOldest(nowMs);
+    return isFirst || current.differsFrom(known) ? Optional.of(current) : Optional.empty();
   }
 
   private void removeOldest(long nowMs) {
@@ -63,11 +114,11 @@
         .filter(entry -> entry.expiresMs() >= timers.nowMs());
   }
 
-  /** Returns the origins that this instance has been told of and whose first event was relayed. */
-  synchronized Map<String, Entry> certain() {
+  /** Returns the records that this instance has been told of. */
+  synchronized Map<String, Entry> told() {
     long nowMs = timers.nowMs();
     return entries.entrySet().stream()
-        .filter(entry -> entry.getValue().attempt() == CERTAIN)
+        .filter(entry -> !entry.getValue().isStored())
         .filter(entry -> entry.getValue().expiresMs() >= nowMs)
         .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, Map.Entry::getValue));
   }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginTable.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginTable.java
@@ -9,6 +9,7 @@
 import io.mothrill.core.platform.Transaction;
 import io.mothrill.core.time.Timers;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -164,7 +165,7 @@
         Stream.of(cells.text(IDS + number).split(" "))
             .filter(Predicate.not(String::isEmpty))
             .toList();
-    ids.forEach(id -> records.add(id, origin, OriginRecords.READ_FROM_TABLE, keepMs));
+    ids.forEach(id -> records.addStored(id, origin, keepMs));
     return ids.size();
   }
 
@@ -210,13 +211,20 @@
 
   /** Called when the first event of a stream has been recorded at this instance. */
   synchronized void onRecorded(String requestId, Entry entry) {
-    services.add(entry.origin().service());
-    if (recordedServices.contains(entry.origin().service())) {
+    Set<String> ownServices = services(entry);
+    services.addAll(ownServices);
+    if (!Collections.disjoint(recordedServices, ownServices)) {
       enqueue(requestId, entry);
       scheduleWrite();
     }
   }
 
+  private static Set<String> services(Entry entry) {
+    return entry.origins().stream()
+        .map(StreamOrigin::service)
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
   private void enqueue(String requestId, Entry entry) {
     if (!writers.isWriterOf(requestId)) {
       return;
@@ -254,10 +262,10 @@
         services.stream().filter(hasSeveralVersions).collect(Collectors.toUnmodifiableSet());
     if (!recordedServices.containsAll(several)) {
       records
-          .certain()
+          .told()
           .forEach(
               (id, entry) -> {
-                if (several.contains(entry.origin().service())) {
+                if (!Collections.disjoint(several, services(entry))) {
                   enqueue(id, entry);
                 }
               });
@@ -321,7 +329,11 @@
     Map<StreamOrigin, List<String>> idsByOrigin = new LinkedHashMap<>();
     batch.forEach(
         (id, entry) ->
-            idsByOrigin.computeIfAbsent(entry.origin(), origin -> new ArrayList<>()).add(id));
+            entry
+                .origins()
+                .forEach(
+                    origin ->
+                        idsByOrigin.computeIfAbsent(origin, key -> new ArrayList<>()).add(id)));
     long nowMs = timers.nowMs();
     Cells.Builder cells = Cells.builder();
     cells.add(AT, storeClock.nowMs());
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/RecordedPin.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/RecordedPin.java
@@ -6,9 +6,8 @@
 /**
  * The pin of a stream that may be taken up again; confined to the caller's event loop.
  *
- * <p>The origin is recorded when the request is sent, as the first event must not wait for it, and
- * once more when the event has come, as a record may be lost or belong to an attempt without
- * events.
+ * <p>The origin is recorded with the first event. An attempt without an event begins nothing, and
+ * the next one may bring the first event from another version.
  */
 final class RecordedPin implements StreamPin {
 
@@ -16,7 +15,6 @@
   private final String requestId;
   private final long keepMs;
   private Optional<StreamOrigin> required;
-  private int attempt;
 
   RecordedPin(
       StreamOrigins origins, String requestId, long keepMs, Optional<StreamOrigin> required) {
@@ -28,28 +26,23 @@
 
   @Override
   public void onSent(RegisteredUpstream upstream) {
-    attempt++;
-    record(originOf(upstream), required.isPresent() ? OriginRecords.CERTAIN : attempt);
+    required.ifPresent(this::record);
   }
 
   @Override
   public void onFirstEvent(RegisteredUpstream upstream) {
     if (required.isEmpty()) {
-      required = Optional.of(originOf(upstream));
-      record(required.get(), OriginRecords.CERTAIN);
+      required = Optional.of(new StreamOrigin(upstream.service(), upstream.version()));
+      required.ifPresent(this::record);
     }
   }
 
-  private void record(StreamOrigin origin, int number) {
+  private void record(StreamOrigin origin) {
     if (!requestId.isEmpty()) {
-      origins.record(requestId, origin, number, keepMs);
+      origins.record(requestId, origin, keepMs);
     }
   }
 
-  private static StreamOrigin originOf(RegisteredUpstream upstream) {
-    return new StreamOrigin(upstream.service(), upstream.version());
-  }
-
   @Override
   public Optional<String> requiredVersion() {
     return required.map(StreamOrigin::version);
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/StreamNotice.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/StreamNotice.java
@@ -1,6 +1,7 @@
 package io.mothrill.core.forward.stream;
 
 import java.util.Optional;
+import java.util.Set;
 
 /** A message between instances about the origins of streams; may be lost. */
 public sealed interface StreamNotice {
@@ -13,15 +14,14 @@
   String requestId();
 
   /**
-   * Tells the origin of a stream, so that the receiver can answer queries about it.
+   * Tells the origin of a stream whose first event was relayed, so that the receiver can answer
+   * queries about it.
    *
    * @param requestId the caller's id for the request that began the stream
    * @param origin the origin
-   * @param attempt the number of the attempt at an upstream; of two records the later one counts
    * @param keepMs for how long the stream may be taken up again
    */
-  record Record(String requestId, StreamOrigin origin, int attempt, long keepMs)
-      implements StreamNotice {}
+  record Record(String requestId, StreamOrigin origin, long keepMs) implements StreamNotice {}
 
   /**
    * Requests the origin of a stream.
@@ -36,12 +36,15 @@
    * Replies to a query.
    *
    * @param requestId the caller's id for the request that began the stream
-   * @param origin the recorded origin, if the sender has it
-   * @param attempt the attempt of the record
-   * @param onlyVersion the only version of the service that the sender has seen in the time of the
-   *     query, if there is one
+   * @param origins the recorded origins; several if a caller began the stream again under its id
+   * @param span when the sender's list had only one version of the service; empty if not known
    */
-  record Answer(
-      String requestId, Optional<StreamOrigin> origin, int attempt, Optional<String> onlyVersion)
-      implements StreamNotice {}
+  record Answer(String requestId, Set<StreamOrigin> origins, Optional<VersionSpan> span)
+      implements StreamNotice {
+
+    /** Copies the origins. */
+    public Answer {
+      origins = Set.copyOf(origins);
+    }
+  }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/StreamOrigins.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/StreamOrigins.java
@@ -3,7 +3,6 @@
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.platform.StoreClock;
 import io.mothrill.core.platform.TableService;
-import io.mothrill.core.time.Subscription;
 import io.mothrill.core.time.Timers;
 import java.util.List;
 import java.util.Map;
@@ -11,7 +10,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
@@ -31,14 +29,8 @@
  */
 public final class StreamOrigins {
 
-  /** Most answers arrive within a few milliseconds; the caller waits meanwhile. */
-  private static final long MAX_WAIT_MS = 250;
-
-  /** After this time those who have not answered are asked once more. */
-  private static final long REPEAT_AFTER_MS = 80;
-
-  /** After a record was found, others may still have that of a later attempt. */
-  private static final long LATER_RECORDS_MS = 20;
+  /** A record is told once more after this time, as messages may be lost. */
+  private static final long REPEAT_RECORD_AFTER_MS = 100;
 
   private final InstanceRecord self;
   private final OriginRecords records;
@@ -47,8 +39,9 @@
   private final OriginWriters writers;
   private final OriginTable table;
   private final StreamNoticeSender sender;
+  private final StoreClock storeClock;
   private final Timers timers;
-  private final Map<String, List<Search>> searches = new ConcurrentHashMap<>();
+  private final Map<String, List<OriginSearch>> searches = new ConcurrentHashMap<>();
   private final LongAdder knownCount = new LongAdder();
   private final LongAdder unknownCount = new LongAdder();
 
@@ -85,6 +78,7 @@
             storeClock,
             timers);
     this.sender = sender;
+    this.storeClock = storeClock;
     this.timers = timers;
   }
 
@@ -100,37 +94,29 @@
     return new RecordedPin(this, requestId, keepMs, origin);
   }
 
-  /** Records the origin of a stream here and at other instances; later attempts count. */
-  void record(String requestId, StreamOrigin origin, int attempt, long keepMs) {
-    add(requestId, origin, attempt, keepMs);
-    sender.send(
-        new StreamNotice.Record(requestId, origin, attempt, keepMs),
-        recipients(requestId, attempt));
+  /** Records the origin of a stream here and at other instances. */
+  void record(String requestId, StreamOrigin origin, long keepMs) {
+    add(requestId, origin, keepMs);
+    StreamNotice.Record told = new StreamNotice.Record(requestId, origin, keepMs);
+    List<InstanceRecord> recipients = recipients(requestId);
+    sender.send(told, recipients);
+    timers.after(REPEAT_RECORD_AFTER_MS, () -> sender.send(told, recipients));
   }
 
-  private void add(String requestId, StreamOrigin origin, int attempt, long keepMs) {
-    records.add(requestId, origin, attempt, keepMs);
-    if (attempt == OriginRecords.CERTAIN) {
-      records.find(requestId).ifPresent(entry -> table.onRecorded(requestId, entry));
-    }
+  private void add(String requestId, StreamOrigin origin, long keepMs) {
+    records
+        .add(requestId, origin, keepMs)
+        .ifPresent(changed -> table.onRecorded(requestId, changed));
   }
 
-  private List<InstanceRecord> recipients(String requestId, int attempt) {
+  private List<InstanceRecord> recipients(String requestId) {
     List<InstanceRecord> recording = holders.toRecordAt(requestId);
     InstanceRecord writer = writers.writerOf(requestId);
-    return attempt < OriginRecords.CERTAIN || writer.equals(self) || recording.contains(writer)
+    return writer.equals(self) || recording.contains(writer)
         ? recording
         : Stream.concat(recording.stream(), Stream.of(writer)).toList();
   }
 
-  private static void log(String requestId, Optional<StreamOrigin> origin, String source) {
-    Logger.info(
-        "stream taken up stream={} version={} source={}",
-        requestId,
-        origin.map(StreamOrigin::version).orElse("unknown"),
-        source);
-  }
-
   /** Returns the instances that may know an origin from messages or from the table. */
   private List<InstanceRecord> toAsk(String requestId) {
     return Stream.concat(holders.toAsk(requestId).stream(), writers.toAsk(requestId).stream())
@@ -149,7 +135,20 @@
   public CompletableFuture<Optional<StreamOrigin>> find(
       String requestId, String service, long begunWithinMs) {
     long withinMs = Math.max(begunWithinMs, records.longestKeepMs());
-    return search(requestId, service, withinMs).thenApply(this::count);
+    Optional<OriginRecords.Entry> recorded = records.find(requestId);
+    return recorded
+        .map(entry -> CompletableFuture.completedFuture(ownOrigin(requestId, entry)))
+        .orElseGet(() -> search(new StreamNotice.Query(requestId, service, withinMs)))
+        .thenApply(this::count);
+  }
+
+  private static Optional<StreamOrigin> ownOrigin(String requestId, OriginRecords.Entry entry) {
+    Logger.info(
+        "stream taken up stream={} version={} source=own record records={}",
+        requestId,
+        entry.origin().map(StreamOrigin::version).orElse("unknown"),
+        entry.origins().size());
+    return entry.origin();
   }
 
   private Optional<StreamOrigin> count(Optional<StreamOrigin> found) {
@@ -157,27 +156,29 @@
     return found;
   }
 
-  private CompletableFuture<Optional<StreamOrigin>> search(
-      String requestId, String service, long begunWithinMs) {
-    Optional<StreamOrigin> recorded = records.find(requestId).map(OriginRecords.Entry::origin);
-    Optional<StreamOrigin> known =
-        recorded.or(
-            () ->
-                onlyVersion(service, begunWithinMs)
-                    .map(version -> new StreamOrigin(service, version)));
-    List<InstanceRecord> asked = requestId.isEmpty() ? List.of() : toAsk(requestId);
-    if (known.isPresent() || asked.isEmpty()) {
-      log(requestId, known, recorded.isPresent() ? "own record" : "versions seen here");
-      return CompletableFuture.completedFuture(known);
-    }
-    Search search = new Search(requestId, service, begunWithinMs, asked);
-    searches.computeIfAbsent(requestId, key -> new CopyOnWriteArrayList<>()).add(search);
-    search.start();
-    return search.found;
+  private CompletableFuture<Optional<StreamOrigin>> search(StreamNotice.Query query) {
+    OriginSearch search =
+        new OriginSearch(
+            query,
+            storeClock.nowMs() - query.begunWithinMs(),
+            query.requestId().isEmpty() ? List.of() : toAsk(query.requestId()),
+            served,
+            sender,
+            timers);
+    searches.merge(
+        query.requestId(),
+        List.of(search),
+        (running, added) -> Stream.concat(running.stream(), added.stream()).toList());
+    return search.start().whenComplete((found, error) -> remove(query.requestId(), search));
   }
 
-  private Optional<String> onlyVersion(String service, long begunWithinMs) {
-    return served.onlyVersion(service, Math.max(begunWithinMs, records.longestKeepMs()));
+  private void remove(String requestId, OriginSearch search) {
+    searches.computeIfPresent(
+        requestId,
+        (id, running) -> {
+          List<OriginSearch> others = running.stream().filter(other -> other != search).toList();
+          return others.isEmpty() ? null : others;
+        });
   }
 
   /**
@@ -188,7 +189,7 @@
    */
   public void onNotice(StreamNotice notice, InstanceRecord from) {
     if (notice instanceof StreamNotice.Record told) {
-      add(told.requestId(), told.origin(), told.attempt(), told.keepMs());
+      add(told.requestId(), told.origin(), told.keepMs());
     } else if (notice instanceof StreamNotice.Query query) {
       sender.send(answerTo(query), List.of(from));
     } else if (notice instanceof StreamNotice.Answer answer) {
@@ -199,12 +200,10 @@
   }
 
   private StreamNotice.Answer answerTo(StreamNotice.Query query) {
-    Optional<OriginRecords.Entry> entry = records.find(query.requestId());
     return new StreamNotice.Answer(
         query.requestId(),
-        entry.map(OriginRecords.Entry::origin),
-        entry.map(OriginRecords.Entry::attempt).orElse(0),
-        onlyVersion(query.service(), query.begunWithinMs()));
+        records.find(query.requestId()).map(OriginRecords.Entry::origins).orElse(Set.of()),
+        served.span(query.service()));
   }
 
   /**
@@ -251,75 +250,4 @@
   public long readCount() {
     return table.readCount();
   }
-
-  /** A search for one origin at other instances. */
-  private final class Search {
-    private final StreamNotice.Query query;
-    private final List<InstanceRecord> asked;
-    private final Set<String> answeredHosts = ConcurrentHashMap.newKeySet();
-    private final CompletableFuture<Optional<StreamOrigin>> found = new CompletableFuture<>();
-    private StreamNotice.Answer best;
-    private Optional<String> onlyVersion = Optional.empty();
-    private Subscription repeat = () -> {};
-    private Subscription end = () -> {};
-
-    Search(String requestId, String service, long begunWithinMs, List<InstanceRecord> asked) {
-      this.query = new StreamNotice.Query(requestId, service, begunWithinMs);
-      this.asked = asked;
-    }
-
-    void start() {
-      repeat = timers.after(REPEAT_AFTER_MS, this::askAgain);
-      end = timers.after(MAX_WAIT_MS, this::finish);
-      sender.send(query, asked);
-    }
-
-    private void askAgain() {
-      sender.send(
-          query,
-          asked.stream().filter(instance -> !answeredHosts.contains(instance.host())).toList());
-    }
-
-    synchronized void onAnswer(StreamNotice.Answer answer, String host) {
-      answeredHosts.add(host);
-      onlyVersion = onlyVersion.or(answer::onlyVersion);
-      boolean isFirst = best == null && answer.origin().isPresent();
-      if (isFirst || (best != null && answer.attempt() > best.attempt())) {
-        best = answer;
-      }
-      if (answeredHosts.size() >= hostCount()) {
-        finish();
-      } else if (isFirst) {
-        timers.after(LATER_RECORDS_MS, this::finish);
-      }
-    }
-
-    private long hostCount() {
-      return asked.stream().map(InstanceRecord::host).distinct().count();
-    }
-
-    private synchronized void finish() {
-      repeat.cancel();
-      end.cancel();
-      searches.computeIfPresent(
-          query.requestId(),
-          (id, running) -> {
-            running.remove(this);
-            return running.isEmpty() ? null : running;
-          });
-      Optional<StreamOrigin> origin =
-          best != null
-              ? best.origin()
-              : onlyVersion.map(version -> new StreamOrigin(query.service(), version));
-      log(
-          query.requestId(),
-          origin,
-          (best != null ? "record of another instance" : "versions seen elsewhere")
-              + ", hosts answered "
-              + answeredHosts.size()
-              + " of "
-              + hostCount());
-      found.complete(origin);
-    }
-  }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/TableReader.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/TableReader.java
@@ -8,6 +8,7 @@
 import io.mothrill.core.time.Timers;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 
 /**
  * Reads one table from the platform's store periodically.
@@ -31,6 +32,9 @@
 
   private static final int MAX_PENDING = 3;
 
+  /** Shortest interval between reads of the whole table that requests wait for. */
+  private static final long MIN_REFRESH_INTERVAL_MS = 100;
+
   /** Receives the outcomes of reads. */
   interface Listener {
 
@@ -61,6 +65,8 @@
   private final ReadStats stats;
   private final Listener listener;
   private final List<PendingRead> pending = new ArrayList<>();
+  private List<CompletableFuture<Long>> refreshes = new ArrayList<>();
+  private long nextRefreshMs = Long.MIN_VALUE;
   private boolean due;
   private volatile boolean wholeFailed;
   private volatile long nextWholeMs = Long.MIN_VALUE;
@@ -140,7 +146,60 @@
     }
   }
 
+  /**
+   * Reads the whole table; calls at about the same time share a read.
+   *
+   * @return when the table was complete, once the listener has received it; the read begins after
+   *     this call
+   */
+  CompletableFuture<Long> refresh() {
+    CompletableFuture<Long> result = new CompletableFuture<>();
+    long delayMs;
+    synchronized (this) {
+      refreshes.add(result);
+      long nowMs = timers.nowMs();
+      boolean isScheduled = nextRefreshMs > nowMs && refreshes.size() > 1;
+      delayMs = isScheduled ? -1 : Math.max(0, nextRefreshMs - nowMs);
+    }
+    if (delayMs == 0) {
+      readWhole();
+    } else if (delayMs > 0) {
+      timers.after(delayMs, this::readIfAwaited);
+    }
+    return result;
+  }
+
+  private void readIfAwaited() {
+    boolean isAwaited;
+    synchronized (this) {
+      isAwaited = !refreshes.isEmpty();
+    }
+    if (isAwaited) {
+      readWhole();
+    }
+  }
+
+  private synchronized List<CompletableFuture<Long>> takeRefreshes() {
+    List<CompletableFuture<Long>> taken = refreshes;
+    refreshes = new ArrayList<>();
+    nextRefreshMs = timers.nowMs() + MIN_REFRESH_INTERVAL_MS;
+    return taken;
+  }
+
+  private static void complete(
+      List<CompletableFuture<Long>> refreshes, TableRead read, Throwable error) {
+    refreshes.forEach(
+        refresh -> {
+          if (error == null) {
+            refresh.complete(read.confirmedStoreMs());
+          } else {
+            refresh.completeExceptionally(error);
+          }
+        });
+  }
+
   private void readWhole() {
+    final List<CompletableFuture<Long>> waiting = takeRefreshes();
     PendingRead read = add();
     var unused =
         source
@@ -150,6 +209,7 @@
                   wholeFailed = error != null;
                   deferWhole(read, wholeFailed);
                   onEnded(read, result, error);
+                  complete(waiting, result, error);
                 });
   }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/ViewController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/ViewController.java
@@ -3,6 +3,7 @@
 import io.mothrill.core.board.PublishedValue;
 import io.mothrill.core.forward.plan.ForwardingPlan;
 import io.mothrill.core.forward.upstream.UpstreamList;
+import io.mothrill.core.forward.upstream.UpstreamListState;
 import io.mothrill.core.forward.view.exchange.TableMerger;
 import io.mothrill.core.forward.view.table.TableCopy;
 import io.mothrill.core.forward.view.table.TableRead;
@@ -16,6 +17,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
@@ -213,6 +215,34 @@
     return readers.get(table).confirmedAgeMs();
   }
 
+  /**
+   * Returns how far the list of upstreams is complete.
+   *
+   * @return a view that follows the copy of the table
+   */
+  public UpstreamListState upstreamListState() {
+    TableCopy copy = copies.get(ViewTable.UPSTREAMS);
+    return new UpstreamListState() {
+      @Override
+      public long readMs() {
+        return copy.state().confirmedStoreMs();
+      }
+
+      @Override
+      public long publishedMs() {
+        TableState state = copy.state();
+        return publisher.publishedUpstreamsVersion() >= state.changeVersion()
+            ? state.confirmedStoreMs()
+            : UNKNOWN_MS;
+      }
+
+      @Override
+      public CompletableFuture<Long> refresh() {
+        return readers.get(ViewTable.UPSTREAMS).refresh();
+      }
+    };
+  }
+
   /**
    * Returns the counts of reads from the store.
    *
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/ViewPublisher.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/ViewPublisher.java
@@ -70,6 +70,11 @@
         timers.nowMs() - startedMs);
   }
 
+  /** Returns the version of the store as of which the upstreams are published. */
+  synchronized long publishedUpstreamsVersion() {
+    return publishedUpstreamsVersion;
+  }
+
   /**
    * Publishes the upstreams.
    *
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/stream/ReplacementHistory.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/stream/ReplacementHistory.java
@@ -1,6 +1,5 @@
 package io.mothrill.core.forward.stream;
 
-import io.mothrill.core.board.PublishedValue;
 import io.mothrill.core.fake.FakeTable;
 import io.mothrill.core.fake.Fault;
 import io.mothrill.core.fake.ManualTimers;
@@ -54,7 +53,7 @@
     private final InstanceRecord self;
     private final List<InstanceRecord> others;
     private final List<Stream> streams = new ArrayList<>();
-    private PublishedValue<UpstreamList> upstreams;
+    private int processNumber;
     private StreamOrigins origins;
     private boolean isRunning;
 
@@ -66,23 +65,26 @@
 
     private void start() {
       isRunning = true;
-      upstreams = new PublishedValue<>(UpstreamList.empty());
-      ServedVersions served = new ServedVersions(upstreams, () -> 0, timers);
-      Object process = upstreams;
+      int process = processNumber;
+      PolledUpstreamList upstreams =
+          new PolledUpstreamList(
+              ReplacementHistory.this::list, () -> process == processNumber, timers);
+      WallClockStoreClock storeClock = new WallClockStoreClock(timers);
+      ServedVersions served =
+          new ServedVersions(upstreams.published(), upstreams, storeClock, timers);
       origins =
           new StreamOrigins(
               self,
               () -> others,
               served,
               (notice, to) -> {
-                if (process == upstreams) {
+                if (process == processNumber) {
                   to.forEach(peer -> deliver(notice, fleet.get(peer.peerPort())));
                 }
               },
               table,
-              new WallClockStoreClock(timers),
+              storeClock,
               timers);
-      upstreams.publish(list());
     }
 
     private void deliver(StreamNotice notice, Instance to) {
@@ -102,8 +104,7 @@
       isRunning = false;
       streams.stream().filter(Stream::hasBegun).forEach(Stream::onBroken);
       streams.clear();
-      // Timers of the killed process find nothing to do.
-      upstreams = new PublishedValue<>(UpstreamList.empty());
+      processNumber++;
       timers.after(RESTART_MS + random.nextInt(300), this::start);
     }
   }
@@ -236,9 +237,6 @@
   void replace(int count) {
     oldCount -= count;
     newCount += count;
-    fleet.stream()
-        .filter(instance -> instance.isRunning)
-        .forEach(instance -> instance.upstreams.publish(list()));
   }
 
   void killAll() {
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/stream/StreamOriginsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/stream/StreamOriginsTest.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import io.mothrill.core.board.PublishedValue;
 import io.mothrill.core.fake.FakeTable;
 import io.mothrill.core.fake.ManualTimers;
 import io.mothrill.core.forward.upstream.RegisteredUpstream;
@@ -30,6 +29,10 @@
 
   private static final String SERVICE = "asistan";
   private static final long KEEP_MS = 17_000;
+
+  /** Upstreams that have left the list serve on for up to 20 s. */
+  private static final long KNOWN_AFTER_MS = KEEP_MS + 21_000;
+
   private static final int DOMAINS = 4;
   private static final int HOP_MS = 3;
   private static final double LOST = 0.03;
@@ -80,15 +83,12 @@
 
   private void register(String... versions) {
     registered = list(versions);
-    fleet.forEach(instance -> instance.upstreams.publish(registered));
   }
 
   /** An instance, which may die and start again without its memory. */
   private final class Instance {
     private final InstanceRecord self;
     private final List<InstanceRecord> others;
-    private final PublishedValue<UpstreamList> upstreams =
-        new PublishedValue<>(UpstreamList.empty());
     private StreamOrigins origins;
     private boolean isAlive = true;
     private int side;
@@ -97,14 +97,13 @@
       this.self = self;
       this.others = all.stream().filter(other -> !other.equals(self)).toList();
       start();
-      upstreams.publish(registered);
     }
 
     private void start() {
-      PublishedValue<UpstreamList> seen = new PublishedValue<>(UpstreamList.empty());
-      ServedVersions served = new ServedVersions(seen, () -> side == 0 ? 0 : 60_000, timers);
-      upstreams.subscribe(seen::publish);
-      seen.publish(registered);
+      PolledUpstreamList upstreams =
+          new PolledUpstreamList(() -> registered, () -> side == 0, timers);
+      ServedVersions served =
+          new ServedVersions(upstreams.published(), upstreams, storeClock, timers);
       origins =
           new StreamOrigins(self, () -> others, served, this::send, table, storeClock, timers);
     }
@@ -158,7 +157,7 @@
     random = new Random(seed);
     startFleet(count);
     register("v1", "v1.1", "v1", "v1.1");
-    timers.advanceMs(2 * KEEP_MS);
+    timers.advanceMs(KNOWN_AFTER_MS);
     int known = 0;
     int all = 0;
     for (int round = 0; round < 30; round++) {
@@ -198,7 +197,7 @@
   @Test
   void onlyVersionOfTheTimeNeedsNoRecord() {
     startFleet(6);
-    timers.advanceMs(KEEP_MS);
+    timers.advanceMs(KNOWN_AFTER_MS);
 
     assertThat(find(fleet.get(0), "unknown")).hasValue(new StreamOrigin(SERVICE, "v1"));
   }
@@ -207,13 +206,13 @@
   @Test
   void streamIsNotContinuedWhileTwoVersionsCanHaveBegunIt() {
     startFleet(6);
-    timers.advanceMs(2 * KEEP_MS);
+    timers.advanceMs(KNOWN_AFTER_MS);
     register("v1", "v1.1");
     register("v1.1");
 
     assertThat(find(fleet.get(0), "unknown")).isEmpty();
 
-    timers.advanceMs(KEEP_MS);
+    timers.advanceMs(KNOWN_AFTER_MS);
     assertThat(find(fleet.get(0), "unknown")).hasValue(new StreamOrigin(SERVICE, "v1.1"));
   }
 
@@ -221,7 +220,7 @@
   @Test
   void onlyVersionOfOneServiceIsNotEnoughForSeveral() {
     startFleet(6);
-    timers.advanceMs(2 * KEEP_MS);
+    timers.advanceMs(KNOWN_AFTER_MS);
 
     CompletableFuture<Optional<StreamOrigin>> found =
         fleet.get(0).origins.find("unknown", "", KEEP_MS);
@@ -234,7 +233,7 @@
   @Test
   void startedInstanceLearnsFromOthersThatThereIsOneVersion() {
     startFleet(6);
-    timers.advanceMs(2 * KEEP_MS);
+    timers.advanceMs(KNOWN_AFTER_MS);
     fleet.get(0).restart();
     timers.advanceMs(1_000);
 
@@ -245,7 +244,7 @@
   @Test
   void instanceThatIsCutOffDoesNotGuess() {
     startFleet(6);
-    timers.advanceMs(2 * KEEP_MS);
+    timers.advanceMs(KNOWN_AFTER_MS);
     fleet.get(0).side = 1;
 
     assertThat(find(fleet.get(0), "unknown")).isEmpty();
@@ -255,7 +254,7 @@
   void upstreamsWithoutVersionCountAsOne() {
     registered = list("", "");
     startFleet(6);
-    timers.advanceMs(2 * KEEP_MS);
+    timers.advanceMs(KNOWN_AFTER_MS);
 
     assertThat(find(fleet.get(0), "unknown")).hasValue(new StreamOrigin(SERVICE, ""));
   }
@@ -265,7 +264,7 @@
   @Test
   void streamsFromBeforeTimeoutWasShortenedAreNotGuessed() {
     startFleet(6);
-    timers.advanceMs(2 * KEEP_MS);
+    timers.advanceMs(KNOWN_AFTER_MS);
     fleet.get(1).begin("known", "v1");
     timers.advanceMs(100);
     register("v1.1");
@@ -284,7 +283,7 @@
   void streamsOfEveryInstanceOutlastPowerLoss() {
     startFleet(6);
     register("v1", "v1.1");
-    timers.advanceMs(2 * KEEP_MS);
+    timers.advanceMs(KNOWN_AFTER_MS);
     for (int stream = 0; stream < 20; stream++) {
       for (int number = 0; number < fleet.size(); number++) {
         fleet.get(number).begin(number + "-" + stream, stream % 2 == 0 ? "v1" : "v1.1");
@@ -312,14 +311,12 @@
         .toList();
   }
 
-  // The record of an attempt that brought no event arrives after that of the one that did.
   @Test
-  void recordOfLaterAttemptCounts() {
+  void recordsExpire() {
     OriginRecords records = new OriginRecords(timers);
-    records.add("a", new StreamOrigin(SERVICE, "v1.1"), 2, KEEP_MS);
-    records.add("a", new StreamOrigin(SERVICE, "v1"), 1, KEEP_MS);
+    assertThat(records.add("a", new StreamOrigin(SERVICE, "v1.1"), KEEP_MS)).isPresent();
 
-    assertThat(records.find("a").orElseThrow().origin().version()).isEqualTo("v1.1");
+    assertThat(records.find("a").orElseThrow().origin().orElseThrow().version()).isEqualTo("v1.1");
 
     timers.advanceMs(KEEP_MS + 1);
     assertThat(records.find("a").isPresent()).isFalse();
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -26,7 +26,6 @@
 import io.mothrill.core.forward.view.ViewController;
 import io.mothrill.core.forward.view.exchange.ViewExchange;
 import io.mothrill.core.forward.view.exchange.ViewNotice;
-import io.mothrill.core.forward.view.table.ViewTable;
 import io.mothrill.core.peer.PeerDispatcher;
 import io.mothrill.core.peer.PeerMessage;
 import io.mothrill.core.platform.InstanceRecord;
@@ -233,7 +232,7 @@
         new StreamOrigins(
             self,
             spending::peers,
-            new ServedVersions(upstreams, () -> view.confirmedAgeMs(ViewTable.UPSTREAMS), timers),
+            new ServedVersions(upstreams, view.upstreamListState(), ports.storeClock(), timers),
             this::sendStreamNotice,
             ports.table(),
             ports.storeClock(),
--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/StreamNoticeCodec.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/StreamNoticeCodec.java
@@ -2,10 +2,13 @@
 
 import io.mothrill.core.forward.stream.StreamNotice;
 import io.mothrill.core.forward.stream.StreamOrigin;
+import io.mothrill.core.forward.stream.VersionSpan;
 import io.mothrill.wire.peer.generated.OriginAnswer;
 import io.mothrill.wire.peer.generated.OriginQuery;
 import io.mothrill.wire.peer.generated.OriginRecord;
 import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** Converts messages about the origins of streams from and to protobuf. */
 final class StreamNoticeCodec {
@@ -13,6 +16,12 @@
   /** Longer than ids that callers choose; longer ones are not recorded. */
   private static final int MAX_ID_CHARS = 200;
 
+  /** The attempt of an origin whose first event was relayed. */
+  private static final int BEGUN = Integer.MAX_VALUE;
+
+  /** The attempt under which earlier releases answer with what they have read from the table. */
+  private static final int STORED = BEGUN - 1;
+
   private StreamNoticeCodec() {}
 
   static io.mothrill.wire.peer.generated.StreamNotice write(StreamNotice notice) {
@@ -22,7 +31,7 @@
       builder.setRecord(
           OriginRecord.newBuilder()
               .setOrigin(writeOrigin(told.origin()))
-              .setAttempt(told.attempt())
+              .setAttempt(BEGUN)
               .setKeepMs(told.keepMs()));
     } else if (notice instanceof StreamNotice.Query query) {
       builder.setQuery(
@@ -30,14 +39,32 @@
               .setService(query.service())
               .setBegunWithinMs(query.begunWithinMs()));
     } else if (notice instanceof StreamNotice.Answer answer) {
-      OriginAnswer.Builder written = OriginAnswer.newBuilder().setAttempt(answer.attempt());
-      answer.origin().map(StreamNoticeCodec::writeOrigin).ifPresent(written::setOrigin);
-      answer.onlyVersion().ifPresent(written::setOnlyVersion);
-      builder.setAnswer(written);
+      builder.setAnswer(writeAnswer(answer));
     }
     return builder.build();
   }
 
+  private static OriginAnswer writeAnswer(StreamNotice.Answer answer) {
+    OriginAnswer.Builder written = OriginAnswer.newBuilder();
+    answer.origins().stream()
+        .findFirst()
+        .ifPresent(origin -> written.setOrigin(writeOrigin(origin)).setAttempt(BEGUN));
+    answer.origins().stream()
+        .skip(1)
+        .map(StreamNoticeCodec::writeOrigin)
+        .forEach(written::addMoreOrigins);
+    answer
+        .span()
+        .ifPresent(
+            span ->
+                written.setSpan(
+                    io.mothrill.wire.peer.generated.VersionSpan.newBuilder()
+                        .setVersion(span.version())
+                        .setFromMs(span.fromMs())
+                        .setUntilMs(span.untilMs())));
+    return written.build();
+  }
+
   private static io.mothrill.wire.peer.generated.StreamOrigin writeOrigin(StreamOrigin origin) {
     return io.mothrill.wire.peer.generated.StreamOrigin.newBuilder()
         .setService(origin.service())
@@ -65,19 +92,30 @@
   }
 
   private static Optional<StreamNotice> record(String requestId, OriginRecord told) {
-    return told.hasOrigin() && told.getAttempt() > 0 && told.getKeepMs() > 0
+    return told.hasOrigin() && told.getAttempt() >= STORED && told.getKeepMs() > 0
         ? Optional.of(
-            new StreamNotice.Record(
-                requestId, readOrigin(told.getOrigin()), told.getAttempt(), told.getKeepMs()))
+            new StreamNotice.Record(requestId, readOrigin(told.getOrigin()), told.getKeepMs()))
         : Optional.empty();
   }
 
   private static StreamNotice answer(String requestId, OriginAnswer answer) {
     return new StreamNotice.Answer(
         requestId,
-        answer.hasOrigin() ? Optional.of(readOrigin(answer.getOrigin())) : Optional.empty(),
-        answer.getAttempt(),
-        answer.hasOnlyVersion() ? Optional.of(answer.getOnlyVersion()) : Optional.empty());
+        Stream.concat(origin(answer).stream(), answer.getMoreOriginsList().stream())
+            .map(StreamNoticeCodec::readOrigin)
+            .collect(Collectors.toUnmodifiableSet()),
+        answer.hasSpan() ? Optional.of(readSpan(answer.getSpan())) : Optional.empty());
+  }
+
+  private static Optional<io.mothrill.wire.peer.generated.StreamOrigin> origin(
+      OriginAnswer answer) {
+    return answer.hasOrigin() && answer.getAttempt() >= STORED
+        ? Optional.of(answer.getOrigin())
+        : Optional.empty();
+  }
+
+  private static VersionSpan readSpan(io.mothrill.wire.peer.generated.VersionSpan span) {
+    return new VersionSpan(span.getVersion(), span.getFromMs(), span.getUntilMs());
   }
 
   private static StreamOrigin readOrigin(io.mothrill.wire.peer.generated.StreamOrigin origin) {
