Refused tokens are never counted as spent

Cause: a reservation added its tokens before it checked them; a row that was proposed in between counted them as spent, and a grant that was not compared with the budget allowed as many beyond its limit. Class: a value that is not valid yet is visible to others. Change: reservations and proposals exclude each other; a limit grows by unassigned tokens only, and not at all while the row may not change, whatever counts as spent.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantCalculator.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/GrantCalculator.java
@@ -156,15 +156,20 @@
   /** Calculates a grant; unless {@code mayChange} is set, the limit stays as it is in the table. */
   SpendingGrant calculate(TeamState state, long spentTokens, boolean mayChange) {
     if (!mayChange) {
-      return calculate(state, spentTokens, held(state, spentTokens));
+      return calculate(state, spentTokens, held(state, spentTokens), state.ownLimitTokens());
     }
     if (state.returningAll()) {
       return new SpendingGrant(spentTokens, spentTokens, 0, 0, 0, 0);
     }
-    return calculate(state, spentTokens, tokensToHold(state, spentTokens));
+    return calculate(
+        state,
+        spentTokens,
+        tokensToHold(state, spentTokens),
+        state.ownLimitTokens() + state.unassignedTokens());
   }
 
-  private static SpendingGrant calculate(TeamState state, long spentTokens, long held) {
+  private static SpendingGrant calculate(
+      TeamState state, long spentTokens, long held, long maxLimitTokens) {
     long typical = state.typicalOrDefaultTokens();
     long immediate = state.holder() ? immediateTokens(state, spentTokens) : 0;
     long wantedImmediate = immediate + state.wantedTokens();
@@ -176,7 +181,7 @@
     double fastRelease = fastReleaseTokensPerS(state, spentTokens);
     return new SpendingGrant(
         spentTokens,
-        spentTokens + held,
+        Math.min(spentTokens + held, maxLimitTokens),
         Math.min(held, wantedImmediate),
         Math.round(slowRelease),
         Math.round(Math.max(slowRelease, fastRelease)),
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamSpending.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/spending/TeamSpending.java
@@ -73,13 +73,16 @@
     return true;
   }
 
-  /** Adds before it checks, so that a row that is proposed concurrently is not exceeded. */
-  private boolean tryAdd(long tokens) {
-    if (spentTokens.addAndGet(tokens) <= boundTokens()) {
-      return true;
+  /**
+   * Adds tokens only once they are allowed, and no row is proposed in between: a row that counted
+   * tokens that were refused would allow as many beyond the budget.
+   */
+  private synchronized boolean tryAdd(long tokens) {
+    if (spentTokens.get() + tokens > boundTokens()) {
+      return false;
     }
-    spentTokens.addAndGet(-tokens);
-    return false;
+    spentTokens.addAndGet(tokens);
+    return true;
   }
 
   /**
@@ -167,18 +170,10 @@
    * @param calculator calculates the grant from the tokens spent so far
    * @return the grant to send
    */
-  public SentGrant propose(LongFunction<SpendingGrant> calculator) {
-    long nowMs = timers.nowMs();
-    while (true) {
-      SentGrant sent = new SentGrant(calculator.apply(spentTokens.get()), nowMs);
-      possibleGrants.updateAndGet(
-          before -> Stream.concat(before.stream(), Stream.of(sent)).toList());
-      if (spentTokens.get() <= sent.boundAt(nowMs)) {
-        return sent;
-      }
-      // Another thread has reserved tokens in between: the row must include them.
-      retract(sent);
-    }
+  public synchronized SentGrant propose(LongFunction<SpendingGrant> calculator) {
+    SentGrant sent = new SentGrant(calculator.apply(spentTokens.get()), timers.nowMs());
+    possibleGrants.updateAndGet(before -> Stream.concat(before.stream(), Stream.of(sent)).toList());
+    return sent;
   }
 
   /**
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/spending/TeamSpendingTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/spending/TeamSpendingTest.java
@@ -3,7 +3,16 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.mothrill.core.fake.ManualTimers;
+import io.mothrill.core.time.Timers;
+import java.lang.reflect.Proxy;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class TeamSpendingTest {
 
@@ -67,6 +76,45 @@
     assertThat(spending.tryReserve(51)).isTrue();
   }
 
+  // Guards against spending beyond the budget: a row that is proposed while a request is refused
+  // counts the tokens of the request as spent, and allows as many beyond its limit.
+  @Test
+  void refusedTokensAreNeverCountedAsSpent() {
+    List<Long> seenTokens = new ArrayList<>();
+    AtomicReference<TeamSpending> observed = new AtomicReference<>();
+    Timers observing =
+        (Timers)
+            Proxy.newProxyInstance(
+                Timers.class.getClassLoader(),
+                new Class<?>[] {Timers.class},
+                (proxy, method, args) -> {
+                  Optional.ofNullable(observed.get())
+                      .ifPresent(spending -> seenTokens.add(spending.spentTokens()));
+                  return method.invoke(timers, args);
+                });
+    TeamSpending refusing = new TeamSpending(observing, 100);
+    observed.set(refusing);
+
+    assertThat(refusing.tryReserve(1_000)).isFalse();
+    assertThat(refusing.lend(1_000, 1_000, 1)).isEqualTo(0);
+
+    assertThat(Set.copyOf(seenTokens)).containsExactly(100L);
+  }
+
+  // Guards against a limit that grows without tokens of the budget, whatever counts as spent.
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void limitGrowsOnlyByUnassignedTokens(boolean mayChange) {
+    GrantCalculator.TeamState spentBudget =
+        new GrantCalculator.TeamState(
+            1_000, 1_000, 400, 0, 0, 0, 0, 10, 10, 100, 0, true, 1, true, false);
+
+    SpendingGrant grant =
+        new GrantCalculator(new DemandSharePolicy()).calculate(spentBudget, 450, mayChange);
+
+    assertThat(grant.limitTokens()).isAtMost(400);
+  }
+
   @Test
   void releasesTokensWithTheAgeOfTheRow() {
     spending.confirm(propose(1_000, 0, 100));
