--- a/mothrill-core/src/test/java/io/mothrill/core/forward/stream/LateListTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/stream/LateListTest.java
@@ -319,4 +319,87 @@
 
     assertThat(takeUp(first())).hasValue(OLD);
   }
+
+  // Upstreams whose entries have expired in a cut serve on behind it for as long as it lasts.
+  @ParameterizedTest
+  @MethodSource("fleetsAndAges")
+  void versionServesBehindLongCut(int count, int ageMs) {
+    startFleet(count);
+    last().cutOff();
+    registered = list(NEW);
+    timers.advanceMs(CALM_MS + ageMs);
+    begin(last(), OLD);
+    timers.advanceMs(KEEP_MS - 1_000);
+
+    assertThat(takeUp(first())).isEmpty();
+  }
+
+  // A plan has shortened the timeout of the route. The stream is from before; this instance runs
+  // since before that plan, but was told of no such stream.
+  @ParameterizedTest
+  @MethodSource("fleetsAndAges")
+  void planThatShortensTimeoutDoesNotShortenStreams(int count, int ageMs) {
+    startFleet(count);
+    last().losesRecords = true;
+    StreamPin pin = last().origins.pin(ID, 65_000, Optional.empty());
+    pin.onSent(upstream(OLD));
+    pin.onFirstEvent(upstream(OLD));
+    registered = list(OLD, NEW);
+    timers.advanceMs(2_000);
+    registered = list(NEW);
+    timers.advanceMs(KEEP_MS + 22_000 + ageMs);
+    last().cutOff();
+
+    assertThat(takeUp(first())).isEmpty();
+  }
+
+  // All instances were killed and have started again, where one version has served for long.
+  @ParameterizedTest
+  @MethodSource("fleetsAndAges")
+  void streamOfTheOnlyVersionGoesOnAfterKillOfAll(int count, int ageMs) {
+    startFleet(count);
+    begin(last(), OLD);
+    timers.advanceMs(ageMs);
+    List<InstanceRecord> records = fleet.stream().map(instance -> instance.self).toList();
+    fleet.forEach(Instance::cutOff);
+    fleet.clear();
+    records.forEach(record -> fleet.add(new Instance(record, records)));
+    timers.advanceMs(2_000);
+
+    assertThat(takeUp(first())).hasValue(OLD);
+  }
+
+  // The store was down for three seconds, for all; then the instance that began the stream died and
+  // with it those that had the record.
+  @ParameterizedTest
+  @MethodSource("fleetsAndAges")
+  void streamOfTheOnlyVersionGoesOnAfterOutageOfTheStore(int count, int ageMs) {
+    startFleet(count);
+    last().losesRecords = true;
+    fleet.forEach(instance -> instance.reachesStore = false);
+    timers.advanceMs(3_000);
+    fleet.forEach(instance -> instance.reachesStore = true);
+    timers.advanceMs(18_000);
+    begin(last(), OLD);
+    timers.advanceMs(ageMs);
+    last().cutOff();
+
+    assertThat(takeUp(first())).hasValue(OLD);
+  }
+
+  // A caller has begun the stream again under the same id, at another version. The instance where
+  // it began first has a record, and others one that contradicts it.
+  @ParameterizedTest
+  @MethodSource("fleetsAndAges")
+  void ownRecordThatOthersContradictTellsNothing(int count, int ageMs) {
+    startFleet(count);
+    registered = list(OLD, NEW);
+    timers.advanceMs(2_000);
+    begin(first(), OLD);
+    timers.advanceMs(ageMs);
+    begin(last(), NEW);
+    timers.advanceMs(150);
+
+    assertThat(takeUp(first())).isNotEqualTo(Optional.of(OLD));
+  }
 }
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/view/table/TableCopyTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/view/table/TableCopyTest.java
@@ -141,4 +141,20 @@
 
     assertThat(one.state().confirmedStoreMs()).isEqualTo(1_000);
   }
+
+  // A copy read for the first time after a removal shows no trace of it. A copy that still has the
+  // row must not be confirmed by it, or it keeps the row for good: the feed shows only what is
+  // later.
+  @Test
+  void firstReadAfterRemovalDoesNotConfirmCopyWithTheRow() {
+    TableCopy earlier = new TableCopy(ViewTable.UPSTREAMS);
+    earlier.apply(TableRead.whole(2, 1_000, List.of(row("k0", 1), row("k1", 2))));
+    TableCopy started = new TableCopy(ViewTable.UPSTREAMS);
+    started.apply(TableRead.whole(4, 2_000, List.of(row("k1", 2))));
+
+    earlier.confirm(started.state());
+    earlier.apply(TableRead.changes(List.of(row("k2", 5)), Map.of()));
+
+    assertThat(earlier.state().confirmedStoreMs()).isEqualTo(1_000);
+  }
 }
