--- a/mothrill-core/src/test/java/io/mothrill/core/forward/stream/ServedVersionsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/stream/ServedVersionsTest.java
@@ -146,4 +146,17 @@
     assertThat(onlyVersion(new VersionSpan("v1", longAgoMs, nowMs - 6_000))).isEmpty();
     assertThat(onlyVersion(new VersionSpan("v1", nowMs - WITHIN_MS, nowMs - 2_000))).isEmpty();
   }
+
+  // While the list cannot tell the version of a stream, origins have to be written to the table, or
+  // nobody knows them after a kill of all instances.
+  @Test
+  void originsAreWrittenAsLongAsTheListDoesNotTellThem() {
+    registered = list("v1", "v1.1");
+    timers.advanceMs(KNOWN_AFTER_MS);
+    registered = list("v1.1");
+    timers.advanceMs(WITHIN_MS + 10_000);
+
+    assertThat(onlyVersion()).isEmpty();
+    assertThat(served.mayHaveSeveral(SERVICE, WITHIN_MS)).isTrue();
+  }
 }
