The list of upstreams decides last, and counts as published when it is

(1) The list decided after 30 ms, before a repeated question could bring a record. (2) An own record was not compared with others. (3) A row that changed between two pages of a read left the list unconfirmed until the next change. (4) A list counted as published before its followers were notified. (5) A read that another instance's copy had overtaken refused the stream. (6) Reads that requests wait for were bounded in time, not in number. (7) Origins were written for 20 s less than the list leaves them unknown. Change: the list decides once all have answered or the wait ends; own and other records are compared for 20 ms; the newest change that was published is compared, set after the notification; an overtaken read confirms the later copy; one such read at a time, no more often than the share of all instances allows; the same bounds for writing as for telling.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginRecords.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginRecords.java
@@ -85,11 +85,12 @@
   private synchronized Optional<Entry> put(
       String requestId, StreamOrigin origin, boolean isStored, long keepMs) {
     long nowMs = timers.nowMs();
-    if (keepMs >= longestKeepMs()) {
-      longestKeepMs = keepMs;
-      longestUntilMs = nowMs + keepMs;
+    long boundedKeepMs = Math.min(keepMs, MAX_KEEP_MS);
+    if (boundedKeepMs >= longestKeepMs()) {
+      longestKeepMs = boundedKeepMs;
+      longestUntilMs = nowMs + boundedKeepMs;
     }
-    Entry added = new Entry(Set.of(origin), isStored, nowMs + Math.min(keepMs, MAX_KEEP_MS));
+    Entry added = new Entry(Set.of(origin), isStored, nowMs + boundedKeepMs);
     Entry known = entries.remove(requestId);
     boolean isFirst = known == null || known.expiresMs() < nowMs;
     Entry current = isFirst ? added : known.with(added);
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginSearch.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/OriginSearch.java
@@ -12,11 +12,12 @@
 import org.tinylog.Logger;
 
 /**
- * A search for the origin of one stream that is not recorded at this instance.
+ * A search for the origin of one stream that a caller takes up.
  *
- * <p>A record of another instance tells it. Without one, the list of upstreams does if it has had
- * only one version for as long as the stream can have begun. The stream has begun before the search
- * starts, so the list is read again: one that was read before may lack the version that began it.
+ * <p>A record tells it, of this instance or of another. Without one, the list of upstreams does if
+ * it has had only one version for as long as the stream can have begun. The stream has begun before
+ * the search starts, so the list is read again: one that was read before may lack the version that
+ * began it.
  */
 final class OriginSearch {
 
@@ -34,6 +35,7 @@
 
   private final StreamNotice.Query query;
   private final long begunFromMs;
+  private final Set<StreamOrigin> ownOrigins;
   private final List<InstanceRecord> asked;
   private final ServedVersions served;
   private final StreamNoticeSender sender;
@@ -53,6 +55,7 @@
    *
    * @param query the question to other instances
    * @param begunFromMs when the stream can have begun at the earliest, on the clock of the store
+   * @param ownOrigins what this instance has recorded
    * @param asked the instances that may have a record
    * @param served the versions that have been registered
    * @param sender sends messages to other instances
@@ -61,12 +64,14 @@
   OriginSearch(
       StreamNotice.Query query,
       long begunFromMs,
+      Set<StreamOrigin> ownOrigins,
       List<InstanceRecord> asked,
       ServedVersions served,
       StreamNoticeSender sender,
       Timers timers) {
     this.query = query;
     this.begunFromMs = begunFromMs;
+    this.ownOrigins = ownOrigins;
     this.asked = asked;
     this.served = served;
     this.sender = sender;
@@ -79,11 +84,19 @@
       subscriptions.add(timers.after(MAX_WAIT_MS, this::finish));
       subscriptions.add(timers.after(REPEAT_AFTER_MS, this::askAgain));
       subscriptions.add(timers.after(asked.isEmpty() ? 0 : REFRESH_AFTER_MS, this::refresh));
+      addOrigins(ownOrigins);
     }
     sender.send(query, asked);
     return found;
   }
 
+  private synchronized void addOrigins(Set<StreamOrigin> added) {
+    if (origins.isEmpty() && !added.isEmpty()) {
+      subscriptions.add(timers.after(asked.isEmpty() ? 0 : MORE_RECORDS_MS, this::finish));
+    }
+    origins.addAll(added);
+  }
+
   private synchronized void askAgain() {
     sender.send(
         query,
@@ -95,10 +108,7 @@
     synchronized (this) {
       answeredHosts.add(host);
       answer.span().ifPresent(spans::add);
-      if (origins.isEmpty() && !answer.origins().isEmpty()) {
-        subscriptions.add(timers.after(MORE_RECORDS_MS, this::finish));
-      }
-      origins.addAll(answer.origins());
+      addOrigins(answer.origins());
     }
     if (!hasAllAnswers()) {
       return;
@@ -144,9 +154,9 @@
     finishIfKnown();
   }
 
-  /** Ends the search once the list tells the origin, or no further answer can help. */
+  /** The list decides only once no record can arrive any more: a record knows more. */
   private void finishIfKnown() {
-    if (hasRefreshed() && (onlyOrigin().isPresent() || hasAllAnswers())) {
+    if (hasRefreshed() && hasAllAnswers()) {
       finish();
     }
   }
@@ -177,13 +187,20 @@
 
   private void log(Optional<StreamOrigin> origin) {
     Logger.info(
-        "stream taken up stream={} version={} source={} records={} answered={} asked={} list={}",
+        "stream taken up stream={} version={} source={} origins={} answered={} asked={} list={}",
         query.requestId(),
         origin.map(StreamOrigin::version).orElse("unknown"),
-        hasRecord() ? "another instance" : "list",
+        source(),
         origins.size(),
         answeredHosts.size(),
         asked.size(),
         completeMs.isPresent() ? "read" : "not read");
   }
+
+  private String source() {
+    if (!ownOrigins.isEmpty()) {
+      return "own record";
+    }
+    return origins.isEmpty() ? "list" : "another instance";
+  }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/ServedVersions.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/ServedVersions.java
@@ -123,22 +123,20 @@
   }
 
   /**
-   * Checks whether several versions of a service may have been registered within a time.
+   * Checks whether several versions of a service may have begun streams within a time.
    *
    * @param service the service
    * @param withinMs the time until now
-   * @return false if this instance knows that there has been one at most
+   * @return false if this instance knows that one at most can have done so
    */
   boolean mayHaveSeveral(String service, long withinMs) {
     onConfirmed(listState.publishedMs());
     long nowMs = storeClock.nowMs();
+    long fromMs = nowMs - withinMs - MAX_LINGER_MS;
     synchronized (this) {
       return nowMs - confirmedMs > MAX_GAP_MS
-          || sinceMs > nowMs - withinMs
-          || versionsOf(service).values().stream()
-                  .filter(lastMs -> lastMs >= nowMs - withinMs)
-                  .count()
-              > 1;
+          || sinceMs > fromMs
+          || versionsOf(service).values().stream().filter(lastMs -> lastMs >= fromMs).count() > 1;
     }
   }
 
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/stream/StreamOrigins.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/stream/StreamOrigins.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
-import org.tinylog.Logger;
 
 /**
  * Records which software version began each stream that may be taken up again, and finds it out for
@@ -135,20 +134,7 @@
   public CompletableFuture<Optional<StreamOrigin>> find(
       String requestId, String service, long begunWithinMs) {
     long withinMs = Math.max(begunWithinMs, records.longestKeepMs());
-    Optional<OriginRecords.Entry> recorded = records.find(requestId);
-    return recorded
-        .map(entry -> CompletableFuture.completedFuture(ownOrigin(requestId, entry)))
-        .orElseGet(() -> search(new StreamNotice.Query(requestId, service, withinMs)))
-        .thenApply(this::count);
-  }
-
-  private static Optional<StreamOrigin> ownOrigin(String requestId, OriginRecords.Entry entry) {
-    Logger.info(
-        "stream taken up stream={} version={} source=own record records={}",
-        requestId,
-        entry.origin().map(StreamOrigin::version).orElse("unknown"),
-        entry.origins().size());
-    return entry.origin();
+    return search(new StreamNotice.Query(requestId, service, withinMs)).thenApply(this::count);
   }
 
   private Optional<StreamOrigin> count(Optional<StreamOrigin> found) {
@@ -161,6 +147,7 @@
         new OriginSearch(
             query,
             storeClock.nowMs() - query.begunWithinMs(),
+            ownOrigins(query),
             query.requestId().isEmpty() ? List.of() : toAsk(query.requestId()),
             served,
             sender,
@@ -201,9 +188,11 @@
 
   private StreamNotice.Answer answerTo(StreamNotice.Query query) {
     return new StreamNotice.Answer(
-        query.requestId(),
-        records.find(query.requestId()).map(OriginRecords.Entry::origins).orElse(Set.of()),
-        served.span(query.service()));
+        query.requestId(), ownOrigins(query), served.span(query.service()));
+  }
+
+  private Set<StreamOrigin> ownOrigins(StreamNotice.Query query) {
+    return records.find(query.requestId()).map(OriginRecords.Entry::origins).orElse(Set.of());
   }
 
   /**
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/ReadShare.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/ReadShare.java
@@ -25,6 +25,11 @@
     this.random = random;
   }
 
+  /** Returns the interval at which this instance may read if all others do so as well. */
+  long minIntervalMs() {
+    return Math.round(instanceCount.getAsInt() * MS_PER_S / maxReadsPerS);
+  }
+
   /** Checks whether this instance reads in this interval. */
   boolean drawTurn() {
     double wantedPerS = instanceCount.getAsInt() * ownReadsPerS;
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/TableReader.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/TableReader.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
 
 /**
  * Reads one table from the platform's store periodically.
@@ -66,7 +67,8 @@
   private final Listener listener;
   private final List<PendingRead> pending = new ArrayList<>();
   private List<CompletableFuture<Long>> refreshes = new ArrayList<>();
-  private long nextRefreshMs = Long.MIN_VALUE;
+  private boolean isRefreshing;
+  private long nextRefreshMs;
   private boolean due;
   private volatile boolean wholeFailed;
   private volatile long nextWholeMs = Long.MIN_VALUE;
@@ -139,7 +141,7 @@
                 && timers.nowMs() >= nextWholeMs);
     boolean hasWholeFailed = wholeFailed;
     if (isWholeDue) {
-      readWhole();
+      readWhole((result, error) -> {});
     }
     if (copy.isKnown() && (!isWholeDue || hasWholeFailed)) {
       readChanges();
@@ -147,59 +149,63 @@
   }
 
   /**
-   * Reads the whole table; calls at about the same time share a read.
+   * Reads the whole table; calls at about the same time share a read, and one runs at a time.
    *
    * @return when the table was complete, once the listener has received it; the read begins after
    *     this call
    */
   CompletableFuture<Long> refresh() {
     CompletableFuture<Long> result = new CompletableFuture<>();
-    long delayMs;
     synchronized (this) {
       refreshes.add(result);
-      long nowMs = timers.nowMs();
-      boolean isScheduled = nextRefreshMs > nowMs && refreshes.size() > 1;
-      delayMs = isScheduled ? -1 : Math.max(0, nextRefreshMs - nowMs);
-    }
-    if (delayMs == 0) {
-      readWhole();
-    } else if (delayMs > 0) {
-      timers.after(delayMs, this::readIfAwaited);
     }
+    startRefresh();
     return result;
   }
 
-  private void readIfAwaited() {
-    boolean isAwaited;
+  private void startRefresh() {
+    long delayMs;
     synchronized (this) {
-      isAwaited = !refreshes.isEmpty();
+      if (isRefreshing || refreshes.isEmpty()) {
+        return;
+      }
+      isRefreshing = true;
+      delayMs = nextRefreshMs - timers.nowMs();
     }
-    if (isAwaited) {
-      readWhole();
+    if (delayMs > 0) {
+      timers.after(delayMs, this::readRefresh);
+    } else {
+      readRefresh();
     }
   }
 
-  private synchronized List<CompletableFuture<Long>> takeRefreshes() {
-    List<CompletableFuture<Long>> taken = refreshes;
-    refreshes = new ArrayList<>();
-    nextRefreshMs = timers.nowMs() + MIN_REFRESH_INTERVAL_MS;
-    return taken;
-  }
-
-  private static void complete(
-      List<CompletableFuture<Long>> refreshes, TableRead read, Throwable error) {
-    refreshes.forEach(
-        refresh -> {
-          if (error == null) {
-            refresh.complete(read.confirmedStoreMs());
-          } else {
-            refresh.completeExceptionally(error);
+  private void readRefresh() {
+    List<CompletableFuture<Long>> waiting;
+    synchronized (this) {
+      waiting = refreshes;
+      refreshes = new ArrayList<>();
+      nextRefreshMs = timers.nowMs() + Math.max(MIN_REFRESH_INTERVAL_MS, share.minIntervalMs());
+    }
+    readWhole(
+        (read, error) -> {
+          waiting.forEach(refresh -> complete(refresh, read, error));
+          synchronized (this) {
+            isRefreshing = false;
           }
+          startRefresh();
         });
   }
 
-  private void readWhole() {
-    final List<CompletableFuture<Long>> waiting = takeRefreshes();
+  private static void complete(CompletableFuture<Long> refresh, TableRead read, Throwable error) {
+    if (error == null && read.confirmedStoreMs() > TableRead.UNCONFIRMED) {
+      refresh.complete(read.confirmedStoreMs());
+    } else {
+      refresh.completeExceptionally(
+          error == null ? new IllegalStateException("the store told no time") : error);
+    }
+  }
+
+  private void readWhole(BiConsumer<TableRead, Throwable> onEnd) {
     PendingRead read = add();
     var unused =
         source
@@ -209,8 +215,8 @@
                   wholeFailed = error != null;
                   deferWhole(read, wholeFailed);
                   onEnded(read, result, error);
-                  complete(waiting, result, error);
-                });
+                })
+            .whenComplete(onEnd);
   }
 
   /**
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/ViewController.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/ViewController.java
@@ -231,7 +231,7 @@
       @Override
       public long publishedMs() {
         TableState state = copy.state();
-        return publisher.publishedUpstreamsVersion() >= state.changeVersion()
+        return publisher.publishedUpstreamChangeVersion() >= state.changeVersion()
             ? state.confirmedStoreMs()
             : UNKNOWN_MS;
       }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/ViewPublisher.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/ViewPublisher.java
@@ -5,6 +5,7 @@
 import io.mothrill.core.forward.upstream.StaleRegistrationFilter;
 import io.mothrill.core.forward.upstream.UpstreamList;
 import io.mothrill.core.forward.view.table.TableCopy;
+import io.mothrill.core.forward.view.table.TableState;
 import io.mothrill.core.time.Timers;
 import java.util.Set;
 import org.tinylog.Logger;
@@ -20,6 +21,7 @@
   private final StaleRegistrationFilter staleFilter = new StaleRegistrationFilter();
   private long publishedConfigVersion = -1;
   private long publishedUpstreamsVersion = -1;
+  private volatile long publishedUpstreamChangeVersion = -1;
 
   ViewPublisher(
       StateDecoder decoder,
@@ -70,9 +72,9 @@
         timers.nowMs() - startedMs);
   }
 
-  /** Returns the version of the store as of which the upstreams are published. */
-  synchronized long publishedUpstreamsVersion() {
-    return publishedUpstreamsVersion;
+  /** Returns the version of the newest change of the upstreams that everyone was notified of. */
+  long publishedUpstreamChangeVersion() {
+    return publishedUpstreamChangeVersion;
   }
 
   /**
@@ -84,11 +86,11 @@
    * @param keepsMissing whether to keep upstreams that are no longer registered
    */
   synchronized void publishUpstreams(TableCopy copy, boolean keepsMissing) {
-    long version = copy.state().version();
-    if (!copy.isKnown() || version < publishedUpstreamsVersion) {
+    TableState state = copy.state();
+    if (!copy.isKnown() || state.version() < publishedUpstreamsVersion) {
       return;
     }
-    publishedUpstreamsVersion = version;
+    publishedUpstreamsVersion = state.version();
     UpstreamList read = decoder.decodeUpstreams(copy.rows());
     upstreams.update(
         before -> {
@@ -96,5 +98,6 @@
           UpstreamList current = keepsMissing ? corrected.withMissingFrom(before) : corrected;
           return current.hasSameContent(before) ? before : current;
         });
+    publishedUpstreamChangeVersion = state.changeVersion();
   }
 }
--- a/mothrill-core/src/main/java/io/mothrill/core/forward/view/table/TableCopy.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/view/table/TableCopy.java
@@ -36,12 +36,17 @@
     Content with(TableRead read) {
       boolean isOlder = read.version() < version;
       return switch (read.kind()) {
-        case WHOLE -> isOlder ? this : withWhole(read);
+        case WHOLE -> isOlder ? completeAt(read.confirmedStoreMs()) : withWhole(read);
         case CHANGES -> this == NONE || read.version() <= version ? this : withChanges(read);
         case DIFFERENCE -> isOlder ? this : withDifference(read);
       };
     }
 
+    /** What has a later version was complete at any earlier time. */
+    private Content completeAt(long storeMs) {
+      return new Content(changeVersion, version, Math.max(confirmedStoreMs, storeMs), rows);
+    }
+
     /** A row may be gone without a removal in the read, which then happened by its version. */
     private Content withWhole(TableRead read) {
       Map<String, StoredRow> newRows = byKey(read.rows());
--- a/mothrill-core/src/test/java/io/mothrill/core/forward/stream/ReplacementHistory.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/stream/ReplacementHistory.java
@@ -28,6 +28,10 @@
   private static final int UPSTREAMS = 12;
   private static final int DOMAINS = 4;
   private static final long KEEP_MS = 17_000;
+
+  /** Upstreams that have left the list serve on for up to 20 s. */
+  private static final long KNOWN_AFTER_MS = KEEP_MS + 21_000;
+
   private static final int TICK_MS = 10;
   private static final int MAX_PREFILL_MS = 150;
   private static final int MAX_STREAM_MS = 6_000;
@@ -187,7 +191,7 @@
                         false))
             .toList();
     records.forEach(record -> fleet.add(new Instance(record, records)));
-    advanceMs(2 * KEEP_MS, 0);
+    advanceMs(KNOWN_AFTER_MS, 0);
   }
 
   private boolean isServing(String version) {
