A message of a peer is refused at its length when it is too long

Whoever connects to the port for instances could announce a message of 2 GB, and what arrives of it is held (read in the code; not filled).

The frame decoder had no limit. A length above 64 MB is refused as soon as it is read, and the connection closed.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerCodec.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/peer/PeerCodec.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
-import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 
 /** The encoding of messages on connections between instances. */
@@ -37,7 +36,7 @@
    */
   public void addTo(ChannelPipeline pipeline) {
     pipeline
-        .addLast(FRAME_DECODER, new ProtobufVarint32FrameDecoder())
+        .addLast(FRAME_DECODER, new PeerFrameDecoder())
         .addLast(DECODER, new ProtobufDecoder(Envelope.getDefaultInstance()))
         .addLast(FRAME_ENCODER, new ProtobufVarint32LengthFieldPrepender())
         .addLast(ENCODER, new ProtobufEncoder());
