A response of the store that arrives byte by byte comes to an end

A store that sent a byte now and then was never silent, so its call was held until 16 MB had arrived.

ResponseAggregator fails a call that takes longer than ten timeouts and the time of its bytes at 64 kbit/s.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/http/ResponseAggregator.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/http/ResponseAggregator.java
@@ -19,8 +19,18 @@
   /** Several times the longest list of upstreams or budgets. */
   private static final int MAX_BYTES = 16 << 20;
 
+  /** How often a server may stay silent for almost its timeout within one response. */
+  private static final long MAX_PAUSES = 10;
+
+  /** 64 kbit/s; a server that sends less is never silent, but its response never ends. */
+  private static final long MIN_BYTES_PER_MS = 8;
+
+  private static final long NANOS_PER_MS = 1_000_000;
+
   private final Runnable onProgress;
   private final Function<HttpReply, T> reader;
+  private final long timeoutMs;
+  private final long startNanos = System.nanoTime();
   private final CompletableFuture<T> result = new CompletableFuture<>();
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private int status;
@@ -91,7 +101,7 @@
    */
   public static <T> CompletableFuture<T> read(
       HttpClient client, HttpCall call, Runnable onProgress, Function<HttpReply, T> reader) {
-    ResponseAggregator<T> aggregator = new ResponseAggregator<>(onProgress, reader);
+    ResponseAggregator<T> aggregator = new ResponseAggregator<>(onProgress, reader, call.stallMs());
     HttpClient.Handle handle = client.send(call, aggregator);
     var unused =
         aggregator.result.whenComplete(
@@ -103,9 +113,10 @@
     return aggregator.result;
   }
 
-  private ResponseAggregator(Runnable onProgress, Function<HttpReply, T> reader) {
+  private ResponseAggregator(Runnable onProgress, Function<HttpReply, T> reader, long timeoutMs) {
     this.onProgress = onProgress;
     this.reader = reader;
+    this.timeoutMs = timeoutMs;
   }
 
   @Override
@@ -121,11 +132,17 @@
     if (body.size() + bytes.length > MAX_BYTES) {
       body.reset();
       onFailure(true, "response is longer than " + MAX_BYTES + " bytes");
+    } else if (elapsedMs() > MAX_PAUSES * timeoutMs + body.size() / MIN_BYTES_PER_MS) {
+      onFailure(true, "only " + body.size() + " bytes in " + elapsedMs() + " ms");
     } else if (!result.isDone()) {
       body.writeBytes(bytes);
     }
   }
 
+  private long elapsedMs() {
+    return (System.nanoTime() - startNanos) / NANOS_PER_MS;
+  }
+
   /** Fails in the same way as the reader, so that the connection is closed. */
   @Override
   public void onEnd() {
--- a/mothrill-wire/src/test/java/io/mothrill/wire/http/HttpClientTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/http/HttpClientTest.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -20,10 +21,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class HttpClientTest {
@@ -113,7 +117,7 @@
               new byte[0],
               10_000);
 
-      long sentBytes = sendUntilClosed(listener, beginning);
+      long sentBytes = sendUntilClosed(listener, beginning, "1");
 
       ExecutionException error =
           assertThrows(ExecutionException.class, () -> reply.get(5, TimeUnit.SECONDS));
@@ -122,8 +126,77 @@
     }
   }
 
-  private static long sendUntilClosed(ServerSocket listener, String beginning) throws IOException {
-    byte[] block = "1".repeat(16 << 10).getBytes(US_ASCII);
+  // A server sends what is no part of a body without end. The call must fail and cost little.
+  @ParameterizedTest
+  @CsvSource({
+    "HTTP/1.1 200 OK~, X: 1~",
+    "HTTP/1.1 100 Continue~~, HTTP/1.1 100 Continue~~",
+    "~, ~",
+    "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~1;, x",
+    "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~0~, X: 1~",
+    "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~0~X: , 1"
+  })
+  void framesWithoutEndFail(String beginning, String repeated) throws Exception {
+    try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      final CompletableFuture<HttpReply> reply = get(listener, 10_000);
+
+      long sentBytes =
+          sendUntilClosed(listener, beginning.replace("~", "\r\n"), repeated.replace("~", "\r\n"));
+
+      assertThrows(ExecutionException.class, () -> reply.get(5, TimeUnit.SECONDS));
+      assertThat(sentBytes).isLessThan(MAX_SENT_BYTES);
+    }
+  }
+
+  // A server sends a byte now and then without end, in a head or a body. It is never silent, and
+  // the call must fail rather than be held forever.
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK\r\nX: ",
+        "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 900000000000\r\n\r\n"
+      })
+  void slowResponseWithoutEndFails(String beginning) throws Exception {
+    ScheduledExecutorService sender = Executors.newSingleThreadScheduledExecutor();
+    try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      CompletableFuture<HttpReply> reply = get(listener, TIMEOUT_MS);
+
+      try (Socket connection = listener.accept()) {
+        connection.getOutputStream().write(beginning.getBytes(US_ASCII));
+        sender.scheduleAtFixedRate(
+            () -> sendByte(connection), 0, TIMEOUT_MS / 10, TimeUnit.MILLISECONDS);
+        ExecutionException error =
+            assertThrows(ExecutionException.class, () -> reply.get(10, TimeUnit.SECONDS));
+        assertThat(error).hasCauseThat().isInstanceOf(HttpException.class);
+      }
+    } finally {
+      sender.shutdownNow();
+    }
+  }
+
+  private static void sendByte(Socket connection) {
+    try {
+      connection.getOutputStream().write('1');
+    } catch (IOException ex) {
+      throw new UncheckedIOException(ex);
+    }
+  }
+
+  private CompletableFuture<HttpReply> get(ServerSocket listener, long timeoutMs) {
+    return ResponseAggregator.of(
+        client,
+        new Address("127.0.0.1", listener.getLocalPort()),
+        HttpMethod.GET,
+        "/",
+        new DefaultHttpHeaders(),
+        new byte[0],
+        timeoutMs);
+  }
+
+  private static long sendUntilClosed(ServerSocket listener, String beginning, String repeated)
+      throws IOException {
+    byte[] block = repeated.repeat((16 << 10) / repeated.length()).getBytes(US_ASCII);
     long sentBytes = 0;
     try (Socket connection = listener.accept()) {
       connection.getOutputStream().write(beginning.getBytes(US_ASCII));
