A run that does not go on where it was asked to is not joined

Callers got 200 and a whole answer that held 1 to 3 of one run and 4 of another that had begun anew; a caller that took its stream up after 3 got 1 to 3 again, or 6 in place of 4; events without ids came twice around a break.

Cause: EventRelay dropped events up to the last one as repeated, compared the first event of a take-up with nothing, and continued from the last id also when events without an id had been relayed after it.

On resumable routes the first event with an id must be the next one, in the answer and over a caller's tries (ForwardProgress begins with the id of the caller). Other ids, events without one, and ids that go back are protocol errors; the attempt's detail names the event and the one that was expected. After an event without a usable id no other upstream is asked inside the answer. Other streams pass as before.

A form that failed differently at first was a fault of the test: events that are not flushed yet are lost when an answer is broken off, as before.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
@@ -153,7 +153,7 @@
       return;
     }
     admitted = found.get().request();
-    progress.pin = found.get().pin();
+    progress.onPinned(admitted, found.get().pin());
     admitToService().ifPresentOrElse(this::refuse, this::sendAdmitted);
   }
 
@@ -415,7 +415,7 @@
 
   @Override
   public boolean tryAcquireRerun() {
-    return admitted.route().kind().isRetryable() && !progress.plainStarted && tryAcquireRetry();
+    return admitted.route().kind().isRetryable() && progress.isContinuable() && tryAcquireRetry();
   }
 
   @Override
