A response without a length is not whole if its upstream was killed

Callers saw whole responses (the end of the chunks, or a plain body with a length) where the upstream was killed between two events or in a body that has neither a length nor chunks. The system ends the connections of a killed process with an end of stream, which was taken for the end of the response.

If it has terminated, the response is treated as a lost connection: resumed, run again, or broken off. Events are relayed meanwhile. The attempt in the log names the framing and the state. ForwardAttempt.Owner is a file of its own, to keep the class small.

An upstream that leaves may refuse connections before its last response, so there only requests that may run again are checked.

--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -286,6 +286,7 @@
             new RequestLog(metrics, timers),
             new SurplusLines(metrics, timers),
             crashes,
+            pathSetup.endCheck(paths, timers),
             choice.statusBroadcast(),
             choice.selfReports(),
             upstream -> onContact(upstream, reach, paths),
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/PathSetup.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/PathSetup.java
@@ -21,6 +21,7 @@
 import io.mothrill.core.platform.InstanceRecord;
 import io.mothrill.core.time.Timers;
 import io.mothrill.core.work.WorkStats;
+import io.mothrill.wire.forward.EndCheck;
 import io.mothrill.wire.peer.PeerCodec;
 import io.mothrill.wire.relay.RelayAcceptor;
 import io.mothrill.wire.relay.RelayClient;
@@ -105,6 +106,17 @@
     };
   }
 
+  /**
+   * Creates the check of responses that end with their connection. A probe that was begun for an
+   * earlier response may have reached an upstream that has terminated since, so none is shared.
+   */
+  EndCheck endCheck(UpstreamPaths paths, Timers timers) {
+    return new EndCheck(
+        upstream -> new UpstreamProbe(paths::diagnose, timers).hasTerminated(upstream),
+        upstream -> upstreams.read().isAccepting(upstream),
+        timers);
+  }
+
   BrokenPaths broken() {
     return broken;
   }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/AttemptRecorder.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/AttemptRecorder.java
@@ -46,6 +46,11 @@
     suffix += ", connection ended: " + end.describe();
   }
 
+  /** Sets what became of the upstream after a response that ended with its connection. */
+  void setEndCheck(EndCheck.State state) {
+    suffix += ", response without length or chunks, upstream " + state.describe();
+  }
+
   /** Records the result of the attempt; only the first call counts. */
   void recordAttempt(ForwardProgress progress, String result) {
     if (!recorded) {
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -4,7 +4,6 @@
 import io.mothrill.core.forward.capacity.HeldTokens;
 import io.mothrill.core.forward.check.Rejection;
 import io.mothrill.core.forward.contention.RequestObservation;
-import io.mothrill.core.forward.crash.RequestCrashGuard;
 import io.mothrill.core.forward.lease.SendLease;
 import io.mothrill.core.forward.path.PathOutcome;
 import io.mothrill.core.forward.prompt.SentPrompt;
@@ -37,56 +36,10 @@
   private static final int FIRST_SERVER_ERROR = 500;
   private static final int FIRST_ERROR = 400;
 
-  /** The exchange that an attempt belongs to. */
-  interface Owner {
-
-    boolean hasEnded();
-
-    /** Sends the request to the next upstream. */
-    void tryNextUpstream();
-
-    /**
-     * Called when an upstream has turned the request away because it is full.
-     *
-     * @return the rejection if the request should not be sent to another upstream
-     */
-    Optional<Rejection> onTurnedAway();
-
-    /**
-     * Checks whether a request that was not run may go to another upstream; takes one retry from
-     * the budget if so.
-     */
-    boolean tryAcquireRetry();
-
-    /**
-     * Checks whether a request that may have run may run again; takes one retry from the budget if
-     * so.
-     */
-    boolean tryAcquireRerun();
-
-    void endWithoutResponse(Cause ifNotRun, long retryAfterMs);
-
-    void refuse(ForwardRefusal refusal);
-
-    void end(String outcome, int status);
-
-    /** Ends the request, as its caller has not read for too long while the upstream was paused. */
-    void abortSlowCaller();
-
-    /** Checks whether the request may be sent to an upstream now. */
-    boolean mayBeSentTo(RegisteredUpstream upstream, SendLease lease);
-
-    /**
-     * Returns the crash guard of the request, which tracks upstreams that terminated while running
-     * it.
-     */
-    RequestCrashGuard requestCrashGuard();
-  }
-
   private final AdmittedRequest admitted;
   private final ForwardDependencies dependencies;
   private final ForwardProgress progress;
-  private final Owner owner;
+  private final AttemptOwner owner;
   private final RegisteredUpstream upstream;
   private final SendLease lease;
   private final UpstreamLoad load;
@@ -112,7 +65,7 @@
   ForwardAttempt(
       AdmittedRequest admitted,
       ForwardProgress progress,
-      Owner owner,
+      AttemptOwner owner,
       RegisteredUpstream upstream,
       SendLease lease) {
     this.admitted = admitted;
@@ -504,6 +457,41 @@
   @Override
   public void onEnd(Optional<ConnectionEnd> connectionEnd) {
     connectionEnd.ifPresent(recorder::setConnectionEnd);
+    boolean endsWithConnection =
+        connectionEnd.isPresent() && !UpstreamConnection.isSelfDelimited(response);
+    if (endsWithConnection && (splitter == null || !splitter.hasPartial())) {
+      checkEnd();
+    } else {
+      onRegularEnd();
+    }
+  }
+
+  /** A terminated process ends its connections like one that has sent its whole response. */
+  private void checkEnd() {
+    idleTimer.stop();
+    flow.stop();
+    if (progress.streamStarted) {
+      admitted.response().flush();
+    }
+    dependencies
+        .endCheck()
+        .check(upstream, admitted.route().kind().isRetryable())
+        .thenAccept(state -> admitted.received().loop().execute(() -> onEndChecked(state)));
+  }
+
+  private void onEndChecked(EndCheck.State state) {
+    if (finished || owner.hasEnded()) {
+      return;
+    }
+    recorder.setEndCheck(state);
+    if (state == EndCheck.State.TERMINATED) {
+      onFailure(ResponseFailure.CLOSED, "upstream terminated, the response may not be whole");
+    } else {
+      onRegularEnd();
+    }
+  }
+
+  private void onRegularEnd() {
     if (splitter != null) {
       onStreamEnd();
     } else if (body == null) {
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardDependencies.java
@@ -55,6 +55,7 @@
  * @param log receives one entry per request
  * @param surplusLog receives what upstreams send beyond their responses
  * @param crashGuard quarantines requests that crash upstreams
+ * @param endCheck checks whether an upstream has terminated at the end of its response
  * @param statusBroadcast receives status changes of upstreams that were detected here
  * @param selfReports receives what upstreams report about themselves in responses
  * @param contacts receives each upstream from which data arrives
@@ -90,6 +91,7 @@
     ForwardedRequestLog log,
     SurplusLog surplusLog,
     CrashGuard crashGuard,
+    EndCheck endCheck,
     UpstreamStatusBroadcast statusBroadcast,
     SelfReportDispatcher selfReports,
     Consumer<RegisteredUpstream> contacts,
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
@@ -34,7 +34,7 @@
  * once.
  */
 final class ForwardExchange
-    implements ForwardAttempt.Owner, RequestStarter.Request, UpstreamSearch.Listener {
+    implements AttemptOwner, RequestStarter.Request, UpstreamSearch.Listener {
 
   /** Maximum number of upstreams tried for one request, including those that did not run it. */
   private static final int MAX_ATTEMPTS = 3;
