Requests that a leaving instance can't finish are refused or answered

Callers saw: in a planned stop, requests taken after the signal were passed on and cut at the end of the grace, among them some that may run only once.

Cause: the process had an end, but its requests did not know it. Class: a time limit of the process that its requests don't know.

Change: an unrepeatable request whose timeout or deadline lies beyond the end is refused as not run, with a time to come back: when it is admitted, when the signal arrives, before a search for an upstream and right before it is written. At the end every request gets its final answer before tokens are handed back: 504 where it may have run, 503 where it was not sent; streams that have begun break off.

--- a/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardRefusal.java
+++ b/mothrill-core/src/main/java/io/mothrill/core/forward/request/ForwardRefusal.java
@@ -79,7 +79,7 @@
      * @return a cause that does not claim that the request has not run
      */
     public Cause whenPossiblyRun() {
-      return this == NOT_SENT_IN_TIME ? TIMED_OUT : UPSTREAM_FAILED;
+      return this == NOT_SENT_IN_TIME || this == LEAVING ? TIMED_OUT : UPSTREAM_FAILED;
     }
 
     /**
--- a/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
+++ b/mothrill-daemon/src/main/java/io/mothrill/daemon/forward/ForwardInstance.java
@@ -29,7 +29,6 @@
 import io.mothrill.core.peer.PeerDispatcher;
 import io.mothrill.core.peer.PeerMessage;
 import io.mothrill.core.platform.InstanceRecord;
-import io.mothrill.core.time.Subscription;
 import io.mothrill.core.time.Timers;
 import io.mothrill.core.work.TimerLateness;
 import io.mothrill.wire.forward.DirectMemory;
@@ -53,7 +52,6 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
-import org.tinylog.Logger;
 
 /**
  * An instance that forwards requests; wires up its components and drains it on shutdown.
@@ -66,14 +64,6 @@
  */
 public final class ForwardInstance {
 
-  /**
-   * Longer than two failed readiness probes at one per second, after which callers are routed
-   * elsewhere.
-   */
-  private static final long MIN_DRAIN_MS = 2_600;
-
-  private static final long DRAIN_CHECK_MS = 100;
-
   /**
    * How often the state of delisted upstreams without requests in flight is removed. Requests last
    * seconds, and the state of an upstream takes a few hundred bytes.
@@ -85,9 +75,6 @@
    */
   private static final long WORK_LOG_INTERVAL_MS = 10_000;
 
-  /** The time limit for returning unspent tokens after the last request. */
-  private static final long HAND_BACK_TIMEOUT_MS = 300;
-
   /** The time limit for tasks that the event loops still run when the instance is closed. */
   private static final long CLOSE_TIMEOUT_MS = 1_000;
 
@@ -108,7 +95,7 @@
   private final ForwardServer edge;
   private final HttpServer probeServer;
   private final HttpServer metricsServer;
-  private final CompletableFuture<Void> drainFuture = new CompletableFuture<>();
+  private final InstanceDrain drain;
   private volatile boolean leaving;
 
   /**
@@ -302,6 +289,13 @@
             ports.work(),
             random);
     this.edge = new ForwardServer(group, parts, ports.callers());
+    this.drain =
+        new InstanceDrain(
+            edge,
+            () -> edge.inFlightCount() + relays.openCount() + buffers.heldBytes() == 0,
+            spending::returnUnspentTokens,
+            settings.drainTimeoutMs(),
+            timers);
     this.probeServer =
         HttpServer.ofService(
             group,
@@ -389,41 +383,16 @@
   /**
    * Drains the instance without aborting requests.
    *
-   * <p>The readiness probe fails immediately. New requests are served until callers have been
-   * routed elsewhere, and refused afterwards. Requests in flight continue until they end or the
-   * drain timeout expires.
+   * <p>The readiness probe fails immediately; {@link InstanceDrain} does the rest.
    *
    * @return a future that completes when the process may exit
    */
   public CompletableFuture<Void> drain() {
     if (!leaving) {
       leaving = true;
-      Logger.info("leaving underWay={}", edge.inFlightCount());
-      edge.startDraining();
-      long drainStartMs = timers.nowMs();
-      Subscription[] check = new Subscription[1];
-      check[0] = timers.every(DRAIN_CHECK_MS, () -> checkDrained(drainStartMs, check[0]));
-    }
-    return drainFuture;
-  }
-
-  private void checkDrained(long drainStartMs, Subscription check) {
-    long sinceMs = timers.nowMs() - drainStartMs;
-    if (sinceMs >= MIN_DRAIN_MS) {
-      edge.refuseNew();
-    }
-    boolean idle =
-        sinceMs >= MIN_DRAIN_MS
-            && edge.inFlightCount() == 0
-            && relays.openCount() == 0
-            && buffers.heldBytes() == 0;
-    if (sinceMs < settings.drainTimeoutMs() && !idle) {
-      return;
+      drain.start();
     }
-    check.cancel();
-    Logger.info("drained underWay={} tookMs={}", edge.inFlightCount(), sinceMs);
-    timers.after(HAND_BACK_TIMEOUT_MS, () -> drainFuture.complete(null));
-    spending.returnUnspentTokens().thenRun(() -> drainFuture.complete(null));
+    return drain.future();
   }
 
   /**
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/AdmittedRequest.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/AdmittedRequest.java
@@ -124,6 +124,11 @@
     return received.dependencies().timers().nowMs() - received.startMs();
   }
 
+  /** Checks whether the request may be sent although the instance leaves. */
+  boolean endsInTime() {
+    return received.leaveEnd().allows(route.kind(), deadlineMs);
+  }
+
   long remainingMs() {
     return deadlineMs - received.dependencies().timers().nowMs();
   }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/CallerConnection.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/CallerConnection.java
@@ -26,11 +26,12 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.tinylog.Logger;
 
 /** The connection of one caller: reads its requests one after the other and responds to each. */
@@ -106,7 +107,7 @@
   private void process(HttpObject object) {
     try {
       if (object.decoderResult().isFailure()) {
-        refuse(ForwardRefusal.of(decodeFailureCause(object.decoderResult().cause())));
+        refuse(ForwardRefusal.of(StrictRequestDecoder.failureCause(object)));
         return;
       }
       if (object instanceof HttpRequest request) {
@@ -120,12 +121,6 @@
     }
   }
 
-  private static Cause decodeFailureCause(Throwable error) {
-    boolean tooLong =
-        error instanceof TooLongHttpHeaderException || error instanceof TooLongHttpLineException;
-    return tooLong ? Cause.HEAD_TOO_LONG : Cause.MALFORMED;
-  }
-
   private void processHead(HttpRequest request) {
     head = request;
     headMs = dependencies.timers().nowMs();
@@ -155,9 +150,7 @@
         return;
       }
       if (!serverState.tryReserveBytes(length)) {
-        refuse(
-            ForwardRefusal.retryAfter(
-                Cause.OUT_OF_MEMORY, ForwardServerState.MEMORY_RETRY_AFTER_MS));
+        refuse(ForwardServerState.OUT_OF_MEMORY);
         return;
       }
       if (body == Unpooled.EMPTY_BUFFER) {
@@ -172,7 +165,7 @@
 
   private void startExchange() {
     if (serverState.isRefusing()) {
-      refuse(ForwardRefusal.retryAfter(Cause.LEAVING, ForwardServerState.DRAINING_RETRY_AFTER_MS));
+      refuse(ForwardServerState.LEAVING);
       return;
     }
     exchange =
@@ -181,6 +174,7 @@
                 dependencies,
                 pool,
                 starter,
+                serverState.leaveEnd(),
                 context.channel().eventLoop(),
                 this,
                 head,
@@ -402,6 +396,12 @@
     }
   }
 
+  /** Runs a step with the request under way, if any. */
+  CompletableFuture<Void> runWithRequest(Consumer<ForwardExchange> step) {
+    return CompletableFuture.runAsync(
+        () -> Optional.ofNullable(exchange).ifPresent(step), context.channel().eventLoop());
+  }
+
   void close() {
     context.close();
   }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardExchange.java
@@ -24,7 +24,6 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 
 /**
  * Handles one request from its arrival to its final response, on the event loop of its caller.
@@ -50,13 +49,6 @@
 
   private static final long NO_PLAN_RETRY_AFTER_MS = 500;
 
-  /**
-   * Maximum time for which a newly started process holds a request until the first plan and
-   * upstream list are loaded. Loading takes a few responses of the store, whereas a refused caller
-   * retries after half a second at the earliest.
-   */
-  private static final long INITIAL_STATE_WAIT_MS = 400;
-
   private final ReceivedRequest received;
   private final ForwardDependencies dependencies;
   private ForwardingPlan plan;
@@ -84,22 +76,12 @@
    * Starts the request, waiting for the initial plan and upstream list if they are not loaded yet.
    */
   void start() {
-    if (dependencies.initialStateLoaded().isDone()) {
-      received.starter().submit(this);
-      return;
-    }
-    CompletableFuture<Void> ready = new CompletableFuture<>();
-    dependencies.initialStateLoaded().thenRun(() -> ready.complete(null));
-    deadlineTimer = dependencies.timers().after(INITIAL_STATE_WAIT_MS, () -> ready.complete(null));
-    ready.thenRun(() -> runOnEventLoop(this::startAfterWait));
+    InitialStateWait.run(dependencies, () -> runOnEventLoop(() -> ifActive(this::submit)));
   }
 
-  private void startAfterWait() {
-    if (!ended) {
-      deadlineTimer.cancel();
-      plan = dependencies.plan().read();
-      received.starter().submit(this);
-    }
+  private void submit() {
+    plan = dependencies.plan().read();
+    received.starter().submit(this);
   }
 
   @Override
@@ -213,9 +195,23 @@
             route.selectService(dependencies.random().nextDouble()),
             needsKey ? team : Optional.empty(),
             received.deadlineMs(Optional.of(route.timeoutMs())));
-    return needsKey && team.isEmpty()
-        ? Optional.of(ForwardRefusal.of(Cause.UNKNOWN_KEY))
-        : Optional.empty();
+    if (needsKey && team.isEmpty()) {
+      return Optional.of(ForwardRefusal.of(Cause.UNKNOWN_KEY));
+    }
+    return admitted.endsInTime() ? Optional.empty() : Optional.of(ForwardServerState.LEAVING);
+  }
+
+  /** Refuses the request if it is not sent yet and could not end before the instance does. */
+  void onLeaving() {
+    if (admitted != null && !progress.mayHaveRun && !admitted.endsInTime()) {
+      endLeaving();
+    }
+  }
+
+  /** Ends the request, as the instance ends or will end before the request could. */
+  void endLeaving() {
+    cancelAttempt();
+    endWithoutResponse(Cause.LEAVING, ForwardServerState.DRAINING_RETRY_AFTER_MS);
   }
 
   /** Refuses the request before it costs anything if its service is full. */
@@ -263,7 +259,7 @@
     if (ended) {
       return;
     }
-    unlessQuarantined(search::findNext);
+    unlessQuarantined(admitted.endsInTime() ? search::findNext : this::endLeaving);
   }
 
   @Override
@@ -291,7 +287,7 @@
 
   @Override
   public boolean mayBeSentTo(RegisteredUpstream upstream, SendLease lease) {
-    return search.admit(upstream, lease);
+    return admitted.endsInTime() && search.admit(upstream, lease);
   }
 
   /** Ends the request without a response of an upstream. */
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardServer.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardServer.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
@@ -141,10 +142,14 @@
   }
 
   /**
-   * Starts draining: requests are still served, but connections are closed after their responses.
+   * Starts draining: connections are closed after their responses. Requests are still served,
+   * except those that may run only once and might not end in time.
+   *
+   * @param endMs when requests must have ended
    */
-  public void startDraining() {
-    state.startDraining();
+  public void startDraining(long endMs) {
+    state.startDraining(endMs);
+    state.connections().forEach(caller -> caller.runWithRequest(ForwardExchange::onLeaving));
   }
 
   /**
@@ -159,6 +164,20 @@
     listener.close();
   }
 
+  /**
+   * Ends all requests in flight: those whose answers have begun are broken off, all others get a
+   * final answer.
+   *
+   * @return a future that completes when the answers are written
+   */
+  public CompletableFuture<Void> endRequests() {
+    refuseNew();
+    return CompletableFuture.allOf(
+        state.connections().stream()
+            .map(caller -> caller.runWithRequest(ForwardExchange::endLeaving))
+            .toArray(CompletableFuture[]::new));
+  }
+
   /**
    * Returns the number of requests in flight.
    *
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardServerState.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardServerState.java
@@ -1,6 +1,8 @@
 package io.mothrill.wire.forward;
 
 import io.mothrill.core.forward.buffer.BufferBudget;
+import io.mothrill.core.forward.request.ForwardRefusal;
+import io.mothrill.core.forward.request.ForwardRefusal.Cause;
 import java.util.Collection;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -12,7 +14,7 @@
   /**
    * Retry-After when buffered requests take too much memory: most are answered within this time.
    */
-  static final long MEMORY_RETRY_AFTER_MS = 500;
+  private static final long MEMORY_RETRY_AFTER_MS = 500;
 
   /**
    * Retry-After while the instance drains: another instance, or its next process, is available
@@ -26,9 +28,16 @@
    */
   static final long DRAINING_IDLE_TIMEOUT_MS = 1_500;
 
+  static final ForwardRefusal OUT_OF_MEMORY =
+      ForwardRefusal.retryAfter(Cause.OUT_OF_MEMORY, MEMORY_RETRY_AFTER_MS);
+
+  static final ForwardRefusal LEAVING =
+      ForwardRefusal.retryAfter(Cause.LEAVING, DRAINING_RETRY_AFTER_MS);
+
   private final BufferBudget buffers;
   private final AtomicInteger inFlightCount = new AtomicInteger();
   private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
+  private final LeaveEnd leaveEnd = new LeaveEnd();
   private volatile boolean draining;
   private volatile boolean refusing;
 
@@ -68,10 +77,15 @@
     return connections;
   }
 
-  void startDraining() {
+  void startDraining(long endMs) {
+    leaveEnd.set(endMs);
     draining = true;
   }
 
+  LeaveEnd leaveEnd() {
+    return leaveEnd;
+  }
+
   void refuseNew() {
     refusing = true;
   }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ReceivedRequest.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ReceivedRequest.java
@@ -12,6 +12,7 @@
  * @param dependencies the dependencies shared by all requests
  * @param pool the connection pool for upstreams
  * @param starter starts the request once everything readable has been read
+ * @param leaveEnd when requests must have ended once the instance leaves
  * @param loop the event loop of the caller's connection
  * @param response the response to the caller
  * @param head the request head
@@ -23,6 +24,7 @@
     ForwardDependencies dependencies,
     UpstreamPool pool,
     RequestStarter starter,
+    LeaveEnd leaveEnd,
     EventLoop loop,
     CallerResponse response,
     HttpRequest head,
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/StrictRequestDecoder.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/StrictRequestDecoder.java
@@ -1,9 +1,13 @@
 package io.mothrill.wire.forward;
 
+import io.mothrill.core.forward.request.ForwardRefusal.Cause;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
 import java.util.List;
 
 /**
@@ -22,6 +26,14 @@
     super(maxLineBytes, maxHeaderBytes, MAX_CHUNK_BYTES);
   }
 
+  /** Returns why a request that could not be decoded is refused. */
+  static Cause failureCause(HttpObject undecoded) {
+    Throwable error = undecoded.decoderResult().cause();
+    boolean tooLong =
+        error instanceof TooLongHttpHeaderException || error instanceof TooLongHttpLineException;
+    return tooLong ? Cause.HEAD_TOO_LONG : Cause.MALFORMED;
+  }
+
   @Override
   protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
     throw new IllegalArgumentException("both Content-Length and chunked encoding");
