--- a/mothrill-core/src/test/java/io/mothrill/core/forward/stream/OriginListReadsTest.java
+++ b/mothrill-core/src/test/java/io/mothrill/core/forward/stream/OriginListReadsTest.java
@@ -259,7 +259,7 @@
     StreamOrigin begun = new StreamOrigin(SERVICE, "v0");
 
     timers.advanceMs(200);
-    CompletableFuture<Optional<StreamOrigin>> found = origins.find("a1", SERVICE, WITHIN_MS);
+    final CompletableFuture<Optional<StreamOrigin>> found = origins.find("a1", SERVICE, WITHIN_MS);
     timers.advanceMs(90);
     origins.onNotice(new StreamNotice.Answer("a1", Set.of(begun), Optional.empty()), holder);
     timers.advanceMs(MAX_WAIT_MS);
@@ -286,7 +286,8 @@
             new Random(1),
             new ViewSettings(500, 500, 2_500, 1_000));
     list.subscribe(OriginListReadsTest::failOnThird);
-    ServedVersions versions = new ServedVersions(list, other.upstreamListState(), store, timers);
+    final ServedVersions versions =
+        new ServedVersions(list, other.upstreamListState(), store, timers);
     other.start();
     timers.advanceMs(KNOWN_AFTER_MS);
     store.register("i-3", "v2");
