A status that is none fails the response

Callers got responses whose status line is no status line: 000 as "HTTP/1.1 0 OK", signed and whole, also 1, 7 and 42 for 001, 007 and 042, 200 for 0200 and +200, and 1000 and 2000 as they were. 0100 and +100 were taken for interim responses, after which the request waited for its deadline.

Cause: the decoder reads the status with the language's parser for integers, which takes a sign and any number of digits, and skips blanks and control bytes around it. The decoded number shows nothing of that.

Change: the bytes of a status line are checked against RFC 9112 before they are decoded: version, one space, three digits from 100 on, and a reason without control bytes, which may be missing. 600 to 999 are passed on as before. A line fails at its first invalid byte, so a request doesn't wait for the rest of it. All responses pass the same decoder: those of upstreams, directly and relayed, of the store and of engines, and interim ones. A failed response is counted and logged with its line (surplus, place malformed).

--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
@@ -8,6 +8,7 @@
 import io.mothrill.wire.response.ConnectionUse;
 import io.mothrill.wire.response.ResponseDecoder;
 import io.mothrill.wire.response.SurplusLog;
+import io.mothrill.wire.syntax.SyntaxException;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
@@ -41,6 +42,7 @@
   private static final int MAX_LINE_BYTES = 8_192;
   private static final int MAX_HEADER_BYTES = 32_768;
   private static final int MAX_CHUNK_BYTES = 16_384;
+  private static final int MAX_REASON_LENGTH = 200;
 
   private final Dialect dialect;
   private final UpstreamPool pool;
@@ -167,7 +169,7 @@
       return;
     }
     if (message.decoderResult().isFailure()) {
-      failResponse(ResponseFailure.PROTOCOL_ERROR, "response is not HTTP");
+      onMalformed(message.decoderResult().cause());
       return;
     }
     if (message instanceof HttpResponse head) {
@@ -178,6 +180,13 @@
     }
   }
 
+  private void onMalformed(Throwable cause) {
+    String message = String.valueOf(cause.getMessage());
+    String reason = message.substring(0, Math.min(message.length(), MAX_REASON_LENGTH));
+    matcher.onSurplus(SurplusLog.Place.MALFORMED, 0, reason);
+    failResponse(ResponseFailure.PROTOCOL_ERROR, "response is not HTTP: " + reason);
+  }
+
   private void onHead(HttpResponse head) {
     ResponseMetadata metadata = dialect.readResponseMetadata(head);
     ResponseMatcher.Match match = matcher.match(head, metadata, pool.nowMs());
@@ -281,6 +290,10 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    if (cause instanceof SyntaxException) {
+      onMalformed(cause);
+      return;
+    }
     failResponse(
         cause instanceof IOException ? ResponseFailure.CLOSED : ResponseFailure.PROTOCOL_ERROR,
         String.valueOf(cause.getMessage()));
--- a/mothrill-wire/src/main/java/io/mothrill/wire/response/ResponseDecoder.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/response/ResponseDecoder.java
@@ -1,5 +1,7 @@
 package io.mothrill.wire.response;
 
+import io.mothrill.wire.syntax.MessageSyntax;
+import io.mothrill.wire.syntax.SyntaxException;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderException;
@@ -19,18 +21,17 @@
  *
  * <p>Bytes that arrive while no response is expected are dropped before they are decoded. They
  * would otherwise become the beginning of the next response. Interim responses are dropped as well.
+ * Bytes that break the grammar of HTTP fail before they are decoded.
  */
 public final class ResponseDecoder extends HttpResponseDecoder {
 
   /** Servers send one or two in front of a response. */
   private static final int MAX_INTERIM = 8;
 
-  private static final byte[] PROTOCOL = {'H', 'T', 'T', 'P', '/', '1', '.'};
-
   private final IntConsumer onSurplus;
+  private final MessageSyntax syntax = MessageSyntax.ofResponses();
   private HttpMethod method = HttpMethod.GET;
   private boolean expecting;
-  private boolean begun;
   private int interimCount;
 
   /**
@@ -52,7 +53,7 @@
   public void expectResponse(HttpMethod newMethod) {
     method = newMethod;
     expecting = true;
-    begun = false;
+    syntax.startMessage();
     interimCount = 0;
   }
 
@@ -68,8 +69,13 @@
       drop(buffer);
       return;
     }
-    checkBeginning(buffer);
-    super.decode(ctx, buffer, out);
+    try {
+      syntax.decode(buffer, out, () -> super.decode(ctx, buffer, out));
+    } catch (SyntaxException ex) {
+      expecting = false;
+      buffer.skipBytes(buffer.readableBytes());
+      throw ex;
+    }
     if (isInterim(out)) {
       dropInterim(out);
     } else if (!out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent) {
@@ -92,7 +98,7 @@
     final boolean switchesProtocol =
         HttpResponseStatus.SWITCHING_PROTOCOLS.equals(((HttpResponse) out.get(0)).status());
     out.clear();
-    begun = false;
+    syntax.startMessage();
     interimCount++;
     if (switchesProtocol || interimCount > MAX_INTERIM) {
       expecting = false;
@@ -108,26 +114,6 @@
     }
   }
 
-  /** Fails at the first byte that cannot begin a response; its line might never end. */
-  private void checkBeginning(ByteBuf buffer) {
-    int start = buffer.readerIndex();
-    while (!begun && start < buffer.writerIndex() && isLineEnd(buffer.getByte(start))) {
-      start++;
-    }
-    for (int index = 0; !begun && start + index < buffer.writerIndex(); index++) {
-      if (buffer.getByte(start + index) != PROTOCOL[index]) {
-        expecting = false;
-        buffer.skipBytes(buffer.readableBytes());
-        throw new DecoderException("response does not begin with a status line");
-      }
-      begun = index + 1 == PROTOCOL.length;
-    }
-  }
-
-  private static boolean isLineEnd(byte next) {
-    return next == '\r' || next == '\n';
-  }
-
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     return HttpMethod.HEAD.equals(method) || super.isContentAlwaysEmpty(message);
--- a/mothrill-wire/src/main/java/io/mothrill/wire/response/SurplusLog.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/response/SurplusLog.java
@@ -14,7 +14,9 @@
     /** In front of a response, as a part of what looks like its head. */
     IN_HEAD,
     /** In a response to another request, which has swallowed the right one. */
-    IN_OTHER_RESPONSE
+    IN_OTHER_RESPONSE,
+    /** In place of a response or of a part of it, as bytes that break the grammar of HTTP. */
+    MALFORMED
   }
 
   /**
--- /dev/null
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/syntax/MessageSyntax.java
@@ -0,0 +1,95 @@
+package io.mothrill.wire.syntax;
+
+import io.netty.buffer.ByteBuf;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Checks the bytes of the messages on one connection before they are decoded; confined to the event
+ * loop of the connection.
+ *
+ * <p>A decoder skips what it does not understand, and what it has skipped is not seen in its
+ * result. Here, each byte has to fit into the grammar of RFC 9112.
+ */
+public final class MessageSyntax {
+
+  /** How much of an invalid line is described. */
+  private static final int MAX_DESCRIBED_BYTES = 60;
+
+  /** Decodes what is readable. */
+  public interface Decoding {
+
+    /** Decodes as much as possible. */
+    void decode() throws Exception;
+  }
+
+  private final SyntaxPart startLine;
+  private Optional<SyntaxPart> part;
+  private int checkedBytes;
+  private Optional<SyntaxException> violation = Optional.empty();
+
+  private MessageSyntax(SyntaxPart startLine) {
+    this.startLine = startLine;
+    this.part = Optional.of(startLine);
+  }
+
+  /** Creates the check of a connection that carries responses. */
+  public static MessageSyntax ofResponses() {
+    return new MessageSyntax(new StatusLineSyntax());
+  }
+
+  /** Expects the first byte of a message next. */
+  public void startMessage() {
+    part = Optional.of(startLine);
+  }
+
+  /**
+   * Decodes what precedes the first invalid byte, if there is one.
+   *
+   * @param buffer what was received and not decoded yet
+   * @param out receives what was decoded
+   * @param decoding decodes a part of the buffer
+   * @throws SyntaxException if nothing is left to be decoded before an invalid byte
+   */
+  public void decode(ByteBuf buffer, List<Object> out, Decoding decoding) throws Exception {
+    int receivedEnd = buffer.writerIndex();
+    int checkedEnd = check(buffer);
+    if (violation.isPresent()) {
+      buffer.writerIndex(checkedEnd);
+    }
+    try {
+      decoding.decode();
+    } finally {
+      checkedBytes = Math.max(0, checkedEnd - buffer.readerIndex());
+      buffer.writerIndex(receivedEnd);
+    }
+    if (violation.isPresent() && out.isEmpty()) {
+      throw violation.get();
+    }
+  }
+
+  /** Returns the end of the bytes that were checked; all of them are valid. */
+  private int check(ByteBuf buffer) {
+    int index = buffer.readerIndex() + checkedBytes;
+    while (part.isPresent() && violation.isEmpty() && index < buffer.writerIndex()) {
+      switch (part.get().accept(buffer.getByte(index))) {
+        case INCOMPLETE -> index++;
+        case COMPLETE -> {
+          index++;
+          part = Optional.empty();
+        }
+        default -> violation = Optional.of(describe(buffer, index));
+      }
+    }
+    return index;
+  }
+
+  private SyntaxException describe(ByteBuf buffer, int index) {
+    int earliest = Math.max(buffer.readerIndex(), index - MAX_DESCRIBED_BYTES);
+    int start = index;
+    while (start > earliest && buffer.getByte(start - 1) != Octets.LF) {
+      start--;
+    }
+    return new SyntaxException(part.get().name(), Octets.describe(buffer, start, index + 1));
+  }
+}
--- /dev/null
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/response/MalformedResponseTest.java
@@ -0,0 +1,113 @@
+package io.mothrill.wire.response;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.mothrill.wire.syntax.SyntaxException;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+// Guards against bytes that break the grammar of HTTP being decoded as a response, however they are
+// cut into reads.
+class MalformedResponseTest {
+
+  private static final String BODY = "Content-Length: 2\r\n\r\nab";
+
+  private final ResponseDecoder decoder = new ResponseDecoder(new HttpDecoderConfig(), bytes -> {});
+  private final EmbeddedChannel channel = new EmbeddedChannel(decoder);
+
+  private void receive(String text) {
+    channel.writeInbound(Unpooled.copiedBuffer(text, ISO_8859_1));
+  }
+
+  private void receiveBytewise(String text) {
+    text.chars().forEach(next -> receive(Character.toString(next)));
+  }
+
+  /** Checks that the last byte is the one that fails, and that nothing was decoded before. */
+  private void assertFailsAtEnd(String text) {
+    decoder.expectResponse(HttpMethod.GET);
+    receiveBytewise(text.substring(0, text.length() - 1));
+
+    assertThrows(SyntaxException.class, () -> receive(text.substring(text.length() - 1)));
+    assertThat((Object) channel.readInbound()).isNull();
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 0",
+        "HTTP/1.1 +",
+        "HTTP/1.1 -",
+        "HTTP/1.1 a",
+        "HTTP/1.1 2\r",
+        "HTTP/1.1 20 ",
+        "HTTP/1.1 2000",
+        "HTTP/1.1 200x",
+        "HTTP/1.1 200\t",
+        "HTTP/1.1  ",
+        "HTTP/1.1\t",
+        "HTTP/1.1\r",
+        "HTTP/1.x",
+        "HTTP/1.10",
+        "HTTP/2",
+        "h",
+        " ",
+        "\rH",
+        "\u0000",
+        "HTTP/1.1 200\n",
+        "HTTP/1.1 200 O\u007f",
+        "HTTP/1.1 200 O\rK",
+        "\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n"
+      })
+  void statusLineFailsAtItsFirstInvalidByte(String beginning) {
+    assertFailsAtEnd(beginning);
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK",
+        "HTTP/1.0 200",
+        "HTTP/1.1 200 ",
+        "HTTP/1.1 999 \tcafé ",
+        "\r\n\nHTTP/1.1 200 OK"
+      })
+  void soundStatusLineIsDecoded(String line) {
+    decoder.expectResponse(HttpMethod.GET);
+    receiveBytewise(line + "\r\n" + BODY);
+
+    HttpResponse head = channel.readInbound();
+    assertThat(head.decoderResult().isSuccess()).isTrue();
+    assertThat(head.headers()).hasSize(1);
+  }
+
+  // Interim responses and the next response on the connection begin with a status line of their
+  // own.
+  @Test
+  void eachStatusLineIsChecked() {
+    decoder.expectResponse(HttpMethod.GET);
+    receive("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n" + BODY);
+    assertThat(((HttpObject) channel.readInbound()).decoderResult().isSuccess()).isTrue();
+    channel.releaseInbound();
+
+    assertFailsAtEnd("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 0");
+  }
+
+  @Test
+  void rejectedLineIsDescribed() {
+    decoder.expectResponse(HttpMethod.GET);
+
+    SyntaxException error =
+        assertThrows(SyntaxException.class, () -> receive("HTTP/1.1 200 O\u0001K\r\n" + BODY));
+    assertThat(error).hasMessageThat().isEqualTo("invalid status line: HTTP/1.1 200 O\\x01");
+  }
+}
