A head with an invalid field line fails the response

Callers got responses whose heads break the grammar: "X A: b" was passed on as "X: b", "XA b" (no colon) as "XA:", and "Content-Length : 5" cut a body of 8,000 bytes to 5 that looked whole. A "Not-Executed : 1" made a failure a rejection that did not run, so the request ran again.

Cause: the decoder of responses ends a name at the first blank and skips what follows up to the colon. The name that it hands on is valid, so no check of decoded fields can find the line.

Change: the field lines of a head are checked byte by byte before they are decoded. A blank in front of the colon fails as well: RFC 9112 lets a proxy remove it, but from an upstream in trouble the line may decide how long the body is. Folded lines, empty values and bytes above 127 in values are sound as before.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/syntax/MessageSyntax.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/syntax/MessageSyntax.java
@@ -24,6 +24,7 @@
   }
 
   private final SyntaxPart startLine;
+  private final SyntaxPart fields = new FieldLinesSyntax();
   private Optional<SyntaxPart> part;
   private int checkedBytes;
   private Optional<SyntaxException> violation = Optional.empty();
@@ -76,7 +77,7 @@
         case INCOMPLETE -> index++;
         case COMPLETE -> {
           index++;
-          part = Optional.empty();
+          part = part.filter(completed -> completed == startLine).map(completed -> fields);
         }
         default -> violation = Optional.of(describe(buffer, index));
       }
--- a/mothrill-wire/src/test/java/io/mothrill/wire/http/MalformedReplyTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/http/MalformedReplyTest.java
@@ -66,4 +66,10 @@
   void statusThatIsNoneFailsTheCall(String status) throws IOException {
     assertFails("HTTP/1.1 " + status + "\r\nContent-Length: 2");
   }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"X A: b", "XA b", "X-A : b", "X\u0001A: b", "X-A: b\rc"})
+  void invalidFieldLineFailsTheCall(String line) throws IOException {
+    assertFails("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + line);
+  }
 }
--- a/mothrill-wire/src/test/java/io/mothrill/wire/response/MalformedResponseTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/response/MalformedResponseTest.java
@@ -90,16 +90,50 @@
     assertThat(head.headers()).hasSize(1);
   }
 
-  // Interim responses and the next response on the connection begin with a status line of their
-  // own.
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        " ",
+        "\t",
+        ":",
+        "X ",
+        "X\t",
+        "X\r",
+        "X\n",
+        "X\0",
+        "Xé",
+        "X(",
+        "X: b\u0001",
+        "X: b\u007f",
+        "X: b\n",
+        "X: b\r\r",
+        "X: b\rc",
+        "X: b\r\n\n",
+        "X: b\r\n\rc",
+        "X: b\r\n c\r\nX "
+      })
+  void fieldLineFailsAtItsFirstInvalidByte(String beginning) {
+    assertFailsAtEnd("HTTP/1.1 200 OK\r\n" + beginning);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"", "X:\r\n", "X: \tb é\r\n \tfolded\r\n", "X:b\r\n\t\r\n"})
+  void soundFieldLinesAreDecoded(String lines) {
+    decoder.expectResponse(HttpMethod.GET);
+    receiveBytewise("HTTP/1.1 200 OK\r\n" + lines + BODY);
+
+    assertThat(((HttpObject) channel.readInbound()).decoderResult().isSuccess()).isTrue();
+  }
+
+  // Interim responses and the next response on the connection have heads of their own.
   @Test
-  void eachStatusLineIsChecked() {
+  void eachHeadIsChecked() {
     decoder.expectResponse(HttpMethod.GET);
     receive("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n" + BODY);
     assertThat(((HttpObject) channel.readInbound()).decoderResult().isSuccess()).isTrue();
     channel.releaseInbound();
 
-    assertFailsAtEnd("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 0");
+    assertFailsAtEnd("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nX ");
   }
 
   @Test
