An interim response that can't be decoded fails at once

A caller whose upstream sent a malformed interim response, such as 103 with "Content-Length: x", waited for its whole deadline and got 504, though it was clear at once that no response could follow.

Cause: the decoder reports such a head as one with a failure and skips all later bytes. As its status was 103, it was dropped like a sound interim response, and its failure with it.

Change: only a head that was decoded is dropped; a failed one reaches the handler, which fails the request.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/response/ResponseDecoder.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/response/ResponseDecoder.java
@@ -85,11 +85,12 @@
 
   /**
    * Checks for an interim response, which precedes the response to the same request. A head that
-   * may be joined from two responses is left to the handler.
+   * could not be decoded or that may be joined from two responses is left to the handler.
    */
   private static boolean isInterim(List<Object> out) {
     return !out.isEmpty()
         && out.get(0) instanceof HttpResponse head
+        && head.decoderResult().isSuccess()
         && head.status().codeClass() == HttpStatusClass.INFORMATIONAL
         && ResponseHeadCheck.check(head, false) == ResponseHeadCheck.Result.SINGLE;
   }
--- a/mothrill-wire/src/test/java/io/mothrill/wire/http/MalformedReplyTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/http/MalformedReplyTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -72,4 +73,11 @@
   void invalidFieldLineFailsTheCall(String line) throws IOException {
     assertFails("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + line);
   }
+
+  @Test
+  void malformedInterimResponseFailsTheCall() throws IOException {
+    String interim = "HTTP/1.1 103 Early Hints\r\nContent-Length: x\r\n\r\n";
+
+    assertFails(interim + "HTTP/1.1 200 OK\r\nContent-Length: 2");
+  }
 }
