A chunked response with an invalid trailer line fails

Callers got chunked responses as whole whose trailer section breaks the grammar, such as "X A: b" or "X-A : b" behind the last chunk: the class of the field lines in heads, in the same splitter.

Change: the lines of chunks and trailers are checked like those of heads. The lines of chunks were strict already (signs, blanks, extensions, line ends); the check has to read them to find the trailers. What precedes an invalid byte in the same read is still decoded, so that no event is lost.

MalformedResponseTest checks each line byte by byte.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/syntax/MessageSyntax.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/syntax/MessageSyntax.java
@@ -1,6 +1,9 @@
 package io.mothrill.wire.syntax;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
 import java.util.Optional;
 
@@ -25,6 +28,7 @@
 
   private final SyntaxPart startLine;
   private final SyntaxPart fields = new FieldLinesSyntax();
+  private final ChunkedBodySyntax chunks = new ChunkedBodySyntax();
   private Optional<SyntaxPart> part;
   private int checkedBytes;
   private Optional<SyntaxException> violation = Optional.empty();
@@ -67,12 +71,28 @@
     if (violation.isPresent() && out.isEmpty()) {
       throw violation.get();
     }
+    if (isBeforeChunks(out)) {
+      part = Optional.of(chunks);
+    }
+  }
+
+  /** Checks for the head of a message whose body follows. */
+  private static boolean isBeforeChunks(List<Object> out) {
+    return !out.isEmpty()
+        && out.get(0) instanceof HttpMessage head
+        && !(out.get(out.size() - 1) instanceof LastHttpContent)
+        && HttpUtil.isTransferEncodingChunked(head);
   }
 
   /** Returns the end of the bytes that were checked; all of them are valid. */
   private int check(ByteBuf buffer) {
     int index = buffer.readerIndex() + checkedBytes;
     while (part.isPresent() && violation.isEmpty() && index < buffer.writerIndex()) {
+      int skippedBytes = part.get().skip(buffer.writerIndex() - index);
+      if (skippedBytes > 0) {
+        index += skippedBytes;
+        continue;
+      }
       switch (part.get().accept(buffer.getByte(index))) {
         case INCOMPLETE -> index++;
         case COMPLETE -> {
--- a/mothrill-wire/src/main/java/io/mothrill/wire/syntax/Octets.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/syntax/Octets.java
@@ -11,6 +11,7 @@
   static final byte LF = '\n';
   static final byte SPACE = ' ';
   static final byte TAB = '\t';
+  static final String LINE_END = "\r\n";
 
   private static final byte DELETE = 0x7f;
   private static final BitSet TOKEN = new BitSet();
--- a/mothrill-wire/src/main/java/io/mothrill/wire/syntax/SyntaxPart.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/syntax/SyntaxPart.java
@@ -18,6 +18,16 @@
    */
   Result accept(byte next);
 
+  /**
+   * Skips bytes that may be of any kind.
+   *
+   * @param maxBytes how many bytes there are
+   * @return how many of them are skipped
+   */
+  default int skip(int maxBytes) {
+    return 0;
+  }
+
   /** Returns the name of the part for the log. */
   String name();
 }
--- a/mothrill-wire/src/test/java/io/mothrill/wire/response/MalformedResponseTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/response/MalformedResponseTest.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.LastHttpContent;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -125,6 +126,72 @@
     assertThat(((HttpObject) channel.readInbound()).decoderResult().isSuccess()).isTrue();
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "+",
+        "-",
+        " ",
+        "\r",
+        ";",
+        "x",
+        "0x",
+        "2 x",
+        "2\n",
+        "2\rx",
+        "2;\u0001",
+        "2;\n",
+        "100000000",
+        "2\r\nabc",
+        "2\r\nab\n",
+        "2\r\nab\rx",
+        "2\r\nab\r\n\r",
+        "2\r\nab\r\nH",
+        "0\r\nX ",
+        "0\r\n ",
+        "0\r\nHTTP/",
+        "2 ;a=b\r\nab\r\n0\r\nX: y\r\nX\t"
+      })
+  void chunksFailAtTheirFirstInvalidByte(String beginning) {
+    decoder.expectResponse(HttpMethod.GET);
+    receive("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    receiveBytewise(beginning.substring(0, beginning.length() - 1));
+
+    assertThrows(SyntaxException.class, () -> receive(beginning.substring(beginning.length() - 1)));
+    assertThat(channel.inboundMessages().stream().anyMatch(LastHttpContent.class::isInstance))
+        .isFalse();
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "0\r\n\r\n",
+        "2\r\nab\r\n0\r\n\r\n",
+        "002;a=\"é\"\r\n\r\n\r\n00;b\r\nX: y\r\n z\r\n\r\n",
+        "a\r\nHTTP/1.1 0\r\n0\r\n\r\n"
+      })
+  void soundChunksAreDecoded(String chunks) {
+    decoder.expectResponse(HttpMethod.GET);
+    receiveBytewise("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks);
+
+    assertThat(channel.inboundMessages().stream().anyMatch(LastHttpContent.class::isInstance))
+        .isTrue();
+  }
+
+  // What precedes an invalid byte in the same read is decoded, as an event that is whole.
+  @Test
+  void chunkInFrontOfInvalidOneIsDecoded() {
+    decoder.expectResponse(HttpMethod.GET);
+
+    assertThrows(
+        SyntaxException.class,
+        () ->
+            receive(
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n+2\r\ncd\r\n"));
+
+    assertThat(channel.inboundMessages()).hasSize(2);
+  }
+
   // Interim responses and the next response on the connection have heads of their own.
   @Test
   void eachHeadIsChecked() {
