A response is not whole if its request was not taken

Callers got a part of a response as a whole 200 when an upstream answered a long request at once without a length, and closed its connection or ended while a part of the request was unread.

Cause: the system of such an upstream may send the end of the stream in front of the reset. The end of the stream was read first, ended the response and closed the connection on this side, so the reset was never seen; whether the request had been taken was not asked.

Change: after the end of a stream that delimits a response, the connection stays open until the request is written. Reads don't tell a reset after the end of the stream, but a selector reports the pending error. The check comes after that for a terminated upstream. A relay checks the same for the bytes that it passes on, as only it sees the connection, and HttpClient for calls to the store and to engines. Responses to requests without a body are not delayed.

Why it works: what decides is the request, not the early response. Upstreams that read the whole request and close, or that end their output and read on, cause no reset.

RequestWriterTest asks the future in place of the flag that it replaces.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/connection/ConnectionEndHandler.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/connection/ConnectionEndHandler.java
@@ -13,7 +13,8 @@
  *
  * <p>Handlers that follow get an {@link IOException} before the connection becomes inactive, unless
  * the end of the stream has been read. A response that is delimited by the end of its connection is
- * complete only then. Without half-closure, Netty reports both alike.
+ * complete only then. Without half-closure, Netty reports both alike. A handler that follows closes
+ * the connection after the end of the stream.
  */
 public final class ConnectionEndHandler extends ChannelDuplexHandler {
 
@@ -53,8 +54,9 @@
       ConnectionEnd.set(ctx.channel(), ConnectionEnd.Kind.END_OF_STREAM, "");
       if (ConnectionEnd.of(ctx.channel()).filter(ConnectionEnd::isComplete).isPresent()) {
         ctx.fireUserEventTriggered(event);
+      } else {
+        ctx.close();
       }
-      ctx.close();
     } else {
       ctx.fireUserEventTriggered(event);
     }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/connection/ReceivingSocketChannel.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/connection/ReceivingSocketChannel.java
@@ -4,6 +4,8 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
 
 /**
  * A connection that a failed write does not close, so that what the other side has sent before is
@@ -28,6 +30,20 @@
     }
   }
 
+  /**
+   * Checks whether the connection has failed, for example as the other side has reset it. After the
+   * end of the stream, reads don't tell this.
+   */
+  public boolean hasFailed() {
+    try (Selector selector = Selector.open()) {
+      // A selector reports a pending error as the end of an attempt to connect.
+      javaChannel().register(selector, SelectionKey.OP_CONNECT);
+      return selector.selectNow() > 0;
+    } catch (IOException ex) {
+      return true;
+    }
+  }
+
   @Override
   protected void doWrite(ChannelOutboundBuffer buffer) throws Exception {
     try {
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/ForwardAttempt.java
@@ -466,7 +466,10 @@
     }
   }
 
-  /** A terminated process ends its connections like one that has sent its whole response. */
+  /**
+   * A terminated process ends its connections like one that has sent its whole response, and so
+   * does one that closes a connection before it has read the request.
+   */
   private void checkEnd() {
     idleTimer.stop();
     flow.stop();
@@ -481,13 +484,25 @@
 
   private void onEndChecked(EndCheck.State state) {
     if (finished || owner.hasEnded()) {
+      connection.close();
       return;
     }
     recorder.setEndCheck(state);
     if (state == EndCheck.State.TERMINATED) {
       onFailure(ResponseFailure.CLOSED, "upstream terminated, the response may not be whole");
     } else {
+      connection.checkDelivery(this::onDeliveryChecked);
+    }
+  }
+
+  private void onDeliveryChecked(boolean delivered) {
+    if (finished || owner.hasEnded()) {
+      return;
+    }
+    if (delivered) {
       onRegularEnd();
+    } else {
+      onFailure(ResponseFailure.CLOSED, "request was not taken, the response may not be whole");
     }
   }
 
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/RequestWriter.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/RequestWriter.java
@@ -9,6 +9,9 @@
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
+import java.nio.channels.ClosedChannelException;
 
 /**
  * Writes one request to an upstream; confined to the event loop of its connection.
@@ -26,10 +29,10 @@
   private final ConnectionBuffer unsent;
   private final SourcePause pause;
   private final Runnable onProgress;
+  private final Promise<Void> written;
   private ByteBuf rest;
   private boolean writing;
   private boolean cancelled;
-  private boolean complete;
 
   /**
    * Creates a writer that has not written anything.
@@ -51,6 +54,7 @@
     this.unsent = unsent;
     this.pause = pause;
     this.onProgress = onProgress;
+    this.written = context.executor().newPromise();
     this.rest = request.content();
   }
 
@@ -104,9 +108,9 @@
   private void onSent(int bytes, boolean last, boolean success) {
     unsent.remove(bytes);
     if (last || !success) {
-      complete = success;
       pause.end();
       releaseRest();
+      end(success);
       return;
     }
     if (pause.isActive()) {
@@ -116,9 +120,17 @@
     continueWriting();
   }
 
-  /** Checks whether the whole request has been sent. */
-  boolean isComplete() {
-    return complete;
+  private void end(boolean success) {
+    if (success) {
+      written.trySuccess(null);
+    } else {
+      written.tryFailure(new ClosedChannelException());
+    }
+  }
+
+  /** Returns a future that completes once the whole request has been sent, or can't be. */
+  Future<Void> written() {
+    return written;
   }
 
   /** Stops writing and releases what was not written. */
@@ -127,6 +139,7 @@
       cancelled = true;
       pause.end();
       releaseRest();
+      end(false);
     }
   }
 
--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/UpstreamConnection.java
@@ -4,6 +4,7 @@
 import io.mothrill.core.forward.buffer.ConnectionBuffer;
 import io.mothrill.core.forward.buffer.SourcePause;
 import io.mothrill.wire.connection.ConnectionEnd;
+import io.mothrill.wire.connection.DeliveryCheck;
 import io.mothrill.wire.connection.ReceivingSocketChannel;
 import io.mothrill.wire.response.ConnectionUse;
 import io.mothrill.wire.response.ResponseDecoder;
@@ -13,6 +14,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -24,6 +26,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 /**
  * A connection to an upstream that carries one request at a time.
@@ -55,6 +58,9 @@
   private RequestWriter writer;
   private boolean reusable;
   private boolean idle = true;
+  private boolean hasContent;
+  private boolean selfDelimited;
+  private boolean endsWithResponse;
   private Optional<String> relay = Optional.empty();
   private long idleSinceMs;
   private long keepAliveMs = DEFAULT_KEEP_ALIVE_MS;
@@ -118,6 +124,7 @@
     this.method = request.method();
     decoder.expectResponse(method);
     this.idle = false;
+    this.hasContent = request.content().isReadable();
     this.reusable = relay.isEmpty();
     ConnectionBuffer unsent = buffers.newBuffer();
     SourcePause pause = buffers.newPause(unsent, context.executor(), this::onStalled);
@@ -194,8 +201,8 @@
       failResponse(ResponseFailure.PROTOCOL_ERROR, match.problem().get());
       return;
     }
-    reusable =
-        reusable && match.isReusable() && HttpUtil.isKeepAlive(head) && isSelfDelimited(head);
+    selfDelimited = isSelfDelimited(head);
+    reusable = reusable && match.isReusable() && HttpUtil.isKeepAlive(head) && selfDelimited;
     if (match.isOwn()) {
       metadata.keepAliveMs().ifPresent(idleMs -> keepAliveMs = idleMs);
       sink.onHead(head, metadata);
@@ -236,17 +243,39 @@
     Optional<ConnectionEnd> connectionEnd = ConnectionEnd.of(context.channel());
     // An upstream may respond before it has read the body; the rest of the body must not be cut off
     // or mixed into the next request.
-    if (reusable && writer.isComplete() && decoder.undecodedBytes() == 0) {
+    if (reusable && writer.written().isSuccess() && decoder.undecodedBytes() == 0) {
       idle = true;
       idleSinceMs = pool.nowMs();
       setReading(true);
       pool.release(this);
     } else {
-      context.close();
+      endsWithResponse = connectionEnd.isPresent() && !selfDelimited;
+      if (!endsWithResponse) {
+        context.close();
+      }
     }
     ended.onEnd(connectionEnd);
   }
 
+  /**
+   * Checks whether the upstream has taken the whole request, and closes the connection. To be
+   * called when a response has ended with the connection.
+   *
+   * @param onResult receives the result
+   */
+  void checkDelivery(Consumer<Boolean> onResult) {
+    Consumer<Boolean> closing =
+        delivered -> {
+          context.close();
+          onResult.accept(delivered);
+        };
+    if (hasContent) {
+      DeliveryCheck.check(context.channel(), writer.written(), closing);
+    } else {
+      closing.accept(true);
+    }
+  }
+
   /** Bytes that no response was expected for are the beginning of none; nor is what follows. */
   private void onSurplus(int bytes) {
     matcher.onSurplus(
@@ -263,6 +292,14 @@
     }
   }
 
+  @Override
+  public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+    if (event == ChannelInputShutdownEvent.INSTANCE && !endsWithResponse) {
+      ctx.close();
+    }
+    ctx.fireUserEventTriggered(event);
+  }
+
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
     if (sink != null) {
--- a/mothrill-wire/src/main/java/io/mothrill/wire/http/ClientHandler.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/http/ClientHandler.java
@@ -1,15 +1,18 @@
 package io.mothrill.wire.http;
 
 import io.mothrill.wire.connection.ConnectionEnd;
+import io.mothrill.wire.connection.DeliveryCheck;
 import io.mothrill.wire.response.ResponseDecoder;
 import io.mothrill.wire.response.ResponseHeadCheck;
 import io.mothrill.wire.time.TimeoutAfterReads;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -31,6 +34,10 @@
   private int callCount;
   private Runnable returnToPool;
   private boolean keepAlive;
+  private boolean hasContent;
+  private boolean selfDelimited;
+  private boolean endsWithResponse;
+  private ChannelFuture written;
   private long stallMs;
   private volatile long lastReadNanos = System.nanoTime();
   private Future<?> watchdog;
@@ -63,14 +70,20 @@
     return System.nanoTime() - lastReadNanos;
   }
 
-  void startCall(HttpMethod method, HttpSink newSink, long newStallMs, Runnable newReturnToPool) {
+  void startCall(HttpCall call, HttpSink newSink, Runnable newReturnToPool) {
     callCount++;
-    decoder.expectResponse(method);
+    decoder.expectResponse(call.method());
     this.sink = newSink;
     this.returnToPool = newReturnToPool;
-    this.stallMs = newStallMs;
+    this.stallMs = call.stallMs();
+    this.hasContent = call.body().length > 0;
     this.lastReadNanos = System.nanoTime();
-    scheduleWatchdog(newStallMs);
+    scheduleWatchdog(stallMs);
+  }
+
+  /** Writes the request of the call that was started. */
+  void write(FullHttpRequest request) {
+    written = context.channel().writeAndFlush(request);
   }
 
   /**
@@ -121,6 +134,7 @@
         fail("head may be joined from two answers");
         return;
       }
+      selfDelimited = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
       keepAlive = HttpUtil.isKeepAlive(head) && check == ResponseHeadCheck.Result.SINGLE;
       if (!sink.onHead(head)) {
         detachSink();
@@ -138,18 +152,42 @@
       sink.onBody(ByteBufUtil.getBytes(content.content()));
     }
     if (sink != null && content instanceof LastHttpContent) {
-      HttpSink ended = detachSink();
-      if (keepAlive
-          && decoder.undecodedBytes() == 0
-          && ConnectionEnd.of(context.channel()).isEmpty()) {
-        returnToPool.run();
+      if (hasContent && endsWithConnection()) {
+        endsWithResponse = true;
+        DeliveryCheck.check(context.channel(), written, this::onDeliveryChecked);
       } else {
-        context.close();
+        end();
       }
-      ended.onEnd();
     }
   }
 
+  private boolean endsWithConnection() {
+    return !selfDelimited && ConnectionEnd.of(context.channel()).isPresent();
+  }
+
+  private void onDeliveryChecked(boolean delivered) {
+    if (sink == null) {
+      return;
+    }
+    if (delivered) {
+      end();
+    } else {
+      fail("connection closed before the request was taken");
+    }
+  }
+
+  private void end() {
+    HttpSink ended = detachSink();
+    if (keepAlive
+        && decoder.undecodedBytes() == 0
+        && ConnectionEnd.of(context.channel()).isEmpty()) {
+      returnToPool.run();
+    } else {
+      context.close();
+    }
+    ended.onEnd();
+  }
+
   private HttpSink detachSink() {
     HttpSink released = sink;
     sink = null;
@@ -180,6 +218,14 @@
     }
   }
 
+  @Override
+  public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+    if (event == ChannelInputShutdownEvent.INSTANCE && !endsWithResponse) {
+      ctx.close();
+    }
+    ctx.fireUserEventTriggered(event);
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     fail("connection closed before the answer was whole");
--- a/mothrill-wire/src/main/java/io/mothrill/wire/http/HttpClient.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/http/HttpClient.java
@@ -208,14 +208,11 @@
               }
               ClientHandler.find(channel)
                   .ifPresent(
-                      handler ->
-                          handler.startCall(
-                              call.method(),
-                              sink,
-                              call.stallMs(),
-                              () -> returnToPool(call, channel)));
-              channel.config().setAutoRead(true);
-              channel.writeAndFlush(requestOf(call));
+                      handler -> {
+                        handler.startCall(call, sink, () -> returnToPool(call, channel));
+                        channel.config().setAutoRead(true);
+                        handler.write(requestOf(call));
+                      });
             });
   }
 
--- a/mothrill-wire/src/main/java/io/mothrill/wire/relay/RelayAcceptor.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/relay/RelayAcceptor.java
@@ -111,6 +111,7 @@
     upstream
         .pipeline()
         .addLast(new ConnectionEndHandler())
+        .addLast(new UpstreamEndHandler())
         .addLast(new RelayHandler(from, RelayHandler.EMPTY_FRAME));
     upstream.config().setAutoRead(true);
   }
--- a/mothrill-wire/src/test/java/io/mothrill/wire/forward/RequestWriterTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/forward/RequestWriterTest.java
@@ -92,7 +92,7 @@
     }
 
     assertThat(upstream.receivedBytes).isEqualTo(BODY_BYTES);
-    assertThat(writer.isComplete()).isTrue();
+    assertThat(writer.written().isSuccess()).isTrue();
     assertThat(abortCount).isEqualTo(0);
     assertThat(progressCount).isEqualTo(BODY_BYTES / SLICE_BYTES);
     assertThat(budget.heldBytes()).isEqualTo(0);
@@ -107,7 +107,7 @@
     writer.cancel();
     upstream.unread.poll().setFailure(new IllegalStateException("closed"));
 
-    assertThat(writer.isComplete()).isFalse();
+    assertThat(writer.written().isSuccess()).isFalse();
     assertThat(budget.heldBytes()).isEqualTo(0);
     assertThat(budget.pausedCount()).isEqualTo(0);
     assertThat(body.refCnt()).isEqualTo(0);
