A response with an unknown transfer coding fails

Callers got responses as whole whose Transfer-Encoding is not known here, such as "foo" or "chunke": with a length beside it, as many bytes as that said; without one, all up to the end of the connection, and with "gzip, chunked" a body in a coding that nobody had asked for.

Cause: the decoder only looks for "chunked" and takes anything else for no coding. RFC 9112 has the coding decide where a message ends, so nobody knows whose body it is.

Change: the rule that requests of callers have to keep holds for responses too; both decoders share it.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/StrictRequestDecoder.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/StrictRequestDecoder.java
@@ -1,14 +1,12 @@
 package io.mothrill.wire.forward;
 
 import io.mothrill.core.forward.request.ForwardRefusal.Cause;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
+import io.mothrill.wire.syntax.TransferCodings;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
-import java.util.List;
 
 /**
  * Decodes requests and rejects those whose end is ambiguous.
@@ -41,14 +39,7 @@
 
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
-    List<String> codings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-    boolean plain =
-        codings.isEmpty()
-            || codings.size() == 1
-                && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0).strip());
-    if (!plain) {
-      throw new IllegalArgumentException("unknown transfer coding");
-    }
+    TransferCodings.check(message);
     return super.isContentAlwaysEmpty(message);
   }
 }
--- a/mothrill-wire/src/main/java/io/mothrill/wire/response/ResponseDecoder.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/response/ResponseDecoder.java
@@ -2,6 +2,7 @@
 
 import io.mothrill.wire.syntax.MessageSyntax;
 import io.mothrill.wire.syntax.SyntaxException;
+import io.mothrill.wire.syntax.TransferCodings;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderException;
@@ -117,6 +118,7 @@
 
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
+    TransferCodings.check(message);
     return HttpMethod.HEAD.equals(method) || super.isContentAlwaysEmpty(message);
   }
 }
