A request of an operator that can't be decoded is refused

A request to the operator's interface with a malformed head was served as far as it was understood, and without its body: a POST with "X A: b" or two contradicting lengths got 200.

Cause: the decoder marks such a request as failed and hands it on; this handler, unlike those of callers, did not look.

Change: it is answered with 400, and its connection is closed, as its end is not known.

Handled before and kept as tests: what the decoder of callers refuses (StrictRequestDecoderTest, 13 more lines); it ends a name only at the colon, and needs no check of its own.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/http/ServiceHandler.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/http/ServiceHandler.java
@@ -33,6 +33,10 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+    if (request.decoderResult().isFailure()) {
+      write(ctx, error(BAD_REQUEST, "invalid_request", "request is not HTTP"), false);
+      return;
+    }
     boolean keepAlive = HttpUtil.isKeepAlive(request);
     HttpServerRequest input =
         new HttpServerRequest(
--- a/mothrill-wire/src/test/java/io/mothrill/wire/forward/StrictRequestDecoderTest.java
+++ b/mothrill-wire/src/test/java/io/mothrill/wire/forward/StrictRequestDecoderTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against request smuggling: two programs see the end of a request in different places, and
@@ -58,6 +59,27 @@
     assertThat(isAccepted("Content-Length : 3")).isFalse();
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "X A: b",
+        "X\tA: b",
+        "XA b",
+        "XA",
+        "X-A : b",
+        ": b",
+        "X\u0001A: b",
+        "X(A): b",
+        "X-A: b\rc",
+        "X-A: \u0001",
+        "X-A: \u007f",
+        "Content-Length: +3",
+        "Content-Length: 3, 3"
+      })
+  void rejectsInvalidFieldLine(String line) {
+    assertThat(isAccepted(line)).isFalse();
+  }
+
   @Test
   void acceptsContentLength() {
     assertThat(isAccepted("Content-Length: 0")).isTrue();
