Memory of a request's body is released when the request ends

An instance refused all requests with a body (503, Retry-After) after it had received some: with 32 MB allowed at a time, from the 28th random upload of a trial on, with nothing in flight.

Cause: the bytes to release were read from the buffer of the body after the exchange had released it. The allocator had used the object again by then, so any number could be there.

Change: the connection remembers what it has reserved.

SlowReaderTest, DisconnectedCallerTest: green.

--- a/mothrill-wire/src/main/java/io/mothrill/wire/forward/CallerConnection.java
+++ b/mothrill-wire/src/main/java/io/mothrill/wire/forward/CallerConnection.java
@@ -53,6 +53,7 @@
   private HttpRequest head;
   private ForwardCall call;
   private ByteBuf body = Unpooled.EMPTY_BUFFER;
+  private int reservedBytes;
   private ForwardExchange exchange;
   private boolean keepAlive = true;
   private boolean closing;
@@ -153,6 +154,7 @@
         refuse(ForwardServerState.OUT_OF_MEMORY);
         return;
       }
+      reservedBytes += length;
       if (body == Unpooled.EMPTY_BUFFER) {
         body = context.alloc().heapBuffer(length);
       }
@@ -204,11 +206,16 @@
   }
 
   private void releaseBody() {
-    serverState.releaseBytes(body.readableBytes());
+    releaseReservedBytes();
     body.release();
     body = Unpooled.EMPTY_BUFFER;
   }
 
+  private void releaseReservedBytes() {
+    serverState.releaseBytes(reservedBytes);
+    reservedBytes = 0;
+  }
+
   @Override
   public void sendFull(HttpResponseStatus status, HttpHeaders headers, ByteBuf content) {
     boolean keepOpen = staysOpen();
@@ -311,7 +318,7 @@
   }
 
   private void onResponseEnd(boolean keepOpen) {
-    serverState.releaseBytes(body.readableBytes());
+    releaseReservedBytes();
     serverState.onRequestEnded();
     body = Unpooled.EMPTY_BUFFER;
     exchange = null;
@@ -346,7 +353,7 @@
     serverState.onConnectionClosed(this);
     if (exchange != null) {
       exchange.onCallerDisconnected();
-      serverState.releaseBytes(body.readableBytes());
+      releaseReservedBytes();
       serverState.onRequestEnded();
       exchange = null;
     } else if (!closing) {
